Add the decisions under load: admit, queue, slots, route, eject, subset, retry

Cause: the running path needs one place for each decision. Pure packages; time, randomness and load are arguments.

--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,210 @@
+// Package queue holds work that waits at a door for a slot of its endpoint.
+//
+// The load it answers: more work comes than the endpoint has slots, long among
+// short, and each piece is worth nothing after its deadline. First come, first
+// served without a limit then does everything late: each piece waits behind
+// work that is already lost, slots are spent on answers that nobody reads, and
+// a caller learns of it only when its own deadline passes.
+//
+// The queue predicts when each piece would end, from the tokens that it is
+// expected to make and the rate that the slots have shown, and refuses at once
+// what would end too late, with the time after which the same request would be
+// in time. It orders by kind, then priority, then by the latest moment at which
+// the work must start. Work that has been let in is given up only when work
+// that outranks it came later, or when it ran late against the prediction, and
+// it is then refused at the moment when starting it could no longer help.
+package queue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/slots"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/work"
+)
+
+const (
+	// CauseSaturated is the cause of a refusal when the work would end after
+	// its deadline, or when too much waits already.
+	CauseSaturated = "saturated"
+	// CauseTooLong is the cause when the work would end after its deadline even
+	// on an idle endpoint.
+	CauseTooLong = "tooLong"
+	// CauseDisplaced is the cause when work of a higher rank came later.
+	CauseDisplaced = "displaced"
+)
+
+type (
+	// Queue is the work waiting and running at one door. It isn't safe for
+	// concurrent use.
+	Queue[T any] struct {
+		settings settings
+		slots    *slots.Slots
+		pace     pace
+		waiting  []*entry[T]
+		running  map[uint64]*entry[T]
+		dropped  []refused[T]
+		last     uint64
+		plan     planner
+	}
+
+	entry[T any] struct {
+		item    T
+		work    work.Work
+		ticket  uint64
+		pushed  time.Time
+		started time.Time
+	}
+
+	refused[T any] struct {
+		item T
+		err  *fault.NotRunError
+	}
+)
+
+// New returns an empty queue before the divided slots of one endpoint.
+//
+//	q := queue.New[*request](slots.New(32))
+//	ticket, err := q.Push(r, work.Work{Caller: "court", Tokens: 300}, now)
+func New[T any](s *slots.Slots, opts ...Option) *Queue[T] {
+	set := settings{limit: defaultLimit, rate: defaultRate, mean: defaultMean}
+	for _, opt := range opts {
+		opt(&set)
+	}
+	return &Queue[T]{
+		settings: set,
+		slots:    s,
+		pace:     newPace(set.rate, set.mean),
+		running:  map[uint64]*entry[T]{},
+	}
+}
+
+// Push lets work in to wait, or refuses it at once with a *fault.NotRunError.
+// The ticket names the work in Done and Cancel. After a Push, Expire may have
+// work to hand out that the new work displaced.
+func (q *Queue[T]) Push(item T, w work.Work, now time.Time) (uint64, error) {
+	e := &entry[T]{item: item, work: w, pushed: now}
+	if err := q.refuse(e, now); err != nil {
+		return 0, err
+	}
+	q.last++
+	e.ticket = q.last
+	q.insert(e)
+	return e.ticket, nil
+}
+
+// Pop hands out the work that starts now, and counts it as running until Done
+// or Cancel. It returns false when nothing waits or no slot is free for what
+// waits.
+func (q *Queue[T]) Pop(now time.Time) (item T, ticket uint64, ok bool) {
+	for i, e := range q.waiting {
+		if q.hopeless(e, now) || !q.slots.Fits(e.work) {
+			continue
+		}
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.slots.Start(e.work)
+		e.started = now
+		q.running[e.ticket] = e
+		return e.item, e.ticket, true
+	}
+	return item, 0, false
+}
+
+// Expire hands out the waiting work that is given up, each with its refusal,
+// which is to be sent at once: none of it has run.
+func (q *Queue[T]) Expire(now time.Time, refuse func(T, *fault.NotRunError)) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry[T]) bool {
+		if !q.hopeless(e, now) {
+			return false
+		}
+		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", now)
+		return true
+	})
+	dropped := q.dropped
+	q.dropped = nil
+	for _, d := range dropped {
+		refuse(d.item, d.err)
+	}
+}
+
+// Next returns when Expire will next have work to hand out, and false when no
+// waiting work has a deadline.
+func (q *Queue[T]) Next() (at time.Time, ok bool) {
+	for _, e := range q.waiting {
+		if e.work.Deadline.IsZero() {
+			continue
+		}
+		t := e.work.Deadline.Add(-q.pace.service(e.work))
+		if !ok || t.Before(at) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
+// Done ends running work that made the given number of tokens, and learns from
+// it.
+func (q *Queue[T]) Done(ticket uint64, made int64, now time.Time) {
+	e, ok := q.running[ticket]
+	if !ok {
+		return
+	}
+	delete(q.running, ticket)
+	q.slots.Finish(e.work)
+	q.pace.observe(e.work, made, now.Sub(e.started))
+}
+
+// Cancel ends work, waiting or running, without learning from it. It reports
+// whether the work was still there.
+func (q *Queue[T]) Cancel(ticket uint64) bool {
+	if e, ok := q.running[ticket]; ok {
+		delete(q.running, ticket)
+		q.slots.Finish(e.work)
+		return true
+	}
+	n := len(q.waiting)
+	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry[T]) bool {
+		return e.ticket == ticket
+	})
+	return len(q.waiting) < n
+}
+
+// Load returns what the door says of itself on each reply.
+func (q *Queue[T]) Load(now time.Time) *wire.DoorLoad {
+	ahead := 0.0
+	for _, e := range q.running {
+		ahead += q.pace.left(e.work, now.Sub(e.started)).Seconds() * q.pace.rate()
+	}
+	for _, e := range q.waiting {
+		ahead += q.pace.tokens(e.work)
+	}
+	return &wire.DoorLoad{
+		Slots:       int64(q.slots.Total()),
+		Running:     int64(len(q.running)),
+		Waiting:     int64(len(q.waiting)),
+		AheadTokens: int64(ahead),
+	}
+}
+
+func (q *Queue[T]) insert(e *entry[T]) {
+	i, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
+	q.waiting = slices.Insert(q.waiting, i, e)
+}
+
+// hopeless reports whether work that started now would still end too late.
+func (q *Queue[T]) hopeless(e *entry[T], now time.Time) bool {
+	if e.work.Deadline.IsZero() {
+		return false
+	}
+	return now.Add(q.pace.service(e.work)).After(e.work.Deadline)
+}
+
+func (q *Queue[T]) drop(e *entry[T], cause, reason string, now time.Time) {
+	q.dropped = append(q.dropped, refused[T]{item: e.item, err: &fault.NotRunError{
+		Cause:      cause,
+		Reason:     reason,
+		RetryAfter: q.backlog(now),
+	}})
+}
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,157 @@
+// Package retry decides whether a request may be sent again, and when.
+//
+// The load it answers: an endpoint refuses or fails, and everyone who asked asks
+// again. Without a budget a fleet at its limit then gets several times its load
+// exactly when it can't carry it, and stays down after the cause has gone;
+// without jitter all come back in the same moment.
+//
+// A request that may have run is sent again only when it is idempotent; one that
+// may not be repeated is sent again only after a true "not run". Retries and
+// hedges draw on one budget, a share of the requests sent, so that the whole
+// load never exceeds 1+share times the first attempts.
+package retry
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/fault"
+)
+
+const (
+	defaultShare    = 0.1
+	defaultBurst    = 10
+	defaultFirst    = 25 * time.Millisecond
+	defaultMost     = 4 * time.Second
+	defaultAttempts = 3
+
+	// A hedge goes out once a request has taken longer than this share of the
+	// recent ones. It can't be worth more than the budget: hedging the slowest
+	// 5% spends half of a budget of 10%.
+	hedgeQuantile = 0.95
+	// Latencies remembered; below minSamples no quantile of 0.95 is known.
+	samples    = 128
+	minSamples = 20
+)
+
+// Budget is the retries that one entry may still spend, on one service. It isn't
+// safe for concurrent use.
+type Budget struct {
+	share    float64
+	burst    float64
+	first    time.Duration
+	most     time.Duration
+	attempts int
+	left     float64
+	seen     []time.Duration
+	next     int
+	sorted   []time.Duration
+	stale    int
+}
+
+// New returns a full budget.
+//
+//	b := retry.New(retry.WithShare(0.1))
+//	wait, ok := b.Retry(err, idempotent, attempt, rng)
+func New(opts ...Option) *Budget {
+	b := &Budget{
+		share:    defaultShare,
+		burst:    defaultBurst,
+		first:    defaultFirst,
+		most:     defaultMost,
+		attempts: defaultAttempts,
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.left = b.burst
+	return b
+}
+
+// Sent counts the first attempt of a request, which earns a share of a retry.
+func (b *Budget) Sent() {
+	b.left = min(b.left+b.share, b.burst)
+}
+
+// Observe learns how long a request took that succeeded.
+func (b *Budget) Observe(latency time.Duration) {
+	if len(b.seen) < samples {
+		b.seen = append(b.seen, latency)
+	} else {
+		b.seen[b.next] = latency
+		b.next = (b.next + 1) % samples
+	}
+	b.stale++
+}
+
+// Retry decides after an attempt that failed with err whether another follows,
+// and after which wait. Attempt counts from 1. A retry that is allowed is spent.
+func (b *Budget) Retry(err error, idempotent bool, attempt int, rng *rand.Rand) (wait time.Duration, ok bool) {
+	if err == nil || attempt >= b.attempts {
+		return 0, false
+	}
+	var notRun *fault.NotRunError
+	if !errors.As(err, &notRun) && !idempotent {
+		// The request may have run. A second copy would book a slot twice.
+		return 0, false
+	}
+	if !b.spend() {
+		return 0, false
+	}
+	wait = b.backoff(attempt, rng)
+	if notRun != nil {
+		wait += notRun.RetryAfter
+	}
+	return wait, true
+}
+
+// Second decides after a refusal whether the request goes to a second choice at
+// once. It is spent like a retry, but needs no wait: another door is asked.
+func (b *Budget) Second(err error, attempt int) bool {
+	var notRun *fault.NotRunError
+	if !errors.As(err, &notRun) || attempt >= b.attempts {
+		return false
+	}
+	return b.spend()
+}
+
+// Hedge returns after which time without an answer a second copy may be sent;
+// false when it may not: the request isn't idempotent, or too little is known.
+// When the time has come, Spend says whether the budget allows it.
+func (b *Budget) Hedge(idempotent bool) (after time.Duration, ok bool) {
+	if !idempotent || len(b.seen) < minSamples {
+		return 0, false
+	}
+	if b.stale > 0 {
+		b.sorted = append(b.sorted[:0], b.seen...)
+		slices.Sort(b.sorted)
+		b.stale = 0
+	}
+	return b.sorted[int(hedgeQuantile*float64(len(b.sorted)))], true
+}
+
+// Spend takes one retry or hedge out of the budget, if there is one.
+func (b *Budget) Spend() bool {
+	return b.spend()
+}
+
+func (b *Budget) spend() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+// The wait is drawn evenly from 0 to a bound that doubles (full jitter): callers
+// that failed in one moment come back spread over the whole bound.
+func (b *Budget) backoff(attempt int, rng *rand.Rand) time.Duration {
+	bound := b.first
+	for range attempt - 1 {
+		bound = min(bound*2, b.most)
+	}
+	return time.Duration(rng.Int64N(int64(bound) + 1))
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,160 @@
+// Package route chooses the door that an entry sends work to.
+//
+// The load it answers: each of several hundred entries knows its endpoints only
+// by the load on their last replies, which is seconds old. If all entries send
+// to the endpoint that looks least loaded, all hit the same one, and it is full
+// until the next reply says so; at random, some endpoint always has a queue
+// while another is idle. Of two drawn at random the less loaded is taken, and a
+// load that is old counts less. What the entry itself has sent since the last
+// reply is added to what the reply said.
+//
+// Work with a common prefix goes to the endpoint that has it in its cache, by
+// rendezvous hashing, unless that endpoint is loaded beyond a bound: without
+// the bound one popular prefix fills one endpoint while the others are idle.
+//
+// The entry's own data centre goes first, the others of its region when its own
+// is full, another region only when its own has no endpoint at all.
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/eject"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const (
+	defaultChoices = 2
+	defaultBound   = 1.25
+	defaultMemory  = 10 * time.Second
+
+	// full is the load at which every slot of an endpoint is taken.
+	full = 1.0
+	// homes is how many endpoints, in rendezvous order, are tried for a prefix.
+	homes = 2
+)
+
+type (
+	// Route is what one entry knows of the load of its endpoints. It isn't safe
+	// for concurrent use.
+	Route struct {
+		dataCentre string
+		region     string
+		eject      *eject.Eject
+		choices    int
+		bound      float64
+		memory     time.Duration
+		known      map[string]*state
+		tiers      [tierCount][]option
+		result     [2]string
+	}
+
+	// state is the last load that an endpoint reported.
+	state struct {
+		hash     uint64
+		load     float64
+		slots    float64
+		at       time.Time
+		pending  float64
+		draining bool
+	}
+
+	// option is one candidate of a Pick.
+	option struct {
+		id   string
+		hash uint64
+		load float64
+	}
+)
+
+// New returns a Route that knows no endpoint.
+//
+//	r := route.New(route.WithPlace("tln-a", "ee-north"))
+//	ids := r.Pick(endpoints, prefixKey, rng, now)
+func New(opts ...Option) *Route {
+	r := &Route{
+		choices: defaultChoices,
+		bound:   defaultBound,
+		memory:  defaultMemory,
+		known:   map[string]*state{},
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	if r.eject == nil {
+		r.eject = eject.New()
+	}
+	return r
+}
+
+// Learn takes in the load that a door reported, as when it accepted work.
+func (r *Route) Learn(id string, load *wire.DoorLoad, now time.Time) {
+	if load == nil {
+		return
+	}
+	s := r.get(id)
+	s.at = now
+	s.pending = 0
+	s.draining = load.Draining
+	s.slots = float64(max(load.Slots, 1))
+	s.load = float64(load.Running+load.Waiting) / s.slots
+}
+
+// Observe takes in the end of one request that Sent counted: the load on its
+// reply, nil when there was none; how long it took, for each unit of work where
+// units differ in length; and the error, nil when it succeeded. A
+// *fault.NotRunError that came with a load is a refusal and no failure.
+func (r *Route) Observe(id string, load *wire.DoorLoad, latency time.Duration, err error, now time.Time) {
+	r.Learn(id, load, now)
+	var notRun *fault.NotRunError
+	refused := errors.As(err, &notRun) && load != nil
+	if err != nil {
+		latency = 0
+	}
+	r.eject.Observe(id, latency, err != nil && !refused, now)
+}
+
+// Sent counts one request sent to the endpoint.
+func (r *Route) Sent(id string, now time.Time) {
+	r.get(id).pending++
+	r.eject.Chosen(id, now)
+}
+
+// Forget drops what is known of an endpoint that has left.
+func (r *Route) Forget(id string) {
+	delete(r.known, id)
+	r.eject.Forget(id)
+}
+
+// Pick returns the endpoint to try first and, when there is another, the one to
+// try after a refusal. Candidates are the endpoints of the service that the
+// entry talks to; those draining, gone or not ready are passed over. PrefixKey
+// is a hash of the prompt's prefix, 0 for none. The result is valid until the
+// next Pick; it is empty when no candidate is left.
+func (r *Route) Pick(candidates []*wire.EndpointState, prefixKey uint64, rng *rand.Rand, now time.Time) []string {
+	r.sort(candidates, now)
+	picked := r.result[:0]
+	for len(picked) < len(r.result) {
+		id, ok := r.one(prefixKey, rng)
+		if !ok {
+			break
+		}
+		picked = append(picked, id)
+	}
+	return picked
+}
+
+func (r *Route) get(id string) *state {
+	s, ok := r.known[id]
+	if !ok {
+		s = &state{hash: xxhash.Sum64String(id), load: math.NaN(), slots: 1}
+		r.known[id] = s
+	}
+	return s
+}
