Order the queue by stretch, and forecast the work that will go first

Weighed: arrival, deadline, shortest, latest start, latest start with displacement of longer work, arrival plus a multiple of the service time (stretch); giving up by a new prediction at each event (it changed nothing and is left out); a margin on the estimate; a forecast of live arrivals.

--- /dev/null
+++ b/cmd/measure/compare.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lavendermux/lavendermux/plays"
+	"github.com/lavendermux/lavendermux/queue"
+	"github.com/lavendermux/lavendermux/route"
+)
+
+// ours names the decisions of the product among the baselines.
+const ours = "lavendermux"
+
+// base is the size of today: three entries before ten workers in three data
+// centres.
+func base() plays.Play {
+	return plays.Play{
+		Entries: 3, Doors: 10, Slots: 8, DataCentres: 3,
+		Length: 600 * time.Second,
+		Load:   0.9, Live: 0.6, Long: 0.2,
+		Callers: 20,
+		Error:   0.4,
+		Queue:   ours, Route: ours, Retry: "budget",
+		Eject: true, Admit: true, Reserve: 0.125,
+	}
+}
+
+func comparisons() []comparison {
+	var all []comparison
+	all = append(all, queues()...)
+	all = append(all, queueSweeps()...)
+	all = append(all, returns(), reserves())
+	all = append(all, fairness()...)
+	all = append(all, bursts(), routes(), lag(), prefixes())
+	all = append(all, faults()...)
+	return append(all, subsets(), retries(), hedges())
+}
+
+func queues() []comparison {
+	var all []comparison
+	for _, load := range []float64{0.8, 1, 2, 4} {
+		p := base()
+		p.Load = load
+		p.Admit = false
+		p.Reserve = 0
+		all = append(all, comparison{
+			name: fmt.Sprintf("queue at load %g", load),
+			text: "Long work among short; the queue at the door alone, no reserve, no fairness at the entry.",
+			play: p,
+			columns: []string{
+				columnGood, columnLive, columnLong, columnTokens, columnShort, columnWasted,
+				columnRefusal, columnRefMean,
+			},
+			ways: append(queueWays(), way{"lavendermux, no forecast", func(p *plays.Play) {
+				p.QueueOptions = []queue.Option{queue.WithForecast(0)}
+			}}),
+		})
+	}
+	return all
+}
+
+func queueWays() []way {
+	var ways []way
+	for _, q := range []string{"fcfs", "bounded", "deadline", "shortest", "liveFcfs", "liveShortest", ours} {
+		ways = append(ways, way{q, func(p *plays.Play) { p.Queue = q }})
+	}
+	return ways
+}
+
+func queueSweeps() []comparison {
+	var ways []way
+	for _, x := range []float64{0, 1, 2, 3, 4, 8} {
+		ways = append(ways, queueWay("stretch %g", x, queue.WithStretch(x)))
+	}
+	for _, x := range []float64{1, 1.15, 1.3, 1.5} {
+		ways = append(ways, queueWay("margin %g", x, queue.WithMargin(x)))
+	}
+	for _, x := range []float64{5, 10, 20, 30, 60} {
+		ways = append(ways, queueWay("forecast %g s", x, queue.WithForecast(time.Duration(x)*time.Second)))
+	}
+	var all []comparison
+	for _, load := range []float64{1, 2, 4} {
+		p := base()
+		p.Load = load
+		p.Admit = false
+		p.Reserve = 0
+		all = append(all, comparison{
+			name:    fmt.Sprintf("queue sweep at load %g", load),
+			text:    "The thresholds of the queue, one changed at a time.",
+			play:    p,
+			columns: []string{columnGood, columnLive, columnLong, columnShort, columnWasted, columnRefusal},
+			ways:    ways,
+		})
+	}
+	return all
+}
+
+func queueWay(format string, x float64, opt queue.Option) way {
+	return way{fmt.Sprintf(format, x), func(p *plays.Play) { p.QueueOptions = []queue.Option{opt} }}
+}
+
+func returns() comparison {
+	p := base()
+	p.Load = 1.3
+	p.Patience = 2
+	p.Admit = false
+	return comparison{
+		name:    "retry-after",
+		text:    "Refused callers ask again, at most twice, when they were told to, or after 1 s where they were told nothing.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnKept, columnCopies, columnWasted},
+		ways: []way{
+			{"bounded, after 1 s", func(p *plays.Play) { p.Queue = "bounded" }},
+			{"lavendermux, after 1 s", func(p *plays.Play) { p.Deaf = true }},
+			{"lavendermux, when told", func(*plays.Play) {}},
+		},
+	}
+}
+
+func reserves() comparison {
+	p := base()
+	p.Load = 1.5
+	p.Live = 0.3
+	p.Long = 0.5
+	p.Admit = false
+	var ways []way
+	for _, x := range []float64{0, 0.125, 0.25, 0.375, 0.5} {
+		ways = append(ways, way{fmt.Sprintf("reserve %g", x), func(p *plays.Play) { p.Reserve = x }})
+	}
+	return comparison{
+		name:    "reserve for live work",
+		text:    "Rollouts take more than there is, half of the work is long; live work is a third of it.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnLong, columnShort, columnMedian, columnTokens},
+		ways:    ways,
+	}
+}
+
+func fairness() []comparison {
+	var all []comparison
+	for _, load := range []float64{1.5, 2, 4} {
+		p := base()
+		p.Load = load
+		p.Heavy = 2
+		p.HeavyShare = 0.8
+		all = append(all, comparison{
+			name:    fmt.Sprintf("few callers at load %g", load),
+			text:    "Two of twenty callers send four fifths of the load.",
+			play:    p,
+			columns: []string{columnGood, columnLive, columnWorst, columnLight, columnTokens, columnShort, columnWasted},
+			ways: []way{
+				{"fcfs, no limit", func(p *plays.Play) { p.Queue, p.Admit = "fcfs", false }},
+				{"no fairness", func(p *plays.Play) { p.Admit = false }},
+				{"lavendermux", func(*plays.Play) {}},
+			},
+		})
+	}
+	return all
+}
+
+func bursts() comparison {
+	p := base()
+	p.Load = 0.7
+	p.Burst = 4
+	p.Length = 480 * time.Second
+	p.Patience = 3
+	return comparison{
+		name:    "burst",
+		text:    "Four times the load for two minutes; refused or late callers ask again three times.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnWasted, columnRecovery, columnCopies},
+		ways: []way{
+			{"fcfs, retry always", func(p *plays.Play) { p.Queue, p.Retry, p.Admit = "fcfs", "always", false }},
+			{"bounded, retry always", func(p *plays.Play) { p.Queue, p.Retry, p.Admit = "bounded", "always", false }},
+			{"bounded, budget", func(p *plays.Play) { p.Queue, p.Admit = "bounded", false }},
+			{"lavendermux, retry always", func(p *plays.Play) { p.Retry = "always" }},
+			{"lavendermux", func(*plays.Play) {}},
+		},
+	}
+}
+
+func routeWays() []way {
+	var ways []way
+	for _, r := range []string{"random", "roundRobin", "least"} {
+		ways = append(ways, way{r, func(p *plays.Play) { p.Route = r }})
+	}
+	for _, n := range []int{1, 2, 3, 4, 8, 100} {
+		ways = append(ways, way{fmt.Sprintf("lavendermux, best of %d", n), func(p *plays.Play) {
+			p.RouteOptions = []route.Option{route.WithChoices(n)}
+		}})
+	}
+	for _, s := range []time.Duration{2, 5, 20, 60} {
+		ways = append(ways, way{fmt.Sprintf("lavendermux, memory %d s", s), func(p *plays.Play) {
+			p.RouteOptions = []route.Option{route.WithMemory(s * time.Second)}
+		}})
+	}
+	return ways
+}
+
+func routes() comparison {
+	p := base()
+	p.Load = 0.95
+	p.Admit = false
+	return comparison{
+		name:    "route, today's size",
+		text:    "Three entries before ten doors, near the capacity.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnEven, columnCopies},
+		ways:    routeWays(),
+	}
+}
+
+func lag() comparison {
+	p := base()
+	p.Entries, p.Doors, p.Slots, p.Subset = 50, 100, 8, 24
+	p.DataCentres = 1
+	p.Load = 0.95
+	p.Length = 120 * time.Second
+	p.Admit = false
+	return comparison{
+		name:    "route, lagging load",
+		text:    "Fifty entries before a hundred doors, each entry with 24 of them: what an entry knows is seconds old.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnEven, columnCopies},
+		ways:    routeWays(),
+	}
+}
+
+func prefixes() comparison {
+	p := base()
+	p.Load = 0.8
+	p.Admit = false
+	p.Prefixes, p.Cached, p.Prefill = 200, 20, 2*time.Second
+	ways := []way{
+		{"least loaded of two", func(p *plays.Play) { p.RouteOptions = []route.Option{route.WithBound(-1)} }},
+		{"random", func(p *plays.Play) { p.Route = "random" }},
+	}
+	for _, x := range []float64{1, 1.1, 1.25, 1.5, 2, 1000} {
+		ways = append(ways, way{fmt.Sprintf("lavendermux, bound %g", x), func(p *plays.Play) {
+			p.RouteOptions = []route.Option{route.WithBound(x)}
+		}})
+	}
+	return comparison{
+		name:    "prefix affinity",
+		text:    "200 prefixes, the k-th asked for in proportion to 1/k; a door caches 20; a miss costs 2 s of a slot.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnHits, columnEven},
+		ways:    ways,
+	}
+}
--- /dev/null
+++ b/cmd/measure/comparefault.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/lavendermux/lavendermux/eject"
+	"github.com/lavendermux/lavendermux/plays"
+	"github.com/lavendermux/lavendermux/retry"
+)
+
+// faults are slow and failing endpoints, from half of the play on.
+func faults() []comparison {
+	slow := base()
+	slow.Load, slow.Slow, slow.SlowSpeed = 0.7, 1, 0.1
+	fail := base()
+	fail.Load, fail.Failing = 0.7, 1
+	most := base()
+	most.Load, most.Failing = 0.3, 6
+	columns := []string{columnGood, columnLive, columnShort, columnWasted, columnCopies}
+	return []comparison{
+		{
+			name: "eject, one slow door", text: "One door of ten becomes ten times slower.",
+			play: slow, columns: columns, ways: ejectWays(),
+		},
+		{
+			name: "eject, one failing door", text: "One door of ten fails all work at once.",
+			play: fail, columns: columns, ways: ejectWays(),
+		},
+		{
+			name: "eject, six failing doors", text: "Six doors of ten fail all work at once, at a third of the load.",
+			play: most, columns: columns, ways: ejectWays(),
+		},
+	}
+}
+
+func ejectWays() []way {
+	ways := []way{
+		{"random", func(p *plays.Play) { p.Route = "random" }},
+		{"none set aside", func(p *plays.Play) { p.Eject = false }},
+		{"lavendermux", func(*plays.Play) {}},
+	}
+	for _, n := range []int{1, 2, 5} {
+		ways = append(ways, ejectWay(fmt.Sprintf("failures %d", n), eject.WithFailures(n)))
+	}
+	for _, x := range []float64{1.5, 2, 5} {
+		ways = append(ways, ejectWay(fmt.Sprintf("slow %g", x), eject.WithSlow(x)))
+	}
+	for _, x := range []float64{0.2, 0.5, 1} {
+		ways = append(ways, ejectWay(fmt.Sprintf("share %g", x), eject.WithShare(x)))
+	}
+	return append(ways,
+		ejectWay("rest 1 s", eject.WithRest(time.Second, time.Minute)),
+		ejectWay("rest 8 s", eject.WithRest(8*time.Second, time.Minute)))
+}
+
+func ejectWay(name string, opt eject.Option) way {
+	return way{name, func(p *plays.Play) { p.EjectOptions = []eject.Option{opt} }}
+}
+
+func subsets() comparison {
+	p := base()
+	p.Entries, p.Doors, p.Slots, p.DataCentres = 50, 100, 8, 1
+	p.Load = 0.9
+	p.Length = 120 * time.Second
+	p.Admit = false
+	var ways []way
+	ways = append(ways, way{"all", func(*plays.Play) {}})
+	for _, n := range []int{8, 12, 16, 24, 32} {
+		ways = append(ways,
+			way{fmt.Sprintf("random %d", n), func(p *plays.Play) { p.Subset, p.Subsets = n, "random" }},
+			way{fmt.Sprintf("lavendermux %d", n), func(p *plays.Play) { p.Subset = n }})
+	}
+	return comparison{
+		name:    "subset",
+		text:    "Fifty entries before a hundred doors of one data centre.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnEven, columnCopies},
+		ways:    ways,
+	}
+}
+
+func retries() comparison {
+	p := base()
+	p.Load = 0.9
+	p.Failing = 3
+	p.Eject = false
+	ways := []way{
+		{"none", func(p *plays.Play) { p.Retry = "none" }},
+		{"always", func(p *plays.Play) { p.Retry = "always" }},
+		{"lavendermux", func(*plays.Play) {}},
+	}
+	for _, x := range []float64{0.05, 0.2, 0.5} {
+		ways = append(ways, way{fmt.Sprintf("share %g", x), func(p *plays.Play) {
+			p.RetryOptions = []retry.Option{retry.WithShare(x)}
+		}})
+	}
+	ways = append(ways,
+		way{"always, with eject", func(p *plays.Play) { p.Retry, p.Eject = "always", true }},
+		way{"lavendermux, with eject", func(p *plays.Play) { p.Eject = true }})
+	return comparison{
+		name:    "retry",
+		text:    "Three doors of ten fail all work at once; a fifth of the work may not be repeated.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnCopies, columnDoubled},
+		ways:    ways,
+	}
+}
+
+func hedges() comparison {
+	p := base()
+	p.Load, p.Slow, p.SlowSpeed = 0.6, 1, 0.3
+	return comparison{
+		name:    "hedge",
+		text:    "One door of ten becomes three times slower.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnWasted, columnCopies},
+		ways: []way{
+			{"no hedge", func(*plays.Play) {}},
+			{"hedge", func(p *plays.Play) { p.Hedge = true }},
+			{"no hedge, no eject", func(p *plays.Play) { p.Eject = false }},
+			{"hedge, no eject", func(p *plays.Play) { p.Hedge, p.Eject = true, false }},
+		},
+	}
+}
--- /dev/null
+++ b/cmd/measure/load.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavendermux/lavendermux/grid"
+	"github.com/lavendermux/lavendermux/plays"
+	"github.com/lavendermux/lavendermux/score"
+	"github.com/lavendermux/lavendermux/tally"
+)
+
+type (
+	loadCommand struct {
+		Seeds   int      `default:"10" help:"How many seeds each play is run with: 1, 2, and so on."`
+		Only    []string `help:"Run only the comparisons whose name begins with one of these."`
+		Workers int      `default:"3" help:"How many plays run at a time."`
+	}
+
+	// comparison is one play met by several policies.
+	comparison struct {
+		name    string
+		text    string
+		play    plays.Play
+		columns []string
+		ways    []way
+	}
+
+	way struct {
+		name   string
+		change func(*plays.Play)
+	}
+)
+
+// Run implements the command.
+func (c *loadCommand) Run() error {
+	for _, cmp := range comparisons() {
+		if !c.wanted(cmp.name) {
+			continue
+		}
+		table, err := cmp.table(c.Seeds, c.Workers)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(os.Stdout, "### %s\n\n%s\n\n%s\n", cmp.name, cmp.text, table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *loadCommand) wanted(name string) bool {
+	for _, only := range c.Only {
+		if strings.HasPrefix(name, only) {
+			return true
+		}
+	}
+	return len(c.Only) == 0
+}
+
+// table runs every way with every seed.
+func (c *comparison) table(seeds, workers int) (string, error) {
+	results := make([][]*score.Score, len(c.ways))
+	var g errgroup.Group
+	g.SetLimit(workers)
+	for i, w := range c.ways {
+		results[i] = make([]*score.Score, seeds)
+		for seed := range seeds {
+			play := c.play
+			w.change(&play)
+			g.Go(func() error {
+				results[i][seed] = play.Run(uint64(seed + 1))
+				return nil
+			})
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return "", err
+	}
+	t := grid.New(append([]string{"way"}, c.columns...)...)
+	for i, w := range c.ways {
+		row := []string{w.name}
+		for _, name := range c.columns {
+			row = append(row, cell(name, &c.play, results[i]))
+		}
+		t.Add(row...)
+	}
+	return t.Markdown(), nil
+}
+
+// cell is the mean of a column over the seeds and its standard deviation.
+func cell(name string, p *plays.Play, scores []*score.Score) string {
+	var s tally.Series
+	for _, sc := range scores {
+		s.Add(columns[name](sc, p))
+	}
+	return fmt.Sprintf("%.3g ± %.2g", s.Mean(), s.Deviation())
+}
--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,18 @@
+// Command measure plays load against the decisions and prints what callers and
+// trainers get, as tables in markdown.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line; each subcommand stands in a file of its own.
+type cli struct {
+	Load loadCommand `cmd:"" help:"Measure the decisions about live and mixed work."`
+}
+
+func main() {
+	var c cli
+	ctx := kong.Parse(&c, kong.Description("Plays load against the decisions and prints tables."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- /dev/null
+++ b/queue/meter.go
@@ -0,0 +1,24 @@
+package queue
+
+import (
+	"math"
+	"time"
+)
+
+// meter measures a rate in units a second; the past fades exponentially.
+type meter struct {
+	rate float64
+	last time.Time
+}
+
+func (m *meter) add(units float64, now time.Time, memory float64) {
+	m.rate = m.at(now, memory) + units/memory
+	m.last = now
+}
+
+func (m *meter) at(now time.Time, memory float64) float64 {
+	if m.last.IsZero() {
+		return 0
+	}
+	return m.rate * math.Exp(-now.Sub(m.last).Seconds()/memory)
+}
--- a/queue/options.go
+++ b/queue/options.go
@@ -1,14 +1,29 @@
 package queue
 
-// Option changes a queue.
-type Option func(*settings)
-
-type settings struct {
-	limit int
-	rate  float64
-	mean  float64
-	order order
-}
+import "time"
+
+const (
+	defaultLimit    = 256
+	defaultRate     = 40
+	defaultMean     = 256
+	defaultStretch  = 3
+	defaultMargin   = 1.3
+	defaultForecast = 30 * time.Second
+)
+
+type (
+	// Option changes a queue.
+	Option func(*settings)
+
+	settings struct {
+		limit    int
+		rate     float64
+		mean     float64
+		stretch  float64
+		margin   float64
+		forecast float64
+	}
+)
 
 // WithLimit bounds how many pieces of work wait. The default is 256: work with
 // a deadline is bounded by what can be done in time long before that; the limit
@@ -28,3 +43,23 @@
 func WithMean(tokens float64) Option {
 	return func(s *settings) { s.mean = tokens }
 }
+
+// WithStretch sets how many times its own service time work may wait before
+// shorter work that comes now no longer goes before it: 0 is first come, first
+// served, a great value is shortest first. The default is 3.
+func WithStretch(factor float64) Option {
+	return func(s *settings) { s.stretch = factor }
+}
+
+// WithMargin sets by which factor the estimated service time is lengthened when
+// the queue predicts whether work ends in time. The default is 1.3.
+func WithMargin(factor float64) Option {
+	return func(s *settings) { s.margin = factor }
+}
+
+// WithForecast sets over which time the arrival of work that goes first is
+// measured, to predict how much of it is still to come; 0 predicts none. The
+// default is 30 s.
+func WithForecast(memory time.Duration) Option {
+	return func(s *settings) { s.forecast = memory.Seconds() }
+}
--- a/queue/order.go
+++ b/queue/order.go
@@ -1,20 +1,12 @@
 package queue
 
-import "cmp"
-
-// order is how work of one kind and priority is ordered; the measurements
-// compare the ones that were weighed.
-type order int
-
-const (
-	orderLatestStart order = iota
-	orderArrival
-	orderDeadline
-	orderShortest
+import (
+	"cmp"
+	"time"
 )
 
-// outranks reports whether the first kind and priority always go before the
-// second.
+// outranks reports whether the first always goes before the second, by kind and
+// priority.
 func (q *Queue[T]) outranks(a, b *entry[T]) bool {
 	if a.work.Live() != b.work.Live() {
 		return a.work.Live()
@@ -22,6 +14,9 @@
 	return a.work.Priority > b.work.Priority
 }
 
+// compare orders by kind, priority and then by due time: the arrival and a
+// multiple of the estimated service time. Short work thus overtakes long work,
+// but only long work that hasn't yet waited in proportion to its length.
 func (q *Queue[T]) compare(a, b *entry[T]) int {
 	switch {
 	case q.outranks(a, b):
@@ -29,26 +24,16 @@
 	case q.outranks(b, a):
 		return 1
 	}
-	if c := cmp.Compare(q.key(a), q.key(b)); c != 0 {
+	if c := a.due.Compare(b.due); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.ticket, b.ticket)
 }
 
-// key is least for what goes first.
-func (q *Queue[T]) key(e *entry[T]) int64 {
-	deadline := e.work.Deadline
-	if deadline.IsZero() {
-		deadline = e.pushed.Add(noDeadline)
-	}
-	switch q.settings.order {
-	case orderArrival:
-		return 0
-	case orderDeadline:
-		return deadline.UnixNano()
-	case orderShortest:
-		return int64(q.pace.tokens(e.work))
-	default:
-		return deadline.Add(-q.pace.service(e.work)).UnixNano()
-	}
+func (q *Queue[T]) due(e *entry[T]) time.Time {
+	return e.pushed.Add(scale(q.pace.service(e.work), q.settings.stretch))
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
 }
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -8,23 +8,28 @@
 	"github.com/lavendermux/lavendermux/fault"
 )
 
+// leastLeft bounds from below the share of the slots that the forecast leaves
+// to work of a lower rank, so that a prediction stays finite.
+const leastLeft = 0.02
+
 // planner predicts when the slots come free. It keeps its memory between
 // predictions, so that one costs no allocation.
 type planner struct {
 	free []time.Duration
+	// left is the share of the slots that live work yet to come will leave.
+	left float64
 }
 
-// refuse returns why the work can't be let in, or nil. Work of a lower rank
-// that the new work pushes past its deadline is given up at once.
+// refuse returns why the work can't be let in, or nil. Waiting work that goes
+// behind it and would now be late is given up at once.
 func (q *Queue[T]) refuse(e *entry[T], now time.Time) error {
 	if len(q.waiting) >= q.settings.limit && !q.displaceLast(e, now) {
-		return q.saturated(q.backlog(now), "as much work waits as may wait")
+		return saturated(q.backlog(now), "as much work waits as may wait")
 	}
 	if e.work.Deadline.IsZero() {
 		return nil
 	}
-	service := q.pace.service(e.work)
-	budget := e.work.Deadline.Sub(now)
+	service, budget := q.pace.service(e.work), e.work.Deadline.Sub(now)
 	if service > budget {
 		return &fault.NotRunError{
 			Cause:      CauseTooLong,
@@ -34,16 +39,18 @@
 	}
 	late, victims := q.predict(e, now)
 	if late > 0 {
-		return q.saturated(late, "the work would end after its deadline")
+		return saturated(late, "the work would end after its deadline")
 	}
 	for _, v := range victims {
 		q.waiting = slices.DeleteFunc(q.waiting, func(w *entry[T]) bool { return w == v })
-		q.drop(v, CauseDisplaced, "work of a higher rank came later", now)
+	}
+	for _, v := range victims {
+		q.drop(v, CauseDisplaced, "work that goes before it came later", q.backlog(now))
 	}
 	return nil
 }
 
-func (q *Queue[T]) saturated(after time.Duration, reason string) error {
+func saturated(after time.Duration, reason string) error {
 	return &fault.NotRunError{Cause: CauseSaturated, Reason: reason, RetryAfter: after}
 }
 
@@ -57,15 +64,14 @@
 		return false
 	}
 	q.waiting = q.waiting[:len(q.waiting)-1]
-	q.drop(last, CauseDisplaced, "work of a higher rank came later", now)
+	q.drop(last, CauseDisplaced, "work that goes before it came later", q.backlog(now))
 	return true
 }
 
-// predict returns by how much the work, or work of its own or a higher rank
-// behind it, would be late, and which work of a lower rank it would make late.
+// predict returns by how much the work would be late, or else which waiting
+// work it would make late.
 func (q *Queue[T]) predict(e *entry[T], now time.Time) (late time.Duration, victims []*entry[T]) {
 	q.start(now)
-	e.ticket = q.last + 1
 	at, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
 	for _, w := range q.waiting[:at] {
 		q.place(w)
@@ -75,14 +81,9 @@
 		return late, nil
 	}
 	for _, w := range q.waiting[at:] {
-		behind := q.lateness(w, now)
-		if behind <= 0 {
-			continue
-		}
-		if !q.outranks(e, w) {
-			return behind, nil
+		if q.lateness(w, now) > 0 {
+			victims = append(victims, w)
 		}
-		victims = append(victims, w)
 	}
 	return 0, victims
 }
@@ -98,20 +99,39 @@
 	}
 	slices.Sort(free)
 	q.plan.free = free
+	q.plan.left = 1
+	if q.settings.forecast > 0 {
+		taken := q.live.at(now, q.settings.forecast) / float64(max(q.slots.Total(), 1))
+		q.plan.left = max(1-taken, leastLeft)
+	}
 }
 
 // place puts work on the first slot that it may take and returns when it ends.
 func (q *Queue[T]) place(e *entry[T]) time.Duration {
 	free := q.plan.free
 	if len(free) == 0 {
-		return noDeadline
+		return longest
 	}
 	i := min(q.slots.Kept(e.work), len(free)-1)
-	end := free[i] + q.pace.service(e.work)
+	begin := free[i]
+	service := q.pace.service(e.work)
+	if begin > 0 {
+		// On a free slot an attempt costs nobody anything; only work that waits
+		// must be likely to succeed.
+		service = scale(service, q.settings.margin)
+	}
+	end := begin + service
 	free = slices.Delete(free, i, i+1)
 	at, _ := slices.BinarySearch(free, end)
 	q.plan.free = slices.Insert(free, at, end)
-	return end
+	if e.work.Live() {
+		return end
+	}
+	// While a rollout waits, live work keeps coming and goes first: the slots
+	// work off what is ahead of it only with the share that this leaves.
+	// Without it a rollout waits for almost all of its time before the queue
+	// knows that it won't be in time.
+	return scale(begin, 1/q.plan.left) + service
 }
 
 func (q *Queue[T]) lateness(e *entry[T], now time.Time) time.Duration {
@@ -129,7 +149,10 @@
 		q.place(w)
 	}
 	if len(q.plan.free) == 0 {
-		return noDeadline
+		return longest
 	}
 	return q.plan.free[0]
 }
+
+// longest stands for a prediction where there is no slot at all.
+const longest = time.Minute
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -48,13 +48,16 @@
 		dropped  []refused[T]
 		last     uint64
 		plan     planner
+		live     meter
 	}
 
 	entry[T any] struct {
-		item    T
-		work    work.Work
-		ticket  uint64
-		pushed  time.Time
+		item   T
+		work   work.Work
+		ticket uint64
+		pushed time.Time
+		// due orders the work of one rank.
+		due     time.Time
 		started time.Time
 	}
 
@@ -69,7 +72,14 @@
 //	q := queue.New[*request](slots.New(32))
 //	ticket, err := q.Push(r, work.Work{Caller: "court", Tokens: 300}, now)
 func New[T any](s *slots.Slots, opts ...Option) *Queue[T] {
-	set := settings{limit: defaultLimit, rate: defaultRate, mean: defaultMean}
+	set := settings{
+		limit:    defaultLimit,
+		rate:     defaultRate,
+		mean:     defaultMean,
+		stretch:  defaultStretch,
+		margin:   defaultMargin,
+		forecast: defaultForecast.Seconds(),
+	}
 	for _, opt := range opts {
 		opt(&set)
 	}
@@ -85,13 +95,16 @@
 // The ticket names the work in Done and Cancel. After a Push, Expire may have
 // work to hand out that the new work displaced.
 func (q *Queue[T]) Push(item T, w work.Work, now time.Time) (uint64, error) {
-	e := &entry[T]{item: item, work: w, pushed: now}
+	e := &entry[T]{item: item, work: w, pushed: now, ticket: q.last + 1}
+	e.due = q.due(e)
 	if err := q.refuse(e, now); err != nil {
 		return 0, err
 	}
 	q.last++
-	e.ticket = q.last
 	q.insert(e)
+	if w.Live() && q.settings.forecast > 0 {
+		q.live.add(q.pace.service(w).Seconds(), now, q.settings.forecast)
+	}
 	return e.ticket, nil
 }
 
@@ -119,7 +132,7 @@
 		if !q.hopeless(e, now) {
 			return false
 		}
-		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", now)
+		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now))
 		return true
 	})
 	dropped := q.dropped
@@ -153,7 +166,7 @@
 	}
 	delete(q.running, ticket)
 	q.slots.Finish(e.work)
-	q.pace.observe(e.work, made, now.Sub(e.started))
+	q.pace.observe(made, now.Sub(e.started))
 }
 
 // Cancel ends work, waiting or running, without learning from it. It reports
@@ -201,10 +214,10 @@
 	return now.Add(q.pace.service(e.work)).After(e.work.Deadline)
 }
 
-func (q *Queue[T]) drop(e *entry[T], cause, reason string, now time.Time) {
+func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration) {
 	q.dropped = append(q.dropped, refused[T]{item: e.item, err: &fault.NotRunError{
 		Cause:      cause,
 		Reason:     reason,
-		RetryAfter: q.backlog(now),
+		RetryAfter: after,
 	}})
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -89,23 +89,27 @@
 
 // Retry decides after an attempt that failed with err whether another follows,
 // and after which wait. Attempt counts from 1. A retry that is allowed is spent.
+//
+// A refusal with a time to come back isn't retried here: the door has found that
+// the request can't end before its deadline, and to hold it only brings the
+// deadline nearer. The caller is told at once.
 func (b *Budget) Retry(err error, idempotent bool, attempt int, rng *rand.Rand) (wait time.Duration, ok bool) {
 	if err == nil || attempt >= b.attempts {
 		return 0, false
 	}
 	var notRun *fault.NotRunError
-	if !errors.As(err, &notRun) && !idempotent {
+	refused := errors.As(err, &notRun)
+	if refused && notRun.RetryAfter > 0 {
+		return 0, false
+	}
+	if !refused && !idempotent {
 		// The request may have run. A second copy would book a slot twice.
 		return 0, false
 	}
 	if !b.spend() {
 		return 0, false
 	}
-	wait = b.backoff(attempt, rng)
-	if notRun != nil {
-		wait += notRun.RetryAfter
-	}
-	return wait, true
+	return b.backoff(attempt, rng), true
 }
 
 // Second decides after a refusal whether the request goes to a second choice at
