Keep callers to their shares at the door instead of at the entry

Cause: the entry limited callers to a capacity that it measured from what the doors took in.

Change: the door counts each caller's use of slot time and lengthens the stretch by which it orders the caller's work, in proportion to the excess over an equal share.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -1,98 +1,70 @@
-// Package admit decides which callers' work an entry lets in.
+// Package admit keeps the callers of one door to their fair shares.
 //
 // The load it answers: a few callers send most of the load, and together more
-// than there is room for. The doors then refuse work as it comes, so that each
-// caller gets in proportion to what it sends: who sends most gets most, and a
-// caller with a single request is refused as often as one with thousands.
+// than there is room for. A queue that knows no callers then gives each caller
+// in proportion to what it sends: who sends most gets most, and a caller with a
+// single request is refused as often as one with thousands.
 //
-// While the doors refuse, the entry measures what they take in (the capacity)
-// and what each caller sends (its demand), and divides the capacity by max-min
-// fairness: a caller that asks for less than its share gets all that it asks
-// for, the others share the rest by weight. Live work is divided first, rollouts
-// get what it leaves. While no door refuses, all is let in.
+// The use of each caller, in slot time that was let in, fades over the memory.
+// Work of a caller whose use exceeds an equal share (by weight) is put back in
+// the queue in proportion to the excess and to its own length, so that callers
+// below their share go first, and whatever they leave goes to the others,
+// shorter work still before longer. Two other ways were measured and left out:
+// an entry that limits callers to a measured capacity lowers the capacity that
+// it measures, and a fixed delay for each excess makes the queue of the heavy
+// callers first come, first served. Figures are in docs/measured/load.md.
 package admit
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/work"
 )
 
 const (
-	// CauseShare is the cause of a refusal of a caller beyond its fair share.
+	// CauseShare is the cause of a refusal of a caller beyond its greatest share.
 	CauseShare = "overShare"
 
-	defaultMemory   = 10.0
-	defaultHeadroom = 0.1
-	defaultMean     = 256
-
-	// The doors are taken to be saturated while they refuse more than this
-	// share of what is sent to them.
-	saturatedShare = 0.02
-	// The division is made anew this often in each memory.
-	divisions = 50
-	// A caller may save up this many seconds of its rate, and at least one
-	// piece of work: requests don't come evenly.
-	saved = 1.0
-	// A caller that sends nothing for this many memories is forgotten.
-	forget = 5
+	defaultMemory  = 30.0
+	defaultPenalty = 0.5
+	// A caller whose use has faded to this many slot seconds is forgotten.
+	forgotten = 0.01
 )
 
 type (
-	// Admit is what one entry knows of its callers' demand and of the capacity
-	// behind it. It isn't safe for concurrent use.
+	// Admit is what one door knows of its callers' use. It isn't safe for
+	// concurrent use.
 	Admit struct {
 		weights   map[string]float64
 		maxShares map[string]float64
 		memory    float64
-		headroom  float64
-		mean      float64
-		kinds     [2]kind
-		sent      meter
-		refused   meter
-		divided   time.Time
-		order     []*caller
-	}
-
-	// kind is the callers of live work, or those of rollouts.
-	kind struct {
-		callers  map[string]*caller
-		accepted meter
-		limited  bool
+		penalty   float64
+		callers   map[string]*caller
+		// total is the sum of all use, and weight that of the callers' weights.
+		total  float64
+		weight float64
+		last   time.Time
 	}
 
 	caller struct {
-		name   string
-		demand meter
+		use    float64
 		weight float64
-		share  float64
-		// rate is what the caller gets, in tokens a second.
-		rate   float64
-		credit float64
-		at     time.Time
 	}
 )
 
 // New returns an Admit that has seen no work.
 //
 //	a := admit.New(admit.WithWeight("registry", 2))
-//	if err := a.Admit(w, now); err != nil { refuse(err) }
+//	excess := a.Excess(w, now)
 func New(opts ...Option) *Admit {
 	a := &Admit{
 		weights:   map[string]float64{},
 		maxShares: map[string]float64{},
 		memory:    defaultMemory,
-		headroom:  defaultHeadroom,
-		mean:      defaultMean,
-	}
-	for i := range a.kinds {
-		a.kinds[i].callers = map[string]*caller{}
+		penalty:   defaultPenalty,
+		callers:   map[string]*caller{},
 	}
 	for _, opt := range opts {
 		opt(a)
@@ -100,130 +72,94 @@
 	return a
 }
 
-// Admit lets work in or refuses it with a *fault.NotRunError.
-func (a *Admit) Admit(w work.Work, now time.Time) error {
-	cost := a.cost(w)
-	k := a.kind(w)
-	c := a.get(k, w.Caller)
-	c.demand.add(cost, now, a.memory)
-	a.divide(now)
-	if !k.limited {
+// Admit refuses work of a caller that uses more than its greatest share of the
+// slots, with a *fault.NotRunError.
+func (a *Admit) Admit(w work.Work, slots int, now time.Time) error {
+	share, ok := a.maxShares[w.Caller]
+	if !ok {
 		return nil
 	}
-	c.refill(cost, now)
-	if c.credit >= cost {
-		c.credit -= cost
+	a.fade(now)
+	// Use in equilibrium is the rate of use times the memory.
+	most := share * float64(slots) * a.memory
+	used := a.use(w.Caller)
+	if used <= most {
 		return nil
 	}
 	return &fault.NotRunError{
 		Cause:      CauseShare,
-		Reason:     "the caller has used its share of what the endpoints can do",
-		RetryAfter: c.wait(cost),
-	}
-}
-
-// Observe learns how the doors answered work that was let in: with nil when one
-// took it in, with a *fault.NotRunError when all that were asked refused.
-func (a *Admit) Observe(w work.Work, err error, now time.Time) {
-	cost := a.cost(w)
-	a.sent.add(cost, now, a.memory)
-	var notRun *fault.NotRunError
-	if errors.As(err, &notRun) {
-		a.refused.add(cost, now, a.memory)
-		return
-	}
-	a.kind(w).accepted.add(cost, now, a.memory)
-}
-
-// Saturated reports whether callers are held to their share.
-func (a *Admit) Saturated(now time.Time) bool {
-	return a.refused.at(now, a.memory) > saturatedShare*a.sent.at(now, a.memory)
-}
-
-func (a *Admit) cost(w work.Work) float64 {
-	if w.Tokens > 0 {
-		return float64(w.Tokens)
+		Reason:     "the caller uses more than its greatest share of the slots",
+		RetryAfter: time.Duration(a.memory * math.Log(used/most) * float64(time.Second)),
 	}
-	return a.mean
 }
 
-func (a *Admit) kind(w work.Work) *kind {
-	if w.Live() {
-		return &a.kinds[0]
+// Excess returns by how much the caller's use exceeds its fair share, times the
+// penalty: 0 for a caller within its share. The queue orders by it.
+func (a *Admit) Excess(w work.Work, now time.Time) float64 {
+	a.fade(now)
+	c, ok := a.callers[w.Caller]
+	if !ok || a.total <= 0 {
+		return 0
 	}
-	return &a.kinds[1]
+	fair := a.total * c.weight / a.weight
+	return max(c.use/fair-1, 0) * a.penalty
 }
 
-func (a *Admit) get(k *kind, name string) *caller {
-	c, ok := k.callers[name]
+// Charge counts work that was let in, with the slot time that it is expected to
+// take.
+func (a *Admit) Charge(w work.Work, service time.Duration, now time.Time) {
+	a.fade(now)
+	c, ok := a.callers[w.Caller]
 	if !ok {
-		c = &caller{name: name, weight: 1, share: 1, rate: math.Inf(1)}
-		if w, has := a.weights[name]; has {
-			c.weight = w
-		}
-		if s, has := a.maxShares[name]; has {
-			c.share = s
+		c = &caller{weight: 1}
+		if weight, has := a.weights[w.Caller]; has {
+			c.weight = weight
 		}
-		k.callers[name] = c
+		a.callers[w.Caller] = c
+		a.weight += c.weight
 	}
-	return c
+	c.use += service.Seconds()
+	a.total += service.Seconds()
 }
 
-// divide gives each caller its rate, live work first.
-func (a *Admit) divide(now time.Time) {
-	if now.Sub(a.divided).Seconds() < a.memory/divisions {
+// Refund takes back a Charge for work that was given up before it ran.
+func (a *Admit) Refund(w work.Work, service time.Duration, now time.Time) {
+	a.fade(now)
+	c, ok := a.callers[w.Caller]
+	if !ok {
 		return
 	}
-	a.divided = now
-	saturated := a.Saturated(now)
-	capacity := 0.0
-	for i := range a.kinds {
-		capacity += a.kinds[i].accepted.at(now, a.memory)
-	}
-	left := capacity * (1 + a.headroom)
-	for i := range a.kinds {
-		k := &a.kinds[i]
-		a.forget(k, now)
-		k.limited = saturated
-		if saturated {
-			left -= a.fill(k, left, now)
-		}
-	}
+	back := min(service.Seconds(), c.use)
+	c.use -= back
+	a.total -= back
 }
 
-func (a *Admit) forget(k *kind, now time.Time) {
-	for name, c := range k.callers {
-		if now.Sub(c.demand.last).Seconds() > forget*a.memory {
-			delete(k.callers, name)
-		}
+func (a *Admit) use(name string) float64 {
+	if c, ok := a.callers[name]; ok {
+		return c.use
 	}
+	return 0
 }
 
-// fill divides the capacity among the callers of one kind by max-min fairness
-// and returns how much of it they use. In the order of demand by weight, each
-// caller gets its demand or an equal share of what is left, whichever is less.
-func (a *Admit) fill(k *kind, capacity float64, now time.Time) float64 {
-	a.order = a.order[:0]
-	weights := 0.0
-	for _, c := range k.callers {
-		c.rate = c.demand.at(now, a.memory)
-		weights += c.weight
-		a.order = append(a.order, c)
+// fadeStep bounds how often the uses are faded: for each decision it would cost
+// a walk over all callers.
+const fadeStep = 100 * time.Millisecond
+
+func (a *Admit) fade(now time.Time) {
+	passed := now.Sub(a.last)
+	if passed < fadeStep {
+		return
 	}
-	slices.SortFunc(a.order, func(x, y *caller) int {
-		if d := cmp.Compare(x.rate/x.weight, y.rate/y.weight); d != 0 {
-			return d
+	a.last = now
+	keep := math.Exp(-passed.Seconds() / a.memory)
+	a.total, a.weight = 0, 0
+	for name, c := range a.callers {
+		c.use *= keep
+		if c.use < forgotten {
+			delete(a.callers, name)
+			continue
 		}
-		return cmp.Compare(x.name, y.name)
-	})
-	left := capacity
-	for _, c := range a.order {
-		fair := left * c.weight / weights
-		weights -= c.weight
-		used := min(c.rate, fair, c.share*capacity)
-		left -= used
-		// A caller below its share may grow to it.
-		c.rate = min(max(used, fair), c.share*capacity)
+		a.total += c.use
+		a.weight += c.weight
 	}
-	return capacity - left
 }
--- a/admit/options.go
+++ b/admit/options.go
@@ -11,25 +11,20 @@
 	return func(a *Admit) { a.weights[caller] = weight }
 }
 
-// WithMaxShare bounds the share of the capacity, 0 to 1, that a caller gets
-// while others are refused. The default is 1.
+// WithMaxShare bounds the share of the slots, 0 to 1, that a caller's work may
+// take over the memory. The default is 1: no bound.
 func WithMaxShare(caller string, share float64) Option {
 	return func(a *Admit) { a.maxShares[caller] = share }
 }
 
-// WithMemory sets over which time rates are measured. The default is 10 s.
+// WithMemory sets over which time a caller's use is measured. The default is
+// 30 s.
 func WithMemory(d time.Duration) Option {
 	return func(a *Admit) { a.memory = d.Seconds() }
 }
 
-// WithHeadroom sets how far above the measured capacity work is still let in, as
-// a share: it finds capacity that has come back. The default is 0.1.
-func WithHeadroom(share float64) Option {
-	return func(a *Admit) { a.headroom = share }
-}
-
-// WithMean sets how many tokens work of unknown length counts. The default is
-// 256.
-func WithMean(tokens int64) Option {
-	return func(a *Admit) { a.mean = float64(tokens) }
+// WithPenalty sets by how much of its stretch a caller's work goes back in the
+// queue for each time that its use exceeds its fair share. The default is 0.5.
+func WithPenalty(factor float64) Option {
+	return func(a *Admit) { a.penalty = factor }
 }
--- a/cmd/measure/compare.go
+++ b/cmd/measure/compare.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/plays"
 	"github.com/lavendermux/lavendermux/queue"
 	"github.com/lavendermux/lavendermux/route"
@@ -77,7 +78,7 @@
 		ways = append(ways, queueWay("margin %g", x, queue.WithMargin(x)))
 	}
 	for _, x := range []float64{5, 10, 20, 30, 60} {
-		ways = append(ways, queueWay("forecast %g s", x, queue.WithForecast(time.Duration(x)*time.Second)))
+		ways = append(ways, queueWay("forecast %g s", x, queue.WithForecast(seconds(x))))
 	}
 	var all []comparison
 	for _, load := range []float64{1, 2, 4} {
@@ -143,6 +144,7 @@
 		p := base()
 		p.Load = load
 		p.Heavy = 2
+		p.Live = 1
 		p.HeavyShare = 0.8
 		all = append(all, comparison{
 			name:    fmt.Sprintf("few callers at load %g", load),
@@ -153,12 +155,21 @@
 				{"fcfs, no limit", func(p *plays.Play) { p.Queue, p.Admit = "fcfs", false }},
 				{"no fairness", func(p *plays.Play) { p.Admit = false }},
 				{"lavendermux", func(*plays.Play) {}},
+				admitWay("penalty 0.25", admit.WithPenalty(0.25)),
+				admitWay("penalty 1", admit.WithPenalty(1)),
+				admitWay("penalty 2", admit.WithPenalty(2)),
+				admitWay("memory 10 s", admit.WithMemory(10*time.Second)),
+				admitWay("memory 60 s", admit.WithMemory(60*time.Second)),
 			},
 		})
 	}
 	return all
 }
 
+func admitWay(name string, opt ...admit.Option) way {
+	return way{name, func(p *plays.Play) { p.AdmitOptions = opt }}
+}
+
 func bursts() comparison {
 	p := base()
 	p.Load = 0.7
@@ -190,9 +201,9 @@
 			p.RouteOptions = []route.Option{route.WithChoices(n)}
 		}})
 	}
-	for _, s := range []time.Duration{2, 5, 20, 60} {
-		ways = append(ways, way{fmt.Sprintf("lavendermux, memory %d s", s), func(p *plays.Play) {
-			p.RouteOptions = []route.Option{route.WithMemory(s * time.Second)}
+	for _, s := range []float64{2, 5, 20, 60} {
+		ways = append(ways, way{fmt.Sprintf("lavendermux, memory %g s", s), func(p *plays.Play) {
+			p.RouteOptions = []route.Option{route.WithMemory(seconds(s))}
 		}})
 	}
 	return ways
@@ -249,3 +260,7 @@
 		ways:    ways,
 	}
 }
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/plays/door.go
+++ b/plays/door.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/queue"
 	"github.com/lavendermux/lavendermux/slots"
@@ -48,7 +49,11 @@
 	p := s.play
 	sl := slots.New(p.Slots, slots.WithLiveReserve(p.Reserve))
 	if p.Queue == "lavendermux" {
-		return queue.New[*attempt](sl, append([]queue.Option{queue.WithRate(Rate)}, p.QueueOptions...)...)
+		opts := append([]queue.Option{queue.WithRate(Rate)}, p.QueueOptions...)
+		if p.Admit {
+			opts = append(opts, queue.WithAdmit(admit.New(p.AdmitOptions...)))
+		}
+		return queue.New[*attempt](sl, opts...)
 	}
 	return &plain{order: p.Queue, slots: sl}
 }
--- a/plays/entry.go
+++ b/plays/entry.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/eject"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/retry"
@@ -36,7 +35,6 @@
 		seen  []*wire.EndpointState
 		byID  map[string]*door
 		route picker
-		admit *admit.Admit
 		retry *retry.Budget
 	}
 )
@@ -66,7 +64,6 @@
 		stage: s,
 		byID:  map[string]*door{},
 		route: s.picker(fmt.Sprintf("dc-%d", i%p.DataCentres)),
-		admit: admit.New(p.AdmitOptions...),
 		retry: retry.New(p.RetryOptions...),
 	}
 	for _, d := range s.doors {
@@ -112,12 +109,6 @@
 // ask is the arrival of a request, or of a caller that asks again.
 func (e *entry) ask(r *request) {
 	s := e.stage
-	if s.play.Admit {
-		if err := e.admit.Admit(r.work, s.now); err != nil {
-			e.settle(r, err)
-			return
-		}
-	}
 	e.retry.Sent()
 	e.send(r, e.route.Pick(e.seen, r.prefix, s.rng, s.now))
 	e.hedge(r)
@@ -202,7 +193,6 @@
 func (e *entry) settle(r *request, err error) {
 	s := e.stage
 	r.settled = true
-	e.admit.Observe(r.work, err, s.now)
 	var notRun *fault.NotRunError
 	switch {
 	case err == nil && !s.now.After(r.work.Deadline):
--- a/plays/plays.go
+++ b/plays/plays.go
@@ -68,7 +68,7 @@
 		// Eject turns the setting aside of endpoints on.
 		Eject        bool
 		EjectOptions []eject.Option
-		// Admit turns fairness at the entries on.
+		// Admit turns fairness between callers on, in lavendermux's queue.
 		Admit        bool
 		AdmitOptions []admit.Option
 		// Subset is how many doors of each data centre an entry talks to, 0 for
--- a/queue/options.go
+++ b/queue/options.go
@@ -1,6 +1,10 @@
 package queue
 
-import "time"
+import (
+	"time"
+
+	"github.com/lavendermux/lavendermux/admit"
+)
 
 const (
 	defaultLimit    = 256
@@ -22,6 +26,7 @@
 		stretch  float64
 		margin   float64
 		forecast float64
+		admit    *admit.Admit
 	}
 )
 
@@ -57,6 +62,12 @@
 	return func(s *settings) { s.margin = factor }
 }
 
+// WithAdmit sets who keeps the callers to their fair shares. By default nobody
+// does.
+func WithAdmit(a *admit.Admit) Option {
+	return func(s *settings) { s.admit = a }
+}
+
 // WithForecast sets over which time the arrival of work that goes first is
 // measured, to predict how much of it is still to come; 0 predicts none. The
 // default is 30 s.
--- a/queue/order.go
+++ b/queue/order.go
@@ -16,7 +16,8 @@
 
 // compare orders by kind, priority and then by due time: the arrival and a
 // multiple of the estimated service time. Short work thus overtakes long work,
-// but only long work that hasn't yet waited in proportion to its length.
+// but only long work that hasn't yet waited in proportion to its length; and the
+// multiple is greater for callers beyond their fair share.
 func (q *Queue[T]) compare(a, b *entry[T]) int {
 	switch {
 	case q.outranks(a, b):
@@ -30,8 +31,12 @@
 	return cmp.Compare(a.ticket, b.ticket)
 }
 
-func (q *Queue[T]) due(e *entry[T]) time.Time {
-	return e.pushed.Add(scale(q.pace.service(e.work), q.settings.stretch))
+func (q *Queue[T]) due(e *entry[T], now time.Time) time.Time {
+	stretch := q.settings.stretch
+	if q.settings.admit != nil {
+		stretch *= 1 + q.settings.admit.Excess(e.work, now)
+	}
+	return e.pushed.Add(scale(q.pace.service(e.work), stretch))
 }
 
 func scale(d time.Duration, factor float64) time.Duration {
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -23,6 +23,11 @@
 // refuse returns why the work can't be let in, or nil. Waiting work that goes
 // behind it and would now be late is given up at once.
 func (q *Queue[T]) refuse(e *entry[T], now time.Time) error {
+	if q.settings.admit != nil {
+		if err := q.settings.admit.Admit(e.work, q.slots.Total(), now); err != nil {
+			return err
+		}
+	}
 	if len(q.waiting) >= q.settings.limit && !q.displaceLast(e, now) {
 		return saturated(q.backlog(now), "as much work waits as may wait")
 	}
@@ -45,7 +50,7 @@
 		q.waiting = slices.DeleteFunc(q.waiting, func(w *entry[T]) bool { return w == v })
 	}
 	for _, v := range victims {
-		q.drop(v, CauseDisplaced, "work that goes before it came later", q.backlog(now))
+		q.drop(v, CauseDisplaced, "work that goes before it came later", q.backlog(now), now)
 	}
 	return nil
 }
@@ -64,7 +69,7 @@
 		return false
 	}
 	q.waiting = q.waiting[:len(q.waiting)-1]
-	q.drop(last, CauseDisplaced, "work that goes before it came later", q.backlog(now))
+	q.drop(last, CauseDisplaced, "work that goes before it came later", q.backlog(now), now)
 	return true
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -96,12 +96,15 @@
 // work to hand out that the new work displaced.
 func (q *Queue[T]) Push(item T, w work.Work, now time.Time) (uint64, error) {
 	e := &entry[T]{item: item, work: w, pushed: now, ticket: q.last + 1}
-	e.due = q.due(e)
+	e.due = q.due(e, now)
 	if err := q.refuse(e, now); err != nil {
 		return 0, err
 	}
 	q.last++
 	q.insert(e)
+	if q.settings.admit != nil {
+		q.settings.admit.Charge(w, q.pace.service(w), now)
+	}
 	if w.Live() && q.settings.forecast > 0 {
 		q.live.add(q.pace.service(w).Seconds(), now, q.settings.forecast)
 	}
@@ -132,7 +135,7 @@
 		if !q.hopeless(e, now) {
 			return false
 		}
-		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now))
+		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now), now)
 		return true
 	})
 	dropped := q.dropped
@@ -214,7 +217,10 @@
 	return now.Add(q.pace.service(e.work)).After(e.work.Deadline)
 }
 
-func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration) {
+func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration, now time.Time) {
+	if q.settings.admit != nil {
+		q.settings.admit.Refund(e.work, q.pace.service(e.work), now)
+	}
 	q.dropped = append(q.dropped, refused[T]{item: e.item, err: &fault.NotRunError{
 		Cause:      cause,
 		Reason:     reason,
