--- a/cmd/measure/compare.go
+++ b/cmd/measure/compare.go
@@ -33,9 +33,9 @@
 	all = append(all, queueSweeps()...)
 	all = append(all, returns(), reserves())
 	all = append(all, fairness()...)
-	all = append(all, bursts(), routes(), lag(), prefixes())
+	all = append(all, bursts(), routes(), lag(), lagAll(), prefixes(200), prefixes(4))
 	all = append(all, faults()...)
-	return append(all, subsets(), retries(), hedges())
+	return append(all, subsets(), retries())
 }
 
 func queues() []comparison {
@@ -196,17 +196,7 @@
 	for _, r := range []string{"random", "roundRobin", "least"} {
 		ways = append(ways, way{r, func(p *plays.Play) { p.Route = r }})
 	}
-	for _, n := range []int{1, 2, 3, 4, 8, 100} {
-		ways = append(ways, way{fmt.Sprintf("lavendermux, best of %d", n), func(p *plays.Play) {
-			p.RouteOptions = []route.Option{route.WithChoices(n)}
-		}})
-	}
-	for _, s := range []float64{2, 5, 20, 60} {
-		ways = append(ways, way{fmt.Sprintf("lavendermux, memory %g s", s), func(p *plays.Play) {
-			p.RouteOptions = []route.Option{route.WithMemory(seconds(s))}
-		}})
-	}
-	return ways
+	return append(ways, way{ours, func(*plays.Play) {}})
 }
 
 func routes() comparison {
@@ -238,23 +228,32 @@
 	}
 }
 
-func prefixes() comparison {
+func lagAll() comparison {
+	c := lag()
+	c.name = "route, lagging load, all doors"
+	c.text = "The same, each entry with all of the doors."
+	c.play.Subset = 0
+	return c
+}
+
+func prefixes(n int) comparison {
 	p := base()
 	p.Load = 0.8
 	p.Admit = false
-	p.Prefixes, p.Cached, p.Prefill = 200, 20, 2*time.Second
+	p.Prefixes, p.Cached, p.Prefill = n, max(n/10, 1), 2*time.Second
 	ways := []way{
-		{"least loaded of two", func(p *plays.Play) { p.RouteOptions = []route.Option{route.WithBound(-1)} }},
 		{"random", func(p *plays.Play) { p.Route = "random" }},
+		{"least loaded", func(p *plays.Play) { p.RouteOptions = []route.Option{route.WithBound(-1)} }},
 	}
-	for _, x := range []float64{1, 1.1, 1.25, 1.5, 2, 1000} {
+	for _, x := range []float64{1, 1.25, 1.5, 2, 4, 1000} {
 		ways = append(ways, way{fmt.Sprintf("lavendermux, bound %g", x), func(p *plays.Play) {
 			p.RouteOptions = []route.Option{route.WithBound(x)}
 		}})
 	}
 	return comparison{
-		name:    "prefix affinity",
-		text:    "200 prefixes, the k-th asked for in proportion to 1/k; a door caches 20; a miss costs 2 s of a slot.",
+		name: fmt.Sprintf("prefix affinity, %d prefixes", n),
+		text: fmt.Sprintf("The k-th prefix is asked for in proportion to 1/k; a door caches %d; a miss costs 2 s of a slot.",
+			p.Cached),
 		play:    p,
 		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnHits, columnEven},
 		ways:    ways,
--- a/cmd/measure/comparefault.go
+++ b/cmd/measure/comparefault.go
@@ -17,12 +17,20 @@
 	fail.Load, fail.Failing = 0.7, 1
 	most := base()
 	most.Load, most.Failing = 0.3, 6
+	poison := base()
+	poison.Load, poison.Poison = 2, 0.6
+	short := slow
+	short.Long, short.Live = 0, 1
 	columns := []string{columnGood, columnLive, columnShort, columnWasted, columnCopies}
 	return []comparison{
 		{
 			name: "eject, one slow door", text: "One door of ten becomes ten times slower.",
 			play: slow, columns: columns, ways: ejectWays(),
 		},
+		{
+			name: "eject, one slow door, short work", text: "One door of ten becomes ten times slower; all work is short.",
+			play: short, columns: columns, ways: ejectWays(),
+		},
 		{
 			name: "eject, one failing door", text: "One door of ten fails all work at once.",
 			play: fail, columns: columns, ways: ejectWays(),
@@ -31,6 +39,10 @@
 			name: "eject, six failing doors", text: "Six doors of ten fail all work at once, at a third of the load.",
 			play: most, columns: columns, ways: ejectWays(),
 		},
+		{
+			name: "eject, requests that fail everywhere", text: "Six of ten requests fail at once on every door, at twice the load; 40% is all there is to gain.",
+			play: poison, columns: columns, ways: ejectWays(),
+		},
 	}
 }
 
@@ -43,10 +55,7 @@
 	for _, n := range []int{1, 2, 5} {
 		ways = append(ways, ejectWay(fmt.Sprintf("failures %d", n), eject.WithFailures(n)))
 	}
-	for _, x := range []float64{1.5, 2, 5} {
-		ways = append(ways, ejectWay(fmt.Sprintf("slow %g", x), eject.WithSlow(x)))
-	}
-	for _, x := range []float64{0.2, 0.5, 1} {
+	for _, x := range []float64{0.2, 0.34, 0.5, 0.7, 0.9} {
 		ways = append(ways, ejectWay(fmt.Sprintf("share %g", x), eject.WithShare(x)))
 	}
 	return append(ways,
@@ -82,7 +91,7 @@
 
 func retries() comparison {
 	p := base()
-	p.Load = 0.9
+	p.Load = 0.6
 	p.Failing = 3
 	p.Eject = false
 	ways := []way{
@@ -106,20 +115,3 @@
 		ways:    ways,
 	}
 }
-
-func hedges() comparison {
-	p := base()
-	p.Load, p.Slow, p.SlowSpeed = 0.6, 1, 0.3
-	return comparison{
-		name:    "hedge",
-		text:    "One door of ten becomes three times slower.",
-		play:    p,
-		columns: []string{columnGood, columnLive, columnShort, columnMedian, columnWasted, columnCopies},
-		ways: []way{
-			{"no hedge", func(*plays.Play) {}},
-			{"hedge", func(p *plays.Play) { p.Hedge = true }},
-			{"no hedge, no eject", func(p *plays.Play) { p.Eject = false }},
-			{"hedge, no eject", func(p *plays.Play) { p.Hedge, p.Eject = true, false }},
-		},
-	}
-}
--- a/plays/door.go
+++ b/plays/door.go
@@ -61,7 +61,7 @@
 // take is the arrival of an attempt at the door.
 func (d *door) take(a *attempt) {
 	s := d.stage
-	if s.faulty() && d.index < s.play.Failing {
+	if a.request.poison || s.faulty() && d.index < s.play.Failing {
 		a.end(d.queue.Load(s.now), errFailed)
 		return
 	}
--- a/plays/entry.go
+++ b/plays/entry.go
@@ -26,8 +26,7 @@
 	picker interface {
 		Pick(doors []*wire.EndpointState, prefix uint64, rng *rand.Rand, now time.Time) []string
 		Sent(id string, now time.Time)
-		Learn(id string, load *wire.DoorLoad, now time.Time)
-		Observe(id string, load *wire.DoorLoad, latency time.Duration, err error, now time.Time)
+		Observe(id string, load *wire.DoorLoad, err error, now time.Time)
 	}
 
 	entry struct {
@@ -111,7 +110,6 @@
 	s := e.stage
 	e.retry.Sent()
 	e.send(r, e.route.Pick(e.seen, r.prefix, s.rng, s.now))
-	e.hedge(r)
 }
 
 func (e *entry) send(r *request, ids []string) {
@@ -135,14 +133,7 @@
 func (e *entry) answer(a *attempt, rest []string, load *wire.DoorLoad, err error) {
 	s := e.stage
 	r := a.request
-	each := s.now.Sub(a.sent) / time.Duration(max(r.tokens, 1))
-	e.route.Observe(a.door.state.Instance, load, each, err, s.now)
-	if err == nil {
-		e.retry.Observe(s.now.Sub(r.arrived))
-	}
-	if r.settled {
-		return
-	}
+	e.route.Observe(a.door.state.Instance, load, err, s.now)
 	switch {
 	case err == nil:
 		e.settle(r, nil)
@@ -175,24 +166,9 @@
 	}
 }
 
-// hedge sends a second copy when the first is slow.
-func (e *entry) hedge(r *request) {
-	s := e.stage
-	after, ok := e.retry.Hedge(r.idempotent)
-	if !s.play.Hedge || !ok {
-		return
-	}
-	s.after(after, func() {
-		if !r.settled && e.retry.Spend() {
-			e.send(r, e.route.Pick(e.seen, 0, s.rng, s.now))
-		}
-	})
-}
-
 // settle tells the caller the outcome; a refused caller may ask again.
 func (e *entry) settle(r *request, err error) {
 	s := e.stage
-	r.settled = true
 	var notRun *fault.NotRunError
 	switch {
 	case err == nil && !s.now.After(r.work.Deadline):
@@ -235,7 +211,6 @@
 	again := *r
 	again.asked++
 	again.attempts = 0
-	again.settled = false
 	s.after(after, func() {
 		budget := r.work.Deadline.Sub(r.arrived)
 		again.arrived = s.now
--- a/plays/load.go
+++ b/plays/load.go
@@ -34,11 +34,11 @@
 	tokens     int64
 	short      bool
 	idempotent bool
+	poison     bool
 	prefix     uint64
 	asked      int
 	attempts   int
 	runs       int
-	settled    bool
 }
 
 // arrivals schedules all requests of the play.
@@ -87,6 +87,7 @@
 		entry:      s.entries[rng.IntN(len(s.entries))],
 		short:      !long && live,
 		idempotent: rng.Float64() < repeatable,
+		poison:     rng.Float64() < p.Poison,
 		work: work.Work{
 			Caller:   s.caller(rng),
 			Pool:     "pool",
--- a/plays/plain.go
+++ b/plays/plain.go
@@ -119,10 +119,6 @@
 
 func (p *plainRoute) Sent(string, time.Time) {}
 
-func (p *plainRoute) Learn(id string, load *wire.DoorLoad, _ time.Time) {
+func (p *plainRoute) Observe(id string, load *wire.DoorLoad, _ error, _ time.Time) {
 	p.loads[id] = float64(load.Running+load.Waiting) / float64(load.Slots)
 }
-
-func (p *plainRoute) Observe(id string, load *wire.DoorLoad, _ time.Duration, _ error, now time.Time) {
-	p.Learn(id, load, now)
-}
--- a/plays/plays.go
+++ b/plays/plays.go
@@ -50,6 +50,8 @@
 		// do so in the second half of the length.
 		Slow, Failing int
 		SlowSpeed     float64
+		// Poison is the share of requests that fail at once on every door.
+		Poison float64
 		// Error is the deviation of the logarithm of true by expected tokens.
 		Error float64
 		// Patience is how often a refused caller asks again.
@@ -78,8 +80,6 @@
 		// Retry is "budget" or a baseline: "none", "always".
 		Retry        string
 		RetryOptions []retry.Option
-		// Hedge sends a second copy of slow idempotent work.
-		Hedge bool
 	}
 
 	// stage is one run of a play.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -6,14 +6,17 @@
 // without jitter all come back in the same moment.
 //
 // A request that may have run is sent again only when it is idempotent; one that
-// may not be repeated is sent again only after a true "not run". Retries and
-// hedges draw on one budget, a share of the requests sent, so that the whole
-// load never exceeds 1+share times the first attempts.
+// may not be repeated is sent again only after a true "not run". Retries draw on
+// a budget, a share of the requests sent, so that the whole load never exceeds
+// 1+share times the first attempts.
+//
+// There are no hedges (a second copy of slow work): with failing endpoints set
+// aside they brought at most a tenth of a percent more answers in time, and on
+// long work they wasted nine percent of all tokens; see docs/measured/load.md.
 package retry
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,14 +30,6 @@
 	defaultFirst    = 25 * time.Millisecond
 	defaultMost     = 4 * time.Second
 	defaultAttempts = 3
-
-	// A hedge goes out once a request has taken longer than this share of the
-	// recent ones. It can't be worth more than the budget: hedging the slowest
-	// 5% spends half of a budget of 10%.
-	hedgeQuantile = 0.95
-	// Latencies remembered; below minSamples no quantile of 0.95 is known.
-	samples    = 128
-	minSamples = 20
 )
 
 // Budget is the retries that one entry may still spend, on one service. It isn't
@@ -46,10 +41,6 @@
 	most     time.Duration
 	attempts int
 	left     float64
-	seen     []time.Duration
-	next     int
-	sorted   []time.Duration
-	stale    int
 }
 
 // New returns a full budget.
@@ -76,17 +67,6 @@
 	b.left = min(b.left+b.share, b.burst)
 }
 
-// Observe learns how long a request took that succeeded.
-func (b *Budget) Observe(latency time.Duration) {
-	if len(b.seen) < samples {
-		b.seen = append(b.seen, latency)
-	} else {
-		b.seen[b.next] = latency
-		b.next = (b.next + 1) % samples
-	}
-	b.stale++
-}
-
 // Retry decides after an attempt that failed with err whether another follows,
 // and after which wait. Attempt counts from 1. A retry that is allowed is spent.
 //
@@ -122,26 +102,6 @@
 	return b.spend()
 }
 
-// Hedge returns after which time without an answer a second copy may be sent;
-// false when it may not: the request isn't idempotent, or too little is known.
-// When the time has come, Spend says whether the budget allows it.
-func (b *Budget) Hedge(idempotent bool) (after time.Duration, ok bool) {
-	if !idempotent || len(b.seen) < minSamples {
-		return 0, false
-	}
-	if b.stale > 0 {
-		b.sorted = append(b.sorted[:0], b.seen...)
-		slices.Sort(b.sorted)
-		b.stale = 0
-	}
-	return b.sorted[int(hedgeQuantile*float64(len(b.sorted)))], true
-}
-
-// Spend takes one retry or hedge out of the budget, if there is one.
-func (b *Budget) Spend() bool {
-	return b.spend()
-}
-
 func (b *Budget) spend() bool {
 	if b.left < 1 {
 		return false
--- a/route/options.go
+++ b/route/options.go
@@ -1,10 +1,6 @@
 package route
 
-import (
-	"time"
-
-	"github.com/lavendermux/lavendermux/eject"
-)
+import "github.com/lavendermux/lavendermux/eject"
 
 // Option changes how endpoints are chosen.
 type Option func(*Route)
@@ -21,20 +17,8 @@
 	return func(r *Route) { r.eject = e }
 }
 
-// WithChoices sets among how many endpoints drawn at random the least loaded is
-// taken. The default is 2.
-func WithChoices(n int) Option {
-	return func(r *Route) { r.choices = n }
-}
-
 // WithBound sets how far above the mean load an endpoint may be and still be
-// chosen for its cached prefix, as a factor. The default is 1.25.
+// chosen for its cached prefix, as a factor. The default is 1.5.
 func WithBound(factor float64) Option {
 	return func(r *Route) { r.bound = factor }
 }
-
-// WithMemory sets how fast a reported load loses its worth: after this time
-// 1/e of its distance from the mean is believed. The default is 10 s.
-func WithMemory(d time.Duration) Option {
-	return func(r *Route) { r.memory = d }
-}
--- a/route/route.go
+++ b/route/route.go
@@ -1,12 +1,13 @@
 // Package route chooses the door that an entry sends work to.
 //
 // The load it answers: each of several hundred entries knows its endpoints only
-// by the load on their last replies, which is seconds old. If all entries send
-// to the endpoint that looks least loaded, all hit the same one, and it is full
-// until the next reply says so; at random, some endpoint always has a queue
-// while another is idle. Of two drawn at random the less loaded is taken, and a
-// load that is old counts less. What the entry itself has sent since the last
-// reply is added to what the reply said.
+// by the load on their last replies, which is seconds old. An entry that sends to
+// the endpoint that looked least loaded sends everything there until the next
+// reply; at random, some endpoint always has a queue while another is idle. The
+// entry therefore adds what it has sent since the last reply to what the reply
+// said, and takes the least loaded. Power of two choices and a trust in old
+// reports that fades were measured and left out: with the entry's own sends
+// counted, neither brings anything.
 //
 // Work with a common prefix goes to the endpoint that has it in its cache, by
 // rendezvous hashing, unless that endpoint is loaded beyond a bound: without
@@ -17,7 +18,6 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -30,14 +30,10 @@
 )
 
 const (
-	defaultChoices = 2
-	defaultBound   = 1.25
-	defaultMemory  = 10 * time.Second
+	defaultBound = 1.5
 
 	// full is the load at which every slot of an endpoint is taken.
 	full = 1.0
-	// homes is how many endpoints, in rendezvous order, are tried for a prefix.
-	homes = 2
 )
 
 type (
@@ -47,9 +43,7 @@
 		dataCentre string
 		region     string
 		eject      *eject.Eject
-		choices    int
 		bound      float64
-		memory     time.Duration
 		known      map[string]*state
 		tiers      [tierCount][]option
 		result     [2]string
@@ -58,9 +52,9 @@
 	// state is the last load that an endpoint reported.
 	state struct {
 		hash     uint64
+		known    bool
 		load     float64
 		slots    float64
-		at       time.Time
 		pending  float64
 		draining bool
 	}
@@ -79,10 +73,8 @@
 //	ids := r.Pick(endpoints, prefixKey, rng, now)
 func New(opts ...Option) *Route {
 	r := &Route{
-		choices: defaultChoices,
-		bound:   defaultBound,
-		memory:  defaultMemory,
-		known:   map[string]*state{},
+		bound: defaultBound,
+		known: map[string]*state{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -93,13 +85,14 @@
 	return r
 }
 
-// Learn takes in the load that a door reported, as when it accepted work.
-func (r *Route) Learn(id string, load *wire.DoorLoad, now time.Time) {
+// Learn takes in the load that a door reported, as when it accepted work or in a
+// heartbeat.
+func (r *Route) Learn(id string, load *wire.DoorLoad) {
 	if load == nil {
 		return
 	}
 	s := r.get(id)
-	s.at = now
+	s.known = true
 	s.pending = 0
 	s.draining = load.Draining
 	s.slots = float64(max(load.Slots, 1))
@@ -107,17 +100,13 @@
 }
 
 // Observe takes in the end of one request that Sent counted: the load on its
-// reply, nil when there was none; how long it took, for each unit of work where
-// units differ in length; and the error, nil when it succeeded. A
+// reply, nil when there was none, and the error, nil when it succeeded. A
 // *fault.NotRunError that came with a load is a refusal and no failure.
-func (r *Route) Observe(id string, load *wire.DoorLoad, latency time.Duration, err error, now time.Time) {
-	r.Learn(id, load, now)
+func (r *Route) Observe(id string, load *wire.DoorLoad, err error, now time.Time) {
+	r.Learn(id, load)
 	var notRun *fault.NotRunError
-	refused := errors.As(err, &notRun) && load != nil
-	if err != nil {
-		latency = 0
-	}
-	r.eject.Observe(id, latency, err != nil && !refused, now)
+	refused := load != nil && errors.As(err, &notRun)
+	r.eject.Observe(id, err != nil && !refused, now)
 }
 
 // Sent counts one request sent to the endpoint.
@@ -153,7 +142,7 @@
 func (r *Route) get(id string) *state {
 	s, ok := r.known[id]
 	if !ok {
-		s = &state{hash: xxhash.Sum64String(id), load: math.NaN(), slots: 1}
+		s = &state{hash: xxhash.Sum64String(id), slots: 1}
 		r.known[id] = s
 	}
 	return s
--- a/route/tiers.go
+++ b/route/tiers.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -37,7 +36,7 @@
 		r.tiers[t] = append(r.tiers[t], option{
 			id:   c.Instance,
 			hash: s.hash,
-			load: r.expected(s, mean, now),
+			load: r.expected(s, mean),
 		})
 	}
 }
@@ -57,24 +56,20 @@
 func (r *Route) mean(candidates []*wire.EndpointState) float64 {
 	sum, n := 0.0, 0
 	for _, c := range candidates {
-		if s := r.get(c.Instance); !math.IsNaN(s.load) {
+		if s := r.get(c.Instance); s.known {
 			sum += s.load
 			n++
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / float64(n)
+	return sum / float64(max(n, 1))
 }
 
-// expected is the load of an endpoint now: what it reported, drawn towards the
-// mean with age, and what was sent there since.
-func (r *Route) expected(s *state, mean float64, now time.Time) float64 {
+// expected is the load of an endpoint now: what it reported, or the mean of the
+// others if it has reported nothing, and what was sent there since.
+func (r *Route) expected(s *state, mean float64) float64 {
 	load := mean
-	if !math.IsNaN(s.load) {
-		trust := math.Exp(-now.Sub(s.at).Seconds() / r.memory.Seconds())
-		load += (s.load - mean) * trust
+	if s.known {
+		load = s.load
 	}
 	return load + s.pending/s.slots
 }
@@ -123,40 +118,32 @@
 			return i, true
 		}
 	}
-	best := rng.IntN(len(tier))
-	for range r.choices - 1 {
-		if i := rng.IntN(len(tier)); tier[i].load < tier[best].load {
-			best = i
+	// Ties are broken by chance: entries that know nothing would otherwise all
+	// begin with the same endpoint.
+	first := rng.IntN(len(tier))
+	best := first
+	for i := 1; i < len(tier); i++ {
+		next := (first + i) % len(tier)
+		if tier[next].load < tier[best].load {
+			best = next
 		}
 	}
 	return best, true
 }
 
-// home returns the first of the prefix's homes whose load is within the bound.
+// home returns the prefix's home, the first endpoint in rendezvous order, unless
+// it is loaded beyond the bound.
 func (r *Route) home(tier []option, prefixKey uint64) (int, bool) {
 	mean := 0.0
-	for _, o := range tier {
+	best, score := 0, uint64(0)
+	for i, o := range tier {
 		mean += o.load
-	}
-	mean /= float64(len(tier))
-	limit := min(max(mean*r.bound, idle), full)
-	tried := uint64(math.MaxUint64)
-	for range homes {
-		best, score := -1, uint64(0)
-		for i, o := range tier {
-			if s := mix(o.hash ^ prefixKey); s < tried && s >= score {
-				best, score = i, s
-			}
+		if s := mix(o.hash ^ prefixKey); s >= score {
+			best, score = i, s
 		}
-		if best < 0 {
-			return 0, false
-		}
-		if tier[best].load <= limit {
-			return best, true
-		}
-		tried = score
 	}
-	return 0, false
+	mean /= float64(len(tier))
+	return best, tier[best].load <= r.bound*max(mean, idle)
 }
 
 // idle is the load below which an endpoint keeps its prefixes whatever the mean
