--- a/queue/plan.go
+++ b/queue/plan.go
@@ -167,4 +167,3 @@
 	}
 	return q.plan.free[0]
 }
-
