--- a/cmd/measure/compare.go
+++ b/cmd/measure/compare.go
@@ -105,6 +105,7 @@
 	p := base()
 	p.Load = 1.3
 	p.Patience = 2
+	p.Length = 30 * time.Minute
 	p.Admit = false
 	return comparison{
 		name:    "retry-after",
@@ -197,7 +198,7 @@
 		name:    "burst",
 		text:    "Four times the load for two minutes; refused or late callers ask again three times.",
 		play:    p,
-		columns: []string{columnGood, columnLive, columnShort, columnWasted, columnRecovery, columnCopies},
+		columns: []string{columnGood, columnLive, columnShort, columnWasted, columnRecovery, columnCopies, columnKept},
 		ways: []way{
 			{"fcfs, retry always", func(p *plays.Play) { p.Queue, p.Retry, p.Admit = "fcfs", "always", false }},
 			{"bounded, retry always", func(p *plays.Play) { p.Queue, p.Retry, p.Admit = "bounded", "always", false }},
--- a/plays/load.go
+++ b/plays/load.go
@@ -78,6 +78,14 @@
 	return !r.first.Add(r.budget).After(s.start.Add(s.play.Length))
 }
 
+// begin counts one run of the request at an endpoint.
+func (r *request) begin() {
+	r.runs++
+	if r.runs > 1 && !r.idempotent {
+		r.entry.stage.score.Doubled++
+	}
+}
+
 func (s *stage) request(rng *rand.Rand, at time.Time) *request {
 	p := s.play
 	long := rng.Float64() < p.Long
--- a/queue/options.go
+++ b/queue/options.go
@@ -10,15 +10,16 @@
 	defaultLimit = 256
 	defaultRate  = 40
 	defaultMean  = 256
-	// With a stretch of 0 or 1 short work is lost at 4 times the capacity, from
-	// 2 on hardly anything changes; the less it is the sooner long work is done.
+	// With a stretch of 0 short work is lost behind long work, with 1 some of it
+	// at 4 times the capacity. From 2 on hardly more is in time, but the greater
+	// it is the later work is told that shorter work has taken its turn.
 	defaultStretch = 3
-	// Estimates are wrong by a factor of about e^0.4. Without a margin 5% of all
-	// tokens are wasted at twice the capacity, with 1.5 live work is refused that
-	// could be done.
+	// Estimates are wrong: in the plays by a factor of about e^0.4. With 1.3 and
+	// more live work is refused that could be done; without a margin more of
+	// what was let in is given up late.
 	defaultMargin = 1.15
-	// From 5 to 30 s hardly anything changes; a shorter time refuses rollouts
-	// in each small wave of live work, a longer one does so after it.
+	// 5 s refuses long work in each small wave of short work, 60 s does so after
+	// a wave; between 10 and 30 s hardly anything changes.
 	defaultForecast = 20 * time.Second
 )
 
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -15,14 +15,19 @@
 	// longest stands for a prediction where there is no slot at all: a minute,
 	// in which an operator or the platform may have changed that.
 	longest = time.Minute
+	// furthest bounds the time after which refused work is told to come back.
+	// Under load that stays a forecast of hours is a guess, and after a burst it
+	// is wrong: beyond four minutes no more callers were served when they came.
+	furthest = 4 * time.Minute
 )
 
 // planner predicts when the slots come free. It keeps its memory between
 // predictions, so that one costs no allocation.
 type planner struct {
 	free []time.Duration
-	// left is the share of the slots that live work yet to come will leave.
-	left float64
+	// left is, for live work and rollouts and each class of due time, the share of
+	// the slots that work which goes before it will leave.
+	left [kinds][classes]float64
 }
 
 // refuse returns why the work can't be let in, or nil. Waiting work that goes
@@ -53,7 +58,7 @@
 	}
 	late, victims := q.predict(e, now)
 	if late > 0 {
-		return saturated(late, "the work would end after its deadline")
+		return saturated(min(late, furthest), "the work would end after its deadline")
 	}
 	for _, v := range victims {
 		q.waiting = slices.DeleteFunc(q.waiting, func(w *entry[T]) bool { return w == v })
@@ -113,11 +118,7 @@
 	}
 	slices.Sort(free)
 	q.plan.free = free
-	q.plan.left = 1
-	if q.settings.forecast > 0 {
-		taken := q.live.at(now, q.settings.forecast) / float64(max(q.slots.Total(), 1))
-		q.plan.left = max(1-taken, leastLeft)
-	}
+	q.arrivals.forecast(&q.plan.left, now, q.settings.forecast, float64(q.slots.Total()))
 }
 
 // place puts work on the first slot that it may take and returns when it ends.
@@ -138,14 +139,12 @@
 	free = slices.Delete(free, i, i+1)
 	at, _ := slices.BinarySearch(free, end)
 	q.plan.free = slices.Insert(free, at, end)
-	if e.work.Live() {
-		return end
-	}
-	// While a rollout waits, live work keeps coming and goes first: the slots
-	// work off what is ahead of it only with the share that this leaves.
-	// Without it a rollout waits for almost all of its time before the queue
-	// knows that it won't be in time.
-	return scale(begin, 1/q.plan.left) + service
+	// While work waits, other work keeps coming that goes first: the slots work
+	// off what is ahead of it only with the share that this leaves. Without it
+	// rollouts wait for almost all of their time before the queue knows that
+	// they won't be in time.
+	left := q.plan.left[kind(e.work)][class(e.due.Sub(e.pushed))]
+	return scale(begin, 1/left) + service
 }
 
 func (q *Queue[T]) lateness(e *entry[T], now time.Time) time.Duration {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -53,7 +53,7 @@
 		dropped  []refused[T]
 		last     uint64
 		plan     planner
-		live     meter
+		arrivals arrivals
 	}
 
 	entry[T any] struct {
@@ -107,12 +107,12 @@
 	}
 	q.last++
 	q.insert(e)
+	if q.settings.forecast > 0 {
+		q.arrivals.add(w, e.due.Sub(now), q.pace.service(w).Seconds(), now, q.settings.forecast)
+	}
 	if q.settings.admit != nil {
 		q.settings.admit.Charge(w, q.pace.service(w), now)
 	}
-	if w.Live() && q.settings.forecast > 0 {
-		q.live.add(q.pace.service(w).Seconds(), now, q.settings.forecast)
-	}
 	return e.ticket, nil
 }
 
