--- a/engst/engst.go
+++ b/engst/engst.go
@@ -1,6 +1,8 @@
 // Package engst holds what a model engine says of itself.
 package engst
 
+import "slices"
+
 type (
 	// State is an engine's answer about what it holds and does.
 	State struct {
@@ -47,3 +49,13 @@
 func (s *State) Add(name, version string, staged []string) {
 	s.Models = append(s.Models, model{Model: name, Version: version, Staged: staged})
 }
+
+// Staged says whether version of model is in memory, in use or not.
+func (s State) Staged(name, version string) bool {
+	for _, m := range s.Models {
+		if m.Model == name {
+			return m.Version == version || slices.Contains(m.Staged, version)
+		}
+	}
+	return false
+}
