--- /dev/null
+++ b/strag/strag.go
@@ -0,0 +1,223 @@
+// Package strag decides which attempt of a step's samples begins next: the order
+// of the first attempts, and near the step's end which straggler is stopped and
+// continued on another worker or gets a spare attempt.
+//
+// It answers a load of long work among short: a step is whole when its last
+// sample is, lengths differ by more than ten times, and some workers are slow or
+// stand still. Without it a long sample that begins last, or one on a slow
+// worker, runs alone while the trainer and nearly all slots are idle; one would
+// notice a step's p99 at several times its median.
+package strag
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/slot"
+	"github.com/lavendermux/lavendermux/start"
+)
+
+const (
+	defaultSpares = 1
+	defaultResume = 2 * time.Second
+	defaultGain   = 1.5
+	defaultStill  = 10 * time.Second
+	// residual is the expected rest of a sample that has outgrown its estimate,
+	// as a share of what it has made: of lengths with a heavy tail, the rest
+	// grows with the age.
+	residual = 0.5
+	// guess is how many finished siblings the sender's own estimate is worth.
+	guess = 1
+)
+
+type (
+	// Planner decides about one step. It keeps no state between calls but
+	// buffers, so one call may run at a time.
+	Planner struct {
+		spares int
+		resume time.Duration
+		gain   float64
+		still  time.Duration
+
+		sums   []float64
+		counts []float64
+		lines  []line
+		speeds []float64
+	}
+
+	// line is a slot that could begin, with what orders it.
+	line struct {
+		slot   int
+		weight float64
+	}
+)
+
+// New returns a planner.
+//
+//	p := strag.New(strag.WithSpares(1))
+//	starts := p.Next(slots, free, now)
+func New(opts ...Option) *Planner {
+	p := &Planner{
+		spares: defaultSpares,
+		resume: defaultResume,
+		gain:   defaultGain,
+		still:  defaultStill,
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
+
+// Next returns at most free attempts to begin now, in the order in which they
+// are to begin. Slots that wait go first, the longest before the others; what is
+// left of free goes to stragglers.
+func (p *Planner) Next(slots []slot.Slot, free int, now time.Time) []start.Start {
+	if free <= 0 {
+		return nil
+	}
+	p.learn(slots)
+	starts := p.waiting(slots, free)
+	if len(starts) == free {
+		return starts
+	}
+	return append(starts, p.stragglers(slots, free-len(starts), now)...)
+}
+
+// Expected returns the length in tokens that slot i was expected to have at the
+// last call of Next: the sender's guess, corrected by finished siblings. It is 0
+// when nothing is known.
+func (p *Planner) Expected(s *slot.Slot) float64 {
+	sum, n := 0.0, 0.0
+	if s.Group < len(p.sums)-1 {
+		sum, n = p.sums[s.Group], p.counts[s.Group]
+	}
+	if s.Expected > 0 {
+		sum, n = sum+guess*float64(s.Expected), n+guess
+	}
+	if n == 0 && len(p.sums) > 0 {
+		last := len(p.sums) - 1
+		sum, n = p.sums[last], p.counts[last]
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / n
+}
+
+// learn sums the lengths of finished samples for each group, and over all groups
+// in the last place.
+func (p *Planner) learn(slots []slot.Slot) {
+	groups := 0
+	for i := range slots {
+		groups = max(groups, slots[i].Group+1)
+	}
+	p.sums = slices.Grow(p.sums[:0], groups+1)[:groups+1]
+	p.counts = slices.Grow(p.counts[:0], groups+1)[:groups+1]
+	clear(p.sums)
+	clear(p.counts)
+	for i := range slots {
+		s := &slots[i]
+		if !s.Done {
+			continue
+		}
+		p.sums[s.Group] += float64(s.Tokens)
+		p.counts[s.Group]++
+		p.sums[groups] += float64(s.Tokens)
+		p.counts[groups]++
+	}
+}
+
+// waiting picks the slots with the most tokens still to make.
+func (p *Planner) waiting(slots []slot.Slot, free int) []start.Start {
+	p.lines = p.lines[:0]
+	for i := range slots {
+		s := &slots[i]
+		if s.Waiting() {
+			p.lines = append(p.lines, line{slot: i, weight: p.rest(s, s.Tokens)})
+		}
+	}
+	p.order()
+	n := min(free, len(p.lines))
+	starts := make([]start.Start, 0, n)
+	for _, l := range p.lines[:n] {
+		starts = append(starts, start.Start{Slot: l.slot})
+	}
+	return starts
+}
+
+// stragglers picks attempts that would end sooner elsewhere, the latest first.
+// A sample that is merely long is left alone: a second attempt at it would win
+// when it comes out shorter, and the trainer would learn from short samples only.
+func (p *Planner) stragglers(slots []slot.Slot, free int, now time.Time) []start.Start {
+	typical := p.typical(slots)
+	if typical == 0 {
+		return nil
+	}
+	p.lines = p.lines[:0]
+	for i := range slots {
+		s := &slots[i]
+		if s.Done || len(s.Runs) != 1 || s.Attempts > p.spares {
+			continue
+		}
+		stay, leave := p.compare(s, typical, now)
+		if stay > p.gain*leave {
+			p.lines = append(p.lines, line{slot: i, weight: stay})
+		}
+	}
+	p.order()
+	n := min(free, len(p.lines))
+	starts := make([]start.Start, 0, n)
+	for _, l := range p.lines[:n] {
+		worker := slots[l.slot].Runs[0].Worker
+		starts = append(starts, start.Start{Slot: l.slot, Stop: worker, Avoid: worker})
+	}
+	return starts
+}
+
+// compare returns the seconds until the only attempt of s ends where it runs,
+// and until one ends that continues it on a worker of typical speed.
+func (p *Planner) compare(s *slot.Slot, typical float64, now time.Time) (stay, leave float64) {
+	r := s.Runs[0]
+	rest := p.rest(s, r.Made)
+	leave = p.resume.Seconds() + rest/typical
+	if now.Sub(r.Since) < p.still {
+		// The speed of an attempt that has just begun is that of its prefill;
+		// judged by it, every start would be moved at once.
+		return 0, leave
+	}
+	if r.Speed <= 0 {
+		return (p.gain + 1) * leave, leave
+	}
+	return rest / r.Speed, leave
+}
+
+// rest returns the tokens that s still needs after made.
+func (p *Planner) rest(s *slot.Slot, made int64) float64 {
+	rest := p.Expected(s) - float64(made)
+	return max(rest, residual*float64(made))
+}
+
+// typical returns the median speed of the attempts under way.
+func (p *Planner) typical(slots []slot.Slot) float64 {
+	p.speeds = p.speeds[:0]
+	for i := range slots {
+		for _, r := range slots[i].Runs {
+			if r.Speed > 0 {
+				p.speeds = append(p.speeds, r.Speed)
+			}
+		}
+	}
+	if len(p.speeds) == 0 {
+		return 0
+	}
+	slices.Sort(p.speeds)
+	return p.speeds[len(p.speeds)/2]
+}
+
+func (p *Planner) order() {
+	slices.SortFunc(p.lines, func(a, b line) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.slot, b.slot))
+	})
+}
