--- a/quota/quota.go
+++ b/claim/claim.go
@@ -1,8 +1,8 @@
-// Package quota holds what one user of shared workers has and needs.
-package quota
+// Package claim holds what one user of shared workers has and needs.
+package claim
 
-// Quota is one role, or one pool, that shares workers with others.
-type Quota struct {
+// Claim is one role, or one pool, that shares workers with others.
+type Claim struct {
 	// Name is unique among those that share.
 	Name string
 	// Priority orders them; the greater one takes workers from the lesser.
--- a/shift/options.go
+++ b/shift/options.go
@@ -6,7 +6,7 @@
 type Option func(*Planner)
 
 // WithCost sets how long a worker is lost to both sides when it moves there and
-// back; a quota gets workers when it has been short for so long. The default is
+// back; a claim gets workers when it has been short for so long. The default is
 // 20 s.
 func WithCost(d time.Duration) Option {
 	return func(p *Planner) { p.cost = d }
@@ -18,7 +18,7 @@
 	return func(p *Planner) { p.speed = share }
 }
 
-// WithRoom sets how many times its need a quota is given; the default is 1.2.
+// WithRoom sets how many times its need a claim is given; the default is 1.2.
 func WithRoom(factor float64) Option {
 	return func(p *Planner) { p.room = factor }
 }
--- a/shift/shift.go
+++ b/shift/shift.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/move"
-	"github.com/lavendermux/lavendermux/quota"
+	"github.com/lavendermux/lavendermux/claim"
 )
 
 const (
@@ -25,7 +25,7 @@
 	longest = 10 * time.Second
 )
 
-// Planner decides about one set of quotas that share workers. It remembers how
+// Planner decides about one set of claims that share workers. It remembers how
 // long each has been short, so one call may run at a time.
 type Planner struct {
 	cost  time.Duration
@@ -40,7 +40,7 @@
 // New returns a planner.
 //
 //	p := shift.New(shift.WithCost(10 * time.Second))
-//	moves := p.Plan(quotas, now)
+//	moves := p.Plan(claims, now)
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		cost:  defaultCost,
@@ -55,14 +55,14 @@
 }
 
 // Plan returns the moves to begin now.
-func (p *Planner) Plan(quotas []quota.Quota, now time.Time) []move.Move {
-	if len(quotas) < 2 {
+func (p *Planner) Plan(claims []claim.Claim, now time.Time) []move.Move {
+	if len(claims) < 2 {
 		return nil
 	}
 	elapsed := p.elapsed(now)
-	targets := p.targets(quotas)
-	p.charge(quotas, targets, elapsed)
-	return p.moves(quotas, targets)
+	targets := p.targets(claims)
+	p.charge(claims, targets, elapsed)
+	return p.moves(claims, targets)
 }
 
 func (p *Planner) elapsed(now time.Time) float64 {
@@ -76,19 +76,19 @@
 
 // targets shares the workers out: the minimum of each, then by priority what
 // each needs up to its guarantee, then by priority what each needs.
-func (p *Planner) targets(quotas []quota.Quota) []int {
+func (p *Planner) targets(claims []claim.Claim) []int {
 	left := 0
-	targets := make([]int, len(quotas))
-	for i := range quotas {
-		targets[i] = quotas[i].Minimum
-		left += quotas[i].Workers - quotas[i].Minimum
+	targets := make([]int, len(claims))
+	for i := range claims {
+		targets[i] = claims[i].Minimum
+		left += claims[i].Workers - claims[i].Minimum
 	}
-	ranked := rank(quotas)
+	ranked := rank(claims)
 	for _, guaranteed := range []bool{true, false} {
 		for _, i := range ranked {
-			want := int(math.Ceil(p.room * quotas[i].Need))
+			want := int(math.Ceil(p.room * claims[i].Need))
 			if guaranteed {
-				want = min(want, quotas[i].Guarantee)
+				want = min(want, claims[i].Guarantee)
 			}
 			more := min(max(0, want-targets[i]), max(0, left))
 			targets[i] += more
@@ -99,10 +99,10 @@
 }
 
 // charge counts the work that was not done for want of workers.
-func (p *Planner) charge(quotas []quota.Quota, targets []int, elapsed float64) {
+func (p *Planner) charge(claims []claim.Claim, targets []int, elapsed float64) {
 	total := 0
-	for i := range quotas {
-		q := &quotas[i]
+	for i := range claims {
+		q := &claims[i]
 		total += q.Workers
 		short := targets[i] - q.Workers
 		if short <= 0 {
@@ -117,15 +117,15 @@
 
 // moves takes workers from those that have more than their target, the lowest
 // priority first, for those that have waited long enough.
-func (p *Planner) moves(quotas []quota.Quota, targets []int) []move.Move {
+func (p *Planner) moves(claims []claim.Claim, targets []int) []move.Move {
 	var moves []move.Move
-	spare := make([]int, len(quotas))
-	for i := range quotas {
-		spare[i] = max(0, quotas[i].Workers-targets[i])
+	spare := make([]int, len(claims))
+	for i := range claims {
+		spare[i] = max(0, claims[i].Workers-targets[i])
 	}
-	ranked := rank(quotas)
+	ranked := rank(claims)
 	for _, to := range ranked {
-		q := &quotas[to]
+		q := &claims[to]
 		short := targets[to] - q.Workers
 		if short <= 0 || p.debt[q.Name] < float64(short)*p.cost.Seconds() {
 			continue
@@ -135,7 +135,7 @@
 			if n <= 0 || from == to {
 				continue
 			}
-			moves = append(moves, move.Move{From: quotas[from].Name, To: q.Name, Count: n})
+			moves = append(moves, move.Move{From: claims[from].Name, To: q.Name, Count: n})
 			short -= n
 			spare[from] -= n
 			p.credit -= float64(n)
@@ -144,14 +144,14 @@
 	return moves
 }
 
-// rank returns the indexes of quotas by falling priority.
-func rank(quotas []quota.Quota) []int {
-	ranked := make([]int, len(quotas))
+// rank returns the indexes of claims by falling priority.
+func rank(claims []claim.Claim) []int {
+	ranked := make([]int, len(claims))
 	for i := range ranked {
 		ranked[i] = i
 	}
 	slices.SortStableFunc(ranked, func(a, b int) int {
-		return cmp.Compare(quotas[b].Priority, quotas[a].Priority)
+		return cmp.Compare(claims[b].Priority, claims[a].Priority)
 	})
 	return ranked
 }
