--- a/shift/shift.go
+++ b/shift/shift.go
@@ -13,8 +13,8 @@
 	"slices"
 	"time"
 
-	"github.com/lavendermux/lavendermux/move"
 	"github.com/lavendermux/lavendermux/claim"
+	"github.com/lavendermux/lavendermux/move"
 )
 
 const (
