--- /dev/null
+++ b/object/object.go
@@ -0,0 +1,81 @@
+// Package object holds the envelope that every configuration resource has.
+package object
+
+import (
+	"encoding/json"
+	"regexp"
+	"slices"
+
+	"github.com/lavendermux/lavendermux/fault"
+)
+
+const (
+	// APIVersion is the version of the resource API that this program speaks.
+	APIVersion = "lavendermux/v1"
+	// KindPool is the kind whose spec is a pool.Pool.
+	KindPool = "pool"
+	// KindSubscription is the kind whose spec is a subscr.Subscription.
+	KindSubscription = "subscription"
+	// KindService is the kind whose spec is a servce.Service.
+	KindService = "service"
+	// KindPolicy is the kind whose spec is a policy.Policy.
+	KindPolicy = "policy"
+	// KeyPrefix is where resources stand in the key-value service.
+	KeyPrefix = "resources/"
+)
+
+var (
+	// Kinds are all kinds of resources, in the order in which they depend on
+	// each other.
+	Kinds = []string{KindPool, KindService, KindSubscription, KindPolicy}
+
+	nameForm      = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$`)
+	operationForm = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+)
+
+// Object is one configuration resource.
+type Object struct {
+	// APIVersion is the constant APIVersion.
+	APIVersion string `json:"apiVersion"`
+	// Kind is one of Kinds.
+	Kind string `json:"kind"`
+	// Name is unique within the kind: up to 63 lower-case letters, digits, dots
+	// and dashes.
+	Name string `json:"name"`
+	// Revision is the key-value service's revision at which the resource was
+	// last written. In a change it is the revision that is to be replaced; 0
+	// creates. It is absent from the stored form, since only the write makes it.
+	Revision int64 `json:"revision,omitempty"`
+	// Operation identifies the change that wrote the resource, so that a writer
+	// whose answer was lost can tell its own write from another's.
+	Operation string `json:"operation,omitempty"`
+	// Spec is the JSON of the kind's own type.
+	Spec json.RawMessage `json:"spec"`
+}
+
+// Validate returns a *fault.FieldsError that names all fields of the envelope
+// which break their invariant; the spec is for package kinds.
+//
+//	o := object.Object{APIVersion: object.APIVersion, Kind: object.KindPool, Name: "filing-lm"}
+//	err := o.Validate()
+func (o Object) Validate() error {
+	var bad fault.FieldsError
+	if o.APIVersion != APIVersion {
+		bad.Addf("apiVersion", "is %q; this program speaks %q", o.APIVersion, APIVersion)
+	}
+	if !slices.Contains(Kinds, o.Kind) {
+		bad.Addf("kind", "is %q; there are %q", o.Kind, Kinds)
+	}
+	bad.Check(nameForm.MatchString(o.Name), "name",
+		"is up to 63 lower-case letters, digits, dots and dashes, and begins and ends with a letter or digit")
+	bad.Check(o.Revision >= 0, "revision", "is negative; write 0 to create")
+	bad.Check(o.Operation == "" || operationForm.MatchString(o.Operation), "operation",
+		"is up to 128 letters, digits, dots, dashes, colons and underscores")
+	bad.Check(len(o.Spec) > 0, "spec", "is missing")
+	return bad.Err()
+}
+
+// Key returns where the resource stands in the key-value service.
+func Key(kind, name string) string {
+	return KeyPrefix + kind + "/" + name
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,103 @@
+// Package pool holds the resource kind of a rollout pool: the workers of one
+// service, the models on them, and how live work and rollouts share them.
+package pool
+
+import (
+	"net/url"
+	"time"
+
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/span"
+)
+
+const (
+	defaultLiveReserve  = 0.2
+	defaultQueueLimit   = 64
+	defaultSwitchWithin = span.Duration(6 * time.Second)
+	defaultStageRate    = 2
+	defaultMaxOutput    = 4096
+	maxOutputBound      = 1 << 20
+	queueBound          = 1 << 16
+)
+
+// Pool is the spec of a resource of kind "pool".
+type Pool struct {
+	// Service is the model service whose workers form the pool; not empty.
+	Service string `json:"service"`
+	// Models are served by every worker; at least one, none twice.
+	Models []string `json:"models"`
+	// Scorer is the URL of the service that scores finished samples; empty when
+	// samples go to trainers without a score.
+	Scorer string `json:"scorer,omitempty"`
+	// LiveReserve is the share of slots, 0 to 1, that rollouts never take, so
+	// that live work starts at once. The default is 0.2.
+	LiveReserve float64 `json:"liveReserve"`
+	// MinimumSlots are the rollout slots that live work never takes, over the
+	// whole pool. The default is 0.
+	MinimumSlots int `json:"minimumSlots"`
+	// GuaranteeSlots are the rollout slots that are given back soon after live
+	// work took them; at least MinimumSlots. The default is 0, which means
+	// MinimumSlots.
+	GuaranteeSlots int `json:"guaranteeSlots"`
+	// QueueLimit is how many requests wait at one worker before the next is
+	// refused; at least 1. The default is 64.
+	QueueLimit int `json:"queueLimit"`
+	// SwitchWithin is how long putting a staged version in force on all workers
+	// may take. The default is 6s.
+	SwitchWithin span.Duration `json:"switchWithin"`
+	// StagePerSecond is how many workers begin to stage a version each second,
+	// over the whole pool, which bounds the load on the weight store. The
+	// default is 2.
+	StagePerSecond float64 `json:"stagePerSecond"`
+	// MaxOutput is the greatest length of one answer, in tokens. The default
+	// is 4096.
+	MaxOutput int `json:"maxOutput"`
+}
+
+// Default returns a Pool with every default set; service and models lack.
+//
+//	p := pool.Default()
+//	err := strict.Decode(raw, &p)
+func Default() Pool {
+	return Pool{
+		LiveReserve:    defaultLiveReserve,
+		QueueLimit:     defaultQueueLimit,
+		SwitchWithin:   defaultSwitchWithin,
+		StagePerSecond: defaultStageRate,
+		MaxOutput:      defaultMaxOutput,
+	}
+}
+
+// Validate returns a *fault.FieldsError that names all fields which break their
+// invariant.
+func (p Pool) Validate() error {
+	var bad fault.FieldsError
+	bad.Check(p.Service != "", "service", "is empty; name the service whose workers form the pool")
+	p.checkModels(&bad)
+	bad.Check(p.Scorer == "" || isURL(p.Scorer), "scorer", `is no URL; write one such as "http://10.0.0.7:7000"`)
+	bad.Check(p.LiveReserve >= 0 && p.LiveReserve <= 1, "liveReserve", "is a share and lies between 0 and 1")
+	bad.Check(p.MinimumSlots >= 0, "minimumSlots", "is negative")
+	bad.Check(p.GuaranteeSlots == 0 || p.GuaranteeSlots >= p.MinimumSlots, "guaranteeSlots", "is below minimumSlots")
+	bad.Check(p.QueueLimit >= 1 && p.QueueLimit <= queueBound, "queueLimit", "lies between 1 and 65536")
+	bad.Check(p.SwitchWithin > 0, "switchWithin", "is not above zero")
+	bad.Check(p.StagePerSecond > 0, "stagePerSecond", "is not above zero; nothing would ever be staged")
+	bad.Check(p.MaxOutput >= 1 && p.MaxOutput <= maxOutputBound, "maxOutput", "lies between 1 and 1048576 tokens")
+	return bad.Err()
+}
+
+func (p Pool) checkModels(bad *fault.FieldsError) {
+	bad.Check(len(p.Models) > 0, "models", "is empty; name at least one model")
+	seen := make(map[string]bool)
+	for _, m := range p.Models {
+		bad.Check(m != "", "models", "holds an empty name")
+		if seen[m] {
+			bad.Addf("models", "names %q twice", m)
+		}
+		seen[m] = true
+	}
+}
+
+func isURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
