Add thin stand-ins for the platform's peers and the program that runs them

Cause: the path from callers and trainers to engines has nothing to run against. Weighed: one package with all stand-ins against one per peer. One per peer, so that the users' bench can take the place of any one alone; what they share, faults that a test switches on and JSON, is package simsrv. Change: key-value service, model engine, weight store, instance list, plain service and scorer as HTTP handlers over the protocols of the client packages, and the command standin. Conclusion: answers over loopback by hand; no tests yet.

--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,57 @@
+// Command standin runs one stand-in for the platform, for demonstrations and
+// for tests with real processes.
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+)
+
+type commands struct {
+	KV        kvCommand        `cmd:"" name:"kv" help:"Key-value service."`
+	Engine    engineCommand    `cmd:"" help:"Model engine."`
+	Weights   weightsCommand   `cmd:"" help:"Weight store."`
+	Instances instancesCommand `cmd:"" help:"Instance list."`
+	Service   serviceCommand   `cmd:"" help:"Plain service with bookings and case status."`
+	Scorer    scorerCommand    `cmd:"" help:"Scorer of samples."`
+}
+
+func main() {
+	var cli commands
+	parser := kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the platform."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	parser.BindTo(ctx, (*context.Context)(nil))
+	parser.FatalIfErrorf(parser.Run())
+}
+
+// serve serves h at addr until ctx ends. A stand-in stops at once: the platform
+// promises no graceful shutdown.
+func serve(ctx context.Context, name, addr string, h http.Handler) error {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", addr)
+	if err != nil {
+		return errors.Wrapf(err, "listening for %s", name)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	log.Info("serving", "standin", name, "address", ln.Addr().String())
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serving %s", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/standin/peers.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lavendermux/lavendermux/simeng"
+	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/simlst"
+	"github.com/lavendermux/lavendermux/simscr"
+	"github.com/lavendermux/lavendermux/simsvc"
+	"github.com/lavendermux/lavendermux/simwts"
+)
+
+type (
+	kvCommand struct {
+		Listen    string  `default:"127.0.0.1:7000" help:"Address to serve at."`
+		WriteRate float64 `default:"300" help:"Writes a second."`
+		ReadRate  float64 `default:"2000" help:"Reads and watches a second."`
+		History   int     `default:"10000" help:"Changes that are kept for watches."`
+	}
+
+	engineCommand struct {
+		Listen      string            `default:"127.0.0.1:7100" help:"Address to serve at."`
+		Model       map[string]string `help:"Models and the versions in use from the start: draft=1."`
+		Role        string            `default:"rollout" enum:"rollout,live" help:"Role at the start."`
+		Seed        uint64            `help:"Seed of lengths and lost events."`
+		Slots       int               `default:"16" help:"Streams that run at a time."`
+		Queue       int               `default:"256" help:"Requests that may wait."`
+		Preempt     bool              `help:"Let greater priority take the slot of lesser."`
+		StreamRate  float64           `default:"60" help:"Tokens a second of one stream."`
+		TotalRate   float64           `default:"600" help:"Tokens a second of all streams."`
+		PrefillRate float64           `default:"8000" help:"Tokens of prompts a second."`
+		Tick        time.Duration     `default:"50ms" help:"How often a stream sends."`
+		MinLength   float64           `default:"40" help:"Least length of an answer, in tokens."`
+		Tail        float64           `default:"1.5" help:"Exponent of the tail of lengths."`
+		CacheBlocks int               `default:"4096" help:"Blocks of 64 bytes in the prefix cache."`
+		StageTime   time.Duration     `default:"200ms" help:"Time of staging beside the transfer."`
+		SwitchTime  time.Duration     `default:"300ms" help:"Pause of a switch."`
+		LoadLag     time.Duration     `default:"1s" help:"Age of the reported load."`
+		EventLag    time.Duration     `default:"2s" help:"Lateness of cache events."`
+		EventLoss   float64           `default:"0.05" help:"Share of cache events that are lost."`
+		Weights     string            `help:"URL of the weight store; none: staging fetches nothing."`
+		IgnoreFence bool              `help:"Take orders with old fencing numbers."`
+		Silent      bool              `help:"Name no version on tokens."`
+	}
+
+	weightsCommand struct {
+		Listen string  `default:"127.0.0.1:7002" help:"Address to serve at."`
+		Rate   float64 `default:"1e9" help:"Bytes a second of all transfers."`
+	}
+
+	instancesCommand struct {
+		Listen string        `default:"127.0.0.1:7001" help:"Address to serve at."`
+		Lag    time.Duration `default:"3s" help:"Time until a change is seen."`
+	}
+
+	serviceCommand struct {
+		Listen string        `default:"127.0.0.1:7300" help:"Address to serve at."`
+		Delay  time.Duration `default:"5ms" help:"Time that a request takes."`
+	}
+
+	scorerCommand struct {
+		Listen string        `default:"127.0.0.1:7200" help:"Address to serve at."`
+		Delay  time.Duration `default:"5ms" help:"Time that scoring takes."`
+	}
+)
+
+// Run serves the key-value service.
+func (c *kvCommand) Run(ctx context.Context) error {
+	kv := simkv.New(simkv.WithRates(c.WriteRate, c.ReadRate), simkv.WithHistory(c.History))
+	return serve(ctx, "kv", c.Listen, kv)
+}
+
+// Run serves the model engine.
+func (c *engineCommand) Run(ctx context.Context) error {
+	opts := []simeng.Option{
+		simeng.WithRole(c.Role),
+		simeng.WithSeed(c.Seed),
+		simeng.WithSlots(c.Slots, c.Queue),
+		simeng.WithRates(c.StreamRate, c.TotalRate, c.PrefillRate),
+		simeng.WithTick(c.Tick),
+		simeng.WithLength(c.MinLength, c.Tail),
+		simeng.WithCache(c.CacheBlocks),
+		simeng.WithOrderTimes(c.StageTime, c.SwitchTime),
+		simeng.WithLag(c.LoadLag, c.EventLag, c.EventLoss),
+		simeng.WithWeights(c.Weights, http.DefaultClient),
+	}
+	for model, version := range c.Model {
+		opts = append(opts, simeng.WithModel(model, version))
+	}
+	if c.Preempt {
+		opts = append(opts, simeng.WithPreemption())
+	}
+	if c.IgnoreFence {
+		opts = append(opts, simeng.WithoutFence())
+	}
+	if c.Silent {
+		opts = append(opts, simeng.WithoutVersions())
+	}
+	return serve(ctx, "engine", c.Listen, simeng.New(opts...))
+}
+
+// Run serves the weight store.
+func (c *weightsCommand) Run(ctx context.Context) error {
+	return serve(ctx, "weights", c.Listen, simwts.New(simwts.WithRate(c.Rate)))
+}
+
+// Run serves the instance list.
+func (c *instancesCommand) Run(ctx context.Context) error {
+	return serve(ctx, "instances", c.Listen, simlst.New(simlst.WithLag(c.Lag)))
+}
+
+// Run serves the plain service.
+func (c *serviceCommand) Run(ctx context.Context) error {
+	return serve(ctx, "service", c.Listen, simsvc.New(simsvc.WithDelay(c.Delay)))
+}
+
+// Run serves the scorer.
+func (c *scorerCommand) Run(ctx context.Context) error {
+	return serve(ctx, "scorer", c.Listen, simscr.New(simscr.WithDelay(c.Delay)))
+}
--- /dev/null
+++ b/simeng/handlers.go
@@ -0,0 +1,211 @@
+package simeng
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/genreq"
+	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/token"
+)
+
+const (
+	maxCache = 16 << 20
+)
+
+type (
+	eventsResponse struct {
+		Events []event `json:"events"`
+	}
+)
+
+func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request, l *life) {
+	var req genreq.Request
+	if !simsrv.Read(w, r, &req) {
+		return
+	}
+	if req.ID == "" || req.MaxTokens <= 0 {
+		simsrv.Fail(w, http.StatusBadRequest, "id and maxTokens: must be given")
+		return
+	}
+	st := newStream(&s.config, req)
+	if status, problem := s.admit(l, st); status != http.StatusOK {
+		simsrv.Fail(w, status, problem)
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		l.leave(st)
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	s.run(w, r, l, st)
+}
+
+func (s *Server) admit(l *life, st *stream) (int, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.models[st.req.Model] == nil {
+		return http.StatusNotFound, "model: " + strconv.Quote(st.req.Model) + " is not loaded"
+	}
+	if l.streams[st.req.ID] != nil {
+		return http.StatusBadRequest, "id: " + strconv.Quote(st.req.ID) + " runs already"
+	}
+	if !l.admit(st) {
+		return http.StatusTooManyRequests, "all slots are taken and too many wait"
+	}
+	return http.StatusOK, ""
+}
+
+// run streams tokens until the answer is whole, cancelled or cut off.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, l *life, st *stream) {
+	tick := time.NewTicker(s.config.tick)
+	defer tick.Stop()
+	for {
+		s.await(r, l, st)
+		select {
+		case <-tick.C:
+		case <-st.cancelled:
+		case <-l.crashed:
+			simsrv.Drop()
+		case <-r.Context().Done():
+			return
+		}
+		t, done := s.step(l, st)
+		if t.Tokens > 0 && writeEvent(w, t) != nil {
+			return
+		}
+		if done {
+			s.hang(r, l)
+			_ = writeEvent(w, token.Token{Done: true, Total: st.made, Finish: st.finish})
+			return
+		}
+	}
+}
+
+// await returns when the stream has a slot, is cancelled or is given up.
+func (s *Server) await(r *http.Request, l *life, st *stream) {
+	s.mu.Lock()
+	granted := st.granted
+	s.mu.Unlock()
+	select {
+	case <-granted:
+		return
+	default:
+	}
+	select {
+	case <-granted:
+	case <-st.cancelled:
+	case <-l.crashed:
+	case <-r.Context().Done():
+	}
+	s.mu.Lock()
+	st.last = time.Now()
+	s.mu.Unlock()
+}
+
+// step makes what is due, and reports whether the stream is at its end.
+func (s *Server) step(l *life, st *stream) (token.Token, bool) {
+	f := s.faults.Get()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-st.cancelled:
+		st.finish = finishCancelled
+		return token.Token{}, true
+	case <-st.granted:
+	default:
+		return token.Token{}, false
+	}
+	if st.last.IsZero() {
+		st.last = time.Now().Add(-s.config.tick)
+	}
+	t := l.advance(st, time.Now(), f)
+	return t, st.made >= st.length
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, l *life) {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		simsrv.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st := l.streams[id]; st != nil {
+		select {
+		case <-st.cancelled:
+		default:
+			close(st.cancelled)
+		}
+	}
+	simsrv.Reply(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) handleState(w http.ResponseWriter, _ *http.Request, l *life) {
+	checks := s.checksFence()
+	s.mu.Lock()
+	st := l.state(time.Now(), checks)
+	s.mu.Unlock()
+	simsrv.Reply(w, http.StatusOK, st)
+}
+
+func (s *Server) checksFence() bool {
+	return s.config.checksFence && !s.faults.Get().IgnoreFence
+}
+
+// handleExport answers with the text whose KV cache the engine holds for a
+// request, which is what an import needs to rebuild it.
+func (s *Server) handleExport(w http.ResponseWriter, r *http.Request, l *life) {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		simsrv.Fail(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := l.streams[id]
+	if st == nil {
+		simsrv.Fail(w, http.StatusNotFound, id+" does not run")
+		return
+	}
+	version := l.models[st.req.Model].version
+	_, _ = fmt.Fprintf(w, "%s@%s:%s", st.req.Model, version, st.req.Prompt+st.req.Prior)
+}
+
+// handleImport puts an exported KV cache in the prefix cache. One that other
+// weights made is refused.
+func (s *Server) handleImport(w http.ResponseWriter, r *http.Request, l *life) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCache))
+	if err != nil {
+		simsrv.Fail(w, http.StatusRequestEntityTooLarge, err.Error())
+		return
+	}
+	name, version, text, ok := splitCache(string(raw))
+	if !ok {
+		simsrv.Fail(w, http.StatusBadRequest, "body: is not an exported KV cache")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := l.models[name]
+	if m == nil || m.version != version || version == "" {
+		simsrv.Fail(w, http.StatusConflict, "the KV cache is of weights that are not in use here")
+		return
+	}
+	l.cache.use(hashes(name, version, text), time.Now())
+	simsrv.Reply(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request, l *life) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	s.mu.Lock()
+	events := l.cache.since(after, time.Now().Add(-s.config.eventLag))
+	s.mu.Unlock()
+	simsrv.Reply(w, http.StatusOK, eventsResponse{Events: events})
+}
--- /dev/null
+++ b/simeng/orders.go
@@ -0,0 +1,183 @@
+package simeng
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/lavendermux/lavendermux/order"
+	"github.com/lavendermux/lavendermux/simsrv"
+)
+
+type (
+	fenceResponse struct {
+		Fence int64 `json:"fence"`
+	}
+
+	// failure is an order that was not carried out, as the engine answers it.
+	failure struct {
+		status  int
+		problem string
+	}
+)
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request, l *life) {
+	var o order.Order
+	if !simsrv.Read(w, r, &o) {
+		return
+	}
+	if current, ok := s.takeFence(l, o.Fence); !ok {
+		simsrv.Reply(w, http.StatusConflict, fenceResponse{Fence: current})
+		return
+	}
+	f := s.carryOut(r.Context(), l, o)
+	if s.faults.Take(func(f *faults) *int { return &f.LoseOrders }) {
+		simsrv.Drop()
+	}
+	if f != nil {
+		simsrv.Fail(w, f.status, f.problem)
+		return
+	}
+	s.handleState(w, r, l)
+}
+
+// takeFence refuses a number that a greater one has overtaken.
+func (s *Server) takeFence(l *life, fence int64) (int64, bool) {
+	checks := s.checksFence()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if checks && fence < l.fence {
+		return l.fence, false
+	}
+	l.fence = max(l.fence, fence)
+	return l.fence, true
+}
+
+func (s *Server) carryOut(ctx context.Context, l *life, o order.Order) *failure {
+	switch o.Kind {
+	case order.Stage:
+		return s.stage(ctx, l, o)
+	case order.Switch:
+		return s.change(l, o)
+	case order.Unload:
+		return s.unload(l, o)
+	case order.Role:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		l.role = o.Role
+		return nil
+	}
+	return &failure{http.StatusBadRequest, "kind: " + o.Kind + " is not known"}
+}
+
+// stage fetches a version. A model that the engine has not held so far is added
+// without a version in use.
+func (s *Server) stage(ctx context.Context, l *life, o order.Order) *failure {
+	if o.Model == "" || o.Version == "" {
+		return &failure{http.StatusBadRequest, "model and version: must be given"}
+	}
+	if err := s.fetch(ctx, o.Model, o.Version); err != nil {
+		return &failure{http.StatusBadGateway, err.Error()}
+	}
+	s.sleep(l, s.config.stageTime)
+	if s.faults.Take(func(f *faults) *int { return &f.FailStages }) {
+		return &failure{http.StatusInternalServerError, "staging failed"}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := l.models[o.Model]
+	if m == nil {
+		m = &model{staged: make(map[string]bool)}
+		l.models[o.Model] = m
+	}
+	m.staged[o.Version] = true
+	return nil
+}
+
+// fetch reads a version from the weight store to its end.
+func (s *Server) fetch(ctx context.Context, model, version string) error {
+	if s.config.weights == "" {
+		return nil
+	}
+	path := "/v1/models/" + url.PathEscape(model) + "/versions/" + url.PathEscape(version) + "/data"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimRight(s.config.weights, "/")+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := s.config.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("weight store answered %d for %s version %s", resp.StatusCode, model, version)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// change puts a staged version in use. It pauses the model's streams, which go
+// on with the new weights.
+func (s *Server) change(l *life, o order.Order) *failure {
+	s.ordering <- struct{}{}
+	defer func() { <-s.ordering }()
+	s.mu.Lock()
+	m := l.models[o.Model]
+	if m == nil || !m.staged[o.Version] {
+		s.mu.Unlock()
+		return &failure{http.StatusNotFound, o.Model + " version " + o.Version + " is not staged"}
+	}
+	m.version = ""
+	m.changing = true
+	l.epoch++
+	s.mu.Unlock()
+
+	s.sleep(l, s.config.switchTime)
+	failed := s.faults.Take(func(f *faults) *int { return &f.FailSwitches })
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m.changing = false
+	l.epoch++
+	if failed {
+		return &failure{http.StatusInternalServerError, "the switch failed halfway"}
+	}
+	m.version = o.Version
+	return nil
+}
+
+func (s *Server) unload(l *life, o order.Order) *failure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := l.models[o.Model]
+	if m == nil || !m.staged[o.Version] {
+		return nil
+	}
+	if m.version == o.Version {
+		return &failure{http.StatusPreconditionFailed, o.Model + " version " + o.Version + " is in use"}
+	}
+	delete(m.staged, o.Version)
+	return nil
+}
+
+// sleep lets an order take its time, which a crash ends.
+func (s *Server) sleep(l *life, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-l.crashed:
+		simsrv.Drop()
+	}
+}
+
+// splitCache takes an exported KV cache apart.
+func splitCache(raw string) (model, version, text string, ok bool) {
+	head, text, ok := strings.Cut(raw, ":")
+	model, version, at := strings.Cut(head, "@")
+	return model, version, text, ok && at
+}
--- /dev/null
+++ b/simeng/stream.go
@@ -0,0 +1,133 @@
+package simeng
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/lavendermux/lavendermux/genreq"
+	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/token"
+)
+
+const (
+	finishStop      = "stop"
+	finishLength    = "length"
+	finishCancelled = "cancelled"
+)
+
+var lengthPattern = regexp.MustCompile(`\blen=([0-9]+)\b`)
+
+type (
+	// stream is one request that waits or runs. The server's lock guards it.
+	stream struct {
+		req  genreq.Request
+		text simtxt.Text
+		// granted is closed when the stream has a slot.
+		granted chan struct{}
+		// cancelled is closed by a cancel.
+		cancelled chan struct{}
+		// made counts tokens, prior ones included; length is where it ends.
+		made   int64
+		length int64
+		finish string
+		// credit is the part of a token that is made already. It is below 0
+		// while the prompt is read.
+		credit float64
+		// prefilled is set when the prompt is in the cache.
+		prefilled bool
+		last      time.Time
+	}
+)
+
+func newStream(c *config, req genreq.Request) *stream {
+	st := &stream{
+		req:       req,
+		text:      simtxt.Text{Model: req.Model, Prompt: req.Prompt},
+		cancelled: make(chan struct{}),
+		made:      req.PriorTokens,
+		finish:    finishStop,
+	}
+	st.length = length(c, req)
+	if st.length > req.MaxTokens {
+		st.length = req.MaxTokens
+		st.finish = finishLength
+	}
+	st.length = max(st.length, st.made)
+	return st
+}
+
+// length draws how long an answer is. A request that continues an earlier one
+// draws among the lengths that are still possible, so that resuming neither
+// shortens nor lengthens answers on the whole.
+func length(c *config, req genreq.Request) int64 {
+	if m := lengthPattern.FindStringSubmatch(req.Prompt); m != nil {
+		n, err := strconv.ParseInt(m[1], 10, 64)
+		if err == nil {
+			return n
+		}
+	}
+	rng := rand.New(rand.NewPCG(c.seed, xxhash.Sum64String(req.ID+"\x00"+req.Prompt)))
+	least := max(c.minLength, float64(req.PriorTokens))
+	drawn := least * math.Pow(1-rng.Float64(), -1/c.tail)
+	return int64(math.Min(drawn, math.MaxInt32))
+}
+
+// advance makes the tokens that are due by now. A stream that reads its prompt
+// or is paused makes none.
+func (l *life) advance(st *stream, now time.Time, f faults) token.Token {
+	elapsed := now.Sub(st.last).Seconds()
+	st.last = now
+	m := l.models[st.req.Model]
+	if m.changing || f.Hang {
+		return token.Token{}
+	}
+	rate := l.rate(f.Slowness)
+	if !st.prefilled {
+		st.prefilled = true
+		st.credit = -rate * l.prefill(st, m.version, now)
+	}
+	st.credit += rate * elapsed
+	n := min(int64(math.Floor(max(0, st.credit))), st.length-st.made)
+	st.credit -= float64(n)
+	return l.make(st, m.version, n, f.Silent)
+}
+
+func (l *life) make(st *stream, version string, n int64, silent bool) token.Token {
+	var b strings.Builder
+	for range n {
+		b.WriteString(st.text.Word(version, st.made))
+		st.made++
+	}
+	t := token.Token{Text: b.String(), Tokens: n, Version: version}
+	if silent || l.config.silent {
+		t.Version = ""
+	}
+	return t
+}
+
+// prefill returns how many seconds reading the prompt takes: what the cache
+// holds of it takes none.
+func (l *life) prefill(st *stream, version string, now time.Time) float64 {
+	text := st.req.Prompt + st.req.Prior
+	hits := l.cache.use(hashes(st.req.Model, version, text), now)
+	return float64(len(text)-hits*blockBytes) / tokenBytes / l.config.prefillRate
+}
+
+func writeEvent(w http.ResponseWriter, t token.Token) error {
+	raw, err := json.Marshal(t)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(w, "data: %s\n\n", raw); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
--- /dev/null
+++ b/simkv/handlers.go
@@ -0,0 +1,209 @@
+package simkv
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/simsrv"
+)
+
+const (
+	// maxWait bounds one watch.
+	maxWait = 5 * time.Minute
+)
+
+type (
+	putRequest struct {
+		Value  []byte `json:"value"`
+		Expect int64  `json:"expect"`
+		Lease  int64  `json:"lease"`
+	}
+
+	// revisionResponse answers a write, and a write that came too late.
+	revisionResponse struct {
+		Revision int64 `json:"revision"`
+	}
+
+	rangeResponse struct {
+		Revision int64           `json:"revision"`
+		Records  []record.Record `json:"records"`
+	}
+
+	leaseMessage struct {
+		ID    int64 `json:"id,omitempty"`
+		TTLMs int64 `json:"ttlMs,omitempty"`
+	}
+)
+
+func (s *Server) handleGet(w http.ResponseWriter, r *http.Request) {
+	key := mux.Vars(r)["key"]
+	s.mu.Lock()
+	rec, found := s.store.records[key]
+	s.mu.Unlock()
+	if !found {
+		simsrv.Fail(w, http.StatusNotFound, key+" does not exist")
+		return
+	}
+	simsrv.Reply(w, http.StatusOK, rec)
+}
+
+func (s *Server) handleRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	resp := rangeResponse{
+		Revision: s.store.revision,
+		Records:  s.store.list(r.URL.Query().Get("prefix")),
+	}
+	s.mu.Unlock()
+	simsrv.Reply(w, http.StatusOK, resp)
+}
+
+func (s *Server) handlePut(w http.ResponseWriter, r *http.Request) {
+	key := mux.Vars(r)["key"]
+	var req putRequest
+	if !simsrv.Read(w, r, &req) {
+		return
+	}
+	if len(req.Value) > MaxValue {
+		problem := fmt.Sprintf("value: %d bytes, the limit is %d", len(req.Value), MaxValue)
+		simsrv.Fail(w, http.StatusRequestEntityTooLarge, problem)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if req.Lease != 0 && s.store.leases[req.Lease] == nil {
+		simsrv.Fail(w, http.StatusPreconditionFailed, fmt.Sprintf("lease %d has lapsed", req.Lease))
+		return
+	}
+	if current := s.store.records[key].Revision; current != req.Expect {
+		simsrv.Reply(w, http.StatusConflict, revisionResponse{Revision: current})
+		return
+	}
+	rev := s.store.put(key, req.Value, req.Lease)
+	simsrv.Reply(w, http.StatusOK, revisionResponse{Revision: rev})
+}
+
+func (s *Server) handleDelete(w http.ResponseWriter, r *http.Request) {
+	key := mux.Vars(r)["key"]
+	expect, ok := number(w, "expect", r.URL.Query().Get("expect"))
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rec, found := s.store.records[key]
+	if !found {
+		simsrv.Fail(w, http.StatusNotFound, key+" does not exist")
+		return
+	}
+	if rec.Revision != expect {
+		simsrv.Reply(w, http.StatusConflict, revisionResponse{Revision: rec.Revision})
+		return
+	}
+	s.store.remove(key)
+	simsrv.Reply(w, http.StatusOK, revisionResponse{Revision: s.store.revision})
+}
+
+func (s *Server) handleGrant(w http.ResponseWriter, r *http.Request) {
+	var req leaseMessage
+	if !simsrv.Read(w, r, &req) {
+		return
+	}
+	if req.TTLMs <= 0 {
+		simsrv.Fail(w, http.StatusBadRequest, "ttlMs: must be above 0")
+		return
+	}
+	ttl := time.Duration(req.TTLMs) * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := s.store.next + 1
+	timer := time.AfterFunc(ttl, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.store.lapse(id)
+	})
+	s.store.grant(func() { timer.Reset(ttl) }, func() { timer.Stop() })
+	simsrv.Reply(w, http.StatusOK, leaseMessage{ID: id, TTLMs: req.TTLMs})
+}
+
+func (s *Server) handleRenew(w http.ResponseWriter, r *http.Request) {
+	id, ok := number(w, "lease", mux.Vars(r)["lease"])
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.store.leases[id]
+	if l == nil {
+		simsrv.Fail(w, http.StatusNotFound, fmt.Sprintf("lease %d has lapsed", id))
+		return
+	}
+	l.renew()
+	simsrv.Reply(w, http.StatusOK, leaseMessage{ID: id})
+}
+
+func (s *Server) handleRevoke(w http.ResponseWriter, r *http.Request) {
+	id, ok := number(w, "lease", mux.Vars(r)["lease"])
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.store.lapse(id) {
+		simsrv.Fail(w, http.StatusNotFound, fmt.Sprintf("lease %d has lapsed", id))
+		return
+	}
+	simsrv.Reply(w, http.StatusOK, leaseMessage{ID: id})
+}
+
+func (s *Server) handleWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, ok := number(w, "after", q.Get("after"))
+	if !ok {
+		return
+	}
+	waitMs, ok := number(w, "waitMs", q.Get("waitMs"))
+	if !ok {
+		return
+	}
+	wait := min(time.Duration(waitMs)*time.Millisecond, maxWait)
+	resp, kept := s.await(r, q.Get("prefix"), after, wait)
+	if s.faults.Get().Down {
+		simsrv.Drop()
+	}
+	if !kept {
+		simsrv.Fail(w, http.StatusGone, compactedProblem)
+		return
+	}
+	simsrv.Reply(w, http.StatusOK, resp)
+}
+
+// await waits for changes below prefix after a revision. It returns false when
+// they are not all kept.
+func (s *Server) await(r *http.Request, prefix string, after int64, wait time.Duration) (rangeResponse, bool) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for last := false; ; {
+		s.mu.Lock()
+		changes, kept := s.store.since(prefix, after)
+		resp := rangeResponse{Revision: s.store.revision, Records: changes}
+		changed := s.store.changed
+		s.mu.Unlock()
+		if last || !kept || len(changes) > 0 {
+			return resp, kept
+		}
+		// All up to here is known to hold nothing below prefix, so a busy
+		// service does not outrun the history that this watch needs.
+		after = resp.Revision
+		select {
+		case <-changed:
+			last = s.faults.Get().Down
+		case <-end.C:
+			last = true
+		case <-r.Context().Done():
+			last = true
+		}
+	}
+}
--- /dev/null
+++ b/simscr/simscr.go
@@ -0,0 +1,138 @@
+// Package simscr is a stand-in for a service that scores samples. A score
+// follows from the prompt and the text alone.
+package simscr
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/simsrv"
+)
+
+const (
+	// steps is how many different scores there are.
+	steps = 1000
+)
+
+type (
+	// Server is the stand-in. See New.
+	Server struct {
+		delay  time.Duration
+		faults *simsrv.Faults[faults]
+		router *mux.Router
+
+		mu     sync.Mutex
+		scored int64
+	}
+
+	// Option changes a Server as New makes it.
+	Option func(*Server)
+
+	// faults are what a test can switch on.
+	faults struct {
+		// Down makes every request end without an answer.
+		Down bool `json:"down"`
+		// SlowMs delays every request, in milliseconds.
+		SlowMs int64 `json:"slowMs"`
+		// Fail is how many of the next requests get an error.
+		Fail int `json:"fail"`
+		// MixUp is how many of the next answers name another sample.
+		MixUp int `json:"mixUp"`
+	}
+
+	scoreRequest struct {
+		SampleID string `json:"sampleId"`
+		Prompt   string `json:"prompt"`
+		Text     string `json:"text"`
+	}
+
+	scoreResponse struct {
+		SampleID string  `json:"sampleId"`
+		Score    float64 `json:"score"`
+	}
+)
+
+// New returns a scorer. It serves HTTP.
+//
+//	sc := simscr.New(simscr.WithDelay(20 * time.Millisecond))
+//	err := http.ListenAndServe(addr, sc)
+func New(opts ...Option) *Server {
+	s := &Server{}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.faults = simsrv.New[faults]()
+	s.router = mux.NewRouter()
+	s.router.Handle("/faults", s.faults).Methods(http.MethodGet, http.MethodPost)
+	s.router.HandleFunc("/v1/score", s.handleScore).Methods(http.MethodPost)
+	return s
+}
+
+// WithDelay sets how long scoring takes. The default is no time.
+func WithDelay(d time.Duration) Option {
+	return func(s *Server) { s.delay = d }
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.router.ServeHTTP(w, r)
+}
+
+// SetDown makes every request end without an answer, or ends that.
+func (s *Server) SetDown(down bool) {
+	s.faults.Update(func(f *faults) { f.Down = down })
+}
+
+// SetDelay delays every request by d beside what scoring takes; 0 ends that.
+func (s *Server) SetDelay(d time.Duration) {
+	s.faults.Update(func(f *faults) { f.SlowMs = d.Milliseconds() })
+}
+
+// Fail makes the next n requests end in an error.
+func (s *Server) Fail(n int) {
+	s.faults.Update(func(f *faults) { f.Fail = n })
+}
+
+// MixUp makes the next n answers name another sample.
+func (s *Server) MixUp(n int) {
+	s.faults.Update(func(f *faults) { f.MixUp = n })
+}
+
+// Scored returns how many scores were given.
+func (s *Server) Scored() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scored
+}
+
+func (s *Server) handleScore(w http.ResponseWriter, r *http.Request) {
+	var in scoreRequest
+	if !simsrv.Read(w, r, &in) {
+		return
+	}
+	slow := time.Duration(s.faults.Get().SlowMs) * time.Millisecond
+	simsrv.Pause(r.Context(), s.delay+slow)
+	if s.faults.Get().Down {
+		simsrv.Drop()
+	}
+	if s.faults.Take(func(f *faults) *int { return &f.Fail }) {
+		simsrv.Fail(w, http.StatusInternalServerError, "scoring failed")
+		return
+	}
+	s.mu.Lock()
+	s.scored++
+	s.mu.Unlock()
+	resp := scoreResponse{SampleID: in.SampleID, Score: score(in)}
+	if s.faults.Take(func(f *faults) *int { return &f.MixUp }) {
+		resp.SampleID += "-other"
+	}
+	simsrv.Reply(w, http.StatusOK, resp)
+}
+
+// score is between 0 and 1.
+func score(in scoreRequest) float64 {
+	return float64(xxhash.Sum64String(in.Prompt+"\x00"+in.Text)%steps) / steps
+}
