Add stand-ins for trainers and callers

Cause: the promises to trainers and callers need a client that checks them. Change: a trainer that publishes, submits, pulls and checks each sample for identity, staleness, versions against its text, and score; a bounded load of live requests that checks each answer. Both print a summary in JSON and fail when a promise was broken.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,6 +27,8 @@
 	Instances instancesCommand `cmd:"" help:"Instance list."`
 	Service   serviceCommand   `cmd:"" help:"Plain service with bookings and case status."`
 	Scorer    scorerCommand    `cmd:"" help:"Scorer of samples."`
+	Trainer   trainerCommand   `cmd:"" help:"Trainer: a client of lavendermux."`
+	Caller    callerCommand    `cmd:"" help:"Callers: a load of live requests to lavendermux."`
 }
 
 func main() {
--- /dev/null
+++ b/simcal/request.go
@@ -0,0 +1,289 @@
+package simcal
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/simtxt"
+)
+
+const (
+	callerHeader = "Lavendermux-Caller"
+	keyHeader    = "Idempotency-Key"
+	kindNotRun   = "notRun"
+	kindUnknown  = "outcomeUnknown"
+	maxAnswer    = 8 << 20
+)
+
+var eventPrefix = []byte("data:")
+
+type (
+	generateRequest struct {
+		Prompt    string `json:"prompt"`
+		MaxTokens int64  `json:"maxTokens"`
+		Stream    bool   `json:"stream"`
+		Priority  int32  `json:"priority"`
+		Timeout   string `json:"timeout"`
+	}
+
+	generateResponse struct {
+		RequestID string           `json:"requestId"`
+		Text      string           `json:"text"`
+		Tokens    int64            `json:"tokens"`
+		Finish    string           `json:"finish"`
+		Segments  []segmentMessage `json:"segments"`
+	}
+
+	segmentMessage struct {
+		Version string `json:"version"`
+		Tokens  int64  `json:"tokens"`
+	}
+
+	eventMessage struct {
+		Text    string           `json:"text"`
+		Version string           `json:"version"`
+		Done    bool             `json:"done"`
+		Tokens  int64            `json:"tokens"`
+		Error   *refusalResponse `json:"error"`
+	}
+
+	bookingMessage struct {
+		Slot   string `json:"slot"`
+		Family string `json:"family"`
+	}
+
+	errorResponse struct {
+		Error refusalResponse `json:"error"`
+	}
+
+	refusalResponse struct {
+		Kind         string `json:"kind"`
+		Cause        string `json:"cause"`
+		Reason       string `json:"reason"`
+		RetryAfterMs int64  `json:"retryAfterMs"`
+	}
+
+	// result is what came of one attempt.
+	result struct {
+		outcome string
+		after   time.Duration
+		problem string
+		tokens  int64
+	}
+)
+
+// request sends one request until an attempt settles it.
+func (l *Load) request(ctx context.Context, a arrival) {
+	send := l.generate
+	key := ""
+	if l.config.service != "" {
+		send = l.book
+		if l.draw(l.config.keyed) {
+			key = fmt.Sprintf("%s-%d-%d", l.config.caller, l.config.seed, a.number)
+		}
+	}
+	var res result
+	for attempt := 1; ; attempt++ {
+		res = l.bounded(ctx, a, key, send)
+		if attempt >= l.config.attempts || ctx.Err() != nil || !repeatable(res.outcome, key) {
+			break
+		}
+		simsrv.Pause(ctx, res.after)
+		l.mu.Lock()
+		l.retries++
+		l.mu.Unlock()
+	}
+	l.settle(a, res)
+}
+
+// repeatable tells whether asking again cannot make the request run twice.
+func repeatable(outcome, key string) bool {
+	return outcome == kindNotRun || key != "" && (outcome == kindUnknown || outcome == outcomeNoAnswer)
+}
+
+func (l *Load) bounded(
+	ctx context.Context, a arrival, key string, send func(context.Context, arrival, string) result,
+) result {
+	ctx, cancel := context.WithTimeout(ctx, l.config.timeout+slack)
+	defer cancel()
+	return send(ctx, a, key)
+}
+
+func (l *Load) settle(a arrival, res result) {
+	l.count(res.outcome)
+	if res.problem != "" {
+		l.note(a, res.outcome+": "+res.problem)
+	}
+	if res.outcome != outcomeOK {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tokens += res.tokens
+	l.latency.Add(milliseconds(time.Since(a.at)))
+}
+
+// book asks a plain service for a slot that nobody else asks for.
+func (l *Load) book(ctx context.Context, a arrival, key string) result {
+	in := bookingMessage{
+		Slot:   fmt.Sprintf("slot-%d", a.number),
+		Family: fmt.Sprintf("%s-%d", l.config.caller, l.config.seed),
+	}
+	path := "/v1/services/" + url.PathEscape(l.config.service) + "/bookings"
+	resp, err := l.post(ctx, path, key, in)
+	if err != nil {
+		return result{outcome: outcomeNoAnswer, problem: err.Error()}
+	}
+	defer resp.Body.Close()
+	raw, res := read(resp)
+	if res.outcome != outcomeOK {
+		return res
+	}
+	var out bookingMessage
+	if json.Unmarshal(raw, &out) != nil || out != in {
+		return result{outcome: outcomeWrong, problem: "asked for " + in.Slot + ", was answered " + string(raw)}
+	}
+	return res
+}
+
+func (l *Load) generate(ctx context.Context, a arrival, _ string) result {
+	in := generateRequest{
+		Prompt:    fmt.Sprintf("%s%s %d request %d", l.config.prefix, l.config.caller, l.config.seed, a.number),
+		MaxTokens: l.config.maxTokens,
+		Stream:    l.draw(l.config.streaming),
+		Priority:  l.config.priority,
+		Timeout:   l.config.timeout.String(),
+	}
+	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", "", in)
+	if err != nil {
+		return result{outcome: outcomeNoAnswer, problem: err.Error()}
+	}
+	defer resp.Body.Close()
+	if in.Stream && resp.StatusCode == http.StatusOK {
+		return l.stream(a, in, resp.Body)
+	}
+	raw, res := read(resp)
+	if res.outcome != outcomeOK {
+		return res
+	}
+	var out generateResponse
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return result{outcome: outcomeWrong, problem: err.Error()}
+	}
+	var named []string
+	for _, seg := range out.Segments {
+		for range min(seg.Tokens, in.MaxTokens) {
+			named = append(named, seg.Version)
+		}
+	}
+	return l.whole(in, out.Text, out.Tokens, named)
+}
+
+// stream reads events to the end that the service itself puts.
+func (l *Load) stream(a arrival, in generateRequest, body io.Reader) result {
+	sc := bufio.NewScanner(body)
+	sc.Buffer(nil, maxAnswer)
+	var text string
+	var named []string
+	for sc.Scan() {
+		data, found := bytes.CutPrefix(sc.Bytes(), eventPrefix)
+		if !found {
+			continue
+		}
+		var e eventMessage
+		if err := json.Unmarshal(data, &e); err != nil {
+			return result{outcome: outcomeWrong, problem: err.Error()}
+		}
+		switch {
+		case e.Error != nil:
+			return refused(*e.Error)
+		case e.Done:
+			return l.whole(in, text, e.Tokens, named)
+		case text == "" && e.Text != "":
+			l.mu.Lock()
+			l.first.Add(milliseconds(time.Since(a.at)))
+			l.mu.Unlock()
+		}
+		text += e.Text
+		for range bytes.Fields([]byte(e.Text)) {
+			named = append(named, e.Version)
+		}
+	}
+	return result{outcome: outcomeCutOff}
+}
+
+// whole checks that an answer is the request's own, complete, and of the
+// versions that it names.
+func (l *Load) whole(in generateRequest, text string, tokens int64, named []string) result {
+	made, err := simtxt.Text{Model: l.config.model, Prompt: in.Prompt}.Versions(text)
+	if err != nil {
+		return result{outcome: outcomeWrong, problem: err.Error()}
+	}
+	if int64(len(made)) != tokens || len(named) != len(made) {
+		problem := fmt.Sprintf("%d words, named are %d tokens, %d of them with a version", len(made), tokens, len(named))
+		return result{outcome: outcomeWrong, problem: problem}
+	}
+	for i, v := range made {
+		// An answer to a caller may name no version; one that it names is true.
+		if named[i] != "" && named[i] != v {
+			problem := fmt.Sprintf("token %d is of version %q, named is %q", i, v, named[i])
+			return result{outcome: outcomeWrong, problem: problem}
+		}
+	}
+	return result{outcome: outcomeOK, tokens: tokens}
+}
+
+func (l *Load) post(ctx context.Context, path, key string, in any) (*http.Response, error) {
+	raw, err := json.Marshal(in)
+	if err != nil {
+		return nil, err
+	}
+	// The body's kind is hidden, or the transport might send it twice by itself.
+	body := io.MultiReader(bytes.NewReader(raw))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.entry()+path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(callerHeader, l.config.caller)
+	if key != "" {
+		req.Header.Set(keyHeader, key)
+	}
+	return l.config.http.Do(req)
+}
+
+// read reads an answer to its end and tells what it means.
+func read(resp *http.Response) ([]byte, result) {
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, result{outcome: outcomeCutOff, problem: err.Error()}
+	}
+	if resp.StatusCode/100 == 2 {
+		return raw, result{outcome: outcomeOK}
+	}
+	var e errorResponse
+	if json.Unmarshal(raw, &e) == nil && e.Error.Kind != "" {
+		return raw, refused(e.Error)
+	}
+	return raw, result{outcome: fmt.Sprintf("status%d", resp.StatusCode), problem: string(raw)}
+}
+
+func refused(r refusalResponse) result {
+	return result{
+		outcome: r.Kind,
+		after:   time.Duration(r.RetryAfterMs) * time.Millisecond,
+		problem: r.Cause + ": " + r.Reason,
+	}
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
--- a/simscr/simscr.go
+++ b/simscr/simscr.go
@@ -125,14 +125,14 @@
 	s.mu.Lock()
 	s.scored++
 	s.mu.Unlock()
-	resp := scoreResponse{SampleID: in.SampleID, Score: score(in)}
+	resp := scoreResponse{SampleID: in.SampleID, Score: Score(in.Prompt, in.Text)}
 	if s.faults.Take(func(f *faults) *int { return &f.MixUp }) {
 		resp.SampleID += "-other"
 	}
 	simsrv.Reply(w, http.StatusOK, resp)
 }
 
-// score is between 0 and 1.
-func score(in scoreRequest) float64 {
-	return float64(xxhash.Sum64String(in.Prompt+"\x00"+in.Text)%steps) / steps
+// Score returns what the stand-in scores a text, from 0 to below 1.
+func Score(prompt, text string) float64 {
+	return float64(xxhash.Sum64String(prompt+"\x00"+text)%steps) / steps
 }
