--- a/confs/read.go
+++ b/confs/read.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/lavendermux/lavendermux/homes"
 	"github.com/lavendermux/lavendermux/kinds"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/policy"
@@ -143,3 +144,14 @@
 	}
 	return found
 }
+
+// Homes returns the endpoints of a plain service that remember idempotency
+// keys, and none while no list has been written yet.
+func (c *Cache) Homes(service string) []string {
+	e, ok := c.entry(object.KindHome, service)
+	h, isHomes := e.spec.(homes.Homes)
+	if !ok || !isHomes {
+		return nil
+	}
+	return h.Doors
+}
--- /dev/null
+++ b/front/call.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/servce"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/work"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+func (f *Front) call(w http.ResponseWriter, r *http.Request) {
+	id := requestID(r)
+	caller := callerOf(r)
+	name := mux.Vars(r)["service"]
+	s, found := f.conf.Service(name)
+	if !found {
+		Fail(w, id, &fault.NotFoundError{What: "service " + name})
+		return
+	}
+	timeout, err := callTimeout(r, s)
+	if err != nil {
+		Fail(w, id, err)
+		return
+	}
+	body, err := f.body(w, r)
+	if err != nil {
+		Fail(w, id, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	begin := time.Now()
+	err = f.passOn(ctx, w, name, s, callRequest(r, id, caller, s, body))
+	f.count.Live(caller, name, time.Since(begin), err)
+}
+
+func callTimeout(r *http.Request, s servce.Service) (time.Duration, error) {
+	own := r.Header.Get(TimeoutHeader)
+	if own == "" {
+		return time.Duration(s.Timeout), nil
+	}
+	d, err := time.ParseDuration(own)
+	if err != nil || d <= 0 {
+		return 0, &fault.FieldError{Field: TimeoutHeader, Problem: "is not a duration above 0, such as 2s"}
+	}
+	return min(d, time.Duration(s.Timeout)), nil
+}
+
+func callRequest(r *http.Request, id, caller string, s servce.Service, body []byte) *wire.CallRequest {
+	req := &wire.CallRequest{
+		RequestId:      id,
+		Caller:         caller,
+		Service:        s.Service,
+		Method:         r.Method,
+		Path:           innerPath(r),
+		Body:           body,
+		IdempotencyKey: r.Header.Get(KeyHeader),
+		Idempotent:     s.Idempotent(r.Method),
+		KeyWindowMs:    time.Duration(s.KeyWindow).Milliseconds(),
+		SlotLimit:      int64(s.SlotsPerEndpoint),
+	}
+	for name, values := range r.Header {
+		if slices.Contains(hopHeaders, name) {
+			continue
+		}
+		for _, v := range values {
+			req.Headers = append(req.Headers, &wire.Header{Name: name, Value: v})
+		}
+	}
+	return req
+}
+
+// innerPath is what comes after the service's name, with the query.
+func innerPath(r *http.Request) string {
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+mux.Vars(r)["service"])
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
+
+func (f *Front) passOn(
+	ctx context.Context, w http.ResponseWriter, name string, s servce.Service, req *wire.CallRequest,
+) error {
+	item := work.Work{Caller: req.GetCaller(), Pool: name, Kind: wire.WorkKind_WORK_KIND_LIVE, Tokens: 1}
+	if err := f.admit.Admit(item); err != nil {
+		Fail(w, req.GetRequestId(), err)
+		return err
+	}
+	resp, err := f.relay.Call(ctx, req, f.conf.Homes(s.Service))
+	f.admit.Observe(item, err)
+	if err != nil {
+		Fail(w, req.GetRequestId(), err)
+		return err
+	}
+	for _, h := range resp.GetHeaders() {
+		if !slices.Contains(hopHeaders, h.GetName()) {
+			w.Header().Add(h.GetName(), h.GetValue())
+		}
+	}
+	w.Header().Set(RequestHeader, req.GetRequestId())
+	w.WriteHeader(int(resp.GetStatus()))
+	_, err = w.Write(resp.GetBody())
+	return err
+}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,152 @@
+// Package front serves callers: live generations from model engines, whole or
+// as a stream, and calls of plain services.
+//
+// Each answer is whole or an explicit error, and an error says whether the
+// request ran.
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/work"
+)
+
+const (
+	// CallerHeader names the caller.
+	CallerHeader = "Lavendermux-Caller"
+	// TimeoutHeader is how long the caller waits for a plain service's answer,
+	// such as "2s".
+	TimeoutHeader = "Lavendermux-Timeout"
+	// KeyHeader carries the caller's idempotency key.
+	KeyHeader = "Idempotency-Key"
+	// RequestHeader carries the request's id, in the answer too.
+	RequestHeader = "Lavendermux-Request"
+
+	// anonymous is who a caller is that does not say.
+	anonymous = "anonymous"
+	// defaultMaxBody bounds a request, in bytes.
+	defaultMaxBody = 1 << 20
+	// defaultTimeout bounds a live generation that states no timeout.
+	defaultTimeout = time.Minute
+	// maxTimeout bounds what a caller may ask for.
+	maxTimeout = 10 * time.Minute
+)
+
+type (
+	// Front is the HTTP face towards callers. See New.
+	Front struct {
+		relay   relayer
+		conf    *confs.Cache
+		admit   admitter
+		count   counter
+		log     *log.Logger
+		maxBody int64
+	}
+
+	// Option changes a Front as New makes it.
+	Option func(*Front)
+
+	relayer interface {
+		Generate(
+			ctx context.Context, service string, req *wire.RunRequest,
+			each func(*wire.Segment) error, started func(door string), avoid ...string,
+		) (*wire.End, error)
+		Call(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error)
+	}
+
+	// admitter holds callers to their share. The zero one, open, lets all in.
+	admitter interface {
+		Admit(w work.Work) error
+		Observe(w work.Work, err error)
+	}
+
+	// counter counts what callers got. The zero one, uncounted, forgets it.
+	counter interface {
+		Live(caller, service string, took time.Duration, err error)
+	}
+
+	open      struct{}
+	uncounted struct{}
+)
+
+// New returns the face towards callers, which sends their requests through
+// relay as the configuration says.
+//
+//	f := front.New(relay, conf)
+//	f.Register(router)
+func New(relay relayer, conf *confs.Cache, opts ...Option) *Front {
+	f := &Front{
+		relay:   relay,
+		conf:    conf,
+		admit:   open{},
+		count:   uncounted{},
+		log:     log.New(nil),
+		maxBody: defaultMaxBody,
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// WithAdmit sets who holds callers to their share. By default all are let in.
+func WithAdmit(a admitter) Option {
+	return func(f *Front) { f.admit = a }
+}
+
+// WithCount sets who counts what callers got. By default nobody does.
+func WithCount(c counter) Option {
+	return func(f *Front) { f.count = c }
+}
+
+// WithLog sets where the face writes what it does. The default is nowhere.
+func WithLog(l *log.Logger) Option {
+	return func(f *Front) { f.log = l }
+}
+
+// WithMaxBody bounds a request, in bytes. The default is 1 MiB.
+func WithMaxBody(n int64) Option {
+	return func(f *Front) { f.maxBody = n }
+}
+
+// Register adds the routes of callers to r.
+func (f *Front) Register(r *mux.Router) {
+	r.HandleFunc("/v1/models/{model}/generate", f.generate).Methods(http.MethodPost)
+	r.PathPrefix("/v1/services/{service}/").HandlerFunc(f.call)
+}
+
+// Admit lets all in.
+func (open) Admit(work.Work) error { return nil }
+
+// Observe does nothing.
+func (open) Observe(work.Work, error) {}
+
+// Live does nothing.
+func (uncounted) Live(string, string, time.Duration, error) {}
+
+func callerOf(r *http.Request) string {
+	if name := r.Header.Get(CallerHeader); name != "" {
+		return name
+	}
+	return anonymous
+}
+
+// requestID takes the caller's own id, so that its logs and ours agree, and
+// adds a random part: two callers may use the same one.
+func requestID(r *http.Request) string {
+	own := r.Header.Get(RequestHeader)
+	if own == "" || len(own) > maxRequestID {
+		return rand.Text()
+	}
+	return own + "." + rand.Text()[:8]
+}
+
+// maxRequestID bounds a caller's own request id, in bytes.
+const maxRequestID = 64
--- a/kinds/kinds.go
+++ b/kinds/kinds.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/homes"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/policy"
 	"github.com/lavendermux/lavendermux/pool"
@@ -15,7 +16,8 @@
 	"github.com/lavendermux/lavendermux/subscr"
 )
 
-// Spec is a pool.Pool, subscr.Subscription, servce.Service or policy.Policy.
+// Spec is a pool.Pool, subscr.Subscription, servce.Service, policy.Policy or
+// homes.Homes.
 type Spec interface {
 	// Validate returns a *fault.FieldsError that names all wrong fields.
 	Validate() error
@@ -38,6 +40,9 @@
 // accepted, a change would be in force on half the fleet only, which status
 // would show as lagging without end.
 func Read(kind string, raw json.RawMessage) (Spec, error) {
+	if kind == object.KindHome {
+		return into(homes.Homes{}, raw, json.Unmarshal)
+	}
 	return read(kind, raw, json.Unmarshal)
 }
 
--- a/object/object.go
+++ b/object/object.go
@@ -20,6 +20,9 @@
 	KindService = "service"
 	// KindPolicy is the kind whose spec is a policy.Policy.
 	KindPolicy = "policy"
+	// KindHome is the kind whose spec is a homes.Homes. The system writes it, not
+	// operators, so it is not among Kinds.
+	KindHome = "home"
 	// KeyPrefix is where resources stand in the key-value service.
 	KeyPrefix = "resources/"
 )
