Add membership, hubs, heartbeats and job leases

Rendezvous order picks two hubs in each data centre; instances beat to them in turn and fetch configuration and members from them; hubs read the key-value service and exchange what beats to them. A job is held by creating its key under a lease.

--- /dev/null
+++ b/beats/round.go
@@ -0,0 +1,294 @@
+package beats
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/lavendermux/lavendermux/insts"
+	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/rota"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// callTimeout bounds one call to a hub.
+	callTimeout = 2 * time.Second
+	// avoidSilent is how long an entry that did not answer is passed over.
+	avoidSilent = 15 * time.Second
+	// avoidOther is how long an entry that is no hub is passed over.
+	avoidOther = 2 * time.Second
+	// attempts bounds how many entries are asked in one round. A round over many
+	// dead ones would hold up the next beat.
+	attempts = 4
+	// relistSoon is how soon the list is read again when no hub was found.
+	relistSoon = 15 * time.Second
+	// narrow and wide are the shares by which waits are spread.
+	narrow = 0.1
+	wide   = 0.5
+)
+
+// round beats to one hub, or to both when it is the first beat or the instance
+// changed: whoever is cut off from one hub must not keep sending work to an
+// endpoint that drains.
+func (c *Client) round(ctx context.Context) {
+	c.readList(ctx)
+	now := time.Now()
+	c.refresh()
+	if c.view != nil {
+		c.view.Sweep(now)
+	}
+	req := c.request()
+	want := 1
+	if c.changed(req) {
+		want = hubs
+	}
+	heard := 0
+	for range attempts {
+		target, ok := c.next(heard)
+		if !ok || heard == want || ctx.Err() != nil {
+			break
+		}
+		if c.ask(ctx, target, req) {
+			heard++
+		}
+	}
+	c.finish(heard)
+}
+
+// next returns whom to ask: the hubs in turn, and the second after the first.
+func (c *Client) next(heard int) (insts.Instance, bool) {
+	targets := c.targets(time.Now())
+	if len(targets) == 0 {
+		return insts.Instance{}, false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.turn + heard
+	return targets[i%len(targets)], heard < len(targets)
+}
+
+// targets returns the entries that are hubs as far as this instance can tell: of
+// its own data centre, else of another one of the region, else of any.
+func (c *Client) targets(now time.Time) []insts.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.rotas {
+		order := slices.DeleteFunc(r.Order(now), func(i insts.Instance) bool {
+			return now.Before(c.refused[i.ID])
+		})
+		if len(order) > 0 {
+			return order[:min(len(order), hubs)]
+		}
+	}
+	return nil
+}
+
+// ask beats to one entry and fetches what it has and this instance lacks.
+func (c *Client) ask(ctx context.Context, target insts.Instance, req *wire.BeatRequest) bool {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.peer(target).Beat(callCtx, connect.NewRequest(req))
+	if ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		until := time.Now().Add(c.jitter(avoidSilent, wide))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, r := range c.rotas {
+			r.Avoid(target.ID, until)
+		}
+		return false
+	}
+	if !resp.Msg.GetHub() {
+		until := time.Now().Add(c.jitter(avoidOther, wide))
+		relist := time.Now().Add(c.jitter(relistSoon, wide))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused[target.ID] = until
+		c.relistBy(relist)
+		return false
+	}
+	c.heard(target)
+	c.fetch(callCtx, target, resp.Msg)
+	c.readMembers(callCtx, target, resp.Msg)
+	return true
+}
+
+func (c *Client) heard(target insts.Instance) {
+	own, _ := identity(c.self())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.refused, target.ID)
+	if target.ID != own {
+		c.lastHub = time.Now()
+	}
+}
+
+// fetch brings the configuration up to the hub's. The copy itself refuses to go
+// back, whatever a hub that was cut off may say.
+func (c *Client) fetch(ctx context.Context, target insts.Instance, resp *wire.BeatResponse) {
+	if c.config.Known() && resp.GetRevision() <= c.config.Revision() {
+		return
+	}
+	req := connect.NewRequest(&wire.FetchRequest{AfterRevision: c.config.Revision()})
+	if got, err := c.peer(target).Fetch(ctx, req); err == nil {
+		c.config.Apply(got.Msg)
+	}
+}
+
+// readMembers follows the membership of one of the two hubs, always the same
+// one while it answers: the versions of two hubs do not compare, and taking
+// turns would mean the whole table each time. Half of the instances follow each.
+func (c *Client) readMembers(ctx context.Context, target insts.Instance, resp *wire.BeatResponse) {
+	if c.view == nil || !c.follows(target) {
+		return
+	}
+	version, boot := c.view.Cursor()
+	if version == resp.GetTableVersion() && boot == resp.GetBoot() {
+		return
+	}
+	req := connect.NewRequest(&wire.MembersRequest{AfterVersion: version, Boot: boot})
+	if got, err := c.peer(target).Members(ctx, req); err == nil {
+		c.view.Apply(time.Now(), got.Msg)
+	}
+}
+
+func (c *Client) follows(target insts.Instance) bool {
+	targets := c.targets(time.Now())
+	if len(targets) == 0 {
+		return true
+	}
+	own, _ := identity(c.self())
+	if i := slices.IndexFunc(targets, func(i insts.Instance) bool { return i.ID == own }); i >= 0 {
+		return target.ID == own
+	}
+	pick := int(rendez.Share("follow", own) * float64(len(targets)))
+	return targets[pick].ID == target.ID
+}
+
+// request returns the next beat.
+func (c *Client) request() *wire.BeatRequest {
+	req := c.self()
+	req.Revision = c.config.Revision()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sequence++
+	req.Sequence = c.sequence
+	return req
+}
+
+// changed tells whether the instance says something new about itself; load and
+// revision do not count.
+func (c *Client) changed(req *wire.BeatRequest) bool {
+	plain := proto.CloneOf(req)
+	plain.Sequence, plain.Revision = 0, 0
+	if plain.GetEndpoint() != nil {
+		plain.GetEndpoint().Load = nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	same := c.last != nil && proto.Equal(c.last, plain)
+	c.last = plain
+	return !same
+}
+
+// finish notes how the round went.
+func (c *Client) finish(heard int) {
+	relist := time.Now().Add(c.jitter(relistSoon, wide))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turn++
+	c.completed = true
+	if heard == 0 {
+		c.last = nil
+		c.relistBy(relist)
+	}
+}
+
+// relistBy moves the next reading of the list forward. The caller holds the lock.
+func (c *Client) relistBy(at time.Time) {
+	if at.Before(c.relistAt) {
+		c.relistAt = at
+	}
+}
+
+// readList reads the instance list when it is time. When the list does not
+// answer the last one stays.
+func (c *Client) readList(ctx context.Context) {
+	now := time.Now()
+	c.mu.Lock()
+	due := !now.Before(c.relistAt)
+	c.mu.Unlock()
+	if !due {
+		return
+	}
+	listed, err := c.list(ctx)
+	wait := c.jitter(c.relist, narrow)
+	if err != nil {
+		wait = c.jitter(relistSoon, wide)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relistAt = time.Now().Add(wait)
+	if err == nil {
+		c.listed = slices.DeleteFunc(listed, func(i insts.Instance) bool {
+			return i.Role != insts.RoleEntry || i.State == insts.StateLeaving
+		})
+	}
+}
+
+// refresh brings the orders up to date: the own data centre first, then those of
+// the region, then the others. This instance is a candidate itself when it is an
+// entry, even if the list does not know it yet.
+func (c *Client) refresh() {
+	_, own := identity(c.self())
+	candidates := append(c.Candidates(), own)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.rotas) == 0 {
+		c.rotas = append(c.rotas, rota.New(own.DataCentre))
+	}
+	known := map[string]bool{}
+	for _, r := range c.rotas {
+		known[r.Key()] = true
+	}
+	fresh := []insts.Instance{}
+	for _, i := range candidates {
+		if i.Role == insts.RoleEntry && !known[i.DataCentre] {
+			known[i.DataCentre] = true
+			fresh = append(fresh, i)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b insts.Instance) int { return cmp.Compare(a.DataCentre, b.DataCentre) })
+	for _, i := range fresh {
+		c.rotas = append(c.rotas, rota.New(i.DataCentre))
+		if i.Region == own.Region {
+			last := len(c.rotas) - 1
+			c.rotas = slices.Insert(c.rotas[:last], 1, c.rotas[last])
+		}
+	}
+	for _, r := range c.rotas {
+		r.Set(candidates)
+	}
+}
+
+func (c *Client) peer(target insts.Instance) peer {
+	own, _ := identity(c.self())
+	if c.local != nil && target.ID == own {
+		return c.local
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[target.Address]
+	if p == nil {
+		p = wireconnect.NewPeerServiceClient(c.http, "http://"+target.Address)
+		c.peers[target.Address] = p
+	}
+	return p
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,402 @@
+// Package lease keeps a job in the hands of one entry at a time, by a lease in
+// the key-value service.
+//
+// Whoever creates the job's key under a lease of its own holds the job. The
+// revision at which the key was created is the job's fencing number: each later
+// holder has a greater one. A holder that was paused past its term may wake up
+// while another one holds the job; it is told so at its next renewal, claims
+// nothing in between by its own clock, and whatever it has sent before carries
+// the lesser number.
+//
+// The two calls that make a take-over safe are the write that creates the key
+// only if it is absent, and the comparison of fencing numbers where the orders
+// arrive.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/rendez"
+)
+
+const (
+	// Prefix is where the jobs live in the key-value service, as jobs/<name>.
+	Prefix = "jobs/"
+	// look is how often an entry that does not hold the job looks whether it is
+	// its turn; this asks nobody.
+	look = time.Second
+	// renewals is how often the lease is renewed in one term: two may fail.
+	renewals = 3
+	// firstBackoff and lastBackoff bound the wait after a failed call, which
+	// doubles; the last one is how late a job is renewed after an outage.
+	firstBackoff = 500 * time.Millisecond
+	lastBackoff  = 5 * time.Second
+	// eager is how many candidates go on trying at once when an attempt failed.
+	eager = 2
+	// narrow and wide are the shares by which waits are spread.
+	narrow = 0.1
+	wide   = 0.5
+)
+
+type (
+	// Keeper competes for one job, renews it, and hands it back. It is safe for
+	// concurrent use. See New and Run.
+	Keeper struct {
+		service    service
+		job        string
+		holder     string
+		address    string
+		term       time.Duration
+		margin     float64
+		step       time.Duration
+		candidates func() []string
+		known      func(job string) (string, bool)
+		change     func()
+		seed       uint64
+		log        *log.Logger
+
+		mu   sync.Mutex
+		rand *rand.Rand
+		// nonce tells this process from an earlier one on the same instance.
+		nonce string
+		// lease is 0 unless one was granted for the job.
+		lease int64
+		// granted is when the last grant or renewal that succeeded was sent.
+		granted time.Time
+		// fence is 0 unless the job was held and not lost since.
+		fence  int64
+		vacant time.Time
+	}
+
+	// service is what a keeper needs of the key-value service; keyval.Client has
+	// it.
+	service interface {
+		Get(ctx context.Context, key string) (record.Record, error)
+		Put(ctx context.Context, key string, value []byte, expect, lease int64) (int64, error)
+		Grant(ctx context.Context, ttl time.Duration) (int64, error)
+		Renew(ctx context.Context, lease int64) error
+		Revoke(ctx context.Context, lease int64) error
+	}
+
+	// claim is the value of a job's key.
+	claim struct {
+		Holder  string `json:"holder"`
+		Address string `json:"address"`
+		Nonce   string `json:"nonce"`
+	}
+)
+
+// New returns a keeper that competes for job in the name of the instance holder.
+//
+//	k := lease.New(keyval.New(base), "deliver/tutor", "entry-3", lease.WithAddress(addr))
+//	go k.Run(ctx)
+func New(service service, job, holder string, opts ...Option) *Keeper {
+	k := &Keeper{
+		service:    service,
+		job:        job,
+		holder:     holder,
+		term:       defaultTerm,
+		margin:     defaultMargin,
+		step:       defaultStep,
+		candidates: func() []string { return []string{holder} },
+		known:      func(string) (string, bool) { return "", false },
+		change:     func() {},
+		seed:       1,
+		log:        log.Default(),
+	}
+	for _, opt := range opts {
+		opt(k)
+	}
+	k.rand = rand.New(rand.NewPCG(k.seed, rendez.Score(job, holder)))
+	k.nonce = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.FormatUint(k.rand.Uint64(), 36)
+	return k
+}
+
+// Job returns the job's name.
+func (k *Keeper) Job() string {
+	return k.job
+}
+
+// Held returns the fencing number and true while the job is surely held: for
+// the term less a margin since the last renewal that succeeded was sent, by the
+// monotonic clock. A process that was paused for longer finds false when it
+// wakes up, before it has talked to anyone.
+func (k *Keeper) Held() (fence int64, ok bool) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fence == 0 || !now.Before(k.sureUntil()) {
+		return 0, false
+	}
+	return k.fence, true
+}
+
+// InDoubt returns the last fencing number and true when the job was held and the
+// service has been silent past the term since: either it is down for all, and
+// nobody can take over, or this entry is cut off and somebody has.
+func (k *Keeper) InDoubt() (fence int64, ok bool) {
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fence == 0 || now.Before(k.sureUntil()) {
+		return 0, false
+	}
+	return k.fence, true
+}
+
+// Run competes for the job and keeps it until ctx ends, then hands it back.
+func (k *Keeper) Run(ctx context.Context) {
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		wait, err := k.act(ctx)
+		if err != nil {
+			wait = k.jitter(backoff, wide)
+			backoff = min(2*backoff, lastBackoff*2/3)
+		} else {
+			backoff = firstBackoff
+		}
+		pause(ctx, wait)
+	}
+	k.handBack()
+}
+
+// act does what is next and returns how long to wait until the one after.
+func (k *Keeper) act(ctx context.Context) (time.Duration, error) {
+	if k.holding() {
+		return k.jitter(k.term/renewals, narrow), k.renew(ctx)
+	}
+	if !k.isTurn(time.Now()) {
+		return k.jitter(look, narrow), nil
+	}
+	won, err := k.acquire(ctx)
+	switch {
+	case err != nil:
+		k.missed()
+		return 0, err
+	case won:
+		return k.jitter(k.term/renewals, narrow), nil
+	}
+	k.missed()
+	return k.jitter(k.term/renewals, wide), nil
+}
+
+// isTurn tells whether this entry is to try now: nobody is known to hold the job,
+// and the candidates before this one have had their time. Without it each entry
+// would ask the service for each job all the time.
+func (k *Keeper) isTurn(now time.Time) bool {
+	if instance, ok := k.known(k.job); ok && instance != k.holder {
+		k.mu.Lock()
+		k.vacant = time.Time{}
+		k.mu.Unlock()
+		return false
+	}
+	rank := k.rank()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.vacant.IsZero() {
+		k.vacant = now
+	}
+	return now.Sub(k.vacant) >= time.Duration(rank)*k.step
+}
+
+func (k *Keeper) rank() int {
+	candidates := k.candidates()
+	if rank := rendez.Rank(k.job, candidates, k.holder); rank >= 0 {
+		return rank
+	}
+	return len(candidates)
+}
+
+// missed starts the wait of the later candidates anew when the service did not
+// answer, or named a holder that the membership does not. In a long outage, or
+// while the holder's region is cut off, the time of all of them would come, and
+// they would ask the service together from then on.
+func (k *Keeper) missed() {
+	rank := k.rank()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if rank >= eager {
+		k.vacant = time.Now()
+	}
+}
+
+// acquire tries to take the job. It reads first: the key may be this process's
+// own, from a write whose answer was lost.
+func (k *Keeper) acquire(ctx context.Context) (bool, error) {
+	rec, err := k.service.Get(ctx, Prefix+k.job)
+	var missing *fault.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		return k.create(ctx)
+	case err != nil:
+		return false, err
+	}
+	var held claim
+	if json.Unmarshal(rec.Value, &held) == nil && held.Nonce == k.nonce && held.Holder == k.holder {
+		return true, k.adopt(ctx, rec)
+	}
+	return false, nil
+}
+
+func (k *Keeper) create(ctx context.Context) (bool, error) {
+	value, err := json.Marshal(claim{Holder: k.holder, Address: k.address, Nonce: k.nonce})
+	if err != nil {
+		return false, errors.Wrap(err, "encoding a claim")
+	}
+	sent := time.Now()
+	id, err := k.service.Grant(ctx, k.term)
+	if err != nil {
+		return false, err
+	}
+	k.mu.Lock()
+	k.lease = id
+	k.mu.Unlock()
+	revision, err := k.service.Put(ctx, Prefix+k.job, value, 0, id)
+	var conflict *fault.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		k.drop(ctx)
+		return false, nil
+	case err != nil:
+		// The write may have taken effect; the next attempt reads it back.
+		return false, err
+	}
+	k.take(revision, id, sent)
+	return true, nil
+}
+
+// adopt takes over a key that this process wrote without getting the answer. The
+// renewal tells whether its lease still lives, and starts a term whose beginning
+// is known.
+func (k *Keeper) adopt(ctx context.Context, rec record.Record) error {
+	sent := time.Now()
+	if err := k.service.Renew(ctx, rec.Lease); err != nil {
+		return err
+	}
+	k.take(rec.Created, rec.Lease, sent)
+	return nil
+}
+
+// renew starts a new term. After a doubt it makes sure that the key is still the
+// one that this process created.
+func (k *Keeper) renew(ctx context.Context) error {
+	_, doubt := k.InDoubt()
+	k.mu.Lock()
+	id, fence := k.lease, k.fence
+	k.mu.Unlock()
+	sent := time.Now()
+	err := k.service.Renew(ctx, id)
+	var lapsed *fault.LeaseLapsedError
+	if errors.As(err, &lapsed) {
+		k.lose("lease has lapsed")
+		return nil
+	}
+	if err == nil && doubt {
+		err = k.confirm(ctx, fence)
+	}
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	if k.fence == fence {
+		k.granted = sent
+	}
+	k.mu.Unlock()
+	if doubt {
+		k.change()
+	}
+	return nil
+}
+
+func (k *Keeper) confirm(ctx context.Context, fence int64) error {
+	rec, err := k.service.Get(ctx, Prefix+k.job)
+	var missing *fault.NotFoundError
+	if errors.As(err, &missing) || (err == nil && rec.Created != fence) {
+		k.lose("key is another one's")
+		return nil
+	}
+	return err
+}
+
+func (k *Keeper) take(fence, id int64, sent time.Time) {
+	k.mu.Lock()
+	k.fence, k.lease, k.granted, k.vacant = fence, id, sent, time.Time{}
+	k.mu.Unlock()
+	k.log.Info("holding the job", "job", k.job, "holder", k.holder, "fence", fence)
+	k.change()
+}
+
+func (k *Keeper) lose(why string) {
+	k.mu.Lock()
+	fence := k.fence
+	k.fence, k.lease = 0, 0
+	k.mu.Unlock()
+	k.log.Warn("lost the job", "job", k.job, "holder", k.holder, "fence", fence, "reason", why)
+	k.change()
+}
+
+// drop gives back a lease that no key lives under.
+func (k *Keeper) drop(ctx context.Context) {
+	k.mu.Lock()
+	id := k.lease
+	k.lease = 0
+	k.mu.Unlock()
+	if err := k.service.Revoke(ctx, id); err != nil {
+		k.log.Debug("unused lease is left to lapse", "lease", id, "err", err)
+	}
+}
+
+// handBack ends the lease, and the key with it, so that the next holder need not
+// wait for the term. It first stops claiming the job.
+func (k *Keeper) handBack() {
+	k.mu.Lock()
+	id, fence := k.lease, k.fence
+	k.fence, k.lease = 0, 0
+	k.mu.Unlock()
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), k.term/renewals)
+	defer cancel()
+	if err := k.service.Revoke(ctx, id); err != nil {
+		k.log.Warn("could not hand the job back; it lapses by itself", "job", k.job, "fence", fence, "err", err)
+	}
+	if fence != 0 {
+		k.change()
+	}
+}
+
+func (k *Keeper) holding() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fence != 0
+}
+
+// sureUntil is called with the lock held.
+func (k *Keeper) sureUntil() time.Time {
+	return k.granted.Add(time.Duration(float64(k.term) * (1 - k.margin)))
+}
+
+func (k *Keeper) jitter(d time.Duration, share float64) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Duration(float64(d) * (1 + share*(2*k.rand.Float64()-1)))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/member/options.go
@@ -0,0 +1,48 @@
+package member
+
+import "time"
+
+const (
+	// defaultExpiry is how long a silent instance stays in the table. Beats come
+	// to each of two hubs every 6 seconds, so that two may be lost on the way
+	// before an instance that lives is taken for gone.
+	defaultExpiry = 15 * time.Second
+	// defaultSourceExpiry is how long the members of another data centre stay
+	// when none of its hubs answers. Regions lose each other for minutes while
+	// each still serves; half a minute rides out a change of hub there.
+	defaultSourceExpiry = 30 * time.Second
+	// defaultSettle is how long a minor change waits for others before it makes
+	// a new version of the table.
+	defaultSettle = 15 * time.Second
+	// defaultKeepGone is how long the mark of a gone instance is kept. Whoever
+	// asks from before that is sent the whole table.
+	defaultKeepGone = 10 * time.Minute
+)
+
+type (
+	// Option changes a Table as New makes it.
+	Option func(*Table)
+)
+
+// WithExpiry sets how long a silent instance stays. The default is 15 seconds.
+func WithExpiry(d time.Duration) Option {
+	return func(t *Table) { t.expiry = d }
+}
+
+// WithSourceExpiry sets how long the members of a silent data centre stay. The
+// default is 30 seconds.
+func WithSourceExpiry(d time.Duration) Option {
+	return func(t *Table) { t.sourceExpiry = d }
+}
+
+// WithSettle sets how long a minor change may wait for others. The default is
+// 15 seconds.
+func WithSettle(d time.Duration) Option {
+	return func(t *Table) { t.settle = d }
+}
+
+// WithKeepGone sets how long the marks of gone instances are kept. The default
+// is 10 minutes.
+func WithKeepGone(d time.Duration) Option {
+	return func(t *Table) { t.keepGone = d }
+}
