Add ledger and feed: exactly-once delivery at a subscription's holder

A trainer's cursor names what it has taken since the last record, so it can stand in for the record in an outage of the key-value service; weighed against stopping (trainers idle) and against reserving slots ahead (slots in doubt after a loss).

--- /dev/null
+++ b/feed/pull.go
@@ -0,0 +1,310 @@
+package feed
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/cursor"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/ledger"
+	"github.com/lavendermux/lavendermux/offer"
+	"github.com/lavendermux/lavendermux/sample"
+)
+
+const (
+	// defaultGather bounds the records to five a second for each trainer: every
+	// offer is recorded before it leaves, and the key-value service takes several
+	// hundred writes a second in all.
+	defaultGather = 200 * time.Millisecond
+	// maxMissing bounds how many lost groups one answer names.
+	maxMissing = 64
+)
+
+// Pull settles the trainer's cursor and returns the next samples, at most max,
+// waiting up to wait for the first. A pull that comes twice with the same cursor
+// gets the same samples, less those that have become too old meanwhile.
+//
+// A trainer that carries no cursor gets the outstanding offer again until it
+// acknowledges it by Ack, and no offer leaves without a record.
+func (f *Feed) Pull(ctx context.Context, text string, most int, wait time.Duration) (*offer.Offer, error) {
+	select {
+	case f.turn <- struct{}{}:
+		defer func() { <-f.turn }()
+	case <-ctx.Done():
+		return nil, &fault.NotRunError{Cause: "busy", Reason: "another pull of this subscription is under way"}
+	}
+	c, err := f.settle(text)
+	if err != nil {
+		return nil, err
+	}
+	picked := f.await(ctx, most, wait)
+	if len(picked) == 0 {
+		return f.nothing(c), f.Overtaken()
+	}
+	f.mu.Lock()
+	f.book.Make(ids(picked))
+	f.mu.Unlock()
+	if err := f.recordOffer(ctx); err != nil {
+		return nil, err
+	}
+	return f.send(c, picked), f.Overtaken()
+}
+
+// Ack acknowledges an offer, for a trainer that carries no cursor.
+func (f *Feed) Ack(ctx context.Context, number int64) error {
+	f.mu.Lock()
+	c := f.book.Cursor()
+	outstanding := f.book.Outstanding != nil && c.Offer == number
+	known := number <= f.book.AckedOffer
+	f.mu.Unlock()
+	switch {
+	case known:
+		return nil
+	case !outstanding:
+		return &fault.FieldError{Field: "offer", Problem: "no such offer is outstanding"}
+	}
+	if _, err := f.settle(c.Encode()); err != nil {
+		return err
+	}
+	err := f.save(ctx)
+	var down *fault.UnavailableError
+	if errors.As(err, &down) {
+		// The next offer's record brings it along.
+		return nil
+	}
+	return err
+}
+
+// settle takes in the cursor and clears away what it acknowledges.
+func (f *Feed) settle(text string) (cursor.Cursor, error) {
+	c, err := cursor.Decode(text)
+	if err != nil {
+		return c, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overtaken != nil {
+		return c, f.overtaken
+	}
+	if text == "" && !f.config().Cursor {
+		c = f.book.Position()
+	}
+	err = f.book.Settle(c)
+	var overtaken *ledger.OvertakenError
+	if errors.As(err, &overtaken) {
+		f.overtaken = overtaken
+	}
+	if err != nil {
+		return c, err
+	}
+	f.clear()
+	return c, nil
+}
+
+// clear drops what the trainer has.
+func (f *Feed) clear() {
+	steps := f.steps[:0]
+	for _, st := range f.steps {
+		groups := st.groups[:0]
+		for _, g := range st.groups {
+			if f.clearGroup(g) {
+				delete(f.groups, g.ID)
+				go f.bulk.DropGroup(context.Background(), f.name, g.ID)
+				continue
+			}
+			groups = append(groups, g)
+		}
+		st.groups = groups
+		if len(groups) > 0 {
+			steps = append(steps, st)
+		}
+	}
+	f.steps = steps
+}
+
+// clearGroup notes what is delivered and reports whether the group is whole.
+func (f *Feed) clearGroup(g *group) bool {
+	whole := true
+	for _, s := range g.slots {
+		if !s.delivered && !f.book.Owes(s.id) {
+			s.delivered = true
+			s.ready = nil
+			f.stats.Delivered++
+		}
+		whole = whole && s.delivered
+	}
+	return whole
+}
+
+// await returns samples that may be delivered, as soon as there are some.
+func (f *Feed) await(ctx context.Context, most int, wait time.Duration) []*sample.Sample {
+	begin := time.Now()
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	defer f.wasIdle(begin)
+	var enough <-chan time.Time
+	for {
+		f.mu.Lock()
+		picked, lacking := f.pick(most)
+		changed := f.changed
+		if len(picked) == 0 && lacking && f.idle.IsZero() {
+			f.idle = time.Now()
+		}
+		f.mu.Unlock()
+		if len(picked) >= most || (len(picked) > 0 && !lacking) {
+			return picked
+		}
+		if len(picked) > 0 && enough == nil {
+			f.wasIdle(begin)
+			timer := time.NewTimer(f.gather)
+			defer timer.Stop()
+			enough = timer.C
+		}
+		select {
+		case <-changed:
+		case <-enough:
+			return picked
+		case <-deadline.C:
+			return picked
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// wasIdle counts the time in which the trainer had nothing.
+func (f *Feed) wasIdle(time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.idle.IsZero() {
+		f.stats.IdleSeconds += time.Since(f.idle).Seconds()
+		f.idle = time.Time{}
+	}
+}
+
+// pick chooses ready samples that are fresh now, oldest step first, and tells
+// whether others are still to come. The caller holds mu.
+func (f *Feed) pick(most int) ([]*sample.Sample, bool) {
+	var picked []*sample.Sample
+	lacking := false
+	for _, st := range f.steps {
+		for _, g := range st.groups {
+			for _, s := range g.slots {
+				switch {
+				case s.delivered:
+				case !f.fresh(s):
+					lacking = true
+				case len(picked) < most:
+					picked = append(picked, s.ready)
+				}
+			}
+		}
+	}
+	return picked, lacking
+}
+
+// fresh reports whether the slot's sample may be delivered now. One that has
+// become too old is thrown away here, at the last moment, and made anew: the
+// trainer may have published since it was made, or since it was first offered.
+func (f *Feed) fresh(s *slotState) bool {
+	if s.ready == nil {
+		return false
+	}
+	oldest, err := s.ready.Oldest()
+	if err == nil && f.book.Published-oldest <= f.config().StalenessBound {
+		return true
+	}
+	f.stats.Stale++
+	f.stats.Wasted += s.ready.Tokens
+	s.ready = nil
+	s.tokens = 0
+	return false
+}
+
+// recordOffer stores the offer before it leaves. While the service is down a
+// trainer that carries its cursor gets it all the same: the cursor then is the
+// record. Any other waits, since after this holder's loss nobody could tell
+// what it got.
+func (f *Feed) recordOffer(ctx context.Context) error {
+	err := f.save(ctx)
+	var down *fault.UnavailableError
+	if !errors.As(err, &down) {
+		return err
+	}
+	if f.config().Cursor {
+		f.mu.Lock()
+		f.stats.Unrecorded++
+		f.mu.Unlock()
+		return nil
+	}
+	return &fault.NotRunError{
+		Cause:      CauseService,
+		Reason:     "the offer could not be recorded, and this trainer carries no cursor",
+		RetryAfter: 2 * restAfterFailure,
+	}
+}
+
+// send looks at the age of each sample once more, since recording took time.
+func (f *Feed) send(c cursor.Cursor, picked []*sample.Sample) *offer.Offer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := f.answer(c)
+	var left []string
+	for _, s := range picked {
+		slot := f.slot(s.ID)
+		if slot == nil || slot.ready != s || !f.fresh(slot) {
+			continue
+		}
+		left = append(left, s.ID)
+		out.Samples = append(out.Samples, *s)
+	}
+	f.book.Make(left)
+	out.Offer = f.book.Offer
+	out.Cursor = f.book.Cursor().Encode()
+	return out
+}
+
+func (f *Feed) nothing(c cursor.Cursor) *offer.Offer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answer(c)
+}
+
+// answer is an offer without samples. Its cursor is the trainer's own.
+func (f *Feed) answer(c cursor.Cursor) *offer.Offer {
+	out := &offer.Offer{
+		Published: strconv.FormatInt(f.book.Published, 10),
+		Open:      f.book.Open(),
+		Samples:   []sample.Sample{},
+		Missing:   f.missing(),
+	}
+	if c.Subscription != "" {
+		out.Cursor = c.Encode()
+	}
+	return out
+}
+
+// missing names groups that are owed and whose prompt this holder lacks.
+func (f *Feed) missing() []string {
+	var lost []string
+	for id, g := range f.book.Groups {
+		if !g.Whole && f.groups[id] == nil && len(lost) < maxMissing {
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
+func ids(samples []*sample.Sample) []string {
+	out := make([]string, len(samples))
+	for i, s := range samples {
+		out[i] = s.ID
+	}
+	return out
+}
+
+func at(field string, i int) string {
+	return field + "[" + strconv.Itoa(i) + "]"
+}
--- /dev/null
+++ b/feed/record.go
@@ -0,0 +1,163 @@
+package feed
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/ledger"
+	"github.com/lavendermux/lavendermux/record"
+)
+
+const (
+	// restAfterFailure is how long the service is left alone after it gave no
+	// answer. A pull that found it down would otherwise wait for a timeout each
+	// time, and the trainer with it.
+	restAfterFailure = time.Second
+	// maxTries bounds how often one record is written again after finding the
+	// key at another of our own revisions.
+	maxTries = 3
+)
+
+// adopt reads the ledger and writes it back under this holder's fence. That
+// write is what makes every later one of an earlier holder fail.
+func (f *Feed) adopt(ctx context.Context) error {
+	rec, err := f.store.Get(ctx, f.key())
+	var missing *fault.NotFoundError
+	switch {
+	case errors.As(err, &missing):
+		f.book = ledger.New(f.name)
+		f.revision = keyval.Absent
+	case err != nil:
+		return err
+	default:
+		f.book, err = decode(rec)
+		if err != nil {
+			return err
+		}
+		f.revision = rec.Revision
+	}
+	if !f.book.Adopt(f.fence) {
+		return &ledger.OvertakenError{Fence: f.fence, Later: f.book.Fence}
+	}
+	return f.save(ctx)
+}
+
+func decode(rec record.Record) (*ledger.Ledger, error) {
+	var book ledger.Ledger
+	if err := json.Unmarshal(rec.Value, &book); err != nil {
+		return nil, errors.Wrapf(err, "reading the ledger %s", rec.Key)
+	}
+	return &book, nil
+}
+
+// Save records the ledger if something in it has not been recorded, and returns
+// what Overtaken does. The holder calls it again and again, so that an outage
+// ends with everything recorded.
+func (f *Feed) Save(ctx context.Context) error {
+	f.mu.Lock()
+	dirty := f.book.Unrecorded()
+	f.mu.Unlock()
+	if !dirty {
+		return f.Overtaken()
+	}
+	return f.save(ctx)
+}
+
+// save writes the ledger to the key-value service. After a
+// *fault.UnavailableError it may or may not be stored; the next save finds out.
+func (f *Feed) save(ctx context.Context) error {
+	f.saving.Lock()
+	defer f.saving.Unlock()
+	if err := f.blocked(); err != nil {
+		return err
+	}
+	var err error
+	for range maxTries {
+		err = f.write(ctx)
+		var conflict *fault.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		// The key has moved: either by a write of ours whose answer was lost, or
+		// by a later holder's.
+		if err = f.reread(ctx); err != nil {
+			break
+		}
+	}
+	f.note(err)
+	return err
+}
+
+func (f *Feed) blocked() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overtaken != nil {
+		return f.overtaken
+	}
+	if time.Now().Before(f.downUntil) {
+		return &fault.UnavailableError{Peer: "key-value service", Cause: errors.New("it gave no answer just now")}
+	}
+	return nil
+}
+
+func (f *Feed) write(ctx context.Context) error {
+	operation := rand.Text()
+	f.mu.Lock()
+	raw, mark, err := f.book.Store(operation)
+	f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	f.pending = append(f.pending, operation)
+	revision, err := f.store.Put(ctx, f.key(), raw, f.revision, 0)
+	if err != nil {
+		return err
+	}
+	f.revision = revision
+	f.pending = nil
+	f.mu.Lock()
+	f.book.Recorded(mark)
+	f.mu.Unlock()
+	return nil
+}
+
+// reread finds out who moved the key.
+func (f *Feed) reread(ctx context.Context) error {
+	rec, err := f.store.Get(ctx, f.key())
+	if err != nil {
+		return err
+	}
+	stored, err := decode(rec)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(f.pending, stored.Operation) {
+		return &ledger.OvertakenError{Fence: f.fence, Later: stored.Fence}
+	}
+	f.revision = rec.Revision
+	return nil
+}
+
+func (f *Feed) note(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var overtaken *ledger.OvertakenError
+	if errors.As(err, &overtaken) && f.overtaken == nil {
+		f.overtaken = overtaken
+		f.log.Warn("overtaken", "subscription", f.name, "fence", f.fence, "later", overtaken.Later)
+	}
+	var down *fault.UnavailableError
+	if errors.As(err, &down) {
+		f.downUntil = time.Now().Add(restAfterFailure)
+	}
+}
+
+func (f *Feed) key() string {
+	return KeyPrefix + f.name
+}
--- /dev/null
+++ b/feed/submit.go
@@ -0,0 +1,107 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/grpreq"
+)
+
+// Submit takes in groups and returns how many are new. A group that is known
+// already is left as it is, so a trainer whose answer was lost submits again.
+// When it returns, the groups are recorded and their prompts kept as well as
+// the deployment can; while the key-value service is down the record follows
+// later.
+//
+// The errors are *fault.FieldError, *fault.FieldsError, and
+// *ledger.OvertakenError, after which the trainer asks another instance.
+func (f *Feed) Submit(ctx context.Context, groups []grpreq.Group) (int, error) {
+	added, err := f.add(groups)
+	if err != nil {
+		return 0, err
+	}
+	for _, g := range added {
+		if err := f.bulk.KeepGroup(ctx, f.name, g); err != nil {
+			f.log.Warn("a prompt is in memory only", "subscription", f.name, "group", g.ID, "err", err)
+		}
+	}
+	if len(added) == 0 {
+		return 0, f.Overtaken()
+	}
+	err = f.save(ctx)
+	var down *fault.UnavailableError
+	if errors.As(err, &down) {
+		f.log.Warn("groups taken in without a record", "subscription", f.name, "groups", len(added), "err", err)
+		err = nil
+	}
+	return len(added), err
+}
+
+// add checks all groups before it takes in the first.
+func (f *Feed) add(groups []grpreq.Group) ([]grpreq.Group, error) {
+	var bad fault.FieldsError
+	for i, g := range groups {
+		bad.Merge(at("groups", i), g.Validate())
+	}
+	if err := bad.Err(); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overtaken != nil {
+		return nil, f.overtaken
+	}
+	var added []grpreq.Group
+	for i, g := range groups {
+		fresh, err := f.book.Add(g.ID, g.Step, g.Samples)
+		if err != nil {
+			bad.Merge(at("groups", i), err)
+			continue
+		}
+		if fresh {
+			added = append(added, g)
+		}
+		// A known group whose prompt was lost with its holder is filled in.
+		f.insert(g)
+	}
+	return added, bad.Err()
+}
+
+// Publish notes a new weight version of the trainer. Versions only grow; an old
+// one is passed over.
+func (f *Feed) Publish(ctx context.Context, version int64) error {
+	if !f.publish(version, time.Now()) {
+		return f.Overtaken()
+	}
+	err := f.save(ctx)
+	var down *fault.UnavailableError
+	if errors.As(err, &down) {
+		f.log.Warn("version noted without a record", "subscription", f.name, "version", version)
+		return nil
+	}
+	return err
+}
+
+func (f *Feed) publish(version int64, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version <= f.book.Published {
+		return false
+	}
+	if !f.published.IsZero() {
+		since := now.Sub(f.published)
+		f.every = max(time.Millisecond, time.Duration(memory*float64(f.every)+(1-memory)*float64(since)))
+	}
+	f.published = now
+	f.book.Published = version
+	return true
+}
+
+// Published returns the trainer's newest weight version.
+func (f *Feed) Published() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Published
+}
