Add a network in memory for tests in virtual time

Cause: tests of failures between processes need cuts, freezes and kills that take no real time and leave no goroutine behind. Weighed: net.Pipe, which has no buffer and so makes a writer wait for its reader, hides half-sent answers and can't hold bytes over a cut; and a filter before real sockets, which block outside of testing/synctest's view. Change: package memnet with listeners and dialers by IP number, waiting only on channels and timers. A cut or a freeze holds bytes and resets alike; a killed instance's own dialers fail, so that what it left running reaches nobody. Conclusion: HTTP/1 and HTTP/2 without encryption run over it.

--- /dev/null
+++ b/memnet/conn.go
@@ -0,0 +1,262 @@
+package memnet
+
+import (
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// window is how many bytes may be on their way in one direction before a
+	// writer waits.
+	window = 256 << 10
+)
+
+type (
+	// conn is one end of a connection.
+	conn struct {
+		network *Network
+		host    string
+		local   address
+		remote  address
+		in      *stream
+		out     *stream
+	}
+
+	// stream carries bytes in one direction.
+	stream struct {
+		network  *Network
+		from, to string
+
+		mu     sync.Mutex
+		queue  []packet
+		queued int
+		// ended is set when the writer closed: what is queued still arrives.
+		ended bool
+		// left is set when the reader closed.
+		left bool
+		// broken is set when either instance was killed.
+		broken bool
+		// readBy and writeBy are the deadlines of the two ends.
+		readBy  time.Time
+		writeBy time.Time
+		// changed is closed whenever the fields above change.
+		changed chan struct{}
+	}
+
+	// packet is bytes that arrive together.
+	packet struct {
+		data []byte
+		at   time.Time
+	}
+)
+
+func newConns(n *Network, from string, port int, l *listener) (near, far *conn) {
+	there := newStream(n, from, l.host)
+	back := newStream(n, l.host, from)
+	caller := address(net.JoinHostPort(from, strconv.Itoa(port)))
+	near = &conn{network: n, host: from, local: caller, remote: l.addr, in: back, out: there}
+	far = &conn{network: n, host: l.host, local: l.addr, remote: caller, in: there, out: back}
+	return near, far
+}
+
+func newStream(n *Network, from, to string) *stream {
+	return &stream{network: n, from: from, to: to, changed: make(chan struct{})}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.in.read(b)
+	return n, c.wrap("read", err)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.out.write(b)
+	return n, c.wrap("write", err)
+}
+
+// Close implements net.Conn. What was written still arrives.
+func (c *conn) Close() error {
+	c.out.change(func(s *stream) { s.ended = true })
+	c.in.change(func(s *stream) { s.left = true })
+	c.network.forget(c)
+	return nil
+}
+
+// reset closes the connection as the death of its instance does: what was on
+// its way is lost, and the other end meets an error.
+func (c *conn) reset() {
+	c.out.change(func(s *stream) {
+		s.ended = true
+		s.broken = true
+	})
+	c.in.change(func(s *stream) {
+		s.left = true
+		s.broken = true
+	})
+	c.network.forget(c)
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.remote }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	_ = c.SetReadDeadline(t)
+	return c.SetWriteDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.in.change(func(s *stream) { s.readBy = t })
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.out.change(func(s *stream) { s.writeBy = t })
+	return nil
+}
+
+func (c *conn) wrap(op string, err error) error {
+	if err == nil || err == io.EOF { //nolint:errorlint // io.EOF is never wrapped here, and readers compare it.
+		return err
+	}
+	return &net.OpError{Op: op, Net: network, Source: c.local, Addr: c.remote, Err: err}
+}
+
+func (s *stream) change(do func(*stream)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	do(s)
+	s.wake()
+}
+
+func (s *stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *stream) read(b []byte) (int, error) {
+	for {
+		open, _, linkChanged := s.network.link(s.from, s.to)
+		s.mu.Lock()
+		n, err, done := s.tryRead(b, open, time.Now())
+		changed, until := s.changed, s.readBy
+		if open && len(s.queue) > 0 && (until.IsZero() || s.queue[0].at.Before(until)) {
+			until = s.queue[0].at
+		}
+		s.mu.Unlock()
+		if done {
+			return n, err
+		}
+		wait(changed, linkChanged, until)
+	}
+}
+
+// tryRead takes what has arrived; it reports false when the reader must wait.
+// The caller holds the lock.
+func (s *stream) tryRead(b []byte, open bool, now time.Time) (int, error, bool) { //nolint:revive // The last result tells whether the others count.
+	switch {
+	case s.left:
+		return 0, net.ErrClosed, true
+	case passed(s.readBy, now):
+		return 0, os.ErrDeadlineExceeded, true
+	case len(b) == 0:
+		return 0, nil, true
+	case !open:
+		return 0, nil, false
+	case s.broken:
+		return 0, syscall.ECONNRESET, true
+	case len(s.queue) > 0 && !s.queue[0].at.After(now):
+		return s.take(b), nil, true
+	case len(s.queue) == 0 && s.ended:
+		return 0, io.EOF, true
+	}
+	return 0, nil, false
+}
+
+func (s *stream) take(b []byte) int {
+	n := copy(b, s.queue[0].data)
+	s.queue[0].data = s.queue[0].data[n:]
+	if len(s.queue[0].data) == 0 {
+		s.queue = s.queue[1:]
+	}
+	s.queued -= n
+	s.wake()
+	return n
+}
+
+func (s *stream) write(b []byte) (int, error) {
+	written := 0
+	for {
+		open, delay, linkChanged := s.network.link(s.from, s.to)
+		s.mu.Lock()
+		now := time.Now()
+		err := s.writeError(open, now)
+		if err == nil {
+			written += s.put(b[written:], now.Add(delay))
+		}
+		changed, until := s.changed, s.writeBy
+		s.mu.Unlock()
+		if err != nil || written == len(b) {
+			return written, err
+		}
+		wait(changed, linkChanged, until)
+	}
+}
+
+func (s *stream) writeError(open bool, now time.Time) error {
+	switch {
+	case s.ended:
+		return net.ErrClosed
+	case passed(s.writeBy, now):
+		return os.ErrDeadlineExceeded
+	case open && (s.left || s.broken):
+		return syscall.EPIPE
+	}
+	return nil
+}
+
+// put queues as much as the window holds. Bytes never overtake earlier ones.
+func (s *stream) put(b []byte, at time.Time) int {
+	n := min(len(b), window-s.queued)
+	if n <= 0 {
+		return 0
+	}
+	if last := len(s.queue) - 1; last >= 0 && s.queue[last].at.After(at) {
+		at = s.queue[last].at
+	}
+	s.queue = append(s.queue, packet{data: append([]byte(nil), b[:n]...), at: at})
+	s.queued += n
+	s.wake()
+	return n
+}
+
+func passed(deadline, now time.Time) bool {
+	return !deadline.IsZero() && !deadline.After(now)
+}
+
+// wait returns when either channel is closed or a moment has come; the zero
+// moment never comes.
+func wait(a, b <-chan struct{}, until time.Time) {
+	var due <-chan time.Time
+	if !until.IsZero() {
+		t := time.NewTimer(time.Until(until))
+		defer t.Stop()
+		due = t.C
+	}
+	select {
+	case <-a:
+	case <-b:
+	case <-due:
+	}
+}
--- /dev/null
+++ b/memnet/memnet.go
@@ -0,0 +1,323 @@
+// Package memnet is a network in memory for tests. Instances are known by their
+// IP numbers; a test can cut two of them from each other, freeze one, kill one
+// and delay what passes between two. All waiting is on channels and timers, so
+// that time is virtual in testing/synctest.
+package memnet
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	network = "tcp"
+	// dialTimeout is when a dial without an answer gives up, as on Linux.
+	dialTimeout = 127 * time.Second
+	// backlog is how many connections wait to be accepted.
+	backlog = 1024
+	// firstPort is the first port of connections' calling side.
+	firstPort = 40_000
+	// headerTimeout bounds how long a server waits for a request's head.
+	headerTimeout = time.Minute
+)
+
+type (
+	// Network connects instances. Safe for concurrent use. See New.
+	Network struct {
+		delay time.Duration
+
+		mu        sync.Mutex
+		listeners map[string]*listener
+		// lives counts how often each instance was killed. What belongs to an
+		// earlier life of an instance fails.
+		lives  map[string]int
+		cuts   map[pair]bool
+		frozen map[string]bool
+		delays map[pair]time.Duration
+		// conns holds the ends of all open connections, each with its instance.
+		conns map[*conn]bool
+		port  int
+		// changed is closed whenever the fields above change for those who wait.
+		changed chan struct{}
+	}
+
+	// Option changes a Network as New makes it.
+	Option func(*Network)
+
+	// pair is two instances in order.
+	pair struct {
+		a, b string
+	}
+)
+
+// New returns a network without instances.
+//
+//	n := memnet.New(memnet.WithDelay(time.Millisecond))
+//	srv, err := n.Serve("10.0.0.1:80", handler)
+func New(opts ...Option) *Network {
+	n := &Network{
+		listeners: make(map[string]*listener),
+		lives:     make(map[string]int),
+		cuts:      make(map[pair]bool),
+		frozen:    make(map[string]bool),
+		delays:    make(map[pair]time.Duration),
+		conns:     make(map[*conn]bool),
+		port:      firstPort,
+		changed:   make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	return n
+}
+
+// WithDelay sets how long bytes take between any two instances, one way. The
+// default is no time.
+func WithDelay(d time.Duration) Option {
+	return func(n *Network) { n.delay = d }
+}
+
+// Listen returns a listener at addr, an IP number and a port.
+func (n *Network) Listen(addr string) (net.Listener, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening at %s", addr)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[addr] != nil {
+		return nil, &net.OpError{Op: "listen", Net: network, Addr: address(addr), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{
+		network:  n,
+		addr:     address(addr),
+		host:     host,
+		incoming: make(chan *conn, backlog),
+		closed:   make(chan struct{}),
+	}
+	n.listeners[addr] = l
+	return l, nil
+}
+
+// Dialer returns a function that dials from an instance, for
+// http.Transport.DialContext. It fails for good once the instance is killed: a
+// process that starts there later asks for its own.
+func (n *Network) Dialer(from string) func(ctx context.Context, _, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	life := n.lives[from]
+	n.mu.Unlock()
+	return func(ctx context.Context, _, addr string) (net.Conn, error) {
+		c, err := n.dial(ctx, from, life, addr)
+		if err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Addr: address(addr), Err: err}
+		}
+		return c, nil
+	}
+}
+
+// Transport returns a transport that dials from an instance.
+func (n *Network) Transport(from string) *http.Transport {
+	return &http.Transport{DialContext: n.Dialer(from)}
+}
+
+// Client returns an HTTP client that dials from an instance. It has no timeout.
+func (n *Network) Client(from string) *http.Client {
+	return &http.Client{Transport: n.Transport(from)}
+}
+
+// Serve serves h at addr, by HTTP/1 and by HTTP/2 without encryption, until the
+// server is closed or its instance killed.
+func (n *Network) Serve(addr string, h http.Handler) (*http.Server, error) {
+	l, err := n.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols)}
+	srv.Protocols.SetHTTP1(true)
+	srv.Protocols.SetUnencryptedHTTP2(true)
+	go func() { _ = srv.Serve(l) }()
+	return srv, nil
+}
+
+// Cut stops all bytes between two instances. Connections stay open, and what is
+// written on them arrives after Heal. Dials wait.
+func (n *Network) Cut(a, b string) {
+	n.change(func() { n.cuts[ordered(a, b)] = true })
+}
+
+// Heal ends a cut.
+func (n *Network) Heal(a, b string) {
+	n.change(func() { delete(n.cuts, ordered(a, b)) })
+}
+
+// Freeze stops all bytes to and from an instance, as when its process is
+// stopped by a signal: connections stay open, and dials to it succeed. The
+// instance's own goroutines run on, and meet silence.
+func (n *Network) Freeze(ip string) {
+	n.change(func() { n.frozen[ip] = true })
+}
+
+// Thaw ends a freeze. What was written in it arrives.
+func (n *Network) Thaw(ip string) {
+	n.change(func() { delete(n.frozen, ip) })
+}
+
+// SetDelay sets how long bytes take between two instances, one way, from now on.
+func (n *Network) SetDelay(a, b string, d time.Duration) {
+	n.change(func() { n.delays[ordered(a, b)] = d })
+}
+
+// Kill ends an instance: its listeners and connections close, the other ends
+// are reset, and its dialers fail from now on. A new process may start there.
+func (n *Network) Kill(ip string) {
+	n.mu.Lock()
+	n.lives[ip]++
+	ended := n.take(func(host string) bool { return host == ip })
+	n.wake()
+	n.mu.Unlock()
+	for _, end := range ended {
+		end()
+	}
+}
+
+// Close ends all instances, so that no goroutine stays behind in a test.
+func (n *Network) Close() {
+	n.mu.Lock()
+	for _, l := range n.listeners {
+		n.lives[l.host]++
+	}
+	for c := range n.conns {
+		n.lives[c.host]++
+	}
+	ended := n.take(func(string) bool { return true })
+	n.wake()
+	n.mu.Unlock()
+	for _, end := range ended {
+		end()
+	}
+}
+
+// take returns how to end the listeners and connections of some instances. The
+// caller holds the lock, and ends them without it.
+func (n *Network) take(of func(host string) bool) []func() {
+	var ended []func()
+	for _, l := range n.listeners {
+		if of(l.host) {
+			ended = append(ended, func() { _ = l.Close() })
+		}
+	}
+	for c := range n.conns {
+		if of(c.host) {
+			ended = append(ended, c.reset)
+		}
+	}
+	return ended
+}
+
+func (n *Network) change(do func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	do()
+	n.wake()
+}
+
+func (n *Network) wake() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// link returns whether bytes pass from one instance to another, how long they
+// take, and what is closed when that changes.
+func (n *Network) link(from, to string) (open bool, delay time.Duration, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	open = !n.cuts[ordered(from, to)] && !n.frozen[from] && !n.frozen[to]
+	return open, n.delayOf(from, to), n.changed
+}
+
+func (n *Network) isFrozen(ip string) (frozen bool, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen[ip], n.changed
+}
+
+func (n *Network) delayOf(a, b string) time.Duration {
+	if d, found := n.delays[ordered(a, b)]; found {
+		return d
+	}
+	if a == b {
+		return 0
+	}
+	return n.delay
+}
+
+func (n *Network) dial(ctx context.Context, from string, life int, addr string) (net.Conn, error) {
+	to, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	end := time.NewTimer(dialTimeout)
+	defer end.Stop()
+	for {
+		n.mu.Lock()
+		dead := n.lives[from] != life
+		waits := n.cuts[ordered(from, to)] || n.frozen[from]
+		delay, changed := n.delayOf(from, to), n.changed
+		n.mu.Unlock()
+		if dead {
+			return nil, syscall.ENETDOWN
+		}
+		var answered <-chan time.Time
+		if !waits {
+			answered = time.After(2 * delay)
+		}
+		select {
+		case <-answered:
+			return n.connect(from, life, addr)
+		case <-changed:
+		case <-end.C:
+			return nil, syscall.ETIMEDOUT
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// connect makes a connection and hands its other end to the listener.
+func (n *Network) connect(from string, life int, addr string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lives[from] != life {
+		return nil, syscall.ENETDOWN
+	}
+	l := n.listeners[addr]
+	if l == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	n.port++
+	near, far := newConns(n, from, n.port, l)
+	select {
+	case l.incoming <- far:
+	default:
+		return nil, syscall.ECONNREFUSED
+	}
+	n.conns[near] = true
+	n.conns[far] = true
+	return near, nil
+}
+
+func (n *Network) forget(c *conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+func ordered(a, b string) pair {
+	return pair{min(a, b), max(a, b)}
+}
