Add the settings of entry and side, the logger and TLS files

Cause: a process learns everything from its settings; a misspelt field or a number without its unit must stop it at its start with the field's name.

Change: ecfg, scfg, logs, netad, certs.

--- /dev/null
+++ b/ecfg/ecfg_test.go
@@ -0,0 +1,48 @@
+package ecfg_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/bytesz"
+	"github.com/lavendermux/lavendermux/ecfg"
+)
+
+const good = `"instance":"entry-1","dataCentre":"tln-a","region":"ee-north","listen":"127.0.0.1:8080",
+	"peerListen":"127.0.0.1:8081","keyValue":"http://127.0.0.1:1","instanceList":"http://127.0.0.1:2","weightStore":"http://127.0.0.1:3"`
+
+func TestEcfg(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ecfg")
+}
+
+var _ = Describe("Settings", func() {
+	It("have defaults", func() {
+		s, err := ecfg.Parse([]byte("{" + good + "}"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.MaxBody).To(Equal(bytesz.MB))
+		Expect(s.StopWithin.String()).To(Equal("30s"))
+	})
+
+	DescribeTable("are refused with the field's name",
+		func(more, want string) {
+			_, err := ecfg.Parse([]byte(fmt.Sprintf("{%s,%s}", good, more)))
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry(nil, `"dataCenter":"x"`, `dataCenter: is no field here; did you mean "dataCentre"?`),
+		Entry(nil, `"stopWithin":30`, "stopWithin: is the number 30"),
+		Entry(nil, `"maxBody":"0B"`, "maxBody: is not above zero"),
+		Entry(nil, `"logLevel":"loud"`, "logLevel: is debug, info, warn or error"),
+		Entry(nil, `"tls":{"certificate":"c.pem"}`, "tls.key: is missing"),
+	)
+
+	It("list all that is missing", func() {
+		_, err := ecfg.Parse([]byte(`{"listen":"localhost:80","peerListen":"127.0.0.1:99999"}`))
+		for _, field := range []string{"instance", "dataCentre", "region", "listen", "peerListen", "keyValue", "instanceList", "weightStore"} {
+			Expect(err).To(MatchError(ContainSubstring(field + ": is")))
+		}
+	})
+})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,10 +3,10 @@
 package pool
 
 import (
-	"net/url"
 	"time"
 
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/netad"
 	"github.com/lavendermux/lavendermux/span"
 )
 
@@ -74,7 +74,9 @@
 	var bad fault.FieldsError
 	bad.Check(p.Service != "", "service", "is empty; name the service whose workers form the pool")
 	p.checkModels(&bad)
-	bad.Check(p.Scorer == "" || isURL(p.Scorer), "scorer", `is no URL; write one such as "http://10.0.0.7:7000"`)
+	if p.Scorer != "" {
+		bad.Merge("scorer", netad.CheckURL(p.Scorer))
+	}
 	bad.Check(p.LiveReserve >= 0 && p.LiveReserve <= 1, "liveReserve", "is a share and lies between 0 and 1")
 	bad.Check(p.MinimumSlots >= 0, "minimumSlots", "is negative")
 	bad.Check(p.GuaranteeSlots == 0 || p.GuaranteeSlots >= p.MinimumSlots, "guaranteeSlots", "is below minimumSlots")
@@ -96,8 +98,3 @@
 		seen[m] = true
 	}
 }
-
-func isURL(s string) bool {
-	u, err := url.Parse(s)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
-}
