--- a/beats/beats.go
+++ b/beats/beats.go
@@ -63,15 +63,15 @@
 		last      *wire.BeatRequest
 	}
 
-	// configuration is the instance's copy of the resources. Its revision only
-	// grows: what is applied with a lesser or equal one is passed over.
+	// configuration is the instance's copy of the resources; confs.Cache has it.
+	// Its revision only grows: what is applied with a lesser one is passed over.
 	configuration interface {
-		// Known is false until a whole configuration was taken in, be it empty.
-		Known() bool
+		// Loaded is false until an answer was taken in, be it an empty one.
+		Loaded() bool
 		// Revision is that up to which every change is held.
 		Revision() int64
 		// Apply takes in changes, or a whole configuration.
-		Apply(resp *wire.FetchResponse)
+		Apply(resp *wire.FetchResponse) bool
 	}
 
 	// peer is what an instance needs of a hub; wireconnect's client has it.
@@ -146,7 +146,7 @@
 func (c *Client) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.completed && c.config.Known()
+	return c.completed && c.config.Loaded()
 }
 
 // Leading tells whether this entry is wanted as hub: it is among the first two
--- a/beats/round.go
+++ b/beats/round.go
@@ -133,7 +133,7 @@
 // fetch brings the configuration up to the hub's. The copy itself refuses to go
 // back, whatever a hub that was cut off may say.
 func (c *Client) fetch(ctx context.Context, target insts.Instance, resp *wire.BeatResponse) {
-	if c.config.Known() && resp.GetRevision() <= c.config.Revision() {
+	if c.config.Loaded() && resp.GetRevision() <= c.config.Revision() {
 		return
 	}
 	req := connect.NewRequest(&wire.FetchRequest{AfterRevision: c.config.Revision()})
--- a/hub/exchange.go
+++ b/hub/exchange.go
@@ -98,7 +98,7 @@
 func (h *Hub) takeIn(ctx context.Context, c insts.Instance, resp *wire.BeatResponse) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !h.config.Known() || resp.GetRevision() > h.config.Revision() {
+	if !h.config.Loaded() || resp.GetRevision() > h.config.Revision() {
 		req := connect.NewRequest(&wire.FetchRequest{AfterRevision: h.config.Revision()})
 		if got, err := h.peer(c.Address).Fetch(ctx, req); err == nil {
 			h.config.Apply(got.Msg)
--- a/hub/follow.go
+++ b/hub/follow.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/fault"
-	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
 const (
-	// prefix is where the resources live in the key-value service, as
-	// resources/<kind>/<name>.
-	prefix = "resources/"
 	// firstBackoff is the wait after the first failed call; it doubles.
 	firstBackoff = 250 * time.Millisecond
 	// wide spreads waits after a failure by half of their length either way, so
@@ -53,11 +50,16 @@
 	}
 }
 
-// list reads everything. An answer that is older than what the instance holds is
-// refused: it comes from a service that was set back, and taking it in would put
-// a former configuration in force again.
+// list reads everything, and puts it in force at the service's revision even
+// when nothing differs. With the revision of the last change that is still
+// visible, a peer that was cut off could bring back a resource which it saw
+// made and did not see deleted; operators would meet it again days later.
+//
+// An answer that is older than what the instance holds is refused: it comes from
+// a service that was set back, and taking it in would put a former configuration
+// in force again.
 func (h *Hub) list(ctx context.Context) (int64, error) {
-	records, revision, err := h.store.List(ctx, prefix)
+	records, revision, err := h.store.List(ctx, object.KeyPrefix)
 	if err != nil {
 		return 0, err
 	}
@@ -67,13 +69,11 @@
 	}
 	resp := &wire.FetchResponse{Revision: revision, Whole: true}
 	for _, rec := range records {
-		if res := resource(rec); res != nil {
+		if res, ok := confs.FromRecord(rec); ok {
 			resp.Resources = append(resp.Resources, res)
 		}
 	}
-	if !h.config.Known() || differs(h.config.Since(0), resp) {
-		h.config.Apply(resp)
-	}
+	h.config.Apply(resp)
 	return revision, nil
 }
 
@@ -82,14 +82,14 @@
 // lease may move: otherwise every write of anything would make all instances
 // fetch nothing.
 func (h *Hub) watch(ctx context.Context, after int64) (int64, error) {
-	records, next, err := h.store.Watch(ctx, prefix, after, h.jitter(h.watchWait, narrow))
+	records, next, err := h.store.Watch(ctx, object.KeyPrefix, after, h.jitter(h.watchWait, narrow))
 	if err != nil {
 		return after, err
 	}
 	resp := &wire.FetchResponse{}
 	for _, rec := range records {
 		resp.Revision = max(resp.Revision, rec.Revision)
-		if res := resource(rec); res != nil {
+		if res, ok := confs.FromRecord(rec); ok {
 			resp.Resources = append(resp.Resources, res)
 		}
 	}
@@ -98,34 +98,3 @@
 	}
 	return max(after, next), nil
 }
-
-// resource turns a record into a resource, or returns nil for a key that names
-// none.
-func resource(rec record.Record) *wire.Resource {
-	kind, name, ok := strings.Cut(strings.TrimPrefix(rec.Key, prefix), "/")
-	if !ok || kind == "" || name == "" {
-		return nil
-	}
-	return &wire.Resource{
-		Kind: kind, Name: name, Revision: rec.Revision, Deleted: rec.Deleted, Body: rec.Value,
-	}
-}
-
-// differs tells whether a whole read brings anything that is not held. A hub
-// that reads in calm weather finds what it held as a member, and keeps that
-// revision: with the service's, all would have to fetch everything anew.
-func differs(held, read *wire.FetchResponse) bool {
-	if len(held.GetResources()) != len(read.GetResources()) {
-		return true
-	}
-	revisions := make(map[string]int64, len(held.GetResources()))
-	for _, r := range held.GetResources() {
-		revisions[r.GetKind()+"/"+r.GetName()] = r.GetRevision()
-	}
-	for _, r := range read.GetResources() {
-		if revisions[r.GetKind()+"/"+r.GetName()] != r.GetRevision() {
-			return true
-		}
-	}
-	return false
-}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -65,18 +65,18 @@
 		peers  map[string]peer
 	}
 
-	// configuration is the instance's copy of the resources. Its revision only
-	// grows: what is applied with a lesser or equal one is passed over.
+	// configuration is the instance's copy of the resources; confs.Cache has it.
+	// Its revision only grows: what is applied with a lesser one is passed over.
 	configuration interface {
-		// Known is false until a whole configuration was taken in, be it empty.
-		Known() bool
+		// Loaded is false until an answer was taken in, be it an empty one.
+		Loaded() bool
 		// Revision is that up to which every change is held.
 		Revision() int64
-		// Since returns what changed after a revision, deletions included, or
+		// Fetch returns what changed after a revision, deletions included, or
 		// the whole when that is not known any more.
-		Since(after int64) *wire.FetchResponse
+		Fetch(after int64) *wire.FetchResponse
 		// Apply takes in changes, or a whole configuration.
-		Apply(resp *wire.FetchResponse)
+		Apply(resp *wire.FetchResponse) bool
 	}
 
 	// store is what a hub needs of the key-value service; keyval.Client has it.
@@ -170,10 +170,10 @@
 func (h *Hub) Fetch(
 	_ context.Context, req *connect.Request[wire.FetchRequest],
 ) (*connect.Response[wire.FetchResponse], error) {
-	if !h.config.Known() {
+	if !h.config.Loaded() {
 		return nil, connect.NewError(connect.CodeUnavailable, errNotKnown)
 	}
-	return connect.NewResponse(h.config.Since(req.Msg.GetAfterRevision())), nil
+	return connect.NewResponse(h.config.Fetch(req.Msg.GetAfterRevision())), nil
 }
 
 // Members implements wireconnect.PeerServiceHandler.
