--- a/beats/beats.go
+++ b/beats/beats.go
@@ -209,10 +209,16 @@
 	return nil, err
 }
 
+// jitter returns d shortened or lengthened by up to a share.
 func (c *Client) jitter(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * c.spread(share))
+}
+
+// spread draws a factor that differs from 1 by up to a share.
+func (c *Client) spread(share float64) float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Duration(float64(d) * (1 + share*(2*c.rand.Float64()-1)))
+	return 1 + share*(2*c.rand.Float64()-1)
 }
 
 func entry(e *wire.EntryState) insts.Instance {
--- a/beats/round.go
+++ b/beats/round.go
@@ -18,10 +18,8 @@
 const (
 	// callTimeout bounds one call to a hub.
 	callTimeout = 2 * time.Second
-	// avoidSilent is how long an entry that did not answer is passed over.
-	avoidSilent = 15 * time.Second
-	// avoidOther is how long an entry that is no hub is passed over.
-	avoidOther = 2 * time.Second
+	// passOther is how long an entry that is no hub is passed over.
+	passOther = 2 * time.Second
 	// attempts bounds how many entries are asked in one round. A round over many
 	// dead ones would hold up the next beat.
 	attempts = 4
@@ -93,25 +91,14 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := c.peer(target).Beat(callCtx, connect.NewRequest(req))
-	if ctx.Err() != nil {
+	switch {
+	case ctx.Err() != nil:
 		return false
-	}
-	if err != nil {
-		until := time.Now().Add(c.jitter(avoidSilent, wide))
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		for _, r := range c.rotas {
-			r.Avoid(target.ID, until)
-		}
+	case err != nil:
+		c.silent(target)
 		return false
-	}
-	if !resp.Msg.GetHub() {
-		until := time.Now().Add(c.jitter(avoidOther, wide))
-		relist := time.Now().Add(c.jitter(relistSoon, wide))
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.refused[target.ID] = until
-		c.relistBy(relist)
+	case !resp.Msg.GetHub():
+		c.refuse(target)
 		return false
 	}
 	c.heard(target)
@@ -120,11 +107,39 @@
 	return true
 }
 
+// silent passes over an entry that did not answer, as hub and in the order that
+// tells whether this entry is wanted as hub.
+func (c *Client) silent(target insts.Instance) {
+	spread := c.spread(wide)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.rotas {
+		if r.Key() == target.DataCentre {
+			r.Silent(target.ID, time.Now(), spread)
+		}
+	}
+}
+
+// refuse passes over an entry that answers but is no hub. It keeps its place in
+// the order, since it may only need a moment to begin: otherwise all entries
+// after it would begin too.
+func (c *Client) refuse(target insts.Instance) {
+	until := time.Now().Add(c.jitter(passOther, wide))
+	relist := time.Now().Add(c.jitter(relistSoon, wide))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refused[target.ID] = until
+	c.relistBy(relist)
+}
+
 func (c *Client) heard(target insts.Instance) {
 	own, _ := identity(c.self())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.refused, target.ID)
+	for _, r := range c.rotas {
+		r.Heard(target.ID)
+	}
 	if target.ID != own {
 		c.lastHub = time.Now()
 	}
--- a/hub/exchange.go
+++ b/hub/exchange.go
@@ -15,10 +15,8 @@
 const (
 	// hubs is how many entries of a data centre act as hub.
 	hubs = 2
-	// avoidSilent is how long an entry that did not answer is passed over.
-	avoidSilent = 15 * time.Second
-	// avoidOther is how long an entry that is no hub is passed over.
-	avoidOther = 5 * time.Second
+	// passOther is how long an entry that is no hub is passed over.
+	passOther = 4 * time.Second
 	// attempts bounds how many entries of a data centre are asked in one round.
 	attempts = 3
 )
@@ -68,11 +66,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		avoid := avoidOther
 		if err != nil {
-			avoid = avoidSilent
+			r.Silent(c.ID, time.Now(), h.spread(wide))
+			continue
 		}
-		r.Avoid(c.ID, time.Now().Add(h.jitter(avoid, narrow)))
+		r.Pass(c.ID, time.Now().Add(h.jitter(passOther, wide)))
 	}
 }
 
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/member"
 	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
@@ -57,7 +59,6 @@
 
 		mu     sync.Mutex
 		rand   *rand.Rand
-		boot   int64
 		table  *member.Table
 		wanted time.Time
 		stop   context.CancelFunc
@@ -213,14 +214,21 @@
 func (h *Hub) begin(ctx context.Context, now time.Time) {
 	self := h.self()
 	h.log.Info("acting as hub", "instance", self.GetInstance(), "dataCentre", self.GetDataCentre())
-	h.boot = max(h.boot+1, now.UnixNano())
-	h.table = member.New(self.GetDataCentre(), h.boot)
+	h.table = member.New(self.GetDataCentre(), tableBoot(self.GetInstance(), now))
 	h.table.Seed(now, h.view.Entries(), h.view.Endpoints(""))
 	ctx, h.stop = context.WithCancel(ctx)
 	h.done.Go(func() { h.follow(ctx) })
 	h.done.Go(func() { h.exchangeLoop(ctx) })
 }
 
+// tableBoot returns a number that no other table has, neither of this entry nor
+// of another that begins in the same instant. With equal ones a reader that goes
+// from one hub to the other would take the versions of the two tables for those
+// of one, and miss members for good.
+func tableBoot(instance string, now time.Time) int64 {
+	return int64(rendez.Score(instance, strconv.FormatInt(now.UnixNano(), 10)) >> 1)
+}
+
 func (h *Hub) end() {
 	h.mu.Lock()
 	if h.table != nil {
@@ -233,9 +241,14 @@
 
 // jitter returns d shortened or lengthened by up to a share.
 func (h *Hub) jitter(d time.Duration, share float64) time.Duration {
+	return time.Duration(float64(d) * h.spread(share))
+}
+
+// spread draws a factor that differs from 1 by up to a share.
+func (h *Hub) spread(share float64) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return time.Duration(float64(d) * (1 + share*(2*h.rand.Float64()-1)))
+	return 1 + share*(2*h.rand.Float64()-1)
 }
 
 func (h *Hub) peer(address string) peer {
--- /dev/null
+++ b/hub/world_test.go
@@ -0,0 +1,345 @@
+package hub_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/beats"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/insts"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+)
+
+const (
+	kvHost = "kv"
+	// packets is what TCP and IP add to a request and its answer, in bytes: four
+	// segments with 52 bytes of headers each.
+	packets = 4 * 52
+	// firstLines is about what the request line, the status line, Host and the
+	// two lengths take, in bytes.
+	firstLines = 160
+)
+
+var errCut = errors.New("connection refused")
+
+type (
+	// world is a fleet in one process: each instance has its real heartbeat
+	// client, cache, view and hub part, and the network between is a map.
+	world struct {
+		mu     sync.Mutex
+		hosts  map[string]http.Handler
+		sent   map[string]int
+		calls  map[string]int
+		cut    func(from, to string) bool
+		kv     *simkv.Server
+		listed []insts.Instance
+		lists  int
+		nodes  map[string]*node
+	}
+
+	node struct {
+		id     string
+		place  place
+		boot   int64
+		world  *world
+		cache  *confs.Cache
+		view   *fleet.View
+		hub    *hub.Hub
+		client *beats.Client
+		cancel context.CancelFunc
+		done   sync.WaitGroup
+
+		mu       sync.Mutex
+		draining bool
+		models   []*wire.ModelState
+		jobs     []*wire.JobState
+	}
+
+	place struct {
+		dataCentre string
+		region     string
+	}
+
+	transport struct {
+		world *world
+		from  string
+	}
+
+	// peerHandler is the part of the peer service that the hub serves; the rest
+	// is not called here.
+	peerHandler struct {
+		wireconnect.UnimplementedPeerServiceHandler
+		hub *hub.Hub
+	}
+)
+
+func (p peerHandler) Beat(ctx context.Context, r *connect.Request[wire.BeatRequest]) (*connect.Response[wire.BeatResponse], error) {
+	return p.hub.Beat(ctx, r)
+}
+
+func (p peerHandler) Fetch(ctx context.Context, r *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error) {
+	return p.hub.Fetch(ctx, r)
+}
+
+func (p peerHandler) Members(ctx context.Context, r *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error) {
+	return p.hub.Members(ctx, r)
+}
+
+func newWorld() *world {
+	w := &world{
+		hosts: map[string]http.Handler{},
+		sent:  map[string]int{},
+		calls: map[string]int{},
+		cut:   func(string, string) bool { return false },
+		kv:    simkv.New(),
+		nodes: map[string]*node{},
+	}
+	w.hosts[kvHost] = w.kv
+	return w
+}
+
+// RoundTrip hands the request to the host's handler. Each of the two is counted
+// for both ends.
+func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	w := t.world
+	w.mu.Lock()
+	handler := w.hosts[req.URL.Host]
+	gone := handler == nil || w.cut(t.from, req.URL.Host)
+	w.calls[req.URL.Host]++
+	w.mu.Unlock()
+	if gone {
+		return nil, errCut
+	}
+	var body []byte
+	if req.Body != nil {
+		body, _ = io.ReadAll(req.Body)
+	}
+	in := req.Clone(req.Context())
+	in.Body = io.NopCloser(strings.NewReader(string(body)))
+	in.RequestURI = req.URL.RequestURI()
+	rec := httptest.NewRecorder()
+	failed := make(chan any, 1)
+	go func() {
+		defer func() { failed <- recover() }()
+		handler.ServeHTTP(rec, in)
+	}()
+	select {
+	case <-req.Context().Done():
+		<-failed
+		return nil, req.Context().Err()
+	case p := <-failed:
+		if p != nil {
+			return nil, errCut
+		}
+	}
+	resp := rec.Result()
+	size := headerSize(req.Header) + len(body) + headerSize(resp.Header) + rec.Body.Len() + packets + firstLines
+	w.mu.Lock()
+	w.sent[t.from] += size
+	w.sent[req.URL.Host] += size
+	w.mu.Unlock()
+	return resp, nil
+}
+
+func headerSize(h http.Header) int {
+	n := 0
+	for name, values := range h {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+func (w *world) add(id string, role string, p place) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listed = append(w.listed, insts.Instance{
+		ID: id, Role: role, DataCentre: p.dataCentre, Region: p.region, Address: id, State: insts.StateLive,
+	})
+}
+
+func (w *world) list(context.Context) ([]insts.Instance, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lists++
+	return append([]insts.Instance{}, w.listed...), nil
+}
+
+// start runs an instance that add named.
+func (w *world) start(id string, seed uint64) *node {
+	w.mu.Lock()
+	var self insts.Instance
+	for _, i := range w.listed {
+		if i.ID == id {
+			self = i
+		}
+	}
+	w.mu.Unlock()
+	quiet := log.New(io.Discard)
+	n := &node{
+		id: id, place: place{self.DataCentre, self.Region}, boot: time.Now().UnixNano(),
+		world: w, cache: confs.New(), view: fleet.New(),
+	}
+	httpClient := &http.Client{Transport: transport{world: w, from: id}}
+	opts := []beats.Option{beats.WithHTTP(httpClient), beats.WithSeed(seed), beats.WithLogger(quiet)}
+	if self.Role == insts.RoleEntry {
+		n.hub = hub.New(func() *wire.EntryState { return n.beat().GetEntry() }, n.cache,
+			keyval.New("http://"+kvHost, keyval.WithHTTP(httpClient)),
+			hub.WithHTTP(httpClient), hub.WithSeed(seed), hub.WithView(n.view), hub.WithLogger(quiet),
+			hub.WithLeading(func() bool { return n.client.Leading() }),
+			hub.WithCandidates(func() []insts.Instance { return n.client.Candidates() }))
+		opts = append(opts, beats.WithView(n.view), beats.WithLocal(n.hub))
+	}
+	n.client = beats.New(n.beat, w.list, n.cache, opts...)
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done.Go(func() { n.client.Run(ctx) })
+	if n.hub != nil {
+		n.done.Go(func() { n.hub.Run(ctx) })
+		_, handler := wireconnect.NewPeerServiceHandler(peerHandler{hub: n.hub}, connect.WithCompressMinBytes(512))
+		w.mu.Lock()
+		w.hosts[id] = handler
+		w.mu.Unlock()
+	}
+	w.mu.Lock()
+	w.nodes[id] = n
+	w.mu.Unlock()
+	return n
+}
+
+func (n *node) beat() *wire.BeatRequest {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hub != nil {
+		return &wire.BeatRequest{Entry: &wire.EntryState{
+			Instance: n.id, DataCentre: n.place.dataCentre, Region: n.place.region, Address: n.id, Boot: n.boot,
+			Jobs: n.jobs,
+		}}
+	}
+	return &wire.BeatRequest{Endpoint: &wire.EndpointState{
+		Instance: n.id, Service: "filing-lm", DataCentre: n.place.dataCentre, Region: n.place.region,
+		Address: n.id, Boot: n.boot, Draining: n.draining, Models: n.models, Ready: true,
+		Load: &wire.DoorLoad{Slots: 8, Running: n.boot % 8, Waiting: 1, AheadTokens: 4000},
+	}}
+}
+
+// kill ends an instance without a word.
+func (w *world) kill(id string) {
+	w.mu.Lock()
+	n := w.nodes[id]
+	delete(w.nodes, id)
+	delete(w.hosts, id)
+	w.mu.Unlock()
+	n.cancel()
+	n.done.Wait()
+}
+
+func (w *world) stopAll() {
+	for id := range w.snapshot() {
+		w.kill(id)
+	}
+}
+
+func (w *world) snapshot() map[string]*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string]*node{}
+	for id, n := range w.nodes {
+		out[id] = n
+	}
+	return out
+}
+
+func (w *world) setCut(cut func(from, to string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// write makes a change of configuration past the resource API, and returns its
+// revision.
+func (w *world) write(t testing.TB, name string, n int) int64 {
+	t.Helper()
+	c := keyval.New("http://"+kvHost, keyval.WithHTTP(&http.Client{Transport: transport{world: w, from: "operator"}}))
+	key := "resources/pool/" + name
+	expect := int64(0)
+	if rec, err := c.Get(t.Context(), key); err == nil {
+		expect = rec.Revision
+	}
+	body := fmt.Sprintf(`{"apiVersion":"lavendermux/v1","kind":"pool","name":%q,"operation":"op-%d",`+
+		`"spec":{"service":"filing-lm","models":["m"],"maxOutput":%d}}`, name, n, n)
+	revision, err := c.Put(t.Context(), key, []byte(body), expect, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+// everywhere waits until all live instances hold a revision, and returns how
+// long that took.
+func (w *world) everywhere(revision int64, limit time.Duration) (time.Duration, error) {
+	begin := time.Now()
+	for time.Since(begin) < limit {
+		synctest.Wait()
+		behind := 0
+		for _, n := range w.snapshot() {
+			if n.cache.Revision() < revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return time.Since(begin), nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return limit, errors.Newf("not in force everywhere after %s", limit)
+}
+
+func (w *world) hubs(dataCentre string) []string {
+	out := []string{}
+	for id, n := range w.snapshot() {
+		if n.hub != nil && n.hub.Active() && (dataCentre == "" || n.place.dataCentre == dataCentre) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// grow adds and starts data centres of some entries and workers each; regions
+// hold four of them.
+func (w *world) grow(dataCentres, entries, workers int) {
+	seed := uint64(1)
+	ids := []string{}
+	for d := range dataCentres {
+		p := place{fmt.Sprintf("dc-%d", d), fmt.Sprintf("region-%d", d/4)}
+		for i := range entries {
+			ids = append(ids, fmt.Sprintf("entry-%d-%d", d, i))
+			w.add(ids[len(ids)-1], insts.RoleEntry, p)
+		}
+		for i := range workers {
+			ids = append(ids, fmt.Sprintf("worker-%d-%d", d, i))
+			w.add(ids[len(ids)-1], insts.RoleEndpoint, p)
+		}
+	}
+	for _, id := range ids {
+		w.start(id, seed)
+		seed++
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -67,7 +67,7 @@
 )
 
 // New returns the empty table of a hub in dataCentre. Boot tells the versions of
-// this table from those of the hub's earlier starts.
+// this table from those of any other, also of the same hub's earlier starts.
 //
 //	t := member.New("tln-a", time.Now().UnixNano())
 //	t.Beat(time.Now(), req)
@@ -178,12 +178,16 @@
 // Expire marks instances that are silent for too long as gone, lets minor
 // changes that waited long enough make a version, and forgets old marks.
 func (t *Table) Expire(now time.Time) {
+	expiry := t.expiry
+	if t.mostSilent(now) {
+		expiry *= holdFactor
+	}
 	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
 		r := t.rows[id]
 		switch {
 		case !r.goneAt.IsZero():
 			t.forget(now, id, r)
-		case t.silent(now, r):
+		case t.silent(now, r, expiry):
 			t.drop(now, r)
 		}
 	}
@@ -290,9 +294,24 @@
 	delete(t.rows, id)
 }
 
-func (t *Table) silent(now time.Time, r *row) bool {
+// mostSilent tells whether more than half of those who beat here are silent.
+func (t *Table) mostSilent(now time.Time) bool {
+	live, silent := 0, 0
+	for _, r := range t.rows {
+		if r.source != "" || !r.goneAt.IsZero() {
+			continue
+		}
+		live++
+		if t.silent(now, r, t.expiry) {
+			silent++
+		}
+	}
+	return 2*silent > live
+}
+
+func (t *Table) silent(now time.Time, r *row, expiry time.Duration) bool {
 	if r.source == "" {
-		return now.Sub(r.heard) >= t.expiry
+		return now.Sub(r.heard) >= expiry
 	}
 	s := t.sources[r.source]
 	return s == nil || now.Sub(s.heard) >= t.sourceExpiry
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -9,13 +9,29 @@
 	"github.com/lavendermux/lavendermux/rendez"
 )
 
+const (
+	// firstSilence is how long a candidate that did not answer is passed over
+	// the first time; it doubles up to lastSilence. A short first one lets an
+	// instance that is just starting, or one lost packet, be forgiven at the next
+	// beat; a long last one keeps a dead one from costing each beat a time-out.
+	firstSilence = 3 * time.Second
+	lastSilence  = 24 * time.Second
+	maxDoublings = 3
+)
+
 type (
 	// Rota is the order of the entries of one data centre, by rendezvous
 	// hashing over the data centre's name. It has no clock and no lock.
 	Rota struct {
 		key     string
 		order   []insts.Instance
-		avoided map[string]time.Time
+		avoided map[string]absence
+	}
+
+	absence struct {
+		until time.Time
+		// strikes counts the attempts without an answer since the last with one.
+		strikes int
 	}
 )
 
@@ -24,7 +40,7 @@
 //	r := rota.New("tln-a")
 //	r.Set(entries)
 func New(dataCentre string) *Rota {
-	return &Rota{key: dataCentre, avoided: map[string]time.Time{}}
+	return &Rota{key: dataCentre, avoided: map[string]absence{}}
 }
 
 // Set replaces the candidates; those of other data centres, other roles or
@@ -48,11 +64,20 @@
 	}
 }
 
-// Avoid passes over a candidate until a time. Without it every tick would wait
-// for the same dead instance again; without the end an instance that came back
-// would never be asked.
-func (r *Rota) Avoid(id string, until time.Time) {
-	r.avoided[id] = until
+// Silent notes that a candidate did not answer, and passes over it for a while:
+// longer each time, and by spread, a factor around 1 that the caller draws.
+// Without it every tick would wait for the same dead instance again.
+func (r *Rota) Silent(id string, now time.Time, spread float64) {
+	a := r.avoided[id]
+	wait := min(firstSilence<<min(a.strikes, maxDoublings), lastSilence)
+	a.strikes++
+	a.until = now.Add(time.Duration(float64(wait) * spread))
+	r.avoided[id] = a
+}
+
+// Pass passes over a candidate that answered but is no hub until a time.
+func (r *Rota) Pass(id string, until time.Time) {
+	r.avoided[id] = absence{until: until}
 }
 
 // Heard takes a candidate back in.
@@ -64,7 +89,7 @@
 func (r *Rota) Order(now time.Time) []insts.Instance {
 	out := make([]insts.Instance, 0, len(r.order))
 	for _, c := range r.order {
-		if !now.Before(r.avoided[c.ID]) {
+		if !now.Before(r.avoided[c.ID].until) {
 			out = append(out, c)
 		}
 	}
