--- a/calls/calls.go
+++ b/calls/calls.go
@@ -184,7 +184,7 @@
 // keyed runs a request that may not be repeated and carries a key.
 func (d *Door) keyed(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
 	key := scoped(req)
-	if !d.home(key) {
+	if !d.home(req.GetIdempotencyKey()) {
 		return nil, &fault.NotRunError{
 			Cause:      CauseNotHome,
 			Reason:     "another endpoint remembers this idempotency key",
--- a/door/order.go
+++ b/door/order.go
@@ -21,6 +21,10 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
 		defer cancel()
 	}
+	if req.GetKind() == wire.OrderKind_ORDER_KIND_ASK {
+		d.Refresh(ctx)
+		return nil
+	}
 	o, err := translate(req)
 	if err != nil {
 		return err
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -39,6 +39,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if again := f.repeat(); again != nil {
+		return f.send(c, again), f.Overtaken()
+	}
 	picked := f.await(ctx, most, wait)
 	if len(picked) == 0 {
 		return f.nothing(c), f.Overtaken()
@@ -52,6 +55,28 @@
 	return f.send(c, picked), f.Overtaken()
 }
 
+// repeat returns the outstanding offer of a trainer that carries no cursor, if it
+// can go out unchanged. The number is all that such a trainer acknowledges, so
+// one number must never stand for two sets of samples; an offer of which
+// something has become too old is given up, and its number with it.
+func (f *Feed) repeat() []*sample.Sample {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.config().Cursor || f.book.Outstanding == nil {
+		return nil
+	}
+	var out []*sample.Sample
+	for _, id := range f.book.Outstanding {
+		s := f.slot(id)
+		if s == nil || !f.fresh(s) {
+			f.book.Withdraw()
+			return nil
+		}
+		out = append(out, s.ready)
+	}
+	return out
+}
+
 // Ack acknowledges an offer, for a trainer that carries no cursor.
 func (f *Feed) Ack(ctx context.Context, number int64) error {
 	f.mu.Lock()
@@ -260,6 +285,10 @@
 		left = append(left, s.ID)
 		out.Samples = append(out.Samples, *s)
 	}
+	if len(left) < len(picked) && !f.config().Cursor {
+		// Nothing has been sent under this number yet.
+		f.book.Withdraw()
+	}
 	f.book.Make(left)
 	out.Offer = f.book.Offer
 	out.Cursor = f.book.Cursor().Encode()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// Divide changes how the slots are divided, from now on.
+func (g *Gate) Divide(opts ...slots.Option) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, opt := range opts {
+		opt(g.slots)
+	}
+	g.turn(time.Now())
+}
+
 // Load is what waits and runs.
 func (g *Gate) Load() *wire.DoorLoad {
 	g.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -238,6 +238,11 @@
 	l.Outstanding = slices.Clone(slots)
 }
 
+// Withdraw gives up the outstanding offer and its number.
+func (l *Ledger) Withdraw() {
+	l.Outstanding = nil
+}
+
 // Store returns the JSON to store under an operation's identity, and the mark
 // to call Recorded with once it is stored.
 func (l *Ledger) Store(operation string) ([]byte, mark, error) {
--- /dev/null
+++ b/side/handler.go
@@ -0,0 +1,75 @@
+package side
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/refuse"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+// handler serves the protocol between entries and doors. A refusal is an answer
+// like any other; an error of the protocol itself never means "not run".
+type handler struct {
+	side *Side
+}
+
+var errWrongKind = &fault.FieldError{Field: "service", Problem: "this endpoint serves another kind of request"}
+
+// Run implements wireconnect.DoorServiceHandler.
+func (h *handler) Run(
+	ctx context.Context, req *connect.Request[wire.RunRequest], stream *connect.ServerStream[wire.RunEvent],
+) error {
+	s := h.side
+	var err error = errWrongKind
+	if s.engine != nil {
+		err = s.engine.Run(ctx, req.Msg, stream.Send)
+	}
+	if err == nil {
+		return nil
+	}
+	s.log.Debug("refused", "request", req.Msg.GetRequestId(), "err", err)
+	return stream.Send(&wire.RunEvent{
+		RequestId: req.Msg.GetRequestId(),
+		What:      &wire.RunEvent_Refusal{Refusal: refuse.Wire(err, s.drainer().Load())},
+	})
+}
+
+// Call implements wireconnect.DoorServiceHandler.
+func (h *handler) Call(
+	ctx context.Context, req *connect.Request[wire.CallRequest],
+) (*connect.Response[wire.CallResponse], error) {
+	s := h.side
+	var resp *wire.CallResponse
+	var err error = errWrongKind
+	if s.calls != nil {
+		resp, err = s.calls.Call(ctx, req.Msg)
+	}
+	if err != nil {
+		s.log.Debug("refused", "request", req.Msg.GetRequestId(), "err", err)
+		resp = &wire.CallResponse{
+			RequestId: req.Msg.GetRequestId(),
+			Refusal:   refuse.Wire(err, s.drainer().Load()),
+		}
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Order implements wireconnect.DoorServiceHandler.
+func (h *handler) Order(
+	ctx context.Context, req *connect.Request[wire.OrderRequest],
+) (*connect.Response[wire.OrderResponse], error) {
+	s := h.side
+	var err error = errWrongKind
+	if s.engine != nil {
+		err = s.engine.Order(ctx, req.Msg)
+	}
+	out := &wire.OrderResponse{Done: err == nil, State: s.describe().GetEndpoint()}
+	if err != nil {
+		s.log.Warn("order not carried out", "kind", req.Msg.GetKind(), "model", req.Msg.GetModel(),
+			"version", req.Msg.GetVersion(), "fence", req.Msg.GetFence(), "err", err)
+		out.Refusal = refuse.Wire(err, nil)
+	}
+	return connect.NewResponse(out), nil
+}
--- /dev/null
+++ b/side/side.go
@@ -0,0 +1,208 @@
+// Package side is the process beside an endpoint: the one door through which
+// all work and all orders for the endpoint pass.
+package side
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/beats"
+	"github.com/lavendermux/lavendermux/calls"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/dial"
+	"github.com/lavendermux/lavendermux/door"
+	"github.com/lavendermux/lavendermux/engine"
+	"github.com/lavendermux/lavendermux/gate"
+	"github.com/lavendermux/lavendermux/keymem"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/plain"
+	"github.com/lavendermux/lavendermux/relay"
+	"github.com/lavendermux/lavendermux/roster"
+	"github.com/lavendermux/lavendermux/scfg"
+	"github.com/lavendermux/lavendermux/serve"
+	"github.com/lavendermux/lavendermux/slots"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+)
+
+type (
+	// Side is one such process. See New and Run.
+	Side struct {
+		cfg   scfg.Settings
+		net   *netset.Net
+		log   *log.Logger
+		conf  *confs.Cache
+		dial  *dial.Dialer
+		store *keyval.Client
+		list  *roster.Client
+		beats *beats.Client
+		gate  *gate.Gate
+		// engine is set before a model engine, calls before a plain service.
+		engine *door.Door
+		calls  *calls.Door
+		boot   int64
+	}
+
+	// Option changes a Side as New makes it.
+	Option func(*Side)
+
+	// drainer is what both kinds of door have.
+	drainer interface {
+		Drain()
+		Idle(ctx context.Context) error
+		Describe(st *wire.EndpointState)
+		Load() *wire.DoorLoad
+	}
+)
+
+// New returns the process with its settings.
+//
+//	s := side.New(cfg, side.WithLog(logger))
+//	err := s.Run(ctx)
+func New(cfg scfg.Settings, opts ...Option) *Side {
+	s := &Side{
+		cfg:  cfg,
+		net:  netset.New(),
+		log:  log.New(nil),
+		conf: confs.New(),
+		boot: time.Now().UnixNano(),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.dial = dial.New(s.net.Peers())
+	s.store = keyval.New(cfg.KeyValue, keyval.WithHTTP(s.net.Client()), keyval.WithTimeout(time.Duration(cfg.KeyValueTimeout)))
+	s.list = roster.New(cfg.InstanceList, roster.WithHTTP(s.net.Client()))
+	s.beats = beats.New(s.describe, s.list.List, s.conf,
+		beats.WithHTTP(s.net.Peers()), beats.WithSeed(uint64(s.boot)), beats.WithLogger(s.log))
+	s.doors()
+	return s
+}
+
+// WithNet sets how the process listens and dials. The default is TCP.
+func WithNet(n *netset.Net) Option {
+	return func(s *Side) { s.net = n }
+}
+
+// WithLog sets where the process logs. The default is nowhere.
+func WithLog(l *log.Logger) Option {
+	return func(s *Side) { s.log = l }
+}
+
+func (s *Side) doors() {
+	if s.cfg.PlainService != "" {
+		service := plain.New(s.cfg.PlainService, plain.WithHTTP(s.net.Client()))
+		s.calls = calls.New(service, keymem.New(time.Now()), calls.WithHome(s.isHome))
+		return
+	}
+	s.gate = gate.New(slots.New(s.cfg.Slots))
+	model := engine.New(s.cfg.Engine, engine.WithHTTP(s.net.Client()))
+	s.engine = door.New(model, s.gate, door.WithLog(s.log))
+}
+
+func (s *Side) drainer() drainer {
+	if s.calls != nil {
+		return s.calls
+	}
+	return s.engine
+}
+
+// isHome says whether this endpoint remembers an idempotency key.
+func (s *Side) isHome(key string) bool {
+	return relay.Home(key, s.conf.Homes(s.cfg.Service)) == s.cfg.Instance
+}
+
+// Run serves until ctx ends, then drains: it refuses new work at once and ends
+// when the last request in flight has its answer, or after the settings'
+// stopWithin.
+func (s *Side) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(wireconnect.NewDoorServiceHandler(&handler{side: s}))
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	server, err := serve.Start(s.cfg.Listen, mux, serve.WithListen(s.net.Listen))
+	if err != nil {
+		return err
+	}
+	s.log.Info("listening", "address", server.Address(), "service", s.cfg.Service)
+	// The background outlives ctx: while the door drains, it goes on beating, so
+	// that entries learn of it.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	s.start(background)
+	select {
+	case <-ctx.Done():
+	case err := <-server.Done():
+		return errors.Wrap(err, "serving")
+	}
+	return s.stop(server)
+}
+
+func (s *Side) start(ctx context.Context) {
+	go s.beats.Run(ctx)
+	if s.engine == nil {
+		return
+	}
+	go s.engine.Watch(ctx)
+	go s.learnFence(ctx)
+	go s.follow(ctx)
+}
+
+func (s *Side) stop(server *serve.Server) error {
+	s.log.Info("draining")
+	s.drainer().Drain()
+	s.beats.Wake()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(s.cfg.StopWithin))
+	defer cancel()
+	if err := s.drainer().Idle(ctx); err != nil {
+		s.log.Warn("requests are cut off: they ran longer than stopWithin", "load", s.drainer().Load())
+	}
+	return server.Stop(ctx)
+}
+
+// describe is the process's heartbeat.
+func (s *Side) describe() *wire.BeatRequest {
+	st := &wire.EndpointState{
+		Instance:   s.cfg.Instance,
+		Service:    s.cfg.Service,
+		DataCentre: s.cfg.DataCentre,
+		Region:     s.cfg.Region,
+		Address:    s.cfg.Listen,
+		Boot:       s.boot,
+	}
+	s.drainer().Describe(st)
+	return &wire.BeatRequest{Endpoint: st}
+}
+
+// follow puts the pool's share for live work in force whenever it changes.
+func (s *Side) follow(ctx context.Context) {
+	for {
+		changed := s.conf.Changed()
+		for _, p := range s.conf.Pools() {
+			if p.Service == s.cfg.Service {
+				s.gate.Divide(slots.WithLiveReserve(p.LiveReserve))
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pools returns the names of the pools whose engines this endpoint is among.
+func (s *Side) pools() []string {
+	var names []string
+	for name, p := range s.conf.Pools() {
+		if p.Service == s.cfg.Service {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
