--- a/keyval/keyval.go
+++ b/keyval/keyval.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,11 +109,17 @@
 // Put writes key if its revision is still expect, and returns the new one. If
 // the key has moved on the error is a *fault.ConflictError; when no answer came
 // it is a *fault.UnavailableError and the write may have taken effect. A lease
-// other than 0 makes the key die with it.
+// other than 0 makes the key die with it; when it no longer exists the error is
+// a *fault.LeaseLapsedError. A value that the service does not take is a
+// *fault.FieldError.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expect, lease int64) (int64, error) {
 	var resp putResponse
 	in := putRequest{Value: value, Expect: expect, Lease: lease}
 	err := c.do(ctx, http.MethodPut, keyPath(key), in, &resp)
+	var status *rest.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusPreconditionFailed {
+		return 0, &fault.LeaseLapsedError{Lease: lease}
+	}
 	return resp.Revision, named(err, key)
 }
 
@@ -198,6 +205,9 @@
 			return &fault.UnavailableError{Peer: status.Peer, Cause: status}
 		}
 		return &fault.ConflictError{Key: key, Revision: body.Revision}
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		// Tried again, a request that is wrong in itself would fail for ever.
+		return &fault.FieldError{Field: key, Problem: strings.TrimSpace(string(status.Body))}
 	}
 	return &fault.UnavailableError{Peer: status.Peer, Cause: status}
 }
--- a/simkv/store.go
+++ b/simkv/store.go
@@ -87,7 +87,9 @@
 	s.wake()
 }
 
+// compact forgets all changes and one more, so that no watch has seen them all.
 func (s *store) compact() {
+	s.revision++
 	s.compacted = s.revision
 	s.changes = nil
 	s.wake()
