--- /dev/null
+++ b/cmd/measure/starts.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lavendermux/lavendermux/demand"
+	"github.com/lavendermux/lavendermux/slot"
+	"github.com/lavendermux/lavendermux/start"
+	"github.com/lavendermux/lavendermux/steps"
+	"github.com/lavendermux/lavendermux/strag"
+	"github.com/lavendermux/lavendermux/tally"
+)
+
+type (
+	nextFunc = func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start
+
+	startsCase struct {
+		name string
+		next func() nextFunc
+	}
+
+	startsRun struct {
+		p50, p99, idle, wasted, moved float64
+	}
+)
+
+// playStarts plays single steps of 4,096 samples in groups of 8 to 80 workers of
+// 12 slots, with slow workers and workers that stand still.
+func playStarts(seeds int) {
+	loads := []struct {
+		name              string
+		slow, still, nois float64
+	}{
+		{"even workers, good guess", 0, 0, 0.2},
+		{"even workers, poor guess", 0, 0, 0.7},
+		{"5% slow", 0.05, 0, 0.4},
+		{"5% slow, 20% stand still", 0.05, 0.2, 0.4},
+	}
+	cases := []startsCase{
+		{"first come", func() nextFunc { return first }},
+		{"random", random},
+		{"strag, no stragglers moved", func() nextFunc { return strag.New(strag.WithSpares(0)).Next }},
+		{"strag", func() nextFunc { return strag.New().Next }},
+		{"first come, stragglers moved", firstMoved},
+	}
+	t := newTable("load", "order", "step p50 s", "step p99 s", "idle share", "wasted share", "moved")
+	for _, l := range loads {
+		for _, c := range cases {
+			var p50, p99, idle, wasted, moved tally.Series
+			runs := each(seeds, func(seed uint64) startsRun {
+				play := stepPlay(l.slow, l.still, l.nois)
+				play.Next = c.next
+				r := play.Run(seed)
+				return startsRun{
+					p50:    r.Step.Quantile(0.5),
+					p99:    r.Step.Quantile(0.99),
+					idle:   r.Idle.Mean(),
+					wasted: r.Wasted / (r.Delivered + r.Wasted),
+					moved:  float64(r.Moved) / float64(max(1, r.Step.Count())),
+				}
+			})
+			for _, r := range runs {
+				p50.Add(r.p50)
+				p99.Add(r.p99)
+				idle.Add(r.idle)
+				wasted.Add(r.wasted)
+				moved.Add(r.moved)
+			}
+			t.add([]string{l.name, c.name}, "%.3g", &p50, &p99, &idle, &wasted, &moved)
+		}
+	}
+	t.print()
+}
+
+func stepPlay(slow, still, noise float64) *steps.Play {
+	p := &steps.Play{
+		Workers: 80, Slots: 12, Speed: 40, Slow: slow, Still: still,
+		Long: 40 * time.Minute, Noise: noise, Choose: alone,
+	}
+	p.Trainer(4096, 8, 0, 2*time.Minute, 800, 1, 0)
+	return p
+}
+
+// alone starts what the only trainer wants once it waits for it.
+func alone(trainers []demand.Demand, _ time.Time) (int, bool) {
+	return 0, trainers[0].Waiting > 0 && !trainers[0].Idle.IsZero()
+}
+
+// first starts slots in the order in which they were asked for.
+func first(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+	var starts []start.Start
+	for i := range slots {
+		if len(starts) == free {
+			break
+		}
+		if slots[i].Waiting() {
+			starts = append(starts, start.Start{Slot: i})
+		}
+	}
+	return starts
+}
+
+// firstMoved starts slots as first does, and moves stragglers as strag does.
+func firstMoved() nextFunc {
+	p := strag.New()
+	return func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start {
+		starts := first(slots, free, limit, now)
+		if len(starts) > 0 {
+			return starts
+		}
+		return p.Next(slots, free, limit, now)
+	}
+}
+
+func random() nextFunc {
+	rng := rand.New(rand.NewPCG(1, 1))
+	return func(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+		var starts []start.Start
+		for _, i := range rng.Perm(len(slots)) {
+			if len(starts) == free {
+				break
+			}
+			if slots[i].Waiting() {
+				starts = append(starts, start.Start{Slot: i})
+			}
+		}
+		return starts
+	}
+}
--- /dev/null
+++ b/cmd/measure/trainers.go
@@ -0,0 +1,3 @@
+package main
+
+func playTrainers(_ int) {}
--- a/strag/strag.go
+++ b/strag/strag.go
@@ -29,6 +29,8 @@
 	residual = 0.5
 	// guess is how many finished siblings the sender's own estimate is worth.
 	guess = 1
+	// few is up to how many picks a scan each is cheaper than sorting 4,096.
+	few = 8
 )
 
 type (
@@ -56,7 +58,7 @@
 // New returns a planner.
 //
 //	p := strag.New(strag.WithSpares(1))
-//	starts := p.Next(slots, free, now)
+//	starts := p.Next(slots, free, 0, now)
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		spares: defaultSpares,
@@ -72,13 +74,14 @@
 
 // Next returns at most free attempts to begin now, in the order in which they
 // are to begin. Slots that wait go first, the longest before the others; what is
-// left of free goes to stragglers.
-func (p *Planner) Next(slots []slot.Slot, free int, now time.Time) []start.Start {
+// left of free goes to stragglers. Slots that are expected to grow longer than
+// limit tokens keep waiting; 0 is no limit.
+func (p *Planner) Next(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start {
 	if free <= 0 {
 		return nil
 	}
 	p.learn(slots)
-	starts := p.waiting(slots, free)
+	starts := p.waiting(slots, free, float64(limit))
 	if len(starts) == free {
 		return starts
 	}
@@ -130,16 +133,20 @@
 }
 
 // waiting picks the slots with the most tokens still to make.
-func (p *Planner) waiting(slots []slot.Slot, free int) []start.Start {
+func (p *Planner) waiting(slots []slot.Slot, free int, limit float64) []start.Start {
 	p.lines = p.lines[:0]
 	for i := range slots {
 		s := &slots[i]
-		if s.Waiting() {
-			p.lines = append(p.lines, line{slot: i, weight: p.rest(s, s.Tokens)})
+		if !s.Waiting() {
+			continue
+		}
+		rest := p.rest(s, s.Tokens)
+		if limit == 0 || rest <= limit {
+			p.lines = append(p.lines, line{slot: i, weight: rest})
 		}
 	}
-	p.order()
 	n := min(free, len(p.lines))
+	p.order(n)
 	starts := make([]start.Start, 0, n)
 	for _, l := range p.lines[:n] {
 		starts = append(starts, start.Start{Slot: l.slot})
@@ -161,13 +168,13 @@
 		if s.Done || len(s.Runs) != 1 || s.Attempts > p.spares {
 			continue
 		}
-		stay, leave := p.compare(s, typical, now)
+		stay, leave := p.weigh(s, typical, now)
 		if stay > p.gain*leave {
 			p.lines = append(p.lines, line{slot: i, weight: stay})
 		}
 	}
-	p.order()
 	n := min(free, len(p.lines))
+	p.order(n)
 	starts := make([]start.Start, 0, n)
 	for _, l := range p.lines[:n] {
 		worker := slots[l.slot].Runs[0].Worker
@@ -176,9 +183,9 @@
 	return starts
 }
 
-// compare returns the seconds until the only attempt of s ends where it runs,
+// weigh returns the seconds until the only attempt of s ends where it runs,
 // and until one ends that continues it on a worker of typical speed.
-func (p *Planner) compare(s *slot.Slot, typical float64, now time.Time) (stay, leave float64) {
+func (p *Planner) weigh(s *slot.Slot, typical float64, now time.Time) (stay, leave float64) {
 	r := s.Runs[0]
 	rest := p.rest(s, r.Made)
 	leave = p.resume.Seconds() + rest/typical
@@ -216,8 +223,25 @@
 	return p.speeds[len(p.speeds)/2]
 }
 
-func (p *Planner) order() {
-	slices.SortFunc(p.lines, func(a, b line) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.slot, b.slot))
-	})
+// order brings the n heaviest lines to the front, in order. Few of many are
+// picked without sorting all: at 4,096 samples a step nearly every call is for
+// the one slot that has come free.
+func (p *Planner) order(n int) {
+	if n > few {
+		slices.SortFunc(p.lines, compare)
+		return
+	}
+	for k := range n {
+		best := k
+		for i := k + 1; i < len(p.lines); i++ {
+			if compare(p.lines[i], p.lines[best]) < 0 {
+				best = i
+			}
+		}
+		p.lines[k], p.lines[best] = p.lines[best], p.lines[k]
+	}
+}
+
+func compare(a, b line) int {
+	return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.slot, b.slot))
 }
