--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,7 +8,8 @@
 
 // cli is the command line; each subcommand stands in a file of its own.
 type cli struct {
-	Load loadCommand `cmd:"" help:"Measure the decisions about live and mixed work."`
+	Load     loadCommand     `cmd:"" help:"Measure the decisions about live and mixed work."`
+	Rollouts rolloutsCommand `cmd:"" help:"Measure the decisions about rollouts."`
 }
 
 func main() {
