Make changes of resources safe against lost answers

Cause: the key-value service can lose an answer after the write took effect, and an operator's tool then asks again; the change must not be made twice, and "not run" must be true.

Weighed: reading back and comparing the last operation only, which calls a change that others overtook a conflict; deleting the key, after which an old copy of a create finds the key absent and creates the resource again.

--- a/confs/read.go
+++ b/confs/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"strings"
 
@@ -26,13 +27,20 @@
 	if !ok || kind == "" || name == "" {
 		return nil, false
 	}
-	r := &wire.Resource{Kind: kind, Name: name, Revision: rec.Revision, Deleted: rec.Deleted}
-	if !rec.Deleted {
+	r := &wire.Resource{Kind: kind, Name: name, Revision: rec.Revision, Deleted: rec.Deleted || isTombstone(rec.Value)}
+	if !r.GetDeleted() {
 		r.Body = rec.Value
 	}
 	return r, true
 }
 
+// isTombstone reports whether the stored resource was deleted. What cannot be
+// read was not.
+func isTombstone(value []byte) bool {
+	var o object.Object
+	return json.Unmarshal(value, &o) == nil && o.Deleted
+}
+
 // Object returns the resource as it was accepted.
 func (c *Cache) Object(kind, name string) (object.Object, bool) {
 	e, ok := c.entry(kind, name)
--- a/object/object.go
+++ b/object/object.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"regexp"
 	"slices"
+	"time"
 
 	"github.com/lavendermux/lavendermux/fault"
 )
@@ -20,6 +21,10 @@
 	KindService = "service"
 	// KindPolicy is the kind whose spec is a policy.Policy.
 	KindPolicy = "policy"
+	// MaxEarlier is how many changes before the last one are remembered. More
+	// than that within the seconds in which a lost answer is asked for again
+	// would be a fleet of writers on one resource.
+	MaxEarlier = 16
 	// KeyPrefix is where resources stand in the key-value service.
 	KeyPrefix = "resources/"
 )
@@ -49,8 +54,20 @@
 	// Operation identifies the change that wrote the resource, so that a writer
 	// whose answer was lost can tell its own write from another's.
 	Operation string `json:"operation,omitempty"`
-	// Spec is the JSON of the kind's own type.
-	Spec json.RawMessage `json:"spec"`
+	// Spec is the JSON of the kind's own type; absent from a deleted resource.
+	Spec json.RawMessage `json:"spec,omitempty"`
+	// Deleted marks the stored form of a resource that was deleted. The key
+	// stays for a while: if it went, a copy of an old change that arrives late
+	// would find the key absent, as at its own time, and create the resource
+	// again.
+	Deleted bool `json:"deleted,omitempty"`
+	// ChangedAt is the time of the last change by the clock of the entry that
+	// made it, for people only.
+	ChangedAt time.Time `json:"changedAt,omitzero"`
+	// Earlier are the identities of the changes before Operation, newest first,
+	// up to MaxEarlier, so that a writer whose answer was lost recognizes its
+	// change even after others have followed. Stored only.
+	Earlier []string `json:"earlier,omitempty"`
 }
 
 // Validate returns a *fault.FieldsError that names all fields of the envelope
@@ -75,6 +92,29 @@
 	return bad.Err()
 }
 
+// Carries reports whether the change named operation has been made, now or
+// earlier.
+func (o Object) Carries(operation string) bool {
+	return operation != "" && (o.Operation == operation || slices.Contains(o.Earlier, operation))
+}
+
+// Follow returns next as the stored form of the change after o.
+func (o Object) Follow(next Object) Object {
+	next.Earlier = nil
+	if o.Operation != "" {
+		next.Earlier = append([]string{o.Operation}, o.Earlier...)
+	}
+	next.Earlier = next.Earlier[:min(len(next.Earlier), MaxEarlier)]
+	next.Revision = 0
+	return next
+}
+
+// Public returns what operators see of o.
+func (o Object) Public() Object {
+	o.Earlier = nil
+	return o
+}
+
 // Key returns where the resource stands in the key-value service.
 func Key(kind, name string) string {
 	return KeyPrefix + kind + "/" + name
