Serve the resource API

Cause: operators and their tools drive the system through resources and must see when a change is accepted and in force.

--- /dev/null
+++ b/opapi/status.go
@@ -0,0 +1,87 @@
+package opapi
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/condit"
+	"github.com/lavendermux/lavendermux/kinds"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/reply"
+	"github.com/lavendermux/lavendermux/spread"
+)
+
+// status is what an operator sees of a resource's way into force.
+type status struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// AcceptedRevision is the resource's revision; that of the deletion when it
+	// was deleted.
+	AcceptedRevision int64  `json:"acceptedRevision"`
+	Operation        string `json:"operation,omitempty"`
+	Deleted          bool   `json:"deleted,omitempty"`
+	// Source says where AcceptedRevision was read.
+	Source string `json:"source"`
+	// InForce counts the instances whose configuration has reached
+	// AcceptedRevision.
+	InForce spread.Report `json:"inForce"`
+	// Conditions are what stands against the resource; empty when nothing does.
+	Conditions []condit.Condition `json:"conditions"`
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	kind, name := mux.Vars(r)["kind"], mux.Vars(r)["name"]
+	o, source, err := a.read(r.Context(), kind, name)
+	a.mark(w, source)
+	if err != nil {
+		reply.Fail(w, err)
+		return
+	}
+	s := status{
+		Kind:             kind,
+		Name:             name,
+		AcceptedRevision: o.Revision,
+		Operation:        o.Operation,
+		Deleted:          o.Deleted,
+		Source:           source,
+		InForce:          a.inForce(o.Revision),
+		Conditions:       a.against(o, source),
+	}
+	if s.InForce.Lagging == nil {
+		s.InForce.Lagging = []string{}
+	}
+	reply.JSON(w, http.StatusOK, s)
+}
+
+// against collects what stands against o.
+func (a *API) against(o object.Object, source string) []condit.Condition {
+	all := []condit.Condition{}
+	if source == SourceLocal {
+		all = append(all, condit.Condition{
+			Cause:  "keyValueDown",
+			Reason: fmt.Sprintf("the key-value service gives no answer; this is what was in force here at revision %d", a.cache.Revision()),
+		})
+	}
+	if err := a.cache.Problem(o.Kind, o.Name); err != nil {
+		all = append(all, condit.Condition{
+			Cause:  "unreadable",
+			Reason: "the stored resource cannot be read, an earlier revision stays in force; apply it again: " + err.Error(),
+		})
+	}
+	if o.Deleted {
+		return all
+	}
+	if err := a.dangling(o); err != nil {
+		all = append(all, condit.Condition{Cause: "dangling", Reason: err.Error()})
+	}
+	return append(all, a.conditions(o.Kind, o.Name)...)
+}
+
+func (a *API) dangling(o object.Object) error {
+	spec, err := kinds.Read(o.Kind, o.Spec)
+	if err != nil {
+		return err
+	}
+	return kinds.Refer(spec, a.cache.Spec)
+}
