--- a/logs/logs.go
+++ b/logs/logs.go
@@ -18,7 +18,7 @@
 const (
 	// HeaderRequest is the HTTP header that carries a request's identity in and
 	// out.
-	HeaderRequest = "Request-Id"
+	HeaderRequest = "Lavendermux-Request"
 
 	// DefaultLevel is the level of a logger that is told none.
 	DefaultLevel = "info"
--- a/object/object.go
+++ b/object/object.go
@@ -25,6 +25,9 @@
 	// than that within the seconds in which a lost answer is asked for again
 	// would be a fleet of writers on one resource.
 	MaxEarlier = 16
+	// KindHome is the kind whose spec is a homes.Homes. The system writes it, not
+	// operators, so it is not among Kinds.
+	KindHome = "home"
 	// KeyPrefix is where resources stand in the key-value service.
 	KeyPrefix = "resources/"
 )
--- a/opapi/opapi.go
+++ b/opapi/opapi.go
@@ -19,6 +19,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -88,7 +89,7 @@
 // New returns the API over a writer and the local configuration.
 //
 //	api := opapi.New(change.New(keyval.New(base)), cache)
-//	api.Mount(router)
+//	api.Register(router)
 func New(w *change.Writer, cache *confs.Cache, opts ...Option) *API {
 	a := &API{
 		router:     mux.NewRouter(),
@@ -103,7 +104,7 @@
 	for _, opt := range opts {
 		opt(a)
 	}
-	a.Mount(a.router)
+	a.Register(a.router)
 	return a
 }
 
@@ -119,9 +120,9 @@
 	return func(a *API) { a.conditions = f }
 }
 
-// WithLogger sets where accepted and refused changes are logged. The default
+// WithLog sets where accepted and refused changes are logged. The default
 // discards them.
-func WithLogger(l *log.Logger) Option {
+func WithLog(l *log.Logger) Option {
 	return func(a *API) { a.logger = l }
 }
 
@@ -131,8 +132,8 @@
 	return func(a *API) { a.newID = f }
 }
 
-// Mount adds the API's routes to r.
-func (a *API) Mount(r *mux.Router) {
+// Register adds the API's routes to r.
+func (a *API) Register(r *mux.Router) {
 	r.HandleFunc(pathResources, a.list).Methods(http.MethodGet)
 	r.HandleFunc(pathKind, a.list).Methods(http.MethodGet)
 	r.HandleFunc(pathResource, a.get).Methods(http.MethodGet)
@@ -164,9 +165,7 @@
 		reply.Fail(w, err)
 		return
 	}
-	for i, o := range answer.Items {
-		answer.Items[i] = o.Public()
-	}
+	answer.Items = visible(answer.Items)
 	a.mark(w, answer.Source)
 	reply.JSON(w, http.StatusOK, answer)
 }
@@ -217,6 +216,18 @@
 	}
 }
 
+// visible returns what operators see of resources. Those that the system keeps
+// for itself are left out.
+func visible(all []object.Object) []object.Object {
+	shown := []object.Object{}
+	for _, o := range all {
+		if slices.Contains(object.Kinds, o.Kind) {
+			shown = append(shown, o.Public())
+		}
+	}
+	return shown
+}
+
 func missing(kind, name string) error {
 	return &fault.NotFoundError{What: kind + " " + name}
 }
--- a/opapi/opapi_test.go
+++ b/opapi/opapi_test.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"sort"
+	"regexp"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,9 +17,9 @@
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/condit"
 	"github.com/lavendermux/lavendermux/confs"
-	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/opapi"
-	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/simkv"
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/wire"
 )
@@ -31,77 +30,33 @@
 	poolPath = "/v1/resources/pool/filing-lm"
 )
 
-var clock = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+var (
+	clock = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	// transport is the part of a reason that differs from run to run.
+	transport = regexp.MustCompile(`Get \\"http://.*"`)
+)
 
 func TestOpapi(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "opapi")
 }
 
-// fakeStore is a key-value service that can go silent.
-type fakeStore struct {
-	mu       sync.Mutex
-	down     bool
-	revision int64
-	recs     map[string]record.Record
-}
-
-func (s *fakeStore) Get(_ context.Context, key string) (record.Record, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rec, ok := s.recs[key]
-	if s.down {
-		return rec, &fault.UnavailableError{Peer: "fake", Cause: context.DeadlineExceeded}
-	}
-	if !ok {
-		return rec, &fault.NotFoundError{What: key}
-	}
-	return rec, nil
-}
-
-func (s *fakeStore) List(_ context.Context, prefix string) ([]record.Record, int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		return nil, 0, &fault.UnavailableError{Peer: "fake", Cause: context.DeadlineExceeded}
-	}
-	var all []record.Record
-	for key, rec := range s.recs {
-		if strings.HasPrefix(key, prefix) {
-			all = append(all, rec)
-		}
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
-	return all, s.revision, nil
-}
-
-func (s *fakeStore) Put(_ context.Context, key string, value []byte, expect, _ int64) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.recs[key].Revision != expect {
-		return 0, &fault.ConflictError{Key: key, Revision: s.recs[key].Revision}
-	}
-	s.revision++
-	s.recs[key] = record.Record{Key: key, Value: value, Revision: s.revision}
-	return s.revision, nil
-}
-
-func (s *fakeStore) Delete(context.Context, string, int64) error {
-	return nil
-}
-
 type bench struct {
-	store *fakeStore
+	store *simkv.Server
+	kv    *keyval.Client
 	cache *confs.Cache
 	api   *opapi.API
 	lines strings.Builder
 }
 
 func newBench() *bench {
-	b := &bench{store: &fakeStore{recs: make(map[string]record.Record)}, cache: confs.New()}
+	b := &bench{store: simkv.New(), cache: confs.New()}
+	server := httptest.NewServer(b.store)
+	DeferCleanup(server.Close)
+	b.kv = keyval.New(server.URL)
 	n := 0
 	b.api = opapi.New(
-		change.New(b.store, change.WithClock(func() time.Time { return clock })), b.cache,
+		change.New(b.kv, change.WithClock(func() time.Time { return clock })), b.cache,
 		opapi.WithNewID(func() string { n++; return fmt.Sprintf("made-%d", n) }),
 		opapi.WithInForce(func(revision int64) spread.Report {
 			if revision > 1 {
@@ -120,7 +75,7 @@
 }
 
 // ask sends a request and notes it with its answer.
-func (b *bench) ask(method, path, operation, body string) *httptest.ResponseRecorder {
+func (b *bench) ask(method, path, operation, body string) {
 	r := httptest.NewRequest(method, path, strings.NewReader(body))
 	if operation != "" {
 		r.Header.Set(opapi.HeaderOperation, operation)
@@ -133,13 +88,12 @@
 			fmt.Fprintf(&b.lines, " %s=%s", name, v)
 		}
 	}
-	fmt.Fprintf(&b.lines, "\n%s\n", w.Body)
-	return w
+	fmt.Fprintf(&b.lines, "\n%s\n", transport.ReplaceAllString(w.Body.String(), `..."`))
 }
 
 // sync brings the local configuration up to the store, as the hubs do.
 func (b *bench) sync() {
-	recs, revision, err := b.store.List(context.Background(), "resources/")
+	recs, revision, err := b.kv.List(context.Background(), "resources/")
 	Expect(err).NotTo(HaveOccurred())
 	resp := &wire.FetchResponse{Revision: revision, Whole: true}
 	for _, rec := range recs {
@@ -184,7 +138,7 @@
 		b := newBench()
 		b.ask(http.MethodPut, poolPath, "op-1", fmt.Sprintf(poolBody, 0))
 		b.sync()
-		b.store.down = true
+		b.store.SetDown(true)
 		b.lines.Reset()
 		b.ask(http.MethodGet, poolPath, "", "")
 		b.ask(http.MethodGet, poolPath+"/status", "", "")
--- a/opapi/watch.go
+++ b/opapi/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -81,7 +82,8 @@
 		// What this entry wrote itself can be ahead of the revision to continue
 		// from; told now it would be told again and again until the rest comes.
 		ahead := r.GetRevision() > resp.GetRevision() && !resp.GetWhole()
-		if ahead || (q.kind != "" && r.GetKind() != q.kind) || (q.name != "" && r.GetName() != q.name) {
+		hidden := !slices.Contains(object.Kinds, r.GetKind())
+		if ahead || hidden || (q.kind != "" && r.GetKind() != q.kind) || (q.name != "" && r.GetName() != q.name) {
 			continue
 		}
 		found.Items = append(found.Items, a.shown(r))
