--- a/calls/calls.go
+++ b/calls/calls.go
@@ -55,7 +55,7 @@
 	Door struct {
 		service caller
 		keys    *keymem.Memory
-		home    func(key string) bool
+		home    func(key string) (bool, time.Time)
 
 		mu       sync.Mutex
 		draining bool
@@ -79,7 +79,7 @@
 	d := &Door{
 		service: service,
 		keys:    keys,
-		home:    func(string) bool { return true },
+		home:    func(string) (bool, time.Time) { return true, time.Time{} },
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -88,8 +88,9 @@
 }
 
 // WithHome sets who says whether this endpoint is the home of a key, so that
-// two copies of one request meet at the same door. By default it is home to all.
-func WithHome(home func(key string) bool) Option {
+// two copies of one request meet at the same door, and since when. By default it
+// is home to all, always.
+func WithHome(home func(key string) (bool, time.Time)) Option {
 	return func(d *Door) { d.home = home }
 }
 
@@ -184,7 +185,8 @@
 // keyed runs a request that may not be repeated and carries a key.
 func (d *Door) keyed(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
 	key := scoped(req)
-	if !d.home(req.GetIdempotencyKey()) {
+	isHome, since := d.home(req.GetIdempotencyKey())
+	if !isHome {
 		return nil, &fault.NotRunError{
 			Cause:      CauseNotHome,
 			Reason:     "another endpoint remembers this idempotency key",
@@ -193,7 +195,7 @@
 	}
 	window := time.Duration(req.GetKeyWindowMs()) * time.Millisecond
 	for {
-		verdict, resp, done, err := d.keys.Begin(key, digest(req), isFirst(req), window, time.Now())
+		verdict, resp, done, err := d.keys.Begin(key, digest(req), isFirst(req), since, window, time.Now())
 		if err != nil {
 			return nil, refusedKey(err)
 		}
@@ -211,7 +213,7 @@
 			return nil, &fault.NotRunError{
 				Cause:      CauseYoung,
 				Reason:     "the door cannot tell yet whether an earlier copy ran before it started",
-				RetryAfter: d.keys.Sure(window, time.Now()),
+				RetryAfter: d.keys.Sure(since, window, time.Now()),
 			}
 		}
 		select {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -208,6 +208,18 @@
 	return f.name
 }
 
+// Model returns the model that the subscription's trainer trains.
+func (f *Feed) Model() string {
+	return f.config().Model
+}
+
+// Fresh reports whether a sample that begins on a weight version could still be
+// delivered if it ended now.
+func (f *Feed) Fresh(version string) bool {
+	v, err := sample.ParseVersion(version)
+	return err == nil && f.Published()-v <= f.config().StalenessBound
+}
+
 // Overtaken returns why this holder may no longer deliver, or nil.
 func (f *Feed) Overtaken() error {
 	f.mu.Lock()
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -75,7 +75,7 @@
 			break
 		}
 		slots, states := f.describe(st, now)
-		for _, s := range f.planner.Next(slots, free, now) {
+		for _, s := range f.planner.Next(slots, free, 0, now) {
 			out = append(out, f.begin(states[s.Slot], s, now))
 			free--
 		}
--- a/front/errors.go
+++ b/front/errors.go
@@ -39,11 +39,10 @@
 	}
 )
 
-// Fail answers a request with err. What has no type of its own becomes "outcome
-// unknown": a promise that nothing ran is only made by who knows it.
+// Fail answers a request with err.
 func Fail(w http.ResponseWriter, id string, err error) {
 	p, status := describe(err)
-	if p.RetryAfterMs > 0 || status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable {
 		seconds := math.Ceil(float64(p.RetryAfterMs) / float64(time.Second/time.Millisecond))
 		w.Header().Set("Retry-After", strconv.Itoa(max(1, int(seconds))))
 	}
@@ -55,6 +54,18 @@
 	_ = json.NewEncoder(w).Encode(errorBody{Error: p, RequestID: id})
 }
 
+// Body returns the status and the body with which Fail answers. What has no type
+// of its own becomes "outcome unknown": a promise that nothing ran is only made
+// by who knows it.
+func Body(id string, err error) (int, []byte) {
+	p, status := describe(err)
+	raw, err := json.Marshal(errorBody{Error: p, RequestID: id})
+	if err != nil {
+		return http.StatusInternalServerError, nil
+	}
+	return status, raw
+}
+
 func describe(err error) (problem, int) {
 	var (
 		notRun  *fault.NotRunError
--- a/keymem/keymem.go
+++ b/keymem/keymem.go
@@ -75,7 +75,7 @@
 // New returns an empty memory of a door that started at now.
 //
 //	m := keymem.New(now)
-//	verdict, resp, done, err := m.Begin(key, digest, false, window, now)
+//	verdict, resp, done, err := m.Begin(key, digest, false, since, window, now)
 func New(now time.Time, opts ...Option) *Memory {
 	m := &Memory{entries: map[string]*entry{}, born: now, max: defaultMax}
 	for _, opt := range opts {
@@ -100,22 +100,23 @@
 }
 
 // Begin says what to do with a request under key whose contents have digest.
-// first is the caller's word that it never sent this key before. After Run the
-// caller must call End. With Wait comes a channel that is closed when the
-// earlier copy has ended; ask again then.
+// first is the caller's word that it never sent this key before, and since is
+// when the door became the key's home, zero for always. After Run the caller
+// must call End. With Wait comes a channel that is closed when the earlier copy
+// has ended; ask again then.
 //
-// A memory that is younger than window cannot know whether a copy ran before
-// the door started, so unless the caller says it is the first, the verdict is
-// Young: running it could book the same slot twice.
+// A door that has been the key's home for less than window cannot know whether
+// a copy ran before that, so unless the caller says it is the first, the
+// verdict is Young: running it could book the same slot twice.
 func (m *Memory) Begin(
-	key string, digest uint64, first bool, window time.Duration, now time.Time,
+	key string, digest uint64, first bool, since time.Time, window time.Duration, now time.Time,
 ) (verdict, *wire.CallResponse, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.forget(now)
 	e := m.entries[key]
 	switch {
-	case e == nil && !first && now.Sub(m.born) < window:
+	case e == nil && !first && m.Sure(since, window, now) > 0:
 		return Young, nil, nil, nil
 	case e == nil:
 		return m.add(key, digest, window, now)
@@ -150,9 +151,13 @@
 	}
 }
 
-// Sure returns how long it takes until the memory covers window, 0 when it does.
-func (m *Memory) Sure(window time.Duration, now time.Time) time.Duration {
-	return max(0, window-now.Sub(m.born))
+// Sure returns how long it takes until the memory of a key that is at home here
+// since a time covers window, 0 when it does.
+func (m *Memory) Sure(since time.Time, window time.Duration, now time.Time) time.Duration {
+	if since.Before(m.born) {
+		since = m.born
+	}
+	return max(0, window-now.Sub(since))
 }
 
 func (m *Memory) add(
--- a/relay/call.go
+++ b/relay/call.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/refuse"
-	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/tenure"
 	"github.com/lavendermux/lavendermux/wire"
 	"google.golang.org/protobuf/proto"
 )
@@ -79,7 +79,7 @@
 // callHome sends a keyed request to the one endpoint that remembers its key.
 // Two copies that came through different entries meet there.
 func (r *Relay) callHome(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error) {
-	id := Home(req.GetIdempotencyKey(), homes)
+	id := tenure.HomeOf(req.GetIdempotencyKey(), homes)
 	door := r.view.Endpoint(id)
 	if door == nil || door.GetGone() {
 		return nil, &fault.NotRunError{
@@ -92,15 +92,6 @@
 	return got.resp, got.err
 }
 
-// Home returns which of the endpoints remembers an idempotency key, "" for none.
-func Home(key string, homes []string) string {
-	first := rendez.First(key, homes, 1, func(id string) string { return id })
-	if len(first) == 0 {
-		return ""
-	}
-	return first[0]
-}
-
 // callOnce asks the best door, and when the request may be repeated and the
 // answer takes unusually long, a second one beside it.
 func (r *Relay) callOnce(ctx context.Context, req *wire.CallRequest, tried map[string]bool) (*wire.CallResponse, error) {
--- a/side/side.go
+++ b/side/side.go
@@ -21,11 +21,11 @@
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/plain"
-	"github.com/lavendermux/lavendermux/relay"
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/scfg"
 	"github.com/lavendermux/lavendermux/serve"
 	"github.com/lavendermux/lavendermux/slots"
+	"github.com/lavendermux/lavendermux/tenure"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
@@ -45,6 +45,7 @@
 		// engine is set before a model engine, calls before a plain service.
 		engine *door.Door
 		calls  *calls.Door
+		tenure *tenure.Tenure
 		boot   int64
 	}
 
@@ -72,6 +73,7 @@
 		conf: confs.New(),
 		boot: time.Now().UnixNano(),
 	}
+	s.tenure = tenure.New(cfg.Instance)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -112,9 +114,10 @@
 	return s.engine
 }
 
-// isHome says whether this endpoint remembers an idempotency key.
-func (s *Side) isHome(key string) bool {
-	return relay.Home(key, s.conf.Homes(s.cfg.Service)) == s.cfg.Instance
+// isHome says whether this endpoint remembers an idempotency key, and since when.
+func (s *Side) isHome(key string) (bool, time.Time) {
+	s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+	return s.tenure.Home(key)
 }
 
 // Run serves until ctx ends, then drains: it refuses new work at once and ends
@@ -145,6 +148,7 @@
 func (s *Side) start(ctx context.Context) {
 	go s.beats.Run(ctx)
 	if s.engine == nil {
+		go s.followHomes(ctx)
 		return
 	}
 	go s.engine.Watch(ctx)
@@ -195,6 +199,20 @@
 	}
 }
 
+// followHomes notes each list of homes when it comes, so that the time since when
+// this endpoint is the home of a key is known before a request asks.
+func (s *Side) followHomes(ctx context.Context) {
+	for {
+		changed := s.conf.Changed()
+		s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // pools returns the names of the pools whose engines this endpoint is among.
 func (s *Side) pools() []string {
 	var names []string
--- /dev/null
+++ b/swaps/swaps.go
@@ -0,0 +1,404 @@
+// Package swaps rolls new weight versions out over one pool: it stages each on
+// the workers and then switches them.
+//
+// Order and pace are decided by package pace; this package knows how far each
+// worker is and gives the orders, under the pool job's fencing number.
+package swaps
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/order"
+	"github.com/lavendermux/lavendermux/pace"
+	"github.com/lavendermux/lavendermux/pool"
+	"github.com/lavendermux/lavendermux/refuse"
+	"github.com/lavendermux/lavendermux/task"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+	"github.com/lavendermux/lavendermux/worker"
+)
+
+const (
+	// defaultTick is how often the roll-outs are looked at. The switch has 6 s,
+	// of which a tenth of a second is a sixtieth.
+	defaultTick = 100 * time.Millisecond
+	// stageTimeout bounds one fetch of weights.
+	stageTimeout = 2 * time.Minute
+	// askAgain is the wait before a worker that gave no answer is asked.
+	askAgain = time.Second
+	// failAgain is the wait after an engine said that an order failed.
+	failAgain = 5 * time.Second
+	// trustOwn is how long the answer to an order counts over the membership,
+	// which lags: minor changes wait there for up to 15 s, and beats for 3 s.
+	trustOwn = 25 * time.Second
+)
+
+type (
+	// Swaps is the weight roll-outs of one pool. See New and Run.
+	Swaps struct {
+		name  string
+		fence int64
+		pool  func() (pool.Pool, bool)
+		want  func() map[string]int64
+		fleet fleet
+		dial  dialer
+		log   *log.Logger
+		why   func(kind, name, what string)
+
+		mu     sync.Mutex
+		rolls  map[string]*roll
+		known  map[string]*knowledge
+		lost   error
+		orders sync.WaitGroup
+	}
+
+	// Option changes a Swaps as New makes it.
+	Option func(*Swaps)
+
+	fleet interface {
+		Endpoints(service string) []*wire.EndpointState
+	}
+
+	dialer interface {
+		Door(address string) wireconnect.DoorServiceClient
+	}
+
+	// roll is the roll-out of one model's newest version.
+	roll struct {
+		model   string
+		version string
+		began   time.Time
+		turned  time.Time
+		pace    *pace.Roll
+		state   string
+		busy    map[string]string
+		failed  map[string]int
+		after   map[string]time.Time
+		unknown map[string]bool
+	}
+
+	// knowledge is what a worker itself said in answer to an order.
+	knowledge struct {
+		state *wire.EndpointState
+		at    time.Time
+	}
+)
+
+// New returns the roll-outs of the named pool under a fencing number. Want
+// returns the version that each model is to run.
+//
+//	s := swaps.New("tutor", fence, pool, want, view, dialer)
+//	s.Run(ctx)
+func New(
+	name string, fence int64, p func() (pool.Pool, bool), want func() map[string]int64, f fleet, d dialer, opts ...Option,
+) *Swaps {
+	s := &Swaps{
+		name:  name,
+		fence: fence,
+		pool:  p,
+		want:  want,
+		fleet: f,
+		dial:  d,
+		log:   log.New(nil),
+		why:   func(string, string, string) {},
+		rolls: map[string]*roll{},
+		known: map[string]*knowledge{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// WithLog sets where the roll-outs are logged. The default is nowhere.
+func WithLog(l *log.Logger) Option {
+	return func(s *Swaps) { s.log = l }
+}
+
+// WithReasons sets who is told, for operators, what was done about a pool and
+// why. By default nobody is.
+func WithReasons(why func(kind, name, what string)) Option {
+	return func(s *Swaps) { s.why = why }
+}
+
+// Run gives orders until ctx ends, and then waits for those under way.
+func (s *Swaps) Run(ctx context.Context) {
+	tick := time.NewTicker(defaultTick)
+	defer tick.Stop()
+	defer s.orders.Wait()
+	for {
+		s.step(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// Overtaken returns why this holder's orders are refused, or nil.
+func (s *Swaps) Overtaken() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+// Loaded returns the version of model on which most workers run, 0 for none.
+func (s *Swaps) Loaded(model string) int64 {
+	p, found := s.pool()
+	if !found {
+		return 0
+	}
+	counts := map[int64]int{}
+	best := int64(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ep := range s.fleet.Endpoints(p.Service) {
+		ms := s.model(s.latest(ep, time.Now()), model)
+		v, err := strconv.ParseInt(ms.GetVersion(), 10, 64)
+		if err != nil {
+			continue
+		}
+		counts[v]++
+		if counts[v] > counts[best] || (counts[v] == counts[best] && v > best) {
+			best = v
+		}
+	}
+	return best
+}
+
+// States returns how each model's roll-out stands, for the pool's status.
+func (s *Swaps) States() map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]string{}
+	for model, r := range s.rolls {
+		out[model] = r.version + " " + r.state
+	}
+	return out
+}
+
+func (s *Swaps) step(ctx context.Context, now time.Time) {
+	p, found := s.pool()
+	if !found {
+		return
+	}
+	for model, version := range s.want() {
+		if version == 0 {
+			continue
+		}
+		s.stepModel(ctx, p, model, strconv.FormatInt(version, 10), now)
+	}
+}
+
+func (s *Swaps) stepModel(ctx context.Context, p pool.Pool, model, version string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rolls[model]
+	if r == nil || r.version != version {
+		r = s.fresh(p, model, version, now)
+		s.rolls[model] = r
+	}
+	endpoints := s.fleet.Endpoints(p.Service)
+	tasks := r.pace.Next(s.workers(r, endpoints, now), now)
+	s.note(p, r, now)
+	for _, t := range tasks {
+		if ep := find(endpoints, t.Worker); ep != nil {
+			s.give(ctx, p, r, ep, t.Kind)
+		}
+	}
+}
+
+func (s *Swaps) fresh(p pool.Pool, model, version string, now time.Time) *roll {
+	return &roll{
+		model:   model,
+		version: version,
+		began:   now,
+		pace:    pace.New(pace.WithRate(p.StagePerSecond), pace.WithHolders(1)),
+		busy:    map[string]string{},
+		failed:  map[string]int{},
+		after:   map[string]time.Time{},
+		unknown: map[string]bool{},
+	}
+}
+
+// note tells operators when a roll-out changes its state.
+func (s *Swaps) note(p pool.Pool, r *roll, now time.Time) {
+	state := r.pace.State()
+	if state == r.state {
+		return
+	}
+	if state == pace.Turning {
+		r.turned = now
+	}
+	r.state = state
+	took := now.Sub(r.began).Round(time.Millisecond)
+	if state == pace.Complete && !r.turned.IsZero() {
+		turn := now.Sub(r.turned)
+		s.log.Info("weights switched", "pool", s.name, "model", r.model, "version", r.version,
+			"staged", took-turn.Round(time.Millisecond), "switched", turn.Round(time.Millisecond), "within", time.Duration(p.SwitchWithin))
+	}
+	s.why("pool", s.name, "weights of "+r.model+" version "+r.version+": "+state+" after "+took.String())
+}
+
+// workers describes all workers to the decision about the next orders.
+func (s *Swaps) workers(r *roll, endpoints []*wire.EndpointState, now time.Time) []worker.Worker {
+	out := make([]worker.Worker, 0, len(endpoints))
+	for _, ep := range endpoints {
+		id := ep.GetInstance()
+		w := worker.Worker{Name: id, Failures: r.failed[id], NotBefore: r.after[id]}
+		if slots := ep.GetLoad().GetSlots(); slots > 0 {
+			w.Live = float64(ep.GetLoad().GetRunning()) / float64(slots)
+		}
+		w.State = s.state(r, ep, now)
+		out = append(out, w)
+	}
+	return out
+}
+
+func (s *Swaps) state(r *roll, ep *wire.EndpointState, now time.Time) string {
+	id := ep.GetInstance()
+	st := s.latest(ep, now)
+	ms := s.model(st, r.model)
+	switch {
+	case ep.GetGone() || ep.GetDraining() || !st.GetReady():
+		return worker.Gone
+	case r.busy[id] != "":
+		return r.busy[id]
+	case r.unknown[id]:
+		return worker.Unknown
+	case ms.GetVersion() == r.version:
+		return worker.Switched
+	}
+	for _, v := range ms.GetStaged() {
+		if v == r.version {
+			return worker.Staged
+		}
+	}
+	return worker.Bare
+}
+
+// latest is the newer of the worker's own last answer and the membership.
+func (s *Swaps) latest(ep *wire.EndpointState, now time.Time) *wire.EndpointState {
+	own := s.known[ep.GetInstance()]
+	if own == nil || own.state.GetBoot() != ep.GetBoot() || now.Sub(own.at) > trustOwn {
+		return ep
+	}
+	return own.state
+}
+
+func (s *Swaps) model(st *wire.EndpointState, name string) *wire.ModelState {
+	for _, ms := range st.GetModels() {
+		if ms.GetModel() == name {
+			return ms
+		}
+	}
+	return nil
+}
+
+// give sends one order on its way. The caller holds mu.
+func (s *Swaps) give(ctx context.Context, p pool.Pool, r *roll, ep *wire.EndpointState, kind string) {
+	id := ep.GetInstance()
+	if r.busy[id] != "" {
+		return
+	}
+	req := &wire.OrderRequest{
+		OrderId: r.model + "/" + r.version + "/" + kind + "/" + id,
+		Pool:    s.name,
+		Fence:   s.fence,
+		Model:   r.model,
+		Version: r.version,
+	}
+	timeout := time.Duration(p.SwitchWithin)
+	switch kind {
+	case order.Stage:
+		r.busy[id] = worker.Staging
+		req.Kind = wire.OrderKind_ORDER_KIND_STAGE
+		timeout = stageTimeout
+	case order.Switch:
+		r.busy[id] = worker.Switching
+		req.Kind = wire.OrderKind_ORDER_KIND_SWITCH
+	case task.Ask:
+		r.busy[id] = worker.Unknown
+		req.Kind = wire.OrderKind_ORDER_KIND_ASK
+	default:
+		return
+	}
+	req.TimeoutMs = timeout.Milliseconds()
+	s.orders.Add(1)
+	go func() {
+		defer s.orders.Done()
+		ctx, cancel := context.WithTimeout(ctx, timeout+askAgain)
+		defer cancel()
+		resp, err := s.dial.Door(ep.GetAddress()).Order(ctx, connect.NewRequest(req))
+		s.heard(r, id, resp, err)
+	}()
+}
+
+// heard takes in what came of an order.
+func (s *Swaps) heard(r *roll, id string, resp *connect.Response[wire.OrderResponse], err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	delete(r.busy, id)
+	delete(r.unknown, id)
+	if err != nil {
+		r.unknown[id] = true
+		r.after[id] = now.Add(askAgain)
+		s.log.Warn("an order got no answer", "pool", s.name, "worker", id, "err", err)
+		return
+	}
+	s.known[id] = &knowledge{state: resp.Msg.GetState(), at: now}
+	if resp.Msg.GetDone() {
+		return
+	}
+	s.refused(r, id, refuse.Error(resp.Msg.GetRefusal()), now)
+}
+
+func (s *Swaps) refused(r *roll, id string, err error, now time.Time) {
+	var (
+		old    *fault.OldFenceError
+		notRun *fault.NotRunError
+	)
+	switch {
+	case errors.As(err, &old):
+		s.lost = old
+		r.after[id] = now.Add(failAgain)
+	case errors.As(err, &notRun) && notRun.Cause == causeNotReady:
+		r.after[id] = now.Add(max(notRun.RetryAfter, askAgain))
+	case errors.As(err, &notRun):
+		r.failed[id]++
+		r.after[id] = now.Add(failAgain)
+	default:
+		r.failed[id]++
+		r.unknown[id] = s.unsettled(id)
+		r.after[id] = now.Add(askAgain)
+	}
+	s.why("pool", s.name, "order for "+r.model+" version "+r.version+" at "+id+": "+err.Error())
+}
+
+// causeNotReady is a door's refusal before it knows its engine.
+const causeNotReady = "notReady"
+
+// unsettled says whether the engine has not said yet what it runs. One that says
+// it runs no version is settled: the switch went wrong, and is ordered again.
+func (s *Swaps) unsettled(id string) bool {
+	own := s.known[id]
+	return own == nil || !own.state.GetReady()
+}
+
+func find(endpoints []*wire.EndpointState, id string) *wire.EndpointState {
+	for _, ep := range endpoints {
+		if ep.GetInstance() == id {
+			return ep
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/train/train.go
@@ -0,0 +1,153 @@
+// Package train serves trainers: they submit groups, publish weight versions and
+// pull finished samples at any entry, which passes the request to the holder of
+// the pool's job.
+package train
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/front"
+	"github.com/lavendermux/lavendermux/jobs"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+)
+
+const (
+	// CauseNoHolder says that no entry holds the pool's job now.
+	CauseNoHolder = "noHolder"
+	// noHolderRetry is well within the time in which a lost job is taken over.
+	noHolderRetry = 2 * time.Second
+	// CauseCutOff says that the holder gave no whole answer.
+	CauseCutOff = "cutOff"
+	// maxBody bounds a request: a step of 512 groups with long prompts.
+	maxBody = 64 << 20
+	// actionTimeout bounds all but a pull, which adds its own wait.
+	actionTimeout = 30 * time.Second
+)
+
+type (
+	// Train is the HTTP face towards trainers. See New.
+	Train struct {
+		conf  *confs.Cache
+		local local
+		fleet fleet
+		dial  dialer
+		log   *log.Logger
+	}
+
+	// Option changes a Train as New makes it.
+	Option func(*Train)
+
+	// local answers in this process what this entry holds.
+	local interface {
+		// Answer returns false when this entry does not hold the job.
+		Answer(ctx context.Context, job, action string, body []byte) (status int, answer []byte, held bool)
+	}
+
+	fleet interface {
+		Holder(job string) (*wire.EntryState, int64)
+	}
+
+	dialer interface {
+		Peer(address string) wireconnect.PeerServiceClient
+	}
+)
+
+// New returns the face towards trainers. Local answers what this entry holds
+// itself.
+//
+//	t := train.New(conf, local, view, dialer)
+//	t.Register(router)
+func New(conf *confs.Cache, l local, f fleet, d dialer, opts ...Option) *Train {
+	t := &Train{conf: conf, local: l, fleet: f, dial: d, log: log.New(nil)}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
+}
+
+// WithLog sets where the face logs. The default is nowhere.
+func WithLog(l *log.Logger) Option {
+	return func(t *Train) { t.log = l }
+}
+
+// Register adds the routes of trainers to r.
+func (t *Train) Register(r *mux.Router) {
+	r.HandleFunc("/v1/subscriptions/{subscription}/{action:groups|weights|pull|ack}", t.serve).Methods(http.MethodPost)
+	r.HandleFunc("/v1/subscriptions/{subscription}/{action:status}", t.serve).Methods(http.MethodGet)
+}
+
+func (t *Train) serve(w http.ResponseWriter, r *http.Request) {
+	name, action := mux.Vars(r)["subscription"], mux.Vars(r)["action"]
+	sub, found := t.conf.Subscription(name)
+	if !found {
+		front.Fail(w, "", &fault.NotFoundError{What: "subscription " + name})
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		front.Fail(w, "", &fault.FieldError{Field: "body", Problem: "could not be read: " + err.Error()})
+		return
+	}
+	status, answer, err := t.pass(r.Context(), jobs.Pool(sub.Pool), name+"/"+action, body)
+	if err != nil {
+		t.log.Debug("refused", "subscription", name, "action", action, "err", err)
+		front.Fail(w, "", err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(answer)
+}
+
+// pass answers here or at the holder. All actions are idempotent, so a trainer
+// whose answer is lost asks again.
+func (t *Train) pass(ctx context.Context, job, action string, body []byte) (int, []byte, error) {
+	if status, answer, held := t.local.Answer(ctx, job, action, body); held {
+		return status, answer, nil
+	}
+	entry, _ := t.fleet.Holder(job)
+	if entry == nil {
+		return 0, nil, &fault.NotRunError{Cause: CauseNoHolder, Reason: "no entry holds the pool's job now", RetryAfter: noHolderRetry}
+	}
+	timeout := actionTimeout + pullWait(body)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := t.dial.Peer(entry.GetAddress()).Relay(ctx, connect.NewRequest(&wire.RelayRequest{
+		Job:       job,
+		Action:    action,
+		Body:      body,
+		TimeoutMs: timeout.Milliseconds(),
+	}))
+	if err != nil {
+		return 0, nil, &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: "the holder gave no answer: " + err.Error()}
+	}
+	if resp.Msg.GetNotHolder() {
+		return 0, nil, &fault.NotRunError{Cause: CauseNoHolder, Reason: "the job has just moved", RetryAfter: noHolderRetry}
+	}
+	return int(resp.Msg.GetStatus()), resp.Msg.GetBody(), nil
+}
+
+// pullWait reads how long a pull may wait, so that the way to the holder waits
+// longer. What cannot be read here is refused there.
+func pullWait(body []byte) time.Duration {
+	var in struct {
+		WaitMs int64 `json:"waitMs"`
+	}
+	if err := json.Unmarshal(body, &in); err != nil || in.WaitMs < 0 {
+		return 0
+	}
+	return min(time.Duration(in.WaitMs)*time.Millisecond, maxWait)
+}
+
+// maxWait bounds how long a pull waits.
+const maxWait = 5 * time.Minute
