--- /dev/null
+++ b/cmd/lavendermux/side.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/scfg"
+	"github.com/lavendermux/lavendermux/side"
+)
+
+type sideCommand struct {
+	Settings string `required:"" type:"existingfile" help:"JSON file with the settings of the process beside an endpoint."`
+}
+
+// Run serves until a signal, and then drains.
+func (c *sideCommand) Run(ctx context.Context) error {
+	raw, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Wrap(err, "reading the settings")
+	}
+	cfg, err := scfg.Parse(raw)
+	if err != nil {
+		return errors.Wrapf(err, "settings %s", c.Settings)
+	}
+	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
+		logs.WithField(logs.FieldInstance, cfg.Instance))
+	return side.New(cfg, side.WithLog(logger)).Run(ctx)
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -29,6 +29,8 @@
 	Scorer    scorerCommand    `cmd:"" help:"Scorer of samples."`
 	Trainer   trainerCommand   `cmd:"" help:"Trainer: a client of lavendermux."`
 	Caller    callerCommand    `cmd:"" help:"Callers: a load of live requests to lavendermux."`
+	Register  registerCommand  `cmd:"" help:"Put instances on the instance list."`
+	Await     awaitCommand     `cmd:"" help:"Wait until entries are ready."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/standin/setup.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/insts"
+	"github.com/lavendermux/lavendermux/rest"
+)
+
+// awaitEvery is how often a condition is looked at again.
+const awaitEvery = 100 * time.Millisecond
+
+type (
+	registerCommand struct {
+		List     string   `required:"" help:"URL of the instance list."`
+		Settings []string `arg:"" type:"existingfile" help:"Settings of entries and of processes beside endpoints."`
+	}
+
+	awaitCommand struct {
+		Entry        []string      `required:"" help:"URLs of entries."`
+		Within       time.Duration `default:"30s" help:"Time after which to give up."`
+		Model        string        `help:"Model that has to answer a request."`
+		Subscription []string      `help:"Subscriptions that have to be held."`
+	}
+
+	// settings is what the platform has to know of an instance.
+	settings struct {
+		Instance   string `json:"instance"`
+		Service    string `json:"service"`
+		DataCentre string `json:"dataCentre"`
+		Region     string `json:"region"`
+		Listen     string `json:"listen"`
+		PeerListen string `json:"peerListen"`
+	}
+)
+
+// Run puts the instances of settings files on the list.
+func (c *registerCommand) Run(ctx context.Context) error {
+	list := rest.New("instance list", c.List)
+	for _, file := range c.Settings {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Wrap(err, "reading settings")
+		}
+		var s settings
+		if err := json.Unmarshal(raw, &s); err != nil {
+			return errors.Wrapf(err, "reading settings %s", file)
+		}
+		in := s.instance()
+		err = until(ctx, func() error {
+			return list.Do(ctx, http.MethodPut, "/v1/instances/"+in.ID, in, nil)
+		})
+		if err != nil {
+			return errors.Wrapf(err, "registering %s", in.ID)
+		}
+	}
+	return nil
+}
+
+func (s settings) instance() insts.Instance {
+	in := insts.Instance{
+		ID:         s.Instance,
+		Role:       insts.RoleEndpoint,
+		Service:    s.Service,
+		DataCentre: s.DataCentre,
+		Region:     s.Region,
+		Address:    s.Listen,
+		State:      insts.StateLive,
+	}
+	if s.PeerListen != "" {
+		in.Role = insts.RoleEntry
+		in.Address = s.PeerListen
+	}
+	return in
+}
+
+// Run waits until every entry is ready, and answers for the model and the
+// subscriptions if any are given.
+func (c *awaitCommand) Run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.Within)
+	defer cancel()
+	for _, url := range c.Entry {
+		entry := rest.New("entry "+url, url)
+		err := until(ctx, func() error { return c.look(ctx, entry) })
+		if err != nil {
+			return errors.Wrapf(err, "waiting for %s", url)
+		}
+	}
+	return nil
+}
+
+func (c *awaitCommand) look(ctx context.Context, entry *rest.Client) error {
+	resp, err := entry.Open(ctx, http.MethodGet, "/readyz", nil)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	for _, sub := range c.Subscription {
+		if err := entry.Do(ctx, http.MethodGet, "/v1/subscriptions/"+sub+"/status", nil, nil); err != nil {
+			return err
+		}
+	}
+	if c.Model == "" {
+		return nil
+	}
+	in := map[string]any{"prompt": "ready?", "maxTokens": 1}
+	return entry.Do(ctx, http.MethodPost, "/v1/models/"+c.Model+"/generate", in, nil)
+}
+
+// until tries again until try succeeds or ctx ends.
+func until(ctx context.Context, try func() error) error {
+	for {
+		err := try()
+		if err == nil {
+			return nil
+		}
+		log.Debug("not yet", "err", err)
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(awaitEvery):
+		}
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,283 @@
+// Package entry is an entry instance: callers, trainers and operators reach the
+// system through any of them, and the jobs that need one holder at a time run in
+// whichever holds the job's lease.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/beats"
+	"github.com/lavendermux/lavendermux/change"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/dial"
+	"github.com/lavendermux/lavendermux/ecfg"
+	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/front"
+	"github.com/lavendermux/lavendermux/holder"
+	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/insts"
+	"github.com/lavendermux/lavendermux/jobrun"
+	"github.com/lavendermux/lavendermux/jobs"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/relay"
+	"github.com/lavendermux/lavendermux/roster"
+	"github.com/lavendermux/lavendermux/serve"
+	"github.com/lavendermux/lavendermux/train"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+)
+
+type (
+	// Entry is one entry instance. See New and Run.
+	Entry struct {
+		cfg   ecfg.Settings
+		net   *netset.Net
+		log   *log.Logger
+		boot  int64
+		conf  *confs.Cache
+		view  *fleet.View
+		dial  *dial.Dialer
+		store *keyval.Client
+		list  *roster.Client
+		beats *beats.Client
+		hub   *hub.Hub
+		relay *relay.Relay
+		front *front.Front
+		train *train.Train
+		ops   *opapi.API
+		jobs  *jobrun.Runner
+
+		leaving atomic.Bool
+
+		mu      sync.Mutex
+		holders map[string]*holder.Holder
+	}
+
+	// Option changes an Entry as New makes it.
+	Option func(*Entry)
+)
+
+// New returns the instance with its settings.
+//
+//	e := entry.New(cfg, entry.WithLog(logger))
+//	err := e.Run(ctx)
+func New(cfg ecfg.Settings, opts ...Option) *Entry {
+	e := &Entry{
+		cfg:     cfg,
+		net:     netset.New(),
+		log:     log.New(nil),
+		boot:    time.Now().UnixNano(),
+		conf:    confs.New(),
+		view:    fleet.New(),
+		holders: map[string]*holder.Holder{},
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.clients()
+	e.membership()
+	e.faces()
+	return e
+}
+
+// WithNet sets how the instance listens and dials. The default is TCP.
+func WithNet(n *netset.Net) Option {
+	return func(e *Entry) { e.net = n }
+}
+
+// WithLog sets where the instance logs. The default is nowhere.
+func WithLog(l *log.Logger) Option {
+	return func(e *Entry) { e.log = l }
+}
+
+func (e *Entry) clients() {
+	timeout := time.Duration(e.cfg.KeyValueTimeout)
+	e.dial = dial.New(e.net.Peers())
+	e.store = keyval.New(e.cfg.KeyValue, keyval.WithHTTP(e.net.Client()), keyval.WithTimeout(timeout))
+	e.list = roster.New(e.cfg.InstanceList, roster.WithHTTP(e.net.Client()))
+}
+
+func (e *Entry) membership() {
+	seed := uint64(e.boot)
+	e.hub = hub.New(e.describe, e.conf, e.store,
+		hub.WithHTTP(e.net.Peers()),
+		hub.WithLeading(func() bool { return e.beats.Leading() }),
+		hub.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
+		hub.WithView(e.view), hub.WithSeed(seed), hub.WithLogger(e.log))
+	e.beats = beats.New(func() *wire.BeatRequest { return &wire.BeatRequest{Entry: e.describe()} },
+		e.list.List, e.conf,
+		beats.WithHTTP(e.net.Peers()), beats.WithView(e.view), beats.WithLocal(e.hub),
+		beats.WithSeed(seed), beats.WithLogger(e.log))
+	e.jobs = jobrun.New(e.wantedJobs, e.keeper, e.do, jobrun.WithLog(e.log))
+}
+
+func (e *Entry) faces() {
+	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
+		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare))
+	e.front = front.New(e.relay, e.conf, front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
+	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
+	e.ops = opapi.New(change.New(e.store), e.conf)
+}
+
+// describe is what the instance says of itself in heartbeats.
+func (e *Entry) describe() *wire.EntryState {
+	return &wire.EntryState{
+		Instance:   e.cfg.Instance,
+		DataCentre: e.cfg.DataCentre,
+		Region:     e.cfg.Region,
+		Address:    e.cfg.PeerListen,
+		Boot:       e.boot,
+		HasDisk:    e.cfg.DataFolder != "",
+		Leaving:    e.leaving.Load(),
+		Jobs:       e.jobs.Held(),
+	}
+}
+
+// Run serves until ctx ends, and then stops gracefully: it reports "not ready"
+// and goes on serving for the settings' readyGrace, so that the balancer sends
+// nothing more, stops its jobs and hands their leases back, and ends when the
+// last request in flight has its answer.
+func (e *Entry) Run(ctx context.Context) error {
+	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.Listen))
+	if err != nil {
+		return err
+	}
+	faces, err := serve.Start(e.cfg.Listen, e.handler(), serve.WithListen(e.net.Listen))
+	if err != nil {
+		return errors.CombineErrors(err, peers.Stop(ctx))
+	}
+	e.log.Info("listening", "address", faces.Address(), "peers", peers.Address())
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	jobsDone := e.start(ctx, background)
+	select {
+	case <-ctx.Done():
+	case err := <-faces.Done():
+		return errors.Wrap(err, "serving callers")
+	case err := <-peers.Done():
+		return errors.Wrap(err, "serving peers")
+	}
+	return e.stop(faces, peers, jobsDone)
+}
+
+func (e *Entry) start(ctx, background context.Context) <-chan struct{} {
+	go e.beats.Run(background)
+	go e.hub.Run(background)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.jobs.Run(ctx)
+	}()
+	return done
+}
+
+func (e *Entry) stop(faces, peers *serve.Server, jobsDone <-chan struct{}) error {
+	e.log.Info("stopping", "grace", time.Duration(e.cfg.ReadyGrace))
+	e.leaving.Store(true)
+	e.beats.Wake()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(e.cfg.ReadyGrace+e.cfg.StopWithin))
+	defer cancel()
+	<-jobsDone
+	select {
+	case <-time.After(time.Duration(e.cfg.ReadyGrace)):
+	case <-ctx.Done():
+	}
+	err := faces.Stop(ctx)
+	return errors.CombineErrors(err, peers.Stop(ctx))
+}
+
+func (e *Entry) handler() http.Handler {
+	r := mux.NewRouter()
+	r.UseEncodedPath()
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	r.HandleFunc("/readyz", e.ready)
+	e.front.Register(r)
+	e.train.Register(r)
+	e.ops.Register(r)
+	return r
+}
+
+// ready is what the platform's balancer asks.
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.leaving.Load():
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+	case !e.beats.Ready():
+		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+func (e *Entry) peerHandler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle(wireconnect.NewPeerServiceHandler(&peerHandler{Hub: e.hub, entry: e}))
+	return m
+}
+
+// retryShare is the least retry budget of any policy.
+func (e *Entry) retryShare() float64 {
+	share := -1.0
+	for _, p := range e.conf.Policies() {
+		if share < 0 || p.RetryBudget < share {
+			share = p.RetryBudget
+		}
+	}
+	if share < 0 {
+		p, _ := e.conf.Policy("")
+		return p.RetryBudget
+	}
+	return share
+}
+
+// wantedJobs names the jobs that the configuration asks for. An entry that is
+// leaving wants none.
+func (e *Entry) wantedJobs() []string {
+	if e.leaving.Load() {
+		return nil
+	}
+	var out []string
+	for name := range e.conf.Pools() {
+		out = append(out, jobs.Pool(name))
+	}
+	for _, s := range e.conf.Services() {
+		out = append(out, jobs.Home(s.Service))
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (e *Entry) keeper(job string, change func()) *lease.Keeper {
+	return lease.New(e.store, job, e.cfg.Instance,
+		lease.WithAddress(e.cfg.PeerListen),
+		lease.WithCandidates(e.candidates),
+		lease.WithHolder(func(job string) (string, bool) {
+			entry, _ := e.view.Holder(job)
+			return entry.GetInstance(), entry != nil
+		}),
+		lease.WithChange(change),
+		lease.WithSeed(uint64(e.boot)),
+		lease.WithLogger(e.log))
+}
+
+// candidates are the entries that may hold jobs.
+func (e *Entry) candidates() []string {
+	out := []string{e.cfg.Instance}
+	for _, s := range e.view.Entries() {
+		if !s.GetLeaving() && !s.GetGone() && s.GetInstance() != e.cfg.Instance {
+			out = append(out, s.GetInstance())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavendermux/lavendermux/action"
+	"github.com/lavendermux/lavendermux/feed"
+	"github.com/lavendermux/lavendermux/holder"
+	"github.com/lavendermux/lavendermux/jobs"
+	"github.com/lavendermux/lavendermux/maker"
+	"github.com/lavendermux/lavendermux/scorer"
+	"github.com/lavendermux/lavendermux/subscr"
+	"github.com/lavendermux/lavendermux/swaps"
+)
+
+// restartPause is the wait before a job that ended by itself begins again under
+// the same lease.
+const restartPause = time.Second
+
+// do does one job until its lease is lost.
+func (e *Entry) do(ctx context.Context, job string, fence int64) {
+	for ctx.Err() == nil {
+		if name, isPool := jobs.PoolOf(job); isPool {
+			e.runPool(ctx, name, fence)
+		} else {
+			e.runHomes(ctx, jobs.ServiceOf(job))
+		}
+		select {
+		case <-time.After(restartPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (e *Entry) runPool(ctx context.Context, name string, fence int64) {
+	open := func(ctx context.Context, sub string, config func() subscr.Subscription) (*feed.Feed, error) {
+		return feed.Open(ctx, sub, fence, config, e.store, feed.WithLog(e.log))
+	}
+	h := holder.New(name, fence, e.conf, open, holder.WithLog(e.log))
+	s := swaps.New(name, fence, h.Pool, h.Want, e.view, e.dial, swaps.WithLog(e.log))
+	m := maker.New(name, h.Pool, h.Feeds, e.relay, e.view, s.Loaded,
+		maker.WithScorer(e.scorer), maker.WithLog(e.log))
+	e.hold(name, h)
+	defer e.hold(name, nil)
+	if err := h.Run(ctx, m, s); err != nil {
+		e.log.Warn("pool job ended", "pool", name, "fence", fence, "err", err)
+	}
+}
+
+func (e *Entry) scorer(url string) *scorer.Client {
+	return scorer.New(url, scorer.WithHTTP(e.net.Client()))
+}
+
+func (e *Entry) hold(name string, h *holder.Holder) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if h == nil {
+		delete(e.holders, name)
+		return
+	}
+	e.holders[name] = h
+}
+
+// Answer does a trainer's request if this entry holds the pool's job.
+func (e *Entry) Answer(ctx context.Context, job, act string, body []byte) (int, []byte, bool) {
+	name, _ := jobs.PoolOf(job)
+	e.mu.Lock()
+	h := e.holders[name]
+	e.mu.Unlock()
+	if h == nil {
+		return 0, nil, false
+	}
+	status, answer := action.New(h, e.conf).Answer(ctx, act, body)
+	return status, answer, true
+}
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -24,3 +24,8 @@
 func PoolOf(job string) (string, bool) {
 	return strings.CutPrefix(job, poolPrefix)
 }
+
+// ServiceOf returns the plain service whose list of homes the job keeps.
+func ServiceOf(job string) string {
+	return strings.TrimPrefix(job, homePrefix)
+}
