Let a fresh deployment take keyed calls at once

Cause: a door that is young refuses keyed calls until its memory covers their window, so the demo's bookings waited ten minutes. Ruled out: a hang in the relay (plain calls went through). Change: the first list of homes names the boots of its doors, and a door of that boot knows all that ever ran; callers count their attempts.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -73,7 +73,7 @@
 
 // New returns a door before one endpoint.
 //
-//	d := calls.New(plain.New(base), keymem.New(time.Now()))
+//	d := calls.New(plain.New(base), keymem.New())
 //	resp, err := d.Call(ctx, req)
 func New(service caller, keys *keymem.Memory, opts ...Option) *Door {
 	d := &Door{
@@ -213,7 +213,7 @@
 			return nil, &fault.NotRunError{
 				Cause:      CauseYoung,
 				Reason:     "the door cannot tell yet whether an earlier copy ran before it started",
-				RetryAfter: d.keys.Sure(since, window, time.Now()),
+				RetryAfter: keymem.Sure(since, window, time.Now()),
 			}
 		}
 		select {
--- a/confs/read.go
+++ b/confs/read.go
@@ -155,11 +155,7 @@
 
 // Homes returns the endpoints of a plain service that remember idempotency
 // keys, and none while no list has been written yet.
-func (c *Cache) Homes(service string) []string {
-	e, ok := c.entry(object.KindHome, service)
-	h, isHomes := e.spec.(homes.Homes)
-	if !ok || !isHomes {
-		return nil
-	}
-	return h.Doors
+func (c *Cache) Homes(service string) homes.Homes {
+	h, _ := typed[homes.Homes](c, object.KindHome, service)
+	return h
 }
--- a/entry/homes.go
+++ b/entry/homes.go
@@ -33,8 +33,10 @@
 	tick := time.NewTicker(homesEvery)
 	defer tick.Stop()
 	missing := map[string]time.Time{}
+	begin := time.Now()
 	for {
-		if err := e.keepHomes(ctx, service, missing, time.Now()); err != nil {
+		hurry := time.Since(begin) >= missingFor
+		if err := e.keepHomes(ctx, service, missing, hurry, time.Now()); err != nil {
 			e.log.Warn("list of homes not brought up to date", "service", service, "err", err)
 		}
 		select {
@@ -45,7 +47,9 @@
 	}
 }
 
-func (e *Entry) keepHomes(ctx context.Context, service string, missing map[string]time.Time, now time.Time) error {
+func (e *Entry) keepHomes(
+	ctx context.Context, service string, missing map[string]time.Time, hurry bool, now time.Time,
+) error {
 	listed, err := e.list.List(ctx)
 	if err != nil {
 		return err
@@ -59,7 +63,27 @@
 	if slices.Equal(old, next) {
 		return nil
 	}
-	return e.writeHomes(ctx, service, key, next, revision)
+	list := homes.Homes{Doors: next}
+	if revision == keyval.Absent {
+		list.Founding = e.boots(next)
+		if len(list.Founding) < len(next) && !hurry {
+			// A door that beats for the first time in a moment would otherwise have
+			// to refuse keyed calls for a whole window.
+			return nil
+		}
+	}
+	return e.writeHomes(ctx, service, key, list, revision)
+}
+
+// boots returns the boot numbers of the doors that have been heard of.
+func (e *Entry) boots(doors []string) map[string]int64 {
+	out := map[string]int64{}
+	for _, id := range doors {
+		if ep := e.view.Endpoint(id); ep != nil && !ep.GetGone() {
+			out[id] = ep.GetBoot()
+		}
+	}
+	return out
 }
 
 func endpointsOf(listed []insts.Instance, service string) []string {
@@ -116,8 +140,8 @@
 
 // writeHomes replaces the list at a revision. A lost answer needs no care: the
 // next look reads what came of it.
-func (e *Entry) writeHomes(ctx context.Context, service, key string, doors []string, revision int64) error {
-	spec, err := json.Marshal(homes.Homes{Doors: doors})
+func (e *Entry) writeHomes(ctx context.Context, service, key string, list homes.Homes, revision int64) error {
+	spec, err := json.Marshal(list)
 	if err != nil {
 		return errors.Wrap(err, "encoding a list of homes")
 	}
@@ -134,6 +158,6 @@
 	if _, err := e.store.Put(ctx, key, raw, revision, 0); err != nil {
 		return err
 	}
-	e.log.Info("list of homes changed", "service", service, "doors", doors)
+	e.log.Info("list of homes changed", "service", service, "doors", list.Doors)
 	return nil
 }
--- a/front/call.go
+++ b/front/call.go
@@ -99,7 +99,7 @@
 		Fail(w, req.GetRequestId(), err)
 		return err
 	}
-	resp, err := f.relay.Call(ctx, req, f.conf.Homes(s.Service))
+	resp, err := f.relay.Call(ctx, req, f.conf.Homes(s.Service).Doors)
 	f.admit.Observe(item, err)
 	if err != nil {
 		Fail(w, req.GetRequestId(), err)
--- a/homes/homes.go
+++ b/homes/homes.go
@@ -16,6 +16,11 @@
 	// in the list while it is merely unreachable: another one would not know
 	// what has run there.
 	Doors []string `json:"doors"`
+	// Founding holds, in the first list of a service only, the boot number of
+	// each door. Before that list no keyed call ran anywhere, so a door of this
+	// very boot knows all that ever ran under its keys; without it a fresh
+	// deployment would refuse keyed calls until its memory covers their window.
+	Founding map[string]int64 `json:"founding,omitempty"`
 }
 
 // Validate returns a *fault.FieldsError when an instance stands twice.
--- a/keymem/keymem.go
+++ b/keymem/keymem.go
@@ -33,9 +33,7 @@
 		// order holds the keys as they came, so that the oldest go first. All
 		// keys of a door have the same window, since it has one service.
 		order []string
-		// born is when the door started with an empty memory.
-		born time.Time
-		max  int
+		max   int
 	}
 
 	// Option changes a Memory as New makes it.
@@ -72,12 +70,12 @@
 // requests a second and a window of ten minutes a door holds 60,000.
 const defaultMax = 65536
 
-// New returns an empty memory of a door that started at now.
+// New returns an empty memory.
 //
-//	m := keymem.New(now)
+//	m := keymem.New()
 //	verdict, resp, done, err := m.Begin(key, digest, false, since, window, now)
-func New(now time.Time, opts ...Option) *Memory {
-	m := &Memory{entries: map[string]*entry{}, born: now, max: defaultMax}
+func New(opts ...Option) *Memory {
+	m := &Memory{entries: map[string]*entry{}, max: defaultMax}
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -101,7 +99,8 @@
 
 // Begin says what to do with a request under key whose contents have digest.
 // first is the caller's word that it never sent this key before, and since is
-// when the door became the key's home, zero for always. After Run the caller
+// when the door has been the key's home and known what ran under it, zero for
+// always. After Run the caller
 // must call End. With Wait comes a channel that is closed when the earlier copy
 // has ended; ask again then.
 //
@@ -116,7 +115,7 @@
 	m.forget(now)
 	e := m.entries[key]
 	switch {
-	case e == nil && !first && m.Sure(since, window, now) > 0:
+	case e == nil && !first && Sure(since, window, now) > 0:
 		return Young, nil, nil, nil
 	case e == nil:
 		return m.add(key, digest, window, now)
@@ -153,10 +152,7 @@
 
 // Sure returns how long it takes until the memory of a key that is at home here
 // since a time covers window, 0 when it does.
-func (m *Memory) Sure(since time.Time, window time.Duration, now time.Time) time.Duration {
-	if since.Before(m.born) {
-		since = m.born
-	}
+func Sure(since time.Time, window time.Duration, now time.Time) time.Duration {
 	return max(0, window-now.Sub(since))
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -51,22 +51,22 @@
     flags=()
     [ "$(value "$file" fencing)" = checked ] || flags+=(--ignore-fence)
     start "engine-$base" bin/standin engine --listen "$(address "$file" engine)" --seed "$seed" \
-      "${models[@]}" --weights "$(value "$entry1" weightStore)" "${flags[@]}"
+      "${models[@]}" --total-rate 3000 --stream-rate 150 --weights "$(value "$entry1" weightStore)" "${flags[@]}"
   else
     start "service-$base" bin/standin service --listen "$(address "$file" plainService)"
   fi
 done
 
 bin/standin register --list "$(value "$entry1" instanceList)" "$dir"/entries/*.json "$dir"/sides/*.json
-for file in "$dir"/sides/*.json; do
-  start "side-$(basename "$file" .json)" bin/lavendermux side --settings "$file"
-done
 entries=""
 for file in "$dir"/entries/*.json; do
   start "$(basename "$file" .json)" bin/lavendermux entry --settings "$file"
   entries=${entries:+$entries,}http://$(value "$file" listen)
 done
 
+for file in "$dir"/sides/*.json; do
+  start "side-$(basename "$file" .json)" bin/lavendermux side --settings "$file"
+done
 bin/standin await --entry "$entries" --within 30s
 for file in "$dir"/resources/*.json; do
   curl -fsS -X PUT "${entries%%,*}/v1/resources/$(value "$file" kind)/$(value "$file" name)" --data-binary @"$file" >/dev/null
--- a/side/side.go
+++ b/side/side.go
@@ -99,7 +99,7 @@
 func (s *Side) doors() {
 	if s.cfg.PlainService != "" {
 		service := plain.New(s.cfg.PlainService, plain.WithHTTP(s.net.Client()))
-		s.calls = calls.New(service, keymem.New(time.Now()), calls.WithHome(s.isHome))
+		s.calls = calls.New(service, keymem.New(), calls.WithHome(s.isHome))
 		return
 	}
 	s.gate = gate.New(slots.New(s.cfg.Slots))
@@ -116,10 +116,15 @@
 
 // isHome says whether this endpoint remembers an idempotency key, and since when.
 func (s *Side) isHome(key string) (bool, time.Time) {
-	s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+	s.noteHomes()
 	return s.tenure.Home(key)
 }
 
+func (s *Side) noteHomes() {
+	h := s.conf.Homes(s.cfg.Service)
+	s.tenure.Note(h.Doors, h.Founding[s.cfg.Instance] == s.boot, time.Now())
+}
+
 // Run serves until ctx ends, then drains: it refuses new work at once and ends
 // when the last request in flight has its answer, or after the settings'
 // stopWithin.
@@ -204,7 +209,7 @@
 func (s *Side) followHomes(ctx context.Context) {
 	for {
 		changed := s.conf.Changed()
-		s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+		s.noteHomes()
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/simcal/request.go
+++ b/simcal/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/lavendermux/lavendermux/simsrv"
@@ -18,9 +19,11 @@
 const (
 	callerHeader = "Lavendermux-Caller"
 	keyHeader    = "Idempotency-Key"
-	kindNotRun   = "notRun"
-	kindUnknown  = "outcomeUnknown"
-	maxAnswer    = 8 << 20
+	// attemptHeader counts the copies of a keyed request; the first is 1.
+	attemptHeader = "Lavendermux-Attempt"
+	kindNotRun    = "notRun"
+	kindUnknown   = "outcomeUnknown"
+	maxAnswer     = 8 << 20
 )
 
 var eventPrefix = []byte("data:")
@@ -92,6 +95,7 @@
 	}
 	var res result
 	for attempt := 1; ; attempt++ {
+		a.attempt = attempt
 		res = l.bounded(ctx, a, key, send)
 		if attempt >= l.config.attempts || ctx.Err() != nil || !repeatable(res.outcome, key) {
 			break
@@ -138,7 +142,7 @@
 		Family: fmt.Sprintf("%s-%d", l.config.caller, l.config.seed),
 	}
 	path := "/v1/services/" + url.PathEscape(l.config.service) + "/bookings"
-	resp, err := l.post(ctx, path, key, in)
+	resp, err := l.post(ctx, a, path, key, in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
@@ -162,7 +166,7 @@
 		Priority:  l.config.priority,
 		Timeout:   l.config.timeout.String(),
 	}
-	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", "", in)
+	resp, err := l.post(ctx, a, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", "", in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
@@ -241,7 +245,7 @@
 	return result{outcome: outcomeOK, tokens: tokens}
 }
 
-func (l *Load) post(ctx context.Context, path, key string, in any) (*http.Response, error) {
+func (l *Load) post(ctx context.Context, a arrival, path, key string, in any) (*http.Response, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
 		return nil, err
@@ -256,6 +260,7 @@
 	req.Header.Set(callerHeader, l.config.caller)
 	if key != "" {
 		req.Header.Set(keyHeader, key)
+		req.Header.Set(attemptHeader, strconv.Itoa(a.attempt))
 	}
 	return l.config.http.Do(req)
 }
--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -77,6 +77,8 @@
 	arrival struct {
 		number int
 		at     time.Time
+		// attempt counts how often the request was sent, this time included.
+		attempt int
 	}
 
 	// summary is what the callers saw.
@@ -149,14 +151,14 @@
 				return
 			}
 			select {
-			case due <- arrival{n, time.Now()}:
+			case due <- arrival{number: n, at: time.Now()}:
 			default:
 				l.count(outcomeSkipped)
 			}
 			continue
 		}
 		select {
-		case due <- arrival{n, time.Now()}:
+		case due <- arrival{number: n, at: time.Now()}:
 		case <-end.C:
 			return
 		case <-ctx.Done():
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -41,7 +41,7 @@
 // New returns the tenure of the endpoint instance self, which has no list yet.
 //
 //	t := tenure.New("case-desk-1")
-//	t.Note([]string{"case-desk-1", "case-desk-2"}, now)
+//	t.Note([]string{"case-desk-1", "case-desk-2"}, false, now)
 func New(self string) *Tenure {
 	return &Tenure{self: self}
 }
@@ -56,8 +56,10 @@
 	return first[0]
 }
 
-// Note takes in the list that is in force now.
-func (t *Tenure) Note(doors []string, now time.Time) {
+// Note takes in the list that is in force now. Founded says that it is the
+// service's first list and that this endpoint has run since before it: then
+// nothing can have run under its keys that it does not know.
+func (t *Tenure) Note(doors []string, founded bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.lists) > 0 && slices.Equal(t.lists[len(t.lists)-1].doors, doors) {
@@ -66,14 +68,18 @@
 	if len(t.lists) == 0 && len(doors) == 0 {
 		return
 	}
-	t.lists = append(t.lists, list{doors: slices.Clone(doors), from: now})
+	from := now
+	if len(t.lists) == 0 && founded {
+		from = time.Time{}
+	}
+	t.lists = append(t.lists, list{doors: slices.Clone(doors), from: from})
 	if len(t.lists) > keepLists {
 		t.lists = t.lists[1:]
 	}
 }
 
 // Home reports whether the endpoint is the home of key, and since when it has
-// been so without a break.
+// been so without a break; zero means always.
 func (t *Tenure) Home(key string) (bool, time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
