--- a/cmd/standin/peers.go
+++ b/cmd/standin/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/lavendermux/lavendermux/simeng"
@@ -85,7 +84,7 @@
 		simeng.WithCache(c.CacheBlocks),
 		simeng.WithOrderTimes(c.StageTime, c.SwitchTime),
 		simeng.WithLag(c.LoadLag, c.EventLag, c.EventLoss),
-		simeng.WithWeights(c.Weights, http.DefaultClient),
+		simeng.WithWeights(c.Weights),
 	}
 	for model, version := range c.Model {
 		opts = append(opts, simeng.WithModel(model, version))
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -26,6 +26,8 @@
 	peer = "model engine"
 	// maxEvent bounds one event of a stream, in bytes.
 	maxEvent = 1 << 20
+	// maxCache bounds one exported KV cache, in bytes.
+	maxCache = 64 << 20
 )
 
 var eventPrefix = []byte("data:")
@@ -50,6 +52,10 @@
 	fenceResponse struct {
 		Fence int64 `json:"fence"`
 	}
+
+	cacheMessage struct {
+		Cache []byte `json:"cache"`
+	}
 )
 
 // New returns a client of the engine at base, such as "http://127.0.0.1:7100".
@@ -148,10 +154,20 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(resp.Body)
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxCache+1))
+	if err == nil && len(raw) > maxCache {
+		return nil, errors.Newf("the KV cache of %s is over %d bytes", id, maxCache)
+	}
 	return raw, errors.Wrap(err, "reading a KV cache")
 }
 
+// ImportCache hands the engine a KV cache that another one exported, so that the
+// work it belongs to goes on there without its prompt being read again. An
+// engine refuses one that other weights made.
+func (c *Client) ImportCache(ctx context.Context, id string, cache []byte) error {
+	return c.rest.Do(ctx, http.MethodPut, "/v1/kvcache/"+url.PathEscape(id), cacheMessage{Cache: cache}, nil)
+}
+
 // CacheEvents returns the raw cache events after a number. They come late and
 // with gaps.
 func (c *Client) CacheEvents(ctx context.Context, after int64) (json.RawMessage, error) {
--- a/simeng/handlers.go
+++ b/simeng/handlers.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -14,14 +13,14 @@
 	"github.com/lavendermux/lavendermux/token"
 )
 
-const (
-	maxCache = 16 << 20
-)
-
 type (
 	eventsResponse struct {
 		Events []event `json:"events"`
 	}
+
+	cacheMessage struct {
+		Cache []byte `json:"cache"`
+	}
 )
 
 func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request, l *life) {
@@ -104,9 +103,6 @@
 	case <-l.crashed:
 	case <-r.Context().Done():
 	}
-	s.mu.Lock()
-	st.last = time.Now()
-	s.mu.Unlock()
 }
 
 // step makes what is due, and reports whether the stream is at its end.
@@ -122,9 +118,6 @@
 	default:
 		return token.Token{}, false
 	}
-	if st.last.IsZero() {
-		st.last = time.Now().Add(-s.config.tick)
-	}
 	t := l.advance(st, time.Now(), f)
 	return t, st.made >= st.length
 }
@@ -181,14 +174,13 @@
 // handleImport puts an exported KV cache in the prefix cache. One that other
 // weights made is refused.
 func (s *Server) handleImport(w http.ResponseWriter, r *http.Request, l *life) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCache))
-	if err != nil {
-		simsrv.Fail(w, http.StatusRequestEntityTooLarge, err.Error())
+	var in cacheMessage
+	if !simsrv.Read(w, r, &in) {
 		return
 	}
-	name, version, text, ok := splitCache(string(raw))
+	name, version, text, ok := splitCache(string(in.Cache))
 	if !ok {
-		simsrv.Fail(w, http.StatusBadRequest, "body: is not an exported KV cache")
+		simsrv.Fail(w, http.StatusBadRequest, "cache: is not an exported KV cache")
 		return
 	}
 	s.mu.Lock()
--- a/simeng/life.go
+++ b/simeng/life.go
@@ -121,7 +121,7 @@
 		return false
 	}
 	l.streams[st.req.ID] = st
-	l.wait(st)
+	l.wait(st, false)
 	if l.config.preempt {
 		l.preempt(st)
 	}
@@ -129,11 +129,12 @@
 	return true
 }
 
-// wait puts a stream behind those of its own priority.
-func (l *life) wait(st *stream) {
+// wait puts a stream behind those of its own priority, or before them if it has
+// run already.
+func (l *life) wait(st *stream, ran bool) {
 	place := len(l.waiting)
 	for i, other := range l.waiting {
-		if other.req.Priority < st.req.Priority {
+		if other.req.Priority < st.req.Priority || ran && other.req.Priority == st.req.Priority {
 			place = i
 			break
 		}
@@ -156,19 +157,21 @@
 	}
 	if least.req.Priority < st.req.Priority {
 		l.running = slices.DeleteFunc(l.running, func(o *stream) bool { return o == least })
-		l.wait(least)
+		l.wait(least, true)
 	}
 }
 
 // fill hands free slots to those that wait.
 func (l *life) fill() {
+	now := time.Now()
 	for len(l.running) < l.config.slots && len(l.waiting) > 0 {
 		st := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		l.running = append(l.running, st)
+		st.last = now
 		close(st.granted)
 	}
-	l.noteLoad(time.Now())
+	l.noteLoad(now)
 }
 
 // leave takes a stream out, wherever it stands.
--- a/simeng/options.go
+++ b/simeng/options.go
@@ -110,13 +110,16 @@
 	}
 }
 
-// WithWeights sets the weight store that staging fetches from, and the client
-// it is fetched with. The default is none: staging takes only its own time.
-func WithWeights(base string, client *http.Client) Option {
-	return func(c *config) {
-		c.weights = base
-		c.http = client
-	}
+// WithWeights sets the weight store that staging fetches from. The default is
+// none: staging takes only its own time.
+func WithWeights(base string) Option {
+	return func(c *config) { c.weights = base }
+}
+
+// WithHTTP sets the client that weights are fetched with. The default is
+// http.DefaultClient.
+func WithHTTP(h *http.Client) Option {
+	return func(c *config) { c.http = h }
 }
 
 // WithoutFence makes the engine ignore fencing numbers. The default is that it
--- a/simeng/stream.go
+++ b/simeng/stream.go
@@ -43,7 +43,8 @@
 		credit float64
 		// prefilled is set when the prompt is in the cache.
 		prefilled bool
-		last      time.Time
+		// last is up to when the stream has made its tokens.
+		last time.Time
 	}
 )
 
