Test the stand-ins for trainers and callers

Cause: a checker that misses a breach makes every run against the service worthless. Change: tests in which a small service breaks each promise in turn. A caller of a load without a rate now counts latency from when it is free; before, it counted the time that the request had waited for a caller, and the test's p99 was 4 s where answers take 2 s at most. Conclusion: each breach is noticed and named.

--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -76,7 +76,8 @@
 	// arrival is one request that is due.
 	arrival struct {
 		number int
-		at     time.Time
+		// at is when it was due; zero: when a caller takes it.
+		at time.Time
 	}
 
 	// summary is what the callers saw.
@@ -122,6 +123,9 @@
 	for range l.config.concurrency {
 		wg.Go(func() {
 			for a := range due {
+				if a.at.IsZero() {
+					a.at = time.Now()
+				}
 				l.request(ctx, a)
 			}
 		})
@@ -156,7 +160,7 @@
 			continue
 		}
 		select {
-		case due <- arrival{n, time.Now()}:
+		case due <- arrival{number: n}:
 		case <-end.C:
 			return
 		case <-ctx.Done():
--- /dev/null
+++ b/simcal/simcal_test.go
@@ -0,0 +1,187 @@
+package simcal_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lavendermux/lavendermux/memnet"
+	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/simsvc"
+	"github.com/lavendermux/lavendermux/simtxt"
+	. "github.com/onsi/gomega"
+)
+
+type (
+	// answering is how the service under the load behaves.
+	answering func(w http.ResponseWriter, prompt string, stream bool)
+
+	message map[string]any
+)
+
+func text(prompt string, words int64) string {
+	var b strings.Builder
+	for i := range words {
+		b.WriteString(simtxt.Text{Model: "draft", Prompt: prompt}.Word("1", i))
+	}
+	return b.String()
+}
+
+// whole answers truthfully with three tokens, a second after it was asked.
+func whole(w http.ResponseWriter, prompt string, stream bool) {
+	time.Sleep(time.Second)
+	if !stream {
+		reply(w, http.StatusOK, message{
+			"text": text(prompt, 3), "tokens": 3, "segments": []message{{"version": "1", "tokens": 3}},
+		})
+		return
+	}
+	send(w, message{"text": text(prompt, 3), "version": "1"})
+	time.Sleep(time.Second)
+	send(w, message{"done": true, "tokens": 3, "finish": "stop"})
+}
+
+func reply(w http.ResponseWriter, status int, m message) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(m)
+}
+
+func send(w http.ResponseWriter, m message) {
+	raw, _ := json.Marshal(m)
+	_, _ = fmt.Fprintf(w, "data: %s\n\n", raw)
+	_ = http.NewResponseController(w).Flush()
+}
+
+func refuse(w http.ResponseWriter, status int, kind string) {
+	reply(w, status, message{"error": message{"kind": kind, "cause": "test", "retryAfterMs": 500}})
+}
+
+// run plays a load of 10 s in virtual time and checks what it saw.
+func run(t *testing.T, h http.Handler, check func(g Gomega, l *simcal.Load), opts ...simcal.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New()
+		defer synctest.Wait()
+		defer n.Close()
+		g := NewWithT(t)
+		_, err := n.Serve("10.0.0.1:80", h)
+		g.Expect(err).NotTo(HaveOccurred())
+		opts = append([]simcal.Option{simcal.WithHTTP(n.Client("10.0.0.2"))}, opts...)
+		check(g, simcal.New([]string{"http://10.0.0.1"}, opts...))
+	})
+}
+
+func generating(answer answering) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var in struct {
+			Prompt string `json:"prompt"`
+			Stream bool   `json:"stream"`
+		}
+		_ = json.NewDecoder(r.Body).Decode(&in)
+		answer(w, in.Prompt, in.Stream)
+	})
+}
+
+func TestSimcalMeasuresAnswers(t *testing.T) {
+	run(t, generating(whole), func(g Gomega, l *simcal.Load) {
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes).To(HaveLen(1))
+		g.Expect(sum.Outcomes["ok"]).To(BeNumerically("~", 27, 5), "4 callers, 1 or 2 s a request, 10 s")
+		g.Expect(sum.Tokens).To(Equal(3 * sum.Outcomes["ok"]))
+		g.Expect(sum.LatencyP50).To(BeElementOf(1000.0, 2000.0))
+		g.Expect(sum.LatencyP99).To(Equal(2000.0))
+		g.Expect(sum.FirstP99).To(Equal(1000.0))
+		g.Expect(sum.Bad()).To(BeZero())
+	}, simcal.WithStreaming(0.5))
+}
+
+// More requests are due than callers are free. They must not be sent later and
+// counted as if they had been due then: that would hide the saturation.
+func TestSimcalSkipsWhatIsDueWhileAllAreBusy(t *testing.T) {
+	run(t, generating(whole), func(g Gomega, l *simcal.Load) {
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes["ok"]).To(BeNumerically("~", 18, 3))
+		g.Expect(sum.Outcomes["ok"] + sum.Outcomes["skipped"]).To(BeNumerically("~", 100, 30))
+	}, simcal.WithRate(10, 2))
+}
+
+// An answer is another request's, or a part of one that passes for the whole, or
+// ends without its end. Each must be told apart, or a run proves nothing.
+func TestSimcalTellsAnswersApart(t *testing.T) {
+	cases := map[string]answering{
+		"wrong": func(w http.ResponseWriter, _ string, stream bool) { whole(w, "another", stream) },
+		"cutOff": func(w http.ResponseWriter, prompt string, _ bool) {
+			send(w, message{"text": text(prompt, 2), "version": "1"})
+		},
+		"noAnswer":       func(http.ResponseWriter, string, bool) { simsrv.Drop() },
+		"outcomeUnknown": func(w http.ResponseWriter, _ string, _ bool) { refuse(w, http.StatusBadGateway, "outcomeUnknown") },
+		"status418":      func(w http.ResponseWriter, _ string, _ bool) { w.WriteHeader(http.StatusTeapot) },
+	}
+	for outcome, answer := range cases {
+		slowly := func(w http.ResponseWriter, prompt string, stream bool) {
+			time.Sleep(time.Second)
+			answer(w, prompt, stream)
+		}
+		run(t, generating(slowly), func(g Gomega, l *simcal.Load) {
+			sum := l.Run(context.Background())
+			g.Expect(sum.Outcomes).To(HaveLen(1), "%v", sum.Problems)
+			g.Expect(sum.Outcomes).To(HaveKey(outcome))
+		}, simcal.WithStreaming(1))
+	}
+}
+
+func TestSimcalNoticesShortAndMisnamedAnswers(t *testing.T) {
+	for _, version := range []string{"1", "2"} {
+		wrong := func(w http.ResponseWriter, prompt string, _ bool) {
+			time.Sleep(time.Second)
+			send(w, message{"text": text(prompt, 2), "version": version})
+			send(w, message{"done": true, "tokens": map[string]int{"1": 3, "2": 2}[version]})
+		}
+		run(t, generating(wrong), func(g Gomega, l *simcal.Load) {
+			sum := l.Run(context.Background())
+			g.Expect(sum.Bad()).To(BeNumerically(">", 0))
+			g.Expect(sum.Outcomes).To(HaveLen(1))
+		}, simcal.WithStreaming(1))
+	}
+}
+
+// The service turns every first attempt away, or loses its answer. Callers ask
+// again only where that can't book a slot twice.
+func TestSimcalAsksAgainOnlyWhereItIsSafe(t *testing.T) {
+	for _, kind := range []string{"notRun", "outcomeUnknown"} {
+		svc := simsvc.New(simsvc.WithDelay(time.Second))
+		var mu sync.Mutex
+		asked := 0
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			asked++
+			first := asked%2 == 1
+			mu.Unlock()
+			if first {
+				refuse(w, http.StatusServiceUnavailable, kind)
+				return
+			}
+			r.URL.Path = strings.TrimPrefix(r.URL.Path, "/v1/services/booking-api")
+			svc.ServeHTTP(w, r)
+		})
+		run(t, h, func(g Gomega, l *simcal.Load) {
+			sum := l.Run(context.Background())
+			g.Expect(sum.Outcomes["ok"]).To(BeNumerically(">", 3))
+			g.Expect(svc.Runs("slot-0", "caller-0")).To(BeNumerically("<=", 1))
+			if kind == "notRun" {
+				g.Expect(sum.Outcomes).To(HaveLen(1))
+				g.Expect(sum.Retries).To(Equal(sum.Outcomes["ok"]))
+			} else {
+				g.Expect(sum.Outcomes["outcomeUnknown"]).To(BeNumerically(">", 1), "those without a key are not sent again")
+				g.Expect(sum.Retries).To(BeNumerically(">", 1), "those with a key are")
+			}
+		}, simcal.WithService("booking-api", 0.5), simcal.WithAttempts(2), simcal.WithRate(0, 1))
+	}
+}
--- /dev/null
+++ b/simtrn/simtrn_test.go
@@ -0,0 +1,257 @@
+package simtrn_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/memnet"
+	"github.com/lavendermux/lavendermux/simscr"
+	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/simwts"
+	. "github.com/onsi/gomega"
+)
+
+type (
+	segment struct {
+		Version string `json:"version"`
+		Tokens  int    `json:"tokens"`
+	}
+
+	sample struct {
+		ID       string    `json:"id"`
+		Group    string    `json:"group"`
+		Index    int       `json:"index"`
+		Step     int       `json:"step"`
+		Text     string    `json:"text"`
+		Tokens   int       `json:"tokens"`
+		Segments []segment `json:"segments"`
+		Score    float64   `json:"score"`
+	}
+
+	group struct {
+		ID      string `json:"id"`
+		Step    int    `json:"step"`
+		Prompt  string `json:"prompt"`
+		Samples int    `json:"samples"`
+	}
+
+	// service is the least that a trainer can talk to: it answers each pull with
+	// what is due, and a repeated cursor with the same offer.
+	service struct {
+		published string
+		due       []sample
+		offer     []sample
+		offers    int
+		// refuse is how many of the next calls are turned away.
+		refuse int
+		// spoil changes samples before they are offered.
+		spoil func([]sample) []sample
+		calls []string
+	}
+)
+
+// ServeHTTP implements http.Handler.
+func (s *service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	action := strings.TrimPrefix(r.URL.Path, "/v1/subscriptions/notices/")
+	s.calls = append(s.calls, action)
+	if s.refuse > 0 {
+		s.refuse--
+		http.Error(w, `{"error": {"kind": "notRun"}}`, http.StatusServiceUnavailable)
+		return
+	}
+	var in struct {
+		Version string  `json:"version"`
+		Cursor  string  `json:"cursor"`
+		Max     int     `json:"max"`
+		Groups  []group `json:"groups"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&in)
+	var out any = struct{}{}
+	switch action {
+	case "weights":
+		s.published = in.Version
+	case "groups":
+		for _, g := range in.Groups {
+			s.add(g)
+		}
+	case "pull":
+		out = s.pull(in.Cursor, in.Max)
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
+func (s *service) add(g group) {
+	for i := range g.Samples {
+		text := simtxt.Text{Model: "draft", Prompt: g.Prompt}
+		word := text.Word(s.published, 0) + text.Word(s.published, 1)
+		s.due = append(s.due, sample{
+			ID: fmt.Sprintf("%s/%d", g.ID, i), Group: g.ID, Index: i, Step: g.Step,
+			Text: word, Tokens: 2, Segments: []segment{{s.published, 2}}, Score: simscr.Score(g.Prompt, word),
+		})
+	}
+}
+
+func (s *service) pull(cursor string, most int) any {
+	if cursor == strconv.Itoa(s.offers) || cursor == "" && s.offers == 0 {
+		s.offers++
+		n := min(most, len(s.due))
+		s.offer, s.due = s.due[:n], s.due[n:]
+		if s.spoil != nil {
+			s.offer = s.spoil(s.offer)
+		}
+	}
+	return map[string]any{"offer": s.offers, "cursor": strconv.Itoa(s.offers), "samples": s.offer}
+}
+
+// train runs a trainer of two steps of 2 groups of 4 in virtual time.
+func train(t *testing.T, s *service, check func(g Gomega, t *simtrn.Trainer, st *simwts.Server), opts ...simtrn.Option) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		n := memnet.New()
+		defer synctest.Wait()
+		defer n.Close()
+		st := simwts.New()
+		for addr, h := range map[string]http.Handler{"10.0.0.1:80": s, "10.0.0.3:80": st} {
+			_, err := n.Serve(addr, h)
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		opts = append([]simtrn.Option{
+			simtrn.WithHTTP(n.Client("10.0.0.2")),
+			simtrn.WithStore("http://10.0.0.3", 1e6),
+			simtrn.WithSteps(2),
+			simtrn.WithGroups(2, 4),
+			simtrn.WithPulls(time.Second, 3),
+			simtrn.WithScores(simscr.Score),
+		}, opts...)
+		check(g, simtrn.New("notices", []string{"http://10.0.0.1"}, opts...), st)
+	})
+}
+
+func TestSimtrnTrainsSteps(t *testing.T) {
+	s := &service{refuse: 2}
+	train(t, s, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+		sum, err := tr.Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
+		g.Expect(sum.Steps).To(Equal(2))
+		g.Expect(sum.Samples).To(Equal(int64(16)))
+		g.Expect(sum.Failures).To(Equal(int64(2)), "turned away and tried again")
+		g.Expect(sum.Seconds).To(BeNumerically("~", 2.3, 0.2), "two steps of a second and two pauses")
+		g.Expect(sum.IdleShare).To(BeZero())
+		g.Expect(sum.StalenessMax).To(BeZero())
+		g.Expect(s.published).To(Equal("3"))
+		g.Expect(s.calls[:4]).To(Equal([]string{"weights", "weights", "weights", "groups"}))
+	})
+}
+
+func TestSimtrnSubmitsAheadAndCountsStaleness(t *testing.T) {
+	train(t, &service{}, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+		sum, err := tr.Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
+		g.Expect(sum.StalenessMax).To(Equal(1.0), "the second step was made with the first version")
+		g.Expect(sum.StalenessMean).To(BeNumerically("~", 0.44, 0.1), "the eighth to tenth sample come in one pull")
+	}, simtrn.WithAhead(1))
+}
+
+// The trainer's connection breaks again and again before it has read a pull's
+// answer. It asks with its old cursor, and gets each sample once.
+func TestSimtrnLosesAnswersOnPurpose(t *testing.T) {
+	train(t, &service{}, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+		sum, err := tr.Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
+		g.Expect(sum.Samples).To(Equal(int64(16)))
+		g.Expect(sum.Lost).To(BeNumerically(">", 2))
+	}, simtrn.WithLoss(0.7))
+}
+
+// The trainer waits for a step that never becomes whole, and gives up with what
+// it saw.
+func TestSimtrnGivesUp(t *testing.T) {
+	s := &service{spoil: func([]sample) []sample { return nil }}
+	train(t, s, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		sum, err := tr.Run(ctx)
+		g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue(), "%v", err)
+		g.Expect(sum.Samples).To(BeZero())
+		g.Expect(sum.IdleShare).To(BeNumerically("~", 1, 0.01))
+	})
+}
+
+// A service breaks a promise about one sample. The trainer must notice each kind
+// of breach, or runs against the real service would prove nothing.
+func TestSimtrnNoticesBrokenPromises(t *testing.T) {
+	other := simtxt.Text{Model: "draft", Prompt: "another"}
+	spoils := map[string]func(*sample){
+		"is 3 versions old":      func(s *sample) { s.age("-2") },
+		"answers another prompt": func(s *sample) { s.Text = other.Word("1", 0) + other.Word("1", 1) },
+		"named is \"2\"":         func(s *sample) { s.Segments[0].Version = "2" },
+		"names 3 tokens":         func(s *sample) { s.Tokens = 3 },
+		"of version \"\"":        func(s *sample) { s.age("") },
+		"never asked for":        func(s *sample) { s.Index = 4 },
+		"of another text":        func(s *sample) { s.Score++ },
+	}
+	for problem, spoil := range spoils {
+		s := &service{}
+		s.spoil = func(in []sample) []sample {
+			if s.offers == 1 {
+				spoil(&in[0])
+			}
+			return in
+		}
+		if problem == "never asked for" {
+			// The step would wait for the sample for ever without its true copy.
+			s.spoil = func(in []sample) []sample {
+				if s.offers != 1 {
+					return in
+				}
+				wrong := in[0]
+				spoil(&wrong)
+				return append([]sample{wrong}, in...)
+			}
+		}
+		expectProblem(t, s, problem)
+	}
+}
+
+// A sample comes in two offers, as after a change of holder that nobody recorded.
+func TestSimtrnNoticesDuplicate(t *testing.T) {
+	var first sample
+	s := &service{}
+	s.spoil = func(in []sample) []sample {
+		if s.offers == 1 {
+			first = in[0]
+			return in
+		}
+		return append([]sample{first}, in...)
+	}
+	expectProblem(t, s, "was delivered before")
+}
+
+func expectProblem(t *testing.T, s *service, problem string) {
+	t.Helper()
+	train(t, s, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+		sum, err := tr.Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeNumerically(">=", 1), problem)
+		g.Expect(sum.Problems[0]).To(ContainSubstring(problem))
+	})
+}
+
+// age rewrites the sample as made by another version.
+func (s *sample) age(version string) {
+	s.Text = strings.ReplaceAll(s.Text, "@1:", "@"+version+":")
+	s.Segments[0].Version = version
+}
