--- /dev/null
+++ b/queue/order.go
@@ -0,0 +1,39 @@
+package queue
+
+import (
+	"cmp"
+	"time"
+)
+
+// outranks reports whether the first always goes before the second, by kind and
+// priority.
+func (q *Queue[T]) outranks(a, b *entry[T]) bool {
+	if a.work.Live() != b.work.Live() {
+		return a.work.Live()
+	}
+	return a.work.Priority > b.work.Priority
+}
+
+// compare orders by kind, priority and then by due time: the arrival and a
+// multiple of the estimated service time. Short work thus overtakes long work,
+// but only long work that hasn't yet waited in proportion to its length.
+func (q *Queue[T]) compare(a, b *entry[T]) int {
+	switch {
+	case q.outranks(a, b):
+		return -1
+	case q.outranks(b, a):
+		return 1
+	}
+	if c := a.due.Compare(b.due); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ticket, b.ticket)
+}
+
+func (q *Queue[T]) due(e *entry[T]) time.Time {
+	return e.pushed.Add(scale(q.pace.service(e.work), q.settings.stretch))
+}
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
--- /dev/null
+++ b/queue/plan.go
@@ -0,0 +1,158 @@
+package queue
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/fault"
+)
+
+// leastLeft bounds from below the share of the slots that the forecast leaves
+// to work of a lower rank, so that a prediction stays finite.
+const leastLeft = 0.02
+
+// planner predicts when the slots come free. It keeps its memory between
+// predictions, so that one costs no allocation.
+type planner struct {
+	free []time.Duration
+	// left is the share of the slots that live work yet to come will leave.
+	left float64
+}
+
+// refuse returns why the work can't be let in, or nil. Waiting work that goes
+// behind it and would now be late is given up at once.
+func (q *Queue[T]) refuse(e *entry[T], now time.Time) error {
+	if len(q.waiting) >= q.settings.limit && !q.displaceLast(e, now) {
+		return saturated(q.backlog(now), "as much work waits as may wait")
+	}
+	if e.work.Deadline.IsZero() {
+		return nil
+	}
+	service, budget := q.pace.service(e.work), e.work.Deadline.Sub(now)
+	if service > budget {
+		return &fault.NotRunError{
+			Cause:      CauseTooLong,
+			Reason:     fmt.Sprintf("the work takes about %s and has %s", service, budget),
+			RetryAfter: q.backlog(now),
+		}
+	}
+	late, victims := q.predict(e, now)
+	if late > 0 {
+		return saturated(late, "the work would end after its deadline")
+	}
+	for _, v := range victims {
+		q.waiting = slices.DeleteFunc(q.waiting, func(w *entry[T]) bool { return w == v })
+	}
+	for _, v := range victims {
+		q.drop(v, CauseDisplaced, "work that goes before it came later", q.backlog(now))
+	}
+	return nil
+}
+
+func saturated(after time.Duration, reason string) error {
+	return &fault.NotRunError{Cause: CauseSaturated, Reason: reason, RetryAfter: after}
+}
+
+// displaceLast gives up the last waiting work for work that outranks it.
+func (q *Queue[T]) displaceLast(e *entry[T], now time.Time) bool {
+	if len(q.waiting) == 0 {
+		return false
+	}
+	last := q.waiting[len(q.waiting)-1]
+	if !q.outranks(e, last) {
+		return false
+	}
+	q.waiting = q.waiting[:len(q.waiting)-1]
+	q.drop(last, CauseDisplaced, "work that goes before it came later", q.backlog(now))
+	return true
+}
+
+// predict returns by how much the work would be late, or else which waiting
+// work it would make late.
+func (q *Queue[T]) predict(e *entry[T], now time.Time) (late time.Duration, victims []*entry[T]) {
+	q.start(now)
+	at, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
+	for _, w := range q.waiting[:at] {
+		q.place(w)
+	}
+	late = q.lateness(e, now)
+	if late > 0 {
+		return late, nil
+	}
+	for _, w := range q.waiting[at:] {
+		if q.lateness(w, now) > 0 {
+			victims = append(victims, w)
+		}
+	}
+	return 0, victims
+}
+
+// start sets up the slots as they will come free from the running work.
+func (q *Queue[T]) start(now time.Time) {
+	free := q.plan.free[:0]
+	for _, r := range q.running {
+		free = append(free, q.pace.left(r.work, now.Sub(r.started)))
+	}
+	for len(free) < q.slots.Total() {
+		free = append(free, 0)
+	}
+	slices.Sort(free)
+	q.plan.free = free
+	q.plan.left = 1
+	if q.settings.forecast > 0 {
+		taken := q.live.at(now, q.settings.forecast) / float64(max(q.slots.Total(), 1))
+		q.plan.left = max(1-taken, leastLeft)
+	}
+}
+
+// place puts work on the first slot that it may take and returns when it ends.
+func (q *Queue[T]) place(e *entry[T]) time.Duration {
+	free := q.plan.free
+	if len(free) == 0 {
+		return longest
+	}
+	i := min(q.slots.Kept(e.work), len(free)-1)
+	begin := free[i]
+	service := q.pace.service(e.work)
+	if begin > 0 {
+		// On a free slot an attempt costs nobody anything; only work that waits
+		// must be likely to succeed.
+		service = scale(service, q.settings.margin)
+	}
+	end := begin + service
+	free = slices.Delete(free, i, i+1)
+	at, _ := slices.BinarySearch(free, end)
+	q.plan.free = slices.Insert(free, at, end)
+	if e.work.Live() {
+		return end
+	}
+	// While a rollout waits, live work keeps coming and goes first: the slots
+	// work off what is ahead of it only with the share that this leaves.
+	// Without it a rollout waits for almost all of its time before the queue
+	// knows that it won't be in time.
+	return scale(begin, 1/q.plan.left) + service
+}
+
+func (q *Queue[T]) lateness(e *entry[T], now time.Time) time.Duration {
+	end := q.place(e)
+	if e.work.Deadline.IsZero() {
+		return 0
+	}
+	return now.Add(end).Sub(e.work.Deadline)
+}
+
+// backlog is how long all that runs and waits will keep every slot taken.
+func (q *Queue[T]) backlog(now time.Time) time.Duration {
+	q.start(now)
+	for _, w := range q.waiting {
+		q.place(w)
+	}
+	if len(q.plan.free) == 0 {
+		return longest
+	}
+	return q.plan.free[0]
+}
+
+// longest stands for a prediction where there is no slot at all.
+const longest = time.Minute
