Let tests cut one way, reset connections and see what ran on an engine

Cause: a request that runs while its answer can't come back, a connection that breaks while both ends live, an engine whose memory is full of versions, and a 'not run' that is untrue had no way to be provoked or seen. Change: memnet cuts one way and resets connections; the engine stand-in counts what it did and which requests had a slot, through crashes, and can have a memory limit; the key-value stand-in takes time for a call (2 ms in the program).

--- a/cmd/standin/peers.go
+++ b/cmd/standin/peers.go
@@ -14,10 +14,11 @@
 
 type (
 	kvCommand struct {
-		Listen    string  `default:"127.0.0.1:7000" help:"Address to serve at."`
-		WriteRate float64 `default:"300" help:"Writes a second."`
-		ReadRate  float64 `default:"2000" help:"Reads and watches a second."`
-		History   int     `default:"10000" help:"Changes that are kept for watches."`
+		Listen    string        `default:"127.0.0.1:7000" help:"Address to serve at."`
+		WriteRate float64       `default:"300" help:"Writes a second."`
+		ReadRate  float64       `default:"2000" help:"Reads and watches a second."`
+		History   int           `default:"10000" help:"Changes that are kept for watches."`
+		Latency   time.Duration `default:"2ms" help:"Time that a call takes."`
 	}
 
 	engineCommand struct {
@@ -40,6 +41,7 @@
 		LoadLag     time.Duration     `default:"1s" help:"Age of the reported load."`
 		EventLag    time.Duration     `default:"2s" help:"Lateness of cache events."`
 		EventLoss   float64           `default:"0.05" help:"Share of cache events that are lost."`
+		Memory      int               `help:"Versions of a model that fit in memory; 0: no limit."`
 		Weights     string            `help:"URL of the weight store; none: staging fetches nothing."`
 		IgnoreFence bool              `help:"Take orders with old fencing numbers."`
 		Silent      bool              `help:"Name no version on tokens."`
@@ -68,7 +70,11 @@
 
 // Run serves the key-value service.
 func (c *kvCommand) Run(ctx context.Context) error {
-	kv := simkv.New(simkv.WithRates(c.WriteRate, c.ReadRate), simkv.WithHistory(c.History))
+	kv := simkv.New(
+		simkv.WithRates(c.WriteRate, c.ReadRate),
+		simkv.WithHistory(c.History),
+		simkv.WithLatency(c.Latency),
+	)
 	return serve(ctx, "kv", c.Listen, kv)
 }
 
@@ -84,6 +90,7 @@
 		simeng.WithCache(c.CacheBlocks),
 		simeng.WithOrderTimes(c.StageTime, c.SwitchTime),
 		simeng.WithLag(c.LoadLag, c.EventLag, c.EventLoss),
+		simeng.WithMemory(c.Memory),
 		simeng.WithWeights(c.Weights),
 	}
 	for model, version := range c.Model {
--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -21,6 +21,7 @@
 	conn struct {
 		network *Network
 		host    string
+		peer    string
 		local   address
 		remote  address
 		in      *stream
@@ -39,7 +40,7 @@
 		ended bool
 		// left is set when the reader closed.
 		left bool
-		// broken is set when either instance was killed.
+		// broken is set when either instance was killed, or the connection reset.
 		broken bool
 		// readBy and writeBy are the deadlines of the two ends.
 		readBy  time.Time
@@ -59,8 +60,8 @@
 	there := newStream(n, from, l.host)
 	back := newStream(n, l.host, from)
 	caller := address(net.JoinHostPort(from, strconv.Itoa(port)))
-	near = &conn{network: n, host: from, local: caller, remote: l.addr, in: back, out: there}
-	far = &conn{network: n, host: l.host, local: l.addr, remote: caller, in: there, out: back}
+	near = &conn{network: n, host: from, peer: l.host, local: caller, remote: l.addr, in: back, out: there}
+	far = &conn{network: n, host: l.host, peer: from, local: l.addr, remote: caller, in: there, out: back}
 	return near, far
 }
 
@@ -102,6 +103,12 @@
 	c.network.forget(c)
 }
 
+// breakOff breaks the connection while both instances live.
+func (c *conn) breakOff() {
+	c.out.change(func(s *stream) { s.broken = true })
+	c.in.change(func(s *stream) { s.broken = true })
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -36,7 +36,8 @@
 		listeners map[string]*listener
 		// lives counts how often each instance was killed. What belongs to an
 		// earlier life of an instance fails.
-		lives  map[string]int
+		lives map[string]int
+		// cuts are by direction: from a to b.
 		cuts   map[pair]bool
 		frozen map[string]bool
 		delays map[pair]time.Duration
@@ -50,7 +51,7 @@
 	// Option changes a Network as New makes it.
 	Option func(*Network)
 
-	// pair is two instances in order.
+	// pair is two instances; where the direction doesn't matter, in order.
 	pair struct {
 		a, b string
 	}
@@ -148,12 +149,40 @@
 // Cut stops all bytes between two instances. Connections stay open, and what is
 // written on them arrives after Heal. Dials wait.
 func (n *Network) Cut(a, b string) {
-	n.change(func() { n.cuts[ordered(a, b)] = true })
+	n.change(func() {
+		n.cuts[pair{a, b}] = true
+		n.cuts[pair{b, a}] = true
+	})
 }
 
-// Heal ends a cut.
+// CutOneWay is Cut for the bytes that go from one instance to another only.
+// Dials wait both ways, since a handshake needs both.
+func (n *Network) CutOneWay(from, to string) {
+	n.change(func() { n.cuts[pair{from, to}] = true })
+}
+
+// Heal ends a cut, of either kind.
 func (n *Network) Heal(a, b string) {
-	n.change(func() { delete(n.cuts, ordered(a, b)) })
+	n.change(func() {
+		delete(n.cuts, pair{a, b})
+		delete(n.cuts, pair{b, a})
+	})
+}
+
+// Reset breaks all connections between two instances, as something on the way
+// may: both ends meet an error, and new connections can be made.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	var broken []*conn
+	for c := range n.conns {
+		if ordered(c.host, c.peer) == ordered(a, b) {
+			broken = append(broken, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range broken {
+		c.breakOff()
+	}
 }
 
 // Freeze stops all bytes to and from an instance, as when its process is
@@ -237,7 +266,7 @@
 func (n *Network) link(from, to string) (open bool, delay time.Duration, changed <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	open = !n.cuts[ordered(from, to)] && !n.frozen[from] && !n.frozen[to]
+	open = !n.cuts[pair{from, to}] && !n.frozen[from] && !n.frozen[to]
 	return open, n.delayOf(from, to), n.changed
 }
 
@@ -267,7 +296,7 @@
 	for {
 		n.mu.Lock()
 		dead := n.lives[from] != life
-		waits := n.cuts[ordered(from, to)] || n.frozen[from]
+		waits := n.cuts[pair{from, to}] || n.cuts[pair{to, from}] || n.frozen[from]
 		delay, changed := n.delayOf(from, to), n.changed
 		n.mu.Unlock()
 		if dead {
--- a/memnet/memnet_test.go
+++ b/memnet/memnet_test.go
@@ -207,6 +207,51 @@
 	})
 }
 
+// Bytes pass in one direction only. The request runs, and its caller never hears.
+func TestMemnetCutOneWay(t *testing.T) {
+	inBubble(t, func(g Gomega, n *memnet.Network) {
+		served := 0
+		_, err := n.Serve(addr, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }))
+		g.Expect(err).NotTo(HaveOccurred())
+		c := n.Client(callerIP)
+		_, err = post(context.Background(), c, "a")
+		g.Expect(err).NotTo(HaveOccurred())
+		n.CutOneWay(serverIP, callerIP)
+		ctx, cancel := within(time.Minute)
+		defer cancel()
+		_, err = post(ctx, c, "b")
+		g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue(), "%v", err)
+		g.Expect(served).To(Equal(2))
+		n.Heal(callerIP, serverIP)
+		_, err = post(context.Background(), c, "c")
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// Something on the way breaks a connection in the middle of an answer. Both ends
+// live and learn of it at once, and the next request goes through.
+func TestMemnetResetBreaksConnections(t *testing.T) {
+	inBubble(t, func(g Gomega, n *memnet.Network) {
+		ended := make(chan struct{})
+		_, err := n.Serve(addr, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if body, _ := io.ReadAll(r.Body); string(body) == "long" {
+				<-r.Context().Done()
+				close(ended)
+			}
+		}))
+		g.Expect(err).NotTo(HaveOccurred())
+		c := n.Client(callerIP)
+		time.AfterFunc(time.Second, func() { n.Reset(callerIP, serverIP) })
+		begin := time.Now()
+		_, err = post(context.Background(), c, "long")
+		g.Expect(errors.Is(err, syscall.ECONNRESET)).To(BeTrue(), "%v", err)
+		g.Expect(time.Since(begin)).To(Equal(time.Second))
+		<-ended
+		_, err = post(context.Background(), c, "short")
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
 // A reader is too slow or stopped. The writer must wait, not fill memory.
 func TestMemnetWriterWaitsForReader(t *testing.T) {
 	inBubble(t, func(g Gomega, n *memnet.Network) {
--- a/simeng/handlers.go
+++ b/simeng/handlers.go
@@ -113,13 +113,23 @@
 	select {
 	case <-st.cancelled:
 		st.finish = finishCancelled
+		s.counts.Cancelled++
 		return token.Token{}, true
 	case <-st.granted:
 	default:
 		return token.Token{}, false
 	}
+	s.begin(st)
+	read, cached := st.read, st.cached
 	t := l.advance(st, time.Now(), f)
-	return t, st.made >= st.length
+	s.counts.PromptTokens += st.read - read
+	s.counts.CachedTokens += st.cached - cached
+	s.counts.Tokens += t.Tokens
+	done := st.made >= st.length
+	if done {
+		s.counts.Whole++
+	}
+	return t, done
 }
 
 func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, l *life) {
--- a/simeng/options.go
+++ b/simeng/options.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// WithMemory sets how many versions of a model fit in memory, the one in use
+// included. The default is 0, no limit.
+func WithMemory(versions int) Option {
+	return func(c *config) { c.memory = versions }
+}
+
 // WithLag sets how old the load in the engine's state is, how late cache events
 // come, and which share of those is lost. The default is 1 s, 2 s and 0.05.
 func WithLag(load, events time.Duration, lost float64) Option {
--- a/simeng/orders.go
+++ b/simeng/orders.go
@@ -51,8 +51,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if checks && fence < l.fence {
+		s.counts.OldOrders++
 		return l.fence, false
 	}
+	s.counts.Orders++
 	l.fence = max(l.fence, fence)
 	return l.fence, true
 }
@@ -94,6 +96,9 @@
 		m = &model{staged: make(map[string]bool)}
 		l.models[o.Model] = m
 	}
+	if s.config.memory > 0 && !m.staged[o.Version] && len(m.staged) >= s.config.memory {
+		return &failure{http.StatusInsufficientStorage, "memory is full of versions of " + o.Model}
+	}
 	m.staged[o.Version] = true
 	return nil
 }
--- a/simeng/orders_test.go
+++ b/simeng/orders_test.go
@@ -46,6 +46,18 @@
 	})
 }
 
+// Old versions are never unloaded. The engine's memory fills up, and a new
+// version can't be staged until one is dropped.
+func TestSimengMemoryIsFull(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.Expect(b.order(1, order.Stage, "2")).To(Succeed())
+		b.Expect(b.order(1, order.Stage, "3")).To(MatchError(ContainSubstring("memory is full")))
+		b.Expect(b.order(1, order.Stage, "2")).To(Succeed(), "it is there already")
+		b.Expect(b.order(1, order.Unload, "2")).To(Succeed())
+		b.Expect(b.order(1, order.Stage, "3")).To(Succeed())
+	}, simeng.WithMemory(2))
+}
+
 func TestSimengStagesAtTheStoresRate(t *testing.T) {
 	inBubble(t, func(b *bench) {
 		b.store.Put(model, "2", 1e9)
@@ -139,6 +151,7 @@
 		b.Expect(st.Version(model)).To(Equal("1"))
 		b.Expect(st.Fence).To(BeZero())
 		b.Expect(b.generate(ctx, request("1", "len=3")).err).NotTo(HaveOccurred())
+		b.Expect(b.engine.Ran()).To(Equal(map[string]int{"1": 2}), "a test still knows what ran before the crash")
 	}, simeng.WithOrderTimes(time.Second, 100*time.Millisecond))
 }
 
@@ -179,5 +192,6 @@
 		b.Expect(errors.As(b.generate(ctx, req).err, &rejected)).To(BeTrue())
 		b.Expect(rejected.Reason).To(ContainSubstring("not loaded"))
 		b.Expect((<-one).err).NotTo(HaveOccurred())
+		b.Expect(b.engine.Ran()).To(Equal(map[string]int{"1": 1}), "what was rejected did not run")
 	})
 }
--- a/simeng/simeng.go
+++ b/simeng/simeng.go
@@ -43,6 +43,9 @@
 
 		mu   sync.Mutex
 		life *life
+		// What follows outlives a crash: it is what a test knows, not the engine.
+		counts countsResponse
+		ran    map[string]int
 	}
 
 	// Option changes a Server as New makes it.
@@ -64,6 +67,7 @@
 		cacheBlocks int
 		stageTime   time.Duration
 		switchTime  time.Duration
+		memory      int
 		loadLag     time.Duration
 		eventLag    time.Duration
 		eventGap    float64
@@ -111,6 +115,7 @@
 	s := &Server{
 		config:   defaults(),
 		ordering: make(chan struct{}, 1),
+		ran:      make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(&s.config)
@@ -183,6 +188,8 @@
 func (s *Server) routes() *mux.Router {
 	r := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	r.Handle("/faults", s.faults).Methods(http.MethodGet, http.MethodPost)
+	r.HandleFunc("/counts", s.handleCounts).Methods(http.MethodGet)
+	r.HandleFunc("/ran", s.handleRan).Methods(http.MethodGet)
 	r.HandleFunc("/v1/generate", s.call(s.handleGenerate)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/generate/{id}/cancel", s.call(s.handleCancel)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/orders", s.call(s.handleOrder)).Methods(http.MethodPost)
--- a/simeng/simeng_test.go
+++ b/simeng/simeng_test.go
@@ -225,6 +225,8 @@
 		b.Expect(b.order(1, order.Stage, "2")).To(Succeed())
 		b.Expect(b.order(1, order.Switch, "2")).To(Succeed())
 		b.Expect(took("4", long)).To(BeNumerically("~", prefill, time.Second), "other weights have no use for it")
+		b.Expect(b.engine.Counts().CachedTokens).To(BeNumerically("~", len(long)/4, 16), "one hit")
+		b.Expect(b.engine.Counts().Whole).To(Equal(int64(9)))
 	}, simeng.WithRates(10, 100, 100), simeng.WithCache(120))
 }
 
--- a/simeng/stream.go
+++ b/simeng/stream.go
@@ -41,6 +41,11 @@
 		// credit is the part of a token that is made already. It is below 0
 		// while the prompt is read.
 		credit float64
+		// begun is set once the stream has run.
+		begun bool
+		// read and cached are tokens of the prompt: all, and those that the
+		// prefix cache held.
+		read, cached int64
 		// prefilled is set when the prompt is in the cache.
 		prefilled bool
 		// last is up to when the stream has made its tokens.
@@ -119,6 +124,8 @@
 func (l *life) prefill(st *stream, version string, now time.Time) float64 {
 	text := st.req.Prompt + st.req.Prior
 	hits := l.cache.use(hashes(st.req.Model, version, text), now)
+	st.read = int64(len(text) / tokenBytes)
+	st.cached = int64(hits * blockBytes / tokenBytes)
 	return float64(len(text)-hits*blockBytes) / tokenBytes / l.config.prefillRate
 }
 
--- a/simkv/simkv.go
+++ b/simkv/simkv.go
@@ -33,6 +33,7 @@
 		faults  *simsrv.Faults[faults]
 		router  *mux.Router
 		history int
+		latency time.Duration
 		writes  *rate.Limiter
 		reads   *rate.Limiter
 
@@ -91,6 +92,12 @@
 	}
 }
 
+// WithLatency sets how long each call takes, beside a watch's waiting. The
+// default is no time.
+func WithLatency(d time.Duration) Option {
+	return func(s *Server) { s.latency = d }
+}
+
 // WithHistory sets how many changes the service keeps for watches. The default
 // is 10000.
 func WithHistory(n int) Option {
@@ -192,7 +199,7 @@
 func (s *Server) call(kind string, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.faults.Get()
-		simsrv.Pause(r.Context(), time.Duration(f.SlowMs)*time.Millisecond)
+		simsrv.Pause(r.Context(), s.latency+time.Duration(f.SlowMs)*time.Millisecond)
 		if s.faults.Get().Down {
 			simsrv.Drop()
 		}
