Let the caller stand-in check whose answer it got

Cause: an answer whose text fits but whose id is another request's passed. Change: each request carries its own id and the answer's must begin with it; a call of a plain service carries its timeout.

--- a/simcal/request.go
+++ b/simcal/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/lavendermux/lavendermux/simsrv"
@@ -16,11 +17,13 @@
 )
 
 const (
-	callerHeader = "Lavendermux-Caller"
-	keyHeader    = "Idempotency-Key"
-	kindNotRun   = "notRun"
-	kindUnknown  = "outcomeUnknown"
-	maxAnswer    = 8 << 20
+	callerHeader  = "Lavendermux-Caller"
+	requestHeader = "Lavendermux-Request"
+	timeoutHeader = "Lavendermux-Timeout"
+	keyHeader     = "Idempotency-Key"
+	kindNotRun    = "notRun"
+	kindUnknown   = "outcomeUnknown"
+	maxAnswer     = 8 << 20
 )
 
 var eventPrefix = []byte("data:")
@@ -87,7 +90,7 @@
 	if l.config.service != "" {
 		send = l.book
 		if l.draw(l.config.keyed) {
-			key = fmt.Sprintf("%s-%d-%d", l.config.caller, l.config.seed, a.number)
+			key = l.requestID(a)
 		}
 	}
 	var res result
@@ -138,11 +141,14 @@
 		Family: fmt.Sprintf("%s-%d", l.config.caller, l.config.seed),
 	}
 	path := "/v1/services/" + url.PathEscape(l.config.service) + "/bookings"
-	resp, err := l.post(ctx, path, key, in)
+	resp, err := l.post(ctx, path, a, key, in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
 	defer resp.Body.Close()
+	if res, mixed := l.mixedUp(a, resp); mixed {
+		return res
+	}
 	raw, res := read(resp)
 	if res.outcome != outcomeOK {
 		return res
@@ -162,11 +168,14 @@
 		Priority:  l.config.priority,
 		Timeout:   l.config.timeout.String(),
 	}
-	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", "", in)
+	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", a, "", in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
 	defer resp.Body.Close()
+	if res, mixed := l.mixedUp(a, resp); mixed {
+		return res
+	}
 	if in.Stream && resp.StatusCode == http.StatusOK {
 		return l.stream(a, in, resp.Body)
 	}
@@ -241,7 +250,7 @@
 	return result{outcome: outcomeOK, tokens: tokens}
 }
 
-func (l *Load) post(ctx context.Context, path, key string, in any) (*http.Response, error) {
+func (l *Load) post(ctx context.Context, path string, a arrival, key string, in any) (*http.Response, error) {
 	raw, err := json.Marshal(in)
 	if err != nil {
 		return nil, err
@@ -254,12 +263,30 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(callerHeader, l.config.caller)
+	req.Header.Set(requestHeader, l.requestID(a))
+	req.Header.Set(timeoutHeader, l.config.timeout.String())
 	if key != "" {
 		req.Header.Set(keyHeader, key)
 	}
 	return l.config.http.Do(req)
 }
 
+func (l *Load) requestID(a arrival) string {
+	return fmt.Sprintf("%s-%d-%d", l.config.caller, l.config.seed, a.number)
+}
+
+// mixedUp tells whether an answer names another request than its own. The
+// service returns the id that a request came with, and adds to it after a dot.
+// An answer without an id is told by its content alone.
+func (l *Load) mixedUp(a arrival, resp *http.Response) (result, bool) {
+	got := resp.Header.Get(requestHeader)
+	own := l.requestID(a)
+	if got == "" || got == own || strings.HasPrefix(got, own+".") {
+		return result{}, false
+	}
+	return result{outcome: outcomeWrong, problem: "asked as " + own + ", was answered as " + got}, true
+}
+
 // read reads an answer to its end and tells what it means.
 func read(resp *http.Response) ([]byte, result) {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
--- a/simcal/simcal_test.go
+++ b/simcal/simcal_test.go
@@ -68,7 +68,8 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New()
-		defer synctest.Wait()
+		// Virtual: answers that nobody waits for any more come to their end.
+		defer time.Sleep(time.Minute)
 		defer n.Close()
 		g := NewWithT(t)
 		_, err := n.Serve("10.0.0.1:80", h)
@@ -117,6 +118,11 @@
 func TestSimcalTellsAnswersApart(t *testing.T) {
 	cases := map[string]answering{
 		"wrong": func(w http.ResponseWriter, _ string, stream bool) { whole(w, "another", stream) },
+		// The text is the request's own, the id another's.
+		"wrong, by its id": func(w http.ResponseWriter, prompt string, stream bool) {
+			w.Header().Set("Lavendermux-Request", "caller-0-999.x")
+			whole(w, prompt, stream)
+		},
 		"cutOff": func(w http.ResponseWriter, prompt string, _ bool) {
 			send(w, message{"text": text(prompt, 2), "version": "1"})
 		},
@@ -132,7 +138,7 @@
 		run(t, generating(slowly), func(g Gomega, l *simcal.Load) {
 			sum := l.Run(context.Background())
 			g.Expect(sum.Outcomes).To(HaveLen(1), "%v", sum.Problems)
-			g.Expect(sum.Outcomes).To(HaveKey(outcome))
+			g.Expect(sum.Outcomes).To(HaveKey(strings.TrimSuffix(outcome, ", by its id")))
 		}, simcal.WithStreaming(1))
 	}
 }
