Read requests to their end in the stand-ins; let callers ask for a status

Cause: a server notices that a client goes away only once the request's body is read to its end, so a request that waited in the engine stand-in could outlive a caller that gave up. Bodies over the limit got 400 instead of 413. Callers could book but not ask about a case, which is what creditors do. Change: bodies are read whole, 413 names the limit; the load has a share of status requests and notices another case's answer.

--- a/cmd/standin/clients.go
+++ b/cmd/standin/clients.go
@@ -42,6 +42,7 @@
 		Model       string        `default:"draft" help:"Model that is asked."`
 		Service     string        `help:"Plain service to book slots of, instead of the model."`
 		Keyed       float64       `default:"0.5" help:"Share of bookings with an idempotency key."`
+		Status      float64       `help:"Share of requests to the service that ask for a case's status."`
 		Concurrency int           `default:"4" help:"Requests at a time."`
 		Rate        float64       `help:"Requests a second; 0: whenever a caller is free."`
 		Duration    time.Duration `default:"10s" help:"How long to send."`
@@ -92,6 +93,7 @@
 		simcal.WithCaller(c.Caller),
 		simcal.WithModel(c.Model),
 		simcal.WithService(c.Service, c.Keyed),
+		simcal.WithStatus(c.Status),
 		simcal.WithRate(c.Rate, c.Concurrency),
 		simcal.WithDuration(c.Duration),
 		simcal.WithRequest(c.Timeout, c.Priority, c.MaxTokens),
--- a/simcal/options.go
+++ b/simcal/options.go
@@ -39,6 +39,12 @@
 	}
 }
 
+// WithStatus makes a share of the requests to a plain service ask for the status
+// of a case instead of booking. The default is 0.
+func WithStatus(share float64) Option {
+	return func(c *config) { c.status = share }
+}
+
 // WithCaller sets the caller's name, which families and prompts carry too, so
 // that two loads at the same time stay apart. The default is "caller".
 func WithCaller(caller string) Option {
--- a/simcal/request.go
+++ b/simcal/request.go
@@ -63,6 +63,10 @@
 		Family string `json:"family"`
 	}
 
+	statusMessage struct {
+		ID string `json:"id"`
+	}
+
 	errorResponse struct {
 		Error refusalResponse `json:"error"`
 	}
@@ -89,6 +93,9 @@
 	key := ""
 	if l.config.service != "" {
 		send = l.book
+		if l.draw(l.config.status) {
+			send = l.askStatus
+		}
 		if l.draw(l.config.keyed) {
 			key = l.requestID(a)
 		}
@@ -140,16 +147,7 @@
 		Slot:   fmt.Sprintf("slot-%d", a.number),
 		Family: fmt.Sprintf("%s-%d", l.config.caller, l.config.seed),
 	}
-	path := "/v1/services/" + url.PathEscape(l.config.service) + "/bookings"
-	resp, err := l.post(ctx, path, a, key, in)
-	if err != nil {
-		return result{outcome: outcomeNoAnswer, problem: err.Error()}
-	}
-	defer resp.Body.Close()
-	if res, mixed := l.mixedUp(a, resp); mixed {
-		return res
-	}
-	raw, res := read(resp)
+	raw, res := l.plain(ctx, http.MethodPost, "/bookings", a, key, in)
 	if res.outcome != outcomeOK {
 		return res
 	}
@@ -160,6 +158,34 @@
 	return res
 }
 
+// askStatus asks a plain service for the status of a case.
+func (l *Load) askStatus(ctx context.Context, a arrival, key string) result {
+	want := statusMessage{ID: l.requestID(a)}
+	raw, res := l.plain(ctx, http.MethodGet, "/status/"+want.ID, a, key, nil)
+	if res.outcome != outcomeOK {
+		return res
+	}
+	var out statusMessage
+	if json.Unmarshal(raw, &out) != nil || out != want {
+		return result{outcome: outcomeWrong, problem: "asked about " + want.ID + ", was answered " + string(raw)}
+	}
+	return res
+}
+
+// plain sends one request to the plain service and reads its answer whole.
+func (l *Load) plain(ctx context.Context, method, path string, a arrival, key string, in any) ([]byte, result) {
+	path = "/v1/services/" + url.PathEscape(l.config.service) + path
+	resp, err := l.send(ctx, method, path, a, key, in)
+	if err != nil {
+		return nil, result{outcome: outcomeNoAnswer, problem: err.Error()}
+	}
+	defer resp.Body.Close()
+	if res, mixed := l.mixedUp(a, resp); mixed {
+		return nil, res
+	}
+	return read(resp)
+}
+
 func (l *Load) generate(ctx context.Context, a arrival, _ string) result {
 	in := generateRequest{
 		Prompt:    fmt.Sprintf("%s%s %d request %d", l.config.prefix, l.config.caller, l.config.seed, a.number),
@@ -168,7 +194,7 @@
 		Priority:  l.config.priority,
 		Timeout:   l.config.timeout.String(),
 	}
-	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", a, "", in)
+	resp, err := l.send(ctx, http.MethodPost, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", a, "", in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
@@ -250,14 +276,19 @@
 	return result{outcome: outcomeOK, tokens: tokens}
 }
 
-func (l *Load) post(ctx context.Context, path string, a arrival, key string, in any) (*http.Response, error) {
-	raw, err := json.Marshal(in)
-	if err != nil {
-		return nil, err
+func (l *Load) send(
+	ctx context.Context, method, path string, a arrival, key string, in any,
+) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		// The body's kind is hidden, or the transport might send it twice by itself.
+		body = io.MultiReader(bytes.NewReader(raw))
 	}
-	// The body's kind is hidden, or the transport might send it twice by itself.
-	body := io.MultiReader(bytes.NewReader(raw))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.entry()+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, l.entry()+path, body)
 	if err != nil {
 		return nil, err
 	}
--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -69,6 +69,7 @@
 		maxTokens   int64
 		streaming   float64
 		keyed       float64
+		status      float64
 		attempts    int
 		seed        uint64
 	}
--- a/simcal/simcal_test.go
+++ b/simcal/simcal_test.go
@@ -191,3 +191,20 @@
 		}, simcal.WithService("booking-api", 0.5), simcal.WithAttempts(2), simcal.WithRate(0, 1))
 	}
 }
+
+// Answers about cases come to the wrong callers. A creditor would read of
+// somebody else's claim.
+func TestSimcalNoticesAnotherCasesStatus(t *testing.T) {
+	svc := simsvc.New(simsvc.WithDelay(time.Second))
+	for _, other := range []string{"", "0"} {
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			r.URL.Path = strings.TrimPrefix(r.URL.Path, "/v1/services/case-desk") + other
+			svc.ServeHTTP(w, r)
+		})
+		run(t, h, func(g Gomega, l *simcal.Load) {
+			sum := l.Run(context.Background())
+			g.Expect(sum.Outcomes).To(HaveLen(1), "%v", sum.Problems)
+			g.Expect(sum.Outcomes).To(HaveKey(map[string]string{"": "ok", "0": "wrong"}[other]))
+		}, simcal.WithService("case-desk", 0), simcal.WithStatus(1))
+	}
+}
--- a/simeng/simeng_test.go
+++ b/simeng/simeng_test.go
@@ -296,3 +296,19 @@
 		b.Expect(b.client.Cancel(ctx, "never heard of")).To(Succeed())
 	})
 }
+
+// A caller gives up while its request waits for a slot. The request must free
+// its place and never run, or abandoned work would fill a saturated engine.
+func TestSimengForgetsWhoGaveUpWaiting(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		one := b.start(request("1", "len=50"))
+		giveUp, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		b.Expect(b.generate(giveUp, request("2", "len=50")).err).To(HaveOccurred())
+		synctest.Wait()
+		three := b.start(request("3", "len=10"))
+		b.Expect((<-one).err).NotTo(HaveOccurred())
+		b.Expect((<-three).err).NotTo(HaveOccurred(), "the queue of one had room again")
+		b.Expect(b.engine.Ran()).To(Equal(map[string]int{"1": 1, "3": 1}))
+	}, simeng.WithSlots(1, 1))
+}
--- a/simsrv/simsrv.go
+++ b/simsrv/simsrv.go
@@ -6,9 +6,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -154,11 +158,20 @@
 }
 
 // Read reads the request's JSON into v. When it can't, it answers with an error
-// and returns false.
+// and returns false. It reads the body to its end: only then does the server
+// notice that the client goes away while the request waits.
 func Read(w http.ResponseWriter, r *http.Request, v any) bool {
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v)
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		Fail(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("body: the limit is %d bytes", large.Limit))
+		return false
+	}
+	if err == nil {
+		err = json.Unmarshal(raw, v)
+	}
 	if err != nil {
-		Fail(w, http.StatusBadRequest, err.Error())
+		Fail(w, http.StatusBadRequest, "body: "+err.Error())
 	}
 	return err == nil
 }
