--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -69,6 +69,7 @@
 		maxTokens   int64
 		streaming   float64
 		keyed       float64
+		status      float64
 		attempts    int
 		seed        uint64
 	}
@@ -76,7 +77,8 @@
 	// arrival is one request that is due.
 	arrival struct {
 		number int
-		at     time.Time
+		// at is when it was due; zero: when a caller takes it.
+		at time.Time
 		// attempt counts how often the request was sent, this time included.
 		attempt int
 	}
@@ -124,6 +126,9 @@
 	for range l.config.concurrency {
 		wg.Go(func() {
 			for a := range due {
+				if a.at.IsZero() {
+					a.at = time.Now()
+				}
 				l.request(ctx, a)
 			}
 		})
@@ -158,7 +163,7 @@
 			continue
 		}
 		select {
-		case due <- arrival{number: n, at: time.Now()}:
+		case due <- arrival{number: n}:
 		case <-end.C:
 			return
 		case <-ctx.Done():
