strag: move a straggler up to four times, and no spare attempts

A straggler that was continued once can land on a slow worker again, and the limit of one move then left it there.

A spare would also win when it comes out shorter, so the trainer would learn from short samples more often.

--- a/slot/slot.go
+++ b/slot/slot.go
@@ -46,6 +46,19 @@
 	s.Runs = append(s.Runs, run{Worker: worker, Since: since, Made: made, Speed: speed})
 }
 
+// Furthest returns the worker of the attempt under way that has made the most,
+// since when it runs there, what it has made and its speed. There must be one:
+// an earlier one may still be there because its stop was lost.
+func (s *Slot) Furthest() (worker string, since time.Time, made int64, speed float64) {
+	best := s.Runs[0]
+	for _, r := range s.Runs[1:] {
+		if r.Made > best.Made {
+			best = r
+		}
+	}
+	return best.Worker, best.Since, best.Made, best.Speed
+}
+
 // Waiting says that no attempt runs and none has finished.
 func (s *Slot) Waiting() bool {
 	return !s.Done && len(s.Runs) == 0
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -92,7 +92,7 @@
 		Delivered, Wasted float64
 		// Busy is the share of slots that ran something.
 		Busy float64
-		// Moved counts stragglers that were continued elsewhere or got a spare.
+		// Moved counts stragglers that were continued elsewhere.
 		Moved int
 		// Long is the mean length of delivered samples over that of all, so less
 		// than 1 when long samples are left out.
@@ -226,11 +226,6 @@
 		a.prior, a.version = old.made(p, p.now), old.version
 		p.stop(old)
 		w.count(t, s.Slot, -1)
-	} else if s.Spare {
-		old := w.running[s.Slot][0]
-		a.prior, a.version = old.made(p, p.now), old.version
-	}
-	if s.Stop != "" || s.Spare {
 		p.moved++
 	}
 	sl.Attempts++
--- a/strag/options.go
+++ b/strag/options.go
@@ -5,10 +5,10 @@
 // Option changes a Planner as New makes it.
 type Option func(*Planner)
 
-// WithSpares sets how many attempts a slot may get beside its first; the
-// default is 1, and 0 leaves stragglers where they are.
-func WithSpares(n int) Option {
-	return func(p *Planner) { p.spares = n }
+// WithMoves sets how often one sample may be moved; the
+// default is 4, and 0 leaves stragglers where they are.
+func WithMoves(n int) Option {
+	return func(p *Planner) { p.moves = n }
 }
 
 // WithResume sets how long a worker takes to continue what another has made;
@@ -18,7 +18,7 @@
 }
 
 // WithGain sets how many times longer an attempt must take where it runs than
-// elsewhere before it is moved; the default is 1.5.
+// elsewhere before it is moved; the default is 2.
 func WithGain(factor float64) Option {
 	return func(p *Planner) { p.gain = factor }
 }
--- a/strag/strag.go
+++ b/strag/strag.go
@@ -1,6 +1,6 @@
 // Package strag decides which attempt of a step's samples begins next: the order
 // of the first attempts, and near the step's end which straggler is stopped and
-// continued on another worker or gets a spare attempt.
+// continued on another worker.
 //
 // It answers a load of long work among short: a step is whole when its last
 // sample is, lengths differ by more than ten times, and some workers are slow or
@@ -19,9 +19,9 @@
 )
 
 const (
-	defaultSpares = 1
+	defaultMoves  = 4
 	defaultResume = 2 * time.Second
-	defaultGain   = 1.5
+	defaultGain   = 2.0
 	defaultStill  = 10 * time.Second
 	// residual is the expected rest of a sample that has outgrown its estimate,
 	// as a share of what it has made: of lengths with a heavy tail, the rest
@@ -37,7 +37,7 @@
 	// Planner decides about one step. It keeps no state between calls but
 	// buffers, so one call may run at a time.
 	Planner struct {
-		spares int
+		moves  int
 		resume time.Duration
 		gain   float64
 		still  time.Duration
@@ -57,11 +57,11 @@
 
 // New returns a planner.
 //
-//	p := strag.New(strag.WithSpares(1))
+//	p := strag.New(strag.WithMoves(2))
 //	starts := p.Next(slots, free, 0, now)
 func New(opts ...Option) *Planner {
 	p := &Planner{
-		spares: defaultSpares,
+		moves:  defaultMoves,
 		resume: defaultResume,
 		gain:   defaultGain,
 		still:  defaultStill,
@@ -165,7 +165,7 @@
 	p.lines = p.lines[:0]
 	for i := range slots {
 		s := &slots[i]
-		if s.Done || len(s.Runs) != 1 || s.Attempts > p.spares {
+		if s.Done || len(s.Runs) == 0 || s.Attempts > p.moves {
 			continue
 		}
 		stay, leave := p.weigh(s, typical, now)
@@ -177,27 +177,27 @@
 	p.order(n)
 	starts := make([]start.Start, 0, n)
 	for _, l := range p.lines[:n] {
-		worker := slots[l.slot].Runs[0].Worker
+		worker, _, _, _ := slots[l.slot].Furthest()
 		starts = append(starts, start.Start{Slot: l.slot, Stop: worker, Avoid: worker})
 	}
 	return starts
 }
 
-// weigh returns the seconds until the only attempt of s ends where it runs,
+// weigh returns the seconds until the furthest attempt of s ends where it runs,
 // and until one ends that continues it on a worker of typical speed.
 func (p *Planner) weigh(s *slot.Slot, typical float64, now time.Time) (stay, leave float64) {
-	r := s.Runs[0]
-	rest := p.rest(s, r.Made)
+	_, since, made, speed := s.Furthest()
+	rest := p.rest(s, made)
 	leave = p.resume.Seconds() + rest/typical
-	if now.Sub(r.Since) < p.still {
+	if now.Sub(since) < p.still {
 		// The speed of an attempt that has just begun is that of its prefill;
 		// judged by it, every start would be moved at once.
 		return 0, leave
 	}
-	if r.Speed <= 0 {
+	if speed <= 0 {
 		return (p.gain + 1) * leave, leave
 	}
-	return rest / r.Speed, leave
+	return rest / speed, leave
 }
 
 // rest returns the tokens that s still needs after made.
