Keep each hub's report of an instance apart, and choose among them

An instance that beat to two data centres' hubs in turn (its own had none for a moment) was lost from the tables of others for good: the row that stood for it changed its origin without a new version, or ended with the wrong origin.

--- a/beats/beats.go
+++ b/beats/beats.go
@@ -48,15 +48,16 @@
 		log      *log.Logger
 		wake     chan struct{}
 
-		mu        sync.Mutex
-		rand      *rand.Rand
-		listed    []insts.Instance
-		relistAt  time.Time
-		rotas     []*rota.Rota
-		refused   map[string]time.Time
-		peers     map[string]peer
-		sequence  int64
-		turn      int
+		mu       sync.Mutex
+		rand     *rand.Rand
+		listed   []insts.Instance
+		relistAt time.Time
+		rotas    []*rota.Rota
+		refused  map[string]time.Time
+		peers    map[string]peer
+		sequence int64
+		// sent is when the instance last beat to a hub.
+		sent      map[string]time.Time
 		started   time.Time
 		lastHub   time.Time
 		completed bool
@@ -105,6 +106,7 @@
 		log:      log.Default(),
 		wake:     make(chan struct{}, 1),
 		refused:  map[string]time.Time{},
+		sent:     map[string]time.Time{},
 		peers:    map[string]peer{},
 	}
 	for _, opt := range opts {
--- a/beats/round.go
+++ b/beats/round.go
@@ -45,29 +45,31 @@
 	if c.changed(req) {
 		want = hubs
 	}
-	heard := 0
+	heard := map[string]bool{}
 	for range attempts {
 		target, ok := c.next(heard)
-		if !ok || heard == want || ctx.Err() != nil {
+		if !ok || len(heard) == want || ctx.Err() != nil {
 			break
 		}
 		if c.ask(ctx, target, req) {
-			heard++
+			heard[target.ID] = true
 		}
 	}
-	c.finish(heard)
+	c.finish(len(heard))
 }
 
-// next returns whom to ask: the hubs in turn, and the second after the first.
-func (c *Client) next(heard int) (insts.Instance, bool) {
-	targets := c.targets(time.Now())
+// next returns whom to ask: of the two hubs the one that has waited longer, so
+// that neither takes this instance for silent while the other one changes.
+func (c *Client) next(heard map[string]bool) (insts.Instance, bool) {
+	targets := slices.DeleteFunc(c.targets(time.Now()), func(i insts.Instance) bool { return heard[i.ID] })
 	if len(targets) == 0 {
 		return insts.Instance{}, false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := c.turn + heard
-	return targets[i%len(targets)], heard < len(targets)
+	return slices.MinFunc(targets, func(a, b insts.Instance) int {
+		return c.sent[a.ID].Compare(c.sent[b.ID])
+	}), true
 }
 
 // targets returns the entries that are hubs as far as this instance can tell: of
@@ -137,6 +139,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.refused, target.ID)
+	c.sent[target.ID] = time.Now()
 	for _, r := range c.rotas {
 		r.Heard(target.ID)
 	}
@@ -218,7 +221,6 @@
 	relist := time.Now().Add(c.jitter(relistSoon, wide))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turn++
 	c.completed = true
 	if heard == 0 {
 		c.last = nil
--- a/hub/exchange.go
+++ b/hub/exchange.go
@@ -107,6 +107,9 @@
 	if h.table == nil {
 		return
 	}
+	if resp.GetDigest() != nil {
+		h.table.SetDigest(resp.GetDigest())
+	}
 	version, boot := h.table.Cursor(c.DataCentre)
 	if version == resp.GetTableVersion() && boot == resp.GetBoot() {
 		h.table.Contact(time.Now(), c.DataCentre)
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -158,6 +158,7 @@
 	if req.Msg.GetDigest() != nil {
 		h.table.SetDigest(req.Msg.GetDigest())
 		resp.TableVersion = h.table.OwnVersion()
+		resp.Digest = h.table.Digest(time.Now())
 		return connect.NewResponse(resp), nil
 	}
 	h.table.Beat(time.Now(), req.Msg)
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -6,37 +6,301 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/insts"
+	"github.com/lavendermux/lavendermux/simkv"
 )
 
 const (
 	// inForce is within what a change must be in force everywhere.
 	inForce = 18 * time.Second
+	// settled is after how long a fleet that started at once is at rest.
 	settled = 40 * time.Second
+	outage  = 10 * time.Minute
 )
 
-func TestFleetFindsItsHubs(t *testing.T) {
+// run starts a fleet of data centres with 4 entries and 5 workers each, lets it
+// come to rest, and runs a test on it.
+func run(t *testing.T, dataCentres int, test func(t *testing.T, g *WithT, w *world)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		g := NewWithT(t)
 		w := newWorld()
 		defer w.stopAll()
-		first := w.write(t, "a", 1)
-		w.grow(3, 4, 5)
-		_, err := w.everywhere(first, inForce)
-		g.Expect(err).NotTo(HaveOccurred())
+		w.write(t, "a", 1)
+		w.grow(dataCentres, 4, 5)
 		time.Sleep(settled)
 		synctest.Wait()
+		test(t, NewWithT(t), w)
+	})
+}
+
+// watchAll samples the fleet every 100 ms for d.
+func (w *world) watchAll(d time.Duration, look func(n *node)) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			look(n)
+		}
+	}
+}
+
+func (w *world) routed(g *WithT, endpoints int) {
+	for _, n := range w.snapshot() {
+		if n.hub != nil {
+			g.Expect(len(n.view.Endpoints("filing-lm"))).To(Equal(endpoints), n.id)
+		}
+	}
+}
+
+func TestFleetFindsItsHubs(t *testing.T) {
+	run(t, 3, func(t *testing.T, g *WithT, w *world) {
 		for _, d := range []string{"dc-0", "dc-1", "dc-2"} {
 			g.Expect(w.hubs(d)).To(HaveLen(2))
 		}
+		w.routed(g, 15)
 		for _, n := range w.snapshot() {
 			g.Expect(n.client.Ready()).To(BeTrue())
+		}
+		_, err := w.everywhere(w.write(t, "a", 2), inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// A rack goes, and with it both hubs of a data centre, in the moment in which an
+// operator changes a pool. Callers must not find a pool without endpoints
+// meanwhile, and the change must still be in force in time.
+func TestBothHubsDie(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		for _, id := range w.hubs("dc-0") {
+			w.kill(id)
+		}
+		_, err := w.everywhere(w.write(t, "a", 2), inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.watchAll(time.Minute, func(n *node) {
 			if n.hub != nil {
-				g.Expect(len(n.view.Endpoints("filing-lm"))).To(Equal(15), n.id)
-				g.Expect(len(n.view.Entries())).To(Equal(12), n.id)
+				g.Expect(len(n.view.Endpoints("filing-lm"))).To(Equal(10), n.id)
 			}
+		})
+		g.Expect(w.hubs("dc-0")).To(HaveLen(2))
+	})
+}
+
+// The key-value service is down for ten minutes. Instances that are replaced in
+// it must serve with what their peers hold; a user notices when the balancer
+// finds fewer and fewer ready entries as the outage goes on.
+func TestInstanceStartsInAnOutage(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		held := w.write(t, "a", 2)
+		_, err := w.everywhere(held, inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.kv.SetDown(true)
+		time.Sleep(outage)
+		w.add("entry-new", insts.RoleEntry, place{"dc-0", "region-0"})
+		w.add("worker-new", insts.RoleEndpoint, place{"dc-1", "region-0"})
+		entry, worker := w.start("entry-new", 99), w.start("worker-new", 98)
+		g.Expect(entry.client.Ready()).To(BeFalse())
+		time.Sleep(inForce)
+		synctest.Wait()
+		for _, n := range []*node{entry, worker} {
+			g.Expect(n.client.Ready()).To(BeTrue())
+			g.Expect(n.cache.Revision()).To(BeNumerically(">=", held))
+		}
+		w.kv.SetDown(false)
+		_, err = w.everywhere(w.write(t, "a", 3), inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// All instances restart while the key-value service is down, so that nobody
+// holds a configuration. Nobody may serve by an empty one; all must be ready
+// soon after the service is back.
+func TestAllRestartInAnOutage(t *testing.T) {
+	run(t, 2, func(_ *testing.T, g *WithT, w *world) {
+		w.kv.SetDown(true)
+		seed := uint64(1000)
+		all := w.snapshot()
+		w.stopAll()
+		for id := range all {
+			w.start(id, seed)
+			seed++
 		}
-		took, err := w.everywhere(w.write(t, "a", 2), inForce)
+		w.watchAll(time.Minute, func(n *node) {
+			g.Expect(n.client.Ready()).To(BeFalse(), n.id)
+		})
+		w.kv.SetDown(false)
+		time.Sleep(inForce)
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			g.Expect(n.client.Ready()).To(BeTrue(), n.id)
+		}
+	})
+}
+
+// A data centre is cut off from all others and from the key-value service while
+// an operator makes a pool and deletes it again, and deletes an old one. When it
+// comes back with what it held, the pools must stay deleted everywhere, also at
+// instances that start at that moment and ask it.
+func TestPeerThatWasCutOffBringsNothingBack(t *testing.T) {
+	run(t, 3, func(t *testing.T, g *WithT, w *world) {
+		old := w.write(t, "short", 1)
+		_, err := w.everywhere(old, inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.setCut(func(from, to string) bool {
+			return to == kvHost && from != "operator" && inDataCentre(from, 2) || inDataCentre(from, 2) != inDataCentre(to, 2)
+		})
+		w.remove(t, "short")
+		last := w.write(t, "a", 2)
+		time.Sleep(2 * time.Minute)
+		w.setCut(func(string, string) bool { return false })
+		w.add("entry-new", insts.RoleEntry, place{"dc-2", "region-0"})
+		w.start("entry-new", 77)
+		greatest := map[string]int64{}
+		w.watchAll(time.Minute, func(n *node) {
+			g.Expect(n.cache.Revision()).To(BeNumerically(">=", greatest[n.id]), n.id)
+			greatest[n.id] = n.cache.Revision()
+			if n.cache.Revision() >= last {
+				_, ok := n.cache.Pool("short")
+				g.Expect(ok).To(BeFalse(), n.id)
+			}
+		})
+		_, err = w.everywhere(last, time.Second)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// The key-value service drops its history of changes while nobody reads it, and
+// a deletion is among what it dropped. A hub that only went on watching would
+// serve the deleted pool for good.
+func TestDeletionInAWatchGap(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		_, err := w.everywhere(w.write(t, "short", 1), inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.setCut(func(from, to string) bool { return to == kvHost && from != "operator" })
+		time.Sleep(time.Minute)
+		w.remove(t, "short")
+		w.kv.Gap()
+		w.setCut(func(string, string) bool { return false })
+		time.Sleep(inForce)
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			_, ok := n.cache.Pool("short")
+			g.Expect(ok).To(BeFalse(), n.id)
+		}
+	})
+}
+
+// The key-value service is restored from an old copy. Its answers are older than
+// what is in force, and taking them would undo accepted changes.
+func TestServiceThatWasSetBack(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		for n := range 20 {
+			w.write(t, "a", n+2)
+		}
+		last := w.write(t, "a", 50)
+		_, err := w.everywhere(last, inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.mu.Lock()
+		w.hosts[kvHost] = simkv.New()
+		w.mu.Unlock()
+		w.write(t, "a", 1)
+		w.watchAll(2*time.Minute, func(n *node) {
+			p, ok := n.cache.Pool("a")
+			g.Expect(ok).To(BeTrue())
+			g.Expect(p.MaxOutput).To(Equal(50), n.id)
+		})
+	})
+}
+
+// An endpoint begins to drain before its instance goes. Entries that do not hear
+// of it go on choosing its door and lose an attempt on each request.
+func TestDrainingIsKnownWithinSeconds(t *testing.T) {
+	run(t, 2, func(_ *testing.T, g *WithT, w *world) {
+		leaving := w.snapshot()["worker-0-1"]
+		leaving.mu.Lock()
+		leaving.draining = true
+		leaving.mu.Unlock()
+		leaving.client.Wake()
+		time.Sleep(7 * time.Second)
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			if n.hub != nil && n.place.dataCentre == "dc-0" {
+				g.Expect(n.view.Endpoint("worker-0-1").GetDraining()).To(BeTrue(), n.id)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			if n.hub != nil {
+				g.Expect(n.view.Endpoint("worker-0-1").GetDraining()).To(BeTrue(), n.id)
+			}
+		}
+		w.kill("worker-0-1")
+		time.Sleep(40 * time.Second)
+		synctest.Wait()
+		w.routed(g, 9)
+	})
+}
+
+// Two regions lose each other for five minutes. Each must go on with its own
+// endpoints, forget the other's, and find them again; only one of them reaches
+// the key-value service, and the other goes on with what it holds.
+func TestRegionsLoseEachOther(t *testing.T) {
+	run(t, 5, func(t *testing.T, g *WithT, w *world) {
+		w.routed(g, 25)
+		held := w.snapshot()["entry-4-0"].cache.Revision()
+		w.setCut(func(from, to string) bool {
+			far := inDataCentre(from, 4)
+			return far && to == kvHost || to != kvHost && from != "operator" && far != inDataCentre(to, 4)
+		})
+		last := w.write(t, "a", 2)
+		time.Sleep(5 * time.Minute)
+		synctest.Wait()
+		for _, n := range w.snapshot() {
+			far := n.place.region == "region-1"
+			switch {
+			case far:
+				g.Expect(n.cache.Revision()).To(Equal(held))
+				g.Expect(n.client.Ready()).To(BeTrue())
+			default:
+				g.Expect(n.cache.Revision()).To(BeNumerically(">=", last))
+			}
+			if n.hub != nil {
+				g.Expect(len(n.view.Endpoints(""))).To(Equal(map[bool]int{true: 5, false: 20}[far]), n.id)
+			}
+		}
+		w.setCut(func(string, string) bool { return false })
+		_, err := w.everywhere(last, inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(settled)
+		synctest.Wait()
+		w.routed(g, 25)
+	})
+}
+
+// A hub is cut off from its whole data centre, yet reaches the endpoints'
+// callers. If it took all for dead, its own callers would find no endpoint.
+func TestHubThatIsCutOffKeepsItsEndpoints(t *testing.T) {
+	run(t, 2, func(_ *testing.T, g *WithT, w *world) {
+		lone := w.hubs("dc-0")[0]
+		w.setCut(func(from, to string) bool { return from == lone || to == lone })
+		w.watchAll(30*time.Second, func(n *node) {
+			if n.id == lone {
+				g.Expect(len(n.view.Endpoints("filing-lm"))).To(BeNumerically(">=", 5))
+			}
+		})
+	})
+}
+
+// An operator asks where a change is in force while one data centre lags. The
+// digests must count every instance once, and say which ones lag.
+func TestDigestsCountInstancesByRevision(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		w.setCut(func(from, to string) bool { return to == "entry-1-0" || from == "entry-1-0" })
+		last := w.write(t, "a", 2)
+		time.Sleep(settled)
+		digests, err := w.snapshot()["entry-0-2"].client.Digests(t.Context())
 		g.Expect(err).NotTo(HaveOccurred())
-		t.Logf("in force everywhere after %s", took)
+		g.Expect(digests).To(HaveLen(2))
+		g.Expect(count(digests, last)).To(Equal(int64(17)))
 	})
 }
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -148,6 +148,13 @@
 			return nil, errCut
 		}
 	}
+	// A cut also takes the answers that are under way.
+	w.mu.Lock()
+	gone = w.cut(t.from, req.URL.Host)
+	w.mu.Unlock()
+	if gone {
+		return nil, errCut
+	}
 	resp := rec.Result()
 	size := headerSize(req.Header) + len(body) + headerSize(resp.Header) + rec.Body.Len() + packets + firstLines
 	w.mu.Lock()
@@ -292,6 +299,35 @@
 	return revision
 }
 
+func (w *world) remove(t testing.TB, name string) {
+	t.Helper()
+	c := keyval.New("http://"+kvHost, keyval.WithHTTP(&http.Client{Transport: transport{world: w, from: "operator"}}))
+	rec, err := c.Get(t.Context(), "resources/pool/"+name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Delete(t.Context(), rec.Key, rec.Revision); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func inDataCentre(id string, n int) bool {
+	return strings.HasPrefix(id, fmt.Sprintf("entry-%d-", n)) || strings.HasPrefix(id, fmt.Sprintf("worker-%d-", n))
+}
+
+// count sums the instances that have revision or a later one in force.
+func count(digests []*wire.DataCentreDigest, revision int64) int64 {
+	n := int64(0)
+	for _, d := range digests {
+		for _, c := range d.GetCounts() {
+			if c.GetRevision() >= revision {
+				n += c.GetInstances()
+			}
+		}
+	}
+	return n
+}
+
 // everywhere waits until all live instances hold a revision, and returns how
 // long that took.
 func (w *world) everywhere(revision int64, limit time.Duration) (time.Duration, error) {
--- a/member/member.go
+++ b/member/member.go
@@ -19,17 +19,27 @@
 	"google.golang.org/protobuf/proto"
 )
 
+const (
+	// maxExamples bounds how many instances a digest names for each revision: an
+	// operator looks at one or two that lag, not at a list of hundreds.
+	maxExamples = 3
+	// The ranks order reports of the same start of an instance.
+	rankOther  = 1
+	rankHome   = 2
+	rankDirect = 3
+)
+
 type (
 	// Table is the membership as one hub knows it. It is not safe for
 	// concurrent use.
 	Table struct {
 		dataCentre string
 		boot       int64
-		version    int64
-		// own is the version of the last change among those who beat here.
-		own          int64
-		floor        int64
-		rows         map[string]*row
+		// own holds those who beat here, all the best that anybody says of each
+		// instance. Hubs of other data centres read own, members read all.
+		own          *ledger
+		all          *ledger
+		heard        map[string]*hearing
 		sources      map[string]*source
 		digests      map[string]*wire.DataCentreDigest
 		expiry       time.Duration
@@ -38,28 +48,18 @@
 		keepGone     time.Duration
 	}
 
-	// row is one instance. Exactly one of endpoint and entry is set.
-	row struct {
-		// source is the data centre whose hub told of it; empty when it beats
-		// here.
-		source   string
+	// hearing is the last beat of an instance.
+	hearing struct {
+		at       time.Time
 		boot     int64
 		sequence int64
 		revision int64
-		heard    time.Time
-		// changed is the table's version of the last change.
-		changed int64
-		// goneAt is zero while the instance lives.
-		goneAt time.Time
-		// settleAt is when a minor change makes a version; zero when none waits.
-		settleAt time.Time
-		endpoint *wire.EndpointState
-		entry    *wire.EntryState
 	}
 
-	// source is another data centre: up to where its hub's table was read, and
-	// when it last answered.
+	// source is another data centre: what its hub last said of those who beat to
+	// it, up to where its table was read, and when it last answered.
 	source struct {
+		states  map[string]*state
 		version int64
 		boot    int64
 		heard   time.Time
@@ -69,13 +69,13 @@
 // New returns the empty table of a hub in dataCentre. Boot tells the versions of
 // this table from those of any other, also of the same hub's earlier starts.
 //
-//	t := member.New("tln-a", time.Now().UnixNano())
+//	t := member.New("tln-a", boot)
 //	t.Beat(time.Now(), req)
 func New(dataCentre string, boot int64, opts ...Option) *Table {
 	t := &Table{
 		dataCentre:   dataCentre,
 		boot:         boot,
-		rows:         map[string]*row{},
+		heard:        map[string]*hearing{},
 		sources:      map[string]*source{},
 		digests:      map[string]*wire.DataCentreDigest{},
 		expiry:       defaultExpiry,
@@ -86,24 +86,29 @@
 	for _, opt := range opts {
 		opt(t)
 	}
+	t.own = newLedger(t.settle, t.keepGone)
+	t.all = newLedger(t.settle, t.keepGone)
 	return t
 }
 
 // Beat takes in the heartbeat of an instance.
 func (t *Table) Beat(now time.Time, req *wire.BeatRequest) {
-	next := &row{revision: req.GetRevision(), sequence: req.GetSequence(), heard: now}
+	var s *state
 	switch {
 	case req.GetEndpoint().GetInstance() != "":
-		next.setEndpoint(req.GetEndpoint())
+		s = ofEndpoint(req.GetEndpoint())
 	case req.GetEntry().GetInstance() != "":
-		next.setEntry(req.GetEntry())
+		s = ofEntry(req.GetEntry())
 	default:
 		return
 	}
-	if old := t.rows[next.id()]; old != nil && next.stale(old) {
+	next := &hearing{at: now, boot: s.boot, sequence: req.GetSequence(), revision: req.GetRevision()}
+	if old := t.heard[s.id()]; old != nil && next.stale(old) {
 		return
 	}
-	t.take(now, next)
+	t.heard[s.id()] = next
+	t.own.put(now, s)
+	t.choose(now, s.id())
 }
 
 // Seed takes in what the hub knew as a mere member before it became hub, as if
@@ -111,53 +116,52 @@
 // seconds that the data centre is empty.
 func (t *Table) Seed(now time.Time, entries []*wire.EntryState, endpoints []*wire.EndpointState) {
 	for _, e := range endpoints {
-		next := &row{heard: now}
-		next.setEndpoint(e)
-		t.seed(now, next)
+		t.seed(now, ofEndpoint(e))
 	}
 	for _, e := range entries {
-		next := &row{heard: now}
-		next.setEntry(e)
-		t.seed(now, next)
+		t.seed(now, ofEntry(e))
 	}
 }
 
-func (t *Table) seed(now time.Time, next *row) {
-	if next.place() == t.dataCentre && t.rows[next.id()] == nil {
-		t.take(now, next)
+func (t *Table) seed(now time.Time, s *state) {
+	if s.place() != t.dataCentre || t.heard[s.id()] != nil {
+		return
 	}
+	t.heard[s.id()] = &hearing{at: now, boot: s.boot}
+	t.own.put(now, s)
+	t.choose(now, s.id())
 }
 
-// Merge takes in what a hub of another data centre answered about its own.
+// Merge takes in what a hub of another data centre answered about those who beat
+// to it.
 func (t *Table) Merge(now time.Time, dataCentre string, resp *wire.MembersResponse) {
 	s := t.sources[dataCentre]
 	if s == nil {
-		s = &source{}
+		s = &source{states: map[string]*state{}}
 		t.sources[dataCentre] = s
 	}
-	if !resp.GetWhole() && (resp.GetBoot() != s.boot || s.version == 0) {
+	if !resp.GetWhole() && resp.GetBoot() != s.boot {
 		return
 	}
-	named := map[string]bool{}
+	touched := map[string]bool{}
+	if resp.GetWhole() {
+		for id := range s.states {
+			touched[id] = true
+		}
+		clear(s.states)
+	}
 	for _, e := range resp.GetEndpoints() {
-		next := &row{source: dataCentre, heard: now}
-		next.setEndpoint(e)
-		t.merge(now, next, e.GetGone())
-		named[next.id()] = true
+		s.set(ofEndpoint(e), e.GetGone())
+		touched[e.GetInstance()] = true
 	}
 	for _, e := range resp.GetEntries() {
-		next := &row{source: dataCentre, heard: now}
-		next.setEntry(e)
-		t.merge(now, next, e.GetGone())
-		named[next.id()] = true
-	}
-	if resp.GetWhole() {
-		t.dropUnnamed(now, dataCentre, named)
-	}
-	for _, d := range resp.GetDigests() {
-		t.SetDigest(d)
+		s.set(ofEntry(e), e.GetGone())
+		touched[e.GetInstance()] = true
 	}
 	s.version, s.boot, s.heard = resp.GetVersion(), resp.GetBoot(), now
+	for _, id := range slices.Sorted(maps.Keys(touched)) {
+		t.choose(now, id)
+	}
 }
 
 // Contact notes that a hub of another data centre answered and has nothing new.
@@ -179,30 +183,38 @@
 // changes that waited long enough make a version, and forgets old marks.
 func (t *Table) Expire(now time.Time) {
 	expiry := t.expiry
-	if t.mostSilent(now) {
+	if t.mostLate(now) {
 		expiry *= holdFactor
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		r := t.rows[id]
-		switch {
-		case !r.goneAt.IsZero():
-			t.forget(now, id, r)
-		case t.silent(now, r, expiry):
-			t.drop(now, r)
+	for _, id := range slices.Sorted(maps.Keys(t.heard)) {
+		if now.Sub(t.heard[id].at) >= expiry && t.own.live(id) != nil {
+			t.own.drop(now, id)
+			t.choose(now, id)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.sources)) {
+		if s := t.sources[name]; now.Sub(s.heard) >= t.sourceExpiry {
+			t.forgetSource(now, name, s)
+		}
+	}
+	t.own.tick(now)
+	t.all.tick(now)
+	for id := range t.heard {
+		if t.own.rows[id] == nil {
+			delete(t.heard, id)
 		}
 	}
-	t.publish(now)
 }
 
-// Version returns the version of the table.
+// Version returns the version of the table that members read.
 func (t *Table) Version() int64 {
-	return t.version
+	return t.all.version
 }
 
-// OwnVersion returns the version of the last change among those who beat here,
-// for hubs of other data centres: they need not ask for changes that they told.
+// OwnVersion returns the version of the table that hubs of other data centres
+// read. What they told this hub makes no version of it.
 func (t *Table) OwnVersion() int64 {
-	return t.own
+	return t.own.version
 }
 
 // Boot returns the boot that the versions belong to.
@@ -214,143 +226,20 @@
 // when the version is of another boot, too old or unknown. Gone members are in
 // it only when it is not whole.
 func (t *Table) Since(req *wire.MembersRequest) *wire.MembersResponse {
-	after := req.GetAfterVersion()
-	whole := req.GetBoot() != t.boot || after < t.floor || after > t.version || after == 0
-	resp := &wire.MembersResponse{Version: t.version, Boot: t.boot, Whole: whole}
+	known := req.GetBoot() == t.boot
 	if req.GetDataCentre() != "" {
-		resp.Version = t.own
+		resp := t.own.since(req.GetAfterVersion(), known)
+		resp.Boot = t.boot
+		return resp
 	}
-	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		r := t.rows[id]
-		if req.GetDataCentre() != "" && r.source != "" {
-			continue
-		}
-		if (whole && r.goneAt.IsZero()) || (!whole && r.changed > after) {
-			r.appendTo(resp)
-		}
-	}
-	if req.GetDataCentre() == "" {
-		for _, name := range slices.Sorted(maps.Keys(t.digests)) {
-			resp.Digests = append(resp.Digests, t.digests[name])
-		}
+	resp := t.all.since(req.GetAfterVersion(), known)
+	resp.Boot = t.boot
+	for _, name := range slices.Sorted(maps.Keys(t.digests)) {
+		resp.Digests = append(resp.Digests, t.digests[name])
 	}
 	return resp
 }
 
-// take puts a row in the place of what is known of the same instance.
-func (t *Table) take(now time.Time, next *row) {
-	old := t.rows[next.id()]
-	t.rows[next.id()] = next
-	switch {
-	case old == nil || !old.goneAt.IsZero() || next.material(old):
-		t.advance(next)
-	case next.minor(old):
-		next.changed, next.settleAt = old.changed, old.settleAt
-		if next.settleAt.IsZero() {
-			next.settleAt = now.Add(t.settle)
-		}
-	default:
-		next.changed, next.settleAt = old.changed, old.settleAt
-	}
-}
-
-// merge takes in a row of another data centre's hub. An instance that beats here
-// is known better here, unless it has started anew since: an answer of the other
-// hub may be some seconds old.
-func (t *Table) merge(now time.Time, next *row, gone bool) {
-	old := t.rows[next.id()]
-	direct := old != nil && old.source == "" && old.goneAt.IsZero()
-	switch {
-	case direct && next.boot <= old.boot:
-		return
-	case old != nil && next.boot < old.boot:
-		return
-	case !gone:
-		t.take(now, next)
-	case old != nil && old.goneAt.IsZero() && old.source == next.source:
-		t.drop(now, old)
-	}
-}
-
-func (t *Table) dropUnnamed(now time.Time, dataCentre string, named map[string]bool) {
-	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		r := t.rows[id]
-		if r.source == dataCentre && r.goneAt.IsZero() && !named[id] {
-			t.drop(now, r)
-		}
-	}
-}
-
-func (t *Table) drop(now time.Time, r *row) {
-	t.advance(r)
-	r.goneAt = now
-}
-
-func (t *Table) forget(now time.Time, id string, r *row) {
-	if now.Sub(r.goneAt) < t.keepGone {
-		return
-	}
-	t.floor = max(t.floor, r.changed)
-	delete(t.rows, id)
-}
-
-// mostSilent tells whether more than half of those who beat here are silent.
-func (t *Table) mostSilent(now time.Time) bool {
-	live, silent := 0, 0
-	for _, r := range t.rows {
-		if r.source != "" || !r.goneAt.IsZero() {
-			continue
-		}
-		live++
-		if t.silent(now, r, t.expiry) {
-			silent++
-		}
-	}
-	return 2*silent > live
-}
-
-func (t *Table) silent(now time.Time, r *row, expiry time.Duration) bool {
-	if r.source == "" {
-		return now.Sub(r.heard) >= expiry
-	}
-	s := t.sources[r.source]
-	return s == nil || now.Sub(s.heard) >= t.sourceExpiry
-}
-
-// publish makes one version of all minor changes once the oldest has waited
-// long enough.
-func (t *Table) publish(now time.Time) {
-	due := false
-	waiting := []*row{}
-	for _, r := range t.rows {
-		if r.settleAt.IsZero() {
-			continue
-		}
-		waiting = append(waiting, r)
-		due = due || !now.Before(r.settleAt)
-	}
-	if !due {
-		return
-	}
-	t.version++
-	for _, r := range waiting {
-		t.mark(r)
-	}
-}
-
-// advance makes a version of a change to one row.
-func (t *Table) advance(r *row) {
-	t.version++
-	t.mark(r)
-}
-
-func (t *Table) mark(r *row) {
-	r.changed, r.settleAt = t.version, time.Time{}
-	if r.source == "" {
-		t.own = t.version
-	}
-}
-
 // SetDigest takes in who has which configuration in another data centre; one
 // that is older than what is known is passed over.
 func (t *Table) SetDigest(d *wire.DataCentreDigest) {
@@ -364,15 +253,15 @@
 // they have in force, least first, and remembers the count as this data centre's.
 func (t *Table) Digest(now time.Time) *wire.DataCentreDigest {
 	counts := map[int64]*wire.RevisionCount{}
-	for _, id := range slices.Sorted(maps.Keys(t.rows)) {
-		r := t.rows[id]
-		if r.source != "" || !r.goneAt.IsZero() {
+	for _, id := range slices.Sorted(maps.Keys(t.heard)) {
+		if t.own.live(id) == nil {
 			continue
 		}
-		c := counts[r.revision]
+		revision := t.heard[id].revision
+		c := counts[revision]
 		if c == nil {
-			c = &wire.RevisionCount{Revision: r.revision}
-			counts[r.revision] = c
+			c = &wire.RevisionCount{Revision: revision}
+			counts[revision] = c
 		}
 		c.Instances++
 		if len(c.Examples) < maxExamples {
@@ -389,17 +278,75 @@
 
 // Live returns how many members are known and not gone.
 func (t *Table) Live() int {
-	n := 0
-	for _, r := range t.rows {
-		if r.goneAt.IsZero() {
-			n++
+	return t.all.count()
+}
+
+// stale tells whether a beat is of an earlier start of the instance than what is
+// known, or was overtaken by a later beat of the same start. Without this a beat
+// that was held up on its way would take a drained endpoint back into service, or
+// give a restarted one its old weights.
+func (h *hearing) stale(old *hearing) bool {
+	if h.boot != old.boot {
+		return h.boot < old.boot
+	}
+	return h.sequence < old.sequence
+}
+
+func (s *source) set(st *state, gone bool) {
+	if gone {
+		delete(s.states, st.id())
+		return
+	}
+	s.states[st.id()] = st
+}
+
+func (t *Table) forgetSource(now time.Time, name string, s *source) {
+	delete(t.sources, name)
+	for _, id := range slices.Sorted(maps.Keys(s.states)) {
+		t.choose(now, id)
+	}
+}
+
+// choose brings the table that members read up to date for one instance. Hubs
+// of two data centres can speak of the same instance after it changed from one
+// to the other. The later start counts; of the same start, what it says here
+// itself, then what the hub of its own data centre says. All reports are kept:
+// when the one that counted ends, the next best one counts.
+func (t *Table) choose(now time.Time, id string) {
+	best, bestRank := t.own.live(id), rankDirect
+	for _, name := range slices.Sorted(maps.Keys(t.sources)) {
+		s := t.sources[name].states[id]
+		if s == nil {
+			continue
+		}
+		rank := rankOther
+		if s.place() == name {
+			rank = rankHome
+		}
+		if best == nil || cmp.Or(cmp.Compare(s.boot, best.boot), cmp.Compare(rank, bestRank)) > 0 {
+			best, bestRank = s, rank
 		}
 	}
-	return n
+	if best == nil {
+		t.all.drop(now, id)
+		return
+	}
+	t.all.put(now, best)
 }
 
-func sameJobs(a, b []*wire.JobState) bool {
-	return slices.EqualFunc(a, b, func(x, y *wire.JobState) bool {
-		return cmp.Or(cmp.Compare(x.GetJob(), y.GetJob()), cmp.Compare(x.GetFence(), y.GetFence())) == 0
-	})
+// mostLate tells whether more than half of those who beat here have let half of
+// the expiry pass. It looks before the first of them expires, since when the hub
+// is cut off they expire one after another and not together.
+func (t *Table) mostLate(now time.Time) bool {
+	live, late := 0, 0
+	for id, h := range t.heard {
+		if t.own.live(id) == nil {
+			continue
+		}
+		live++
+		if now.Sub(h.at) >= t.expiry/2 {
+			late++
+		}
+	}
+	return 2*late > live
 }
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -15,8 +15,8 @@
 	// instance that is just starting, or one lost packet, be forgiven at the next
 	// beat; a long last one keeps a dead one from costing each beat a time-out.
 	firstSilence = 3 * time.Second
-	lastSilence  = 24 * time.Second
-	maxDoublings = 3
+	lastSilence  = 12 * time.Second
+	maxDoublings = 2
 )
 
 type (
