--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -134,22 +134,22 @@
 	return slices.Clone(v.digests)
 }
 
-// Holder returns the entry that says it holds job, and the fencing number it
-// holds it with, or nil. It may be out of date by some seconds: the entry itself
-// refuses what it no longer holds.
-func (v *View) Holder(job string) (*wire.EntryState, int64) {
+// Holder returns the entry that says it holds job, and how it holds it, or nil.
+// It may be out of date by some seconds: the entry itself refuses what it no
+// longer holds.
+func (v *View) Holder(job string) (*wire.EntryState, *wire.JobState) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var holder *wire.EntryState
-	fence := int64(0)
+	var held *wire.JobState
 	for _, e := range v.entries {
 		for _, j := range e.GetJobs() {
-			if j.GetJob() == job && j.GetFence() > fence {
-				holder, fence = e, j.GetFence()
+			if j.GetJob() == job && j.GetFence() > held.GetFence() {
+				holder, held = e, j
 			}
 		}
 	}
-	return holder, fence
+	return holder, held
 }
 
 func (v *View) markMissing(now time.Time, resp *wire.MembersResponse) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -36,10 +36,13 @@
 	look = time.Second
 	// renewals is how often the lease is renewed in one term: two may fail.
 	renewals = 3
-	// firstBackoff and lastBackoff bound the wait after a failed call, which
-	// doubles; the last one is how late a job is renewed after an outage.
+	// firstBackoff and lastBackoff bound the wait of a holder after a failed
+	// call, which doubles; the last one is how late a job is renewed after an
+	// outage.
 	firstBackoff = 500 * time.Millisecond
 	lastBackoff  = 5 * time.Second
+	// lastTry bounds the wait of those who do not hold the job.
+	lastTry = 15 * time.Second
 	// eager is how many candidates go on trying at once when an attempt failed.
 	eager = 2
 	// narrow and wide are the shares by which waits are spread.
@@ -160,7 +163,7 @@
 		wait, err := k.act(ctx)
 		if err != nil {
 			wait = k.jitter(backoff, wide)
-			backoff = min(2*backoff, lastBackoff*2/3)
+			backoff = min(2*backoff, k.longest())
 		} else {
 			backoff = firstBackoff
 		}
@@ -169,6 +172,14 @@
 	k.handBack()
 }
 
+// longest returns the longest wait between two calls that fail, before jitter.
+func (k *Keeper) longest() time.Duration {
+	if k.holding() {
+		return lastBackoff * 2 / 3
+	}
+	return lastTry * 2 / 3
+}
+
 // act does what is next and returns how long to wait until the one after.
 func (k *Keeper) act(ctx context.Context) (time.Duration, error) {
 	if k.holding() {
--- a/member/state.go
+++ b/member/state.go
@@ -1,7 +1,6 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/lavendermux/lavendermux/wire"
@@ -97,6 +96,6 @@
 
 func sameJobs(a, b []*wire.JobState) bool {
 	return slices.EqualFunc(a, b, func(x, y *wire.JobState) bool {
-		return cmp.Or(cmp.Compare(x.GetJob(), y.GetJob()), cmp.Compare(x.GetFence(), y.GetFence())) == 0
+		return x.GetJob() == y.GetJob() && x.GetFence() == y.GetFence() && x.GetInDoubt() == y.GetInDoubt()
 	})
 }
