--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,9 +29,15 @@
 		boot      int64
 		endpoints map[string]*wire.EndpointState
 		entries   map[string]*wire.EntryState
+		holders   map[string]holding
 		digests   []*wire.DataCentreDigest
 		missing   map[string]time.Time
 	}
+
+	holding struct {
+		entry *wire.EntryState
+		job   *wire.JobState
+	}
 )
 
 // New returns an empty copy.
@@ -42,6 +48,7 @@
 	return &View{
 		endpoints: map[string]*wire.EndpointState{},
 		entries:   map[string]*wire.EntryState{},
+		holders:   map[string]holding{},
 		missing:   map[string]time.Time{},
 	}
 }
@@ -73,6 +80,7 @@
 	v.digests = resp.GetDigests()
 	v.version = resp.GetVersion()
 	v.boot = resp.GetBoot()
+	v.index()
 }
 
 // Sweep drops the members that the last whole table lacked, once their time is
@@ -87,6 +95,7 @@
 		delete(v.missing, id)
 		delete(v.endpoints, id)
 		delete(v.entries, id)
+		v.index()
 	}
 }
 
@@ -140,16 +149,21 @@
 func (v *View) Holder(job string) (*wire.EntryState, *wire.JobState) {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	var holder *wire.EntryState
-	var held *wire.JobState
+	h := v.holders[job]
+	return h.entry, h.job
+}
+
+// index finds the holder of each job. It is asked for far more often than it
+// changes: every entry looks for every job each second.
+func (v *View) index() {
+	clear(v.holders)
 	for _, e := range v.entries {
 		for _, j := range e.GetJobs() {
-			if j.GetJob() == job && j.GetFence() > held.GetFence() {
-				holder, held = e, j
+			if j.GetFence() > v.holders[j.GetJob()].job.GetFence() {
+				v.holders[j.GetJob()] = holding{entry: e, job: j}
 			}
 		}
 	}
-	return holder, held
 }
 
 func (v *View) markMissing(now time.Time, resp *wire.MembersResponse) {
--- /dev/null
+++ b/hub/measure_test.go
@@ -0,0 +1,277 @@
+//go:build measure
+
+package hub_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/tally"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const (
+	// resources is how many the operators keep, of about 200 bytes each.
+	resources = 100
+	// window is one interval between new weights.
+	window = 10 * time.Minute
+	// changeEvery is 1,800 changes a day.
+	changeEvery = 48 * time.Second
+	// entriesPerJob gives 58 jobs at 350 entries: planning and roll-out of some
+	// twenty pools, and the subscriptions.
+	entriesPerJob = 6
+)
+
+type fleetSize struct {
+	dataCentres, entries, workers int
+}
+
+// TestMeasureSpread prints, for growing fleets in virtual time, what control
+// costs. Run it by
+//
+//	go test -tags measure -run TestMeasureSpread -v -timeout 30m ./hub
+func TestMeasureSpread(t *testing.T) {
+	sizes := []fleetSize{{2, 3, 7}, {2, 7, 13}, {2, 13, 27}, {2, 27, 53}, {3, 13, 27}, {5, 13, 27}, {7, 50, 100}}
+	for _, s := range sizes {
+		t.Run(fmt.Sprintf("%dx(%d+%d)", s.dataCentres, s.entries, s.workers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { measure(t, s) })
+		})
+	}
+}
+
+func measure(t *testing.T, s fleetSize) {
+	w := newWorld()
+	for i := range resources {
+		w.write(t, fmt.Sprintf("pool-%d", i), 1)
+	}
+	w.grow(s.dataCentres, s.entries, s.workers)
+	stopJobs := w.startJobs(t, s.dataCentres*s.entries/entriesPerJob)
+	defer w.stopAll()
+	time.Sleep(2 * time.Minute)
+	synctest.Wait()
+	w.calm(t)
+	w.afterOutage(t)
+	stopJobs()
+	w.restart(t)
+}
+
+// startJobs lets all entries compete for n jobs.
+func (w *world) startJobs(t *testing.T, n int) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	seed := uint64(0)
+	for id, e := range w.snapshot() {
+		if e.hub == nil {
+			continue
+		}
+		kv := keyval.New("http://"+kvHost, keyval.WithHTTP(&http.Client{Transport: transport{world: w, from: id}}))
+		keepers := []*lease.Keeper{}
+		for j := range n {
+			seed++
+			keepers = append(keepers, lease.New(kv, fmt.Sprintf("deliver/job-%d", j), id,
+				lease.WithSeed(seed), lease.WithLogger(log.New(io.Discard)),
+				lease.WithChange(func() { e.note(keepers) }),
+				lease.WithHolder(func(job string) (string, bool) {
+					entry, held := e.view.Holder(job)
+					return entry.GetInstance(), entry != nil && !held.GetInDoubt()
+				}),
+				lease.WithCandidates(func() []string {
+					out := []string{id}
+					for _, o := range e.view.Entries() {
+						if o.GetInstance() != id {
+							out = append(out, o.GetInstance())
+						}
+					}
+					return out
+				})))
+		}
+		for _, k := range keepers {
+			done.Go(func() { k.Run(ctx) })
+		}
+		done.Go(func() {
+			for ctx.Err() == nil {
+				e.note(keepers)
+				time.Sleep(time.Second)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		done.Wait()
+	}
+}
+
+func (n *node) note(keepers []*lease.Keeper) {
+	jobs := []*wire.JobState{}
+	for _, k := range keepers {
+		if fence, ok := k.Held(); ok {
+			jobs = append(jobs, &wire.JobState{Job: k.Job(), Fence: fence})
+		}
+		if fence, ok := k.InDoubt(); ok {
+			jobs = append(jobs, &wire.JobState{Job: k.Job(), Fence: fence, InDoubt: true})
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.jobs = jobs
+}
+
+// calm plays one interval between new weights: each worker stages them at its
+// own time, all switch within 6 seconds, and operators change resources.
+func (w *world) calm(t *testing.T) {
+	hubs := w.hubs("")
+	before := w.kv.Counts()
+	w.reset()
+	begin := time.Now()
+	workers := []*node{}
+	for _, n := range w.snapshot() {
+		if n.hub == nil {
+			workers = append(workers, n)
+		}
+	}
+	slices.SortFunc(workers, func(a, b *node) int { return strings.Compare(a.id, b.id) })
+	var rollout sync.WaitGroup
+	for i, n := range workers {
+		share := time.Duration(i) * time.Second / time.Duration(len(workers))
+		rollout.Go(func() {
+			time.Sleep(share * 480)
+			n.setModels("v1", "v2")
+			time.Sleep(9*time.Minute - share*480 + share*6)
+			n.setModels("v2")
+		})
+	}
+	spread := tally.Series{}
+	for i := 0; time.Since(begin) < window-changeEvery; i++ {
+		took, err := w.everywhere(w.write(t, "pool-0", i+2), time.Minute)
+		if err != nil {
+			t.Error(err)
+		}
+		spread.Add(took.Seconds())
+		time.Sleep(changeEvery - took)
+	}
+	rollout.Wait()
+	time.Sleep(window - time.Since(begin))
+	after := w.kv.Counts()
+	seconds := window.Seconds()
+	t.Logf("calm: kv a second: reads %.2f watches %.2f writes %.2f; change in force everywhere: median %.1f s, last %.1f s of %d",
+		float64(after["reads"]-before["reads"])/seconds, float64(after["watches"]-before["watches"])/seconds,
+		float64(after["writes"]-before["writes"])/seconds, spread.Quantile(0.5), spread.Quantile(1), spread.Count())
+	w.bytes(t, hubs, seconds)
+}
+
+func (n *node) setModels(version string, staged ...string) {
+	n.mu.Lock()
+	n.models = []*wire.ModelState{{Model: "filing-7b", Version: version, Staged: staged}}
+	n.mu.Unlock()
+	n.client.Wake()
+}
+
+func (w *world) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.sent)
+	clear(w.kvCalls)
+	w.lists = 0
+}
+
+func (w *world) bytes(t *testing.T, hubs []string, seconds float64) {
+	series := map[string]*tally.Series{"hub": {}, "plain entry": {}, "worker": {}}
+	for id, n := range w.snapshot() {
+		role := "worker"
+		if n.hub != nil {
+			role = "plain entry"
+		}
+		if slices.Contains(hubs, id) {
+			role = "hub"
+		}
+		w.mu.Lock()
+		series[role].Add(float64(w.sent[id]) / seconds)
+		w.mu.Unlock()
+	}
+	for _, role := range []string{"hub", "plain entry", "worker"} {
+		s := series[role]
+		t.Logf("bytes a second, both ways, %s: mean %.0f most %.0f of %d", role, s.Mean(), s.Quantile(1), s.Count())
+	}
+	t.Logf("readings of the instance list: %.2f a second", float64(w.lists)/seconds)
+}
+
+// peak returns the calls of the service in the minute since reset, and in its
+// busiest second.
+func (w *world) peak() (total, most int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range w.kvCalls {
+		total += n
+		most = max(most, n)
+	}
+	return total, most
+}
+
+func (w *world) afterOutage(t *testing.T) {
+	w.kv.SetDown(true)
+	time.Sleep(window)
+	w.reset()
+	w.kv.SetDown(false)
+	before := w.kv.Counts()
+	took, err := w.everywhere(w.write(t, "pool-1", 9), time.Minute)
+	if err != nil {
+		t.Error(err)
+	}
+	time.Sleep(time.Minute - took)
+	total, most := w.peak()
+	after := w.kv.Counts()
+	t.Logf("minute after an outage of 10 minutes: kv calls %d, busiest second %d (reads %d watches %d writes %d limited %d); change in force everywhere after %.1f s",
+		total, most, after["reads"]-before["reads"], after["watches"]-before["watches"],
+		after["writes"]-before["writes"], after["limited"]-before["limited"], took.Seconds())
+}
+
+// restart ends all instances and starts all at once.
+func (w *world) restart(t *testing.T) {
+	all := w.snapshot()
+	w.stopAll()
+	w.reset()
+	seed := uint64(100000)
+	begin := time.Now()
+	for id := range all {
+		w.start(id, seed)
+		seed++
+	}
+	ready, complete := time.Duration(0), time.Duration(0)
+	workers := 0
+	for _, n := range all {
+		if n.hub == nil {
+			workers++
+		}
+	}
+	for time.Since(begin) < time.Minute {
+		synctest.Wait()
+		allReady, allSeen := true, true
+		for _, n := range w.snapshot() {
+			allReady = allReady && n.client.Ready()
+			allSeen = allSeen && (n.hub == nil || len(n.view.Endpoints("")) == workers)
+		}
+		if allReady && ready == 0 {
+			ready = time.Since(begin)
+		}
+		if allSeen && complete == 0 {
+			complete = time.Since(begin)
+		}
+		time.Sleep(time.Second)
+	}
+	total, most := w.peak()
+	t.Logf("all restart: ready after %s, all members seen after %s; kv calls in the minute %d, busiest second %d, lists %d",
+		ready, complete, total, most, w.lists)
+	w.bytes(t, w.hubs(""), time.Minute.Seconds())
+}
--- /dev/null
+++ b/hub/wire_test.go
@@ -0,0 +1,122 @@
+package hub_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
+)
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+	turns *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	c.turns.Add(1)
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	c.turns.Add(1)
+	return n, err
+}
+
+// BenchmarkBeatOverLoopback reports what one heartbeat of a worker costs both
+// ends together in processor time, and in bytes on the connection without the
+// headers of TCP and IP. Pieces are the reads and writes of the client.
+func BenchmarkBeatOverLoopback(b *testing.B) {
+	for name, protocols := range map[string]func(*http.Protocols){
+		"http1": func(p *http.Protocols) { p.SetHTTP1(true) },
+		"h2c":   func(p *http.Protocols) { p.SetUnencryptedHTTP2(true) },
+	} {
+		b.Run(name, func(b *testing.B) { benchBeat(b, protocols) })
+	}
+}
+
+func benchBeat(b *testing.B, set func(*http.Protocols)) {
+	var protocols http.Protocols
+	set(&protocols)
+	self := func() *wire.EntryState { return &wire.EntryState{Instance: "entry-1", DataCentre: "dc-0"} }
+	cache := confs.New()
+	cache.Apply(&wire.FetchResponse{Revision: 70000, Whole: true})
+	h := hub.New(self, cache, keyval.New("http://127.0.0.1:1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go h.Run(ctx)
+	for !h.Active() {
+		time.Sleep(time.Millisecond)
+	}
+	_, handler := wireconnect.NewPeerServiceHandler(peerHandler{hub: h}, connect.WithCompressMinBytes(512))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := &http.Server{Handler: handler, Protocols: &protocols, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	var bytes, turns atomic.Int64
+	client := &http.Client{Transport: &http.Transport{
+		Protocols: &protocols,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return countedConn{conn, &bytes, &turns}, err
+		},
+	}}
+	peer := wireconnect.NewPeerServiceClient(client, "http://"+ln.Addr().String())
+	req := &wire.BeatRequest{Revision: 70000, Sequence: 20000, Endpoint: &wire.EndpointState{
+		Instance: "filing-lm-cyberjaya-a-17", Service: "filing-lm", DataCentre: "cyberjaya-a", Region: "klang-valley",
+		Address: "10.20.30.40:7100", Boot: time.Now().UnixNano(), Ready: true, Role: "rollout",
+		Models: []*wire.ModelState{{Model: "filing-7b", Version: "step-" + strconv.Itoa(41234), Staged: []string{"step-41235"}}},
+		Load:   &wire.DoorLoad{Slots: 8, Running: 8, Waiting: 3, AheadTokens: 40000},
+	}}
+	beat := func() {
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		req.Sequence++
+		if _, err := peer.Beat(callCtx, connect.NewRequest(req)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	for range 10 {
+		beat()
+	}
+	bytes.Store(0)
+	turns.Store(0)
+	used := processorTime()
+	for b.Loop() {
+		beat()
+	}
+	n := float64(b.N)
+	b.ReportMetric(float64(processorTime()-used)/n/1e3, "cpu-µs/op")
+	b.ReportMetric(float64(bytes.Load())/n, "wire-bytes/op")
+	b.ReportMetric(float64(turns.Load())/n, "pieces/op")
+	b.ReportMetric(float64(proto.Size(req)), "request-bytes")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -50,7 +50,9 @@
 		kv     *simkv.Server
 		listed []insts.Instance
 		lists  int
-		nodes  map[string]*node
+		// kvCalls counts the calls of the key-value service in each second.
+		kvCalls map[int64]int
+		nodes   map[string]*node
 	}
 
 	node struct {
@@ -109,6 +111,8 @@
 		cut:   func(string, string) bool { return false },
 		kv:    simkv.New(),
 		nodes: map[string]*node{},
+
+		kvCalls: map[int64]int{},
 	}
 	w.hosts[kvHost] = w.kv
 	return w
@@ -122,6 +126,9 @@
 	handler := w.hosts[req.URL.Host]
 	gone := handler == nil || w.cut(t.from, req.URL.Host)
 	w.calls[req.URL.Host]++
+	if req.URL.Host == kvHost {
+		w.kvCalls[time.Now().Unix()]++
+	}
 	w.mu.Unlock()
 	if gone {
 		return nil, errCut
