--- a/confs/read.go
+++ b/confs/read.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 	"strings"
 
+	"github.com/lavendermux/lavendermux/homes"
 	"github.com/lavendermux/lavendermux/kinds"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/policy"
@@ -26,13 +28,20 @@
 	if !ok || kind == "" || name == "" {
 		return nil, false
 	}
-	r := &wire.Resource{Kind: kind, Name: name, Revision: rec.Revision, Deleted: rec.Deleted}
-	if !rec.Deleted {
+	r := &wire.Resource{Kind: kind, Name: name, Revision: rec.Revision, Deleted: rec.Deleted || isTombstone(rec.Value)}
+	if !r.GetDeleted() {
 		r.Body = rec.Value
 	}
 	return r, true
 }
 
+// isTombstone reports whether the stored resource was deleted. What cannot be
+// read was not.
+func isTombstone(value []byte) bool {
+	var o object.Object
+	return json.Unmarshal(value, &o) == nil && o.Deleted
+}
+
 // Object returns the resource as it was accepted.
 func (c *Cache) Object(kind, name string) (object.Object, bool) {
 	e, ok := c.entry(kind, name)
@@ -143,3 +152,14 @@
 	}
 	return found
 }
+
+// Homes returns the endpoints of a plain service that remember idempotency
+// keys, and none while no list has been written yet.
+func (c *Cache) Homes(service string) []string {
+	e, ok := c.entry(object.KindHome, service)
+	h, isHomes := e.spec.(homes.Homes)
+	if !ok || !isHomes {
+		return nil
+	}
+	return h.Doors
+}
