--- a/opapi/status.go
+++ b/opapi/status.go
@@ -9,27 +9,9 @@
 	"github.com/lavendermux/lavendermux/kinds"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/reply"
-	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/status"
 )
 
-// status is what an operator sees of a resource's way into force.
-type status struct {
-	Kind string `json:"kind"`
-	Name string `json:"name"`
-	// AcceptedRevision is the resource's revision; that of the deletion when it
-	// was deleted.
-	AcceptedRevision int64  `json:"acceptedRevision"`
-	Operation        string `json:"operation,omitempty"`
-	Deleted          bool   `json:"deleted,omitempty"`
-	// Source says where AcceptedRevision was read.
-	Source string `json:"source"`
-	// InForce counts the instances whose configuration has reached
-	// AcceptedRevision.
-	InForce spread.Report `json:"inForce"`
-	// Conditions are what stands against the resource; empty when nothing does.
-	Conditions []condit.Condition `json:"conditions"`
-}
-
 func (a *API) status(w http.ResponseWriter, r *http.Request) {
 	kind, name := mux.Vars(r)["kind"], mux.Vars(r)["name"]
 	o, source, err := a.read(r.Context(), kind, name)
@@ -38,7 +20,7 @@
 		reply.Fail(w, err)
 		return
 	}
-	s := status{
+	s := status.Status{
 		Kind:             kind,
 		Name:             name,
 		AcceptedRevision: o.Revision,
