Add the operators' command line

Cause: operators and their scripts drive the system by commands.

Weighed: apply that always states a revision against one that takes the current revision when the file states none; the latter was taken, since files under version control have no revision, and a file from "get -o json" has one and is checked.

Change: get, apply, delete, watch, status, settings check and version, each in a file of its own, with exit codes that scripts can tell apart; tests play sessions against the resource API over the stand-in of the key-value service.

Shell completion is left out: the library brings none.

--- /dev/null
+++ b/cmd/lavendermux/apply.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/opclnt"
+	"github.com/lavendermux/lavendermux/span"
+	"github.com/lavendermux/lavendermux/strict"
+)
+
+// applyCommand creates or replaces resources.
+type applyCommand struct {
+	File string        `short:"f" required:"" placeholder:"FILE" help:"JSON with one resource or a list of them; - for standard input."`
+	Wait span.Duration `default:"0s" help:"How long to wait until they are in force everywhere (${default})."`
+}
+
+// Help implements kong's HelpProvider.
+func (c *applyCommand) Help() string {
+	return `A resource that states a revision replaces exactly that one, and is a conflict (exit code 4) if another change
+came first; without a revision it is created, or replaces what is there now. What is unchanged is left alone.
+Resources are applied in the order in which they depend on each other; the first that fails ends the command.`
+}
+
+// Run implements kong's command.
+func (c *applyCommand) Run(s *session) error {
+	all, err := c.read(s)
+	if err != nil {
+		return err
+	}
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.patience()
+	defer cancel()
+	for _, o := range all {
+		if err := c.apply(ctx, s, client, o); err != nil {
+			return errors.Wrapf(err, "%s %s", o.Kind, o.Name)
+		}
+	}
+	for _, o := range all {
+		if err := s.await(client, o.Kind, o.Name, c.Wait.Std()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *applyCommand) apply(ctx context.Context, s *session, client *opclnt.Client, o object.Object) error {
+	current, err := client.Get(ctx, o.Kind, o.Name)
+	var missing *fault.NotFoundError
+	if err != nil && !errors.As(err, &missing) {
+		return notSent(err)
+	}
+	if o.Revision == 0 {
+		o.Revision = current.Revision
+	}
+	if o.Revision == current.Revision && equal(o.Spec, current.Spec) {
+		s.print(fmt.Sprintf("%s %s unchanged at revision %d\n", o.Kind, o.Name, current.Revision))
+		return nil
+	}
+	accepted, err := client.Put(ctx, o)
+	if err != nil {
+		return err
+	}
+	verb := "replaced"
+	if o.Revision == 0 {
+		verb = "created"
+	}
+	s.print(fmt.Sprintf("%s %s %s at revision %d\n", o.Kind, o.Name, verb, accepted.Revision))
+	return nil
+}
+
+// read returns the file's resources in the order in which they are applied.
+func (c *applyCommand) read(s *session) ([]object.Object, error) {
+	raw, err := s.readFile(c.File)
+	if err != nil {
+		return nil, err
+	}
+	var all []object.Object
+	if bytes.HasPrefix(bytes.TrimSpace(raw), []byte("[")) {
+		err = strict.Decode(raw, &all)
+	} else {
+		all = make([]object.Object, 1)
+		err = strict.Decode(raw, &all[0])
+	}
+	if err != nil {
+		return nil, err
+	}
+	var bad fault.FieldsError
+	for i, o := range all {
+		bad.Merge(fmt.Sprintf("[%d]", i), o.Validate())
+	}
+	slices.SortStableFunc(all, func(a, b object.Object) int {
+		return cmp.Compare(slices.Index(object.Kinds, a.Kind), slices.Index(object.Kinds, b.Kind))
+	})
+	return all, bad.Err()
+}
+
+func (s *session) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		raw, err := io.ReadAll(s.in)
+		return raw, errors.Wrap(err, "reading standard input")
+	}
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &fault.FieldError{Field: "file", Problem: err.Error()}
+	}
+	return raw, nil
+}
+
+// notSent says that nothing has been asked to change yet.
+func notSent(err error) error {
+	var silent *fault.UnavailableError
+	if !errors.As(err, &silent) {
+		return err
+	}
+	return &fault.NotRunError{Cause: "entryDown", Reason: "nothing was sent: " + err.Error()}
+}
+
+func equal(a, b json.RawMessage) bool {
+	var x, y any
+	return json.Unmarshal(a, &x) == nil && json.Unmarshal(b, &y) == nil && reflect.DeepEqual(x, y)
+}
--- /dev/null
+++ b/cmd/lavendermux/delete.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/lavendermux/lavendermux/span"
+)
+
+// deleteCommand deletes a resource.
+type deleteCommand struct {
+	Kind     string        `arg:"" help:"pool, subscription, service or policy."`
+	Name     string        `arg:"" help:"Name of the resource."`
+	Revision int64         `help:"Delete exactly this revision; by default the one that is there now."`
+	Wait     span.Duration `default:"0s" help:"How long to wait until the deletion is in force everywhere (${default})."`
+}
+
+// Run implements kong's command.
+func (c *deleteCommand) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := s.patience()
+	defer cancel()
+	revision := c.Revision
+	if revision == 0 {
+		current, err := client.Get(ctx, c.Kind, c.Name)
+		if err != nil {
+			return notSent(err)
+		}
+		revision = current.Revision
+	}
+	gone, err := client.Delete(ctx, c.Kind, c.Name, revision)
+	if err != nil {
+		return err
+	}
+	s.print(fmt.Sprintf("%s %s deleted at revision %d\n", c.Kind, c.Name, gone.Revision))
+	return s.await(client, c.Kind, c.Name, c.Wait.Std())
+}
--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -1,4 +1,30 @@
-// Command lavendermux is the rollout service.
+// Command lavendermux is the rollout service and its operators' command line.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+// commands are the subcommands; each stands in a file of its own.
+type commands struct {
+	globals
+
+	Get      getCommand      `cmd:"" group:"Resources" help:"Show resources."`
+	Apply    applyCommand    `cmd:"" group:"Resources" help:"Create or replace resources from a file."`
+	Delete   deleteCommand   `cmd:"" group:"Resources" help:"Delete a resource."`
+	Watch    watchCommand    `cmd:"" group:"Resources" help:"Print changes of resources as an entry learns of them."`
+	Status   statusCommand   `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
+	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
+	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	s := &session{ctx: ctx, in: os.Stdin, out: os.Stdout, errOut: os.Stderr}
+	code := run(s, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/cmd/lavendermux/main_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/lavendermux/lavendermux/change"
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const (
+	poolFile = `[
+  {"apiVersion":"lavendermux/v1","kind":"subscription","name":"t1","spec":{"pool":"filing-lm","model":"draft"}},
+  {"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","spec":{"service":"filing-lm","models":["draft"]}}
+]`
+	oldFile  = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","revision":1,"spec":{"service":"other","models":["draft"]}}`
+	badFile  = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","spec":{"service":"filing-lm","model":["draft"]}}`
+	sideFile = `{"instance":"case-desk-1","service":"case-desk","dataCentre":"shah-alam","region":"klang-valley","listen":"127.0.0.1:9000",
+  "plainService":"http://127.0.0.1:4","keyValue":"http://127.0.0.1:1","instanceList":"http://127.0.0.1:2"}`
+)
+
+var (
+	clock      = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	operations = regexp.MustCompile(`[A-Z2-7]{26}`)
+)
+
+// bench is one entry with its key-value service.
+type bench struct {
+	store  *simkv.Server
+	folder string
+	url    string
+	lines  strings.Builder
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{store: simkv.New(), folder: t.TempDir()}
+	store := httptest.NewServer(b.store)
+	t.Cleanup(store.Close)
+	kv := keyval.New(store.URL)
+	cache := confs.New()
+	api := opapi.New(
+		change.New(kv, change.WithClock(func() time.Time { return clock })), cache,
+		opapi.WithInForce(func(revision int64) spread.Report {
+			if revision > 2 {
+				return spread.Report{Instances: 1, Of: 2, Lagging: []string{"entry-2"}}
+			}
+			return spread.Report{Instances: 2, Of: 2, Since: clock}
+		}),
+	)
+	router := mux.NewRouter()
+	router.Use(func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			follow(r.Context(), kv, cache)
+			next.ServeHTTP(w, r)
+		})
+	})
+	api.Register(router)
+	entry := httptest.NewServer(router)
+	t.Cleanup(entry.Close)
+	b.url = entry.URL
+	return b
+}
+
+// follow brings the entry's configuration up to the key-value service.
+func follow(ctx context.Context, kv *keyval.Client, cache *confs.Cache) {
+	recs, revision, err := kv.List(ctx, "resources/")
+	if err != nil {
+		return
+	}
+	resp := &wire.FetchResponse{Revision: revision, Whole: true}
+	for _, rec := range recs {
+		if r, ok := confs.FromRecord(rec); ok {
+			resp.Resources = append(resp.Resources, r)
+		}
+	}
+	cache.Apply(resp)
+}
+
+// run runs a command line and notes what it prints and its exit code.
+func (b *bench) run(in string, args ...string) {
+	var out, errOut bytes.Buffer
+	s := &session{ctx: context.Background(), in: strings.NewReader(in), out: &out, errOut: &errOut}
+	code := run(s, append([]string{"--entry", b.url}, args...))
+	text := fmt.Sprintf("$ lavendermux %s\n%s%s(exit code %d)\n\n", strings.Join(args, " "), &out, &errOut, code)
+	text = strings.ReplaceAll(text, b.url, "http://entry")
+	text = strings.ReplaceAll(text, b.folder, "folder")
+	b.lines.WriteString(operations.ReplaceAllString(text, "OPERATION"))
+}
+
+// TestCommandLine plays what an operator types, right and wrong, and holds what
+// is printed and the exit codes that scripts rely on.
+func TestCommandLine(t *testing.T) {
+	b := newBench(t)
+	b.run(badFile, "apply", "-f", "-")
+	b.run(poolFile, "apply", "-f", "-", "--wait", "100ms")
+	b.run(poolFile, "apply", "-f", "-")
+	b.run("", "get")
+	b.run("", "get", "subscription", "t1", "-o", "json")
+	b.run("", "get", "pool", "nothing")
+	b.run("", "get", "polls")
+	b.run("", "status", "pool", "filing-lm")
+	b.run("", "delete", "pool", "filing-lm")
+	b.run("", "delete", "subscription", "t1")
+	b.run("", "status", "subscription", "t1", "--wait", "100ms")
+	b.run("", "status", "subscription", "t1", "-o", "json")
+	b.run(strings.Replace(oldFile, `"revision":1`, `"revision":9`, 1), "apply", "-f", "-")
+	b.run(oldFile, "apply", "-f", "-")
+	b.run("", "watch", "pool", "--count", "1")
+	b.run("", "delete", "pool")
+	b.run("", "gett")
+	b.run("", "apply", "-f", filepath.Join(b.folder, "none.json"))
+	goldie.New(t).Assert(t, "session", []byte(b.lines.String()))
+}
+
+// The key-value service is down. A script must be able to tell a change that
+// was surely not made from one that it has to look after.
+func TestCommandLineInAnOutage(t *testing.T) {
+	b := newBench(t)
+	b.run(poolFile, "apply", "-f", "-")
+	b.lines.Reset()
+	b.store.SetDown(true)
+	b.run("", "get")
+	g := NewWithT(t)
+	g.Expect(b.lines.String()).To(ContainSubstring("filing-lm"))
+	g.Expect(b.lines.String()).To(ContainSubstring("note: the key-value service gives no answer"))
+	g.Expect(b.lines.String()).To(ContainSubstring("(exit code 0)"))
+	b.lines.Reset()
+	b.run(oldFile, "apply", "-f", "-")
+	g.Expect(b.lines.String()).To(ContainSubstring("not run (keyValueDown)"))
+	g.Expect(b.lines.String()).To(ContainSubstring("(exit code 5)"))
+}
+
+func TestSettingsCheck(t *testing.T) {
+	b := newBench(t)
+	file := filepath.Join(b.folder, "side.json")
+	if err := os.WriteFile(file, []byte(sideFile), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	b.run("", "settings", "check", "side", file)
+	b.run("", "settings", "check", "entry", file)
+	b.run("{}", "settings", "check", "side", "-")
+	goldie.New(t).Assert(t, "settings", []byte(b.lines.String()))
+}
--- /dev/null
+++ b/cmd/lavendermux/session.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/opclnt"
+)
+
+const (
+	// Exit codes, for scripts. They are told in the help and never change.
+	exitOK       = 0
+	exitFailed   = 1
+	exitInvalid  = 2
+	exitMissing  = 3
+	exitConflict = 4
+	exitNotRun   = 5
+	exitUnknown  = 6
+	exitNotYet   = 7
+
+	description = `The rollout service lavendermux: its programs, and the operators' command line.
+
+Exit codes: 0 done; 1 failed; 2 wrong input or usage; 3 does not exist; 4 conflict, the resource has moved on;
+5 not run, try again later; 6 outcome unknown, look with "status" before trying again; 7 not in force everywhere yet.`
+)
+
+type (
+	// globals are the flags of all commands that ask an entry.
+	globals struct {
+		Entries   []string      `name:"entry" placeholder:"URL" default:"http://127.0.0.1:8080" env:"LAVENDERMUX_ENTRY" help:"Entry or balancer to ask; several for a report (${default})."`
+		TokenFile string        `placeholder:"FILE" env:"LAVENDERMUX_TOKEN_FILE" help:"File that holds the operator's token."`
+		Timeout   time.Duration `default:"60s" help:"How long to wait for an answer (${default})."`
+	}
+
+	// session is what a command runs with.
+	session struct {
+		ctx    context.Context
+		in     io.Reader
+		out    io.Writer
+		errOut io.Writer
+		flags  *globals
+	}
+
+	// exit is thrown by the parser when it has printed help.
+	exit int
+)
+
+// run runs the command line and returns its exit code.
+func run(s *session, args []string) (code int) {
+	defer func() {
+		if thrown, ok := recover().(exit); ok {
+			code = int(thrown)
+		}
+	}()
+	var cli commands
+	s.flags = &cli.globals
+	parser, err := kong.New(&cli,
+		kong.Name("lavendermux"),
+		kong.Description(description),
+		kong.Writers(s.out, s.errOut),
+		kong.Exit(func(code int) { panic(exit(code)) }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
+	if err != nil {
+		return s.report(err)
+	}
+	kctx, err := parser.Parse(args)
+	if err != nil {
+		_, _ = fmt.Fprintf(s.errOut, "lavendermux: %v\nTry \"lavendermux --help\".\n", err)
+		return exitInvalid
+	}
+	return s.report(kctx.Run(s))
+}
+
+// report prints err and returns the exit code that goes with it.
+func (s *session) report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var fields *fault.FieldsError
+	if errors.As(err, &fields) {
+		for _, f := range fields.Fields {
+			_, _ = fmt.Fprintf(s.errOut, "lavendermux: %s\n", strings.TrimPrefix(f.Error(), ": "))
+		}
+		return exitInvalid
+	}
+	_, _ = fmt.Fprintf(s.errOut, "lavendermux: %v\n", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var (
+		field    *fault.FieldError
+		missing  *fault.NotFoundError
+		conflict *fault.ConflictError
+		notRun   *fault.NotRunError
+		unknown  *fault.UnknownOutcomeError
+		notYet   *notYetError
+	)
+	switch {
+	case errors.As(err, &field):
+		return exitInvalid
+	case errors.As(err, &missing):
+		return exitMissing
+	case errors.As(err, &conflict):
+		return exitConflict
+	case errors.As(err, &notRun):
+		return exitNotRun
+	case errors.As(err, &unknown):
+		return exitUnknown
+	case errors.As(err, &notYet):
+		return exitNotYet
+	}
+	return exitFailed
+}
+
+// client returns a client of the first entry.
+func (s *session) client() (*opclnt.Client, error) {
+	return s.clientOf(s.flags.Entries[0])
+}
+
+func (s *session) clientOf(entry string) (*opclnt.Client, error) {
+	token, err := s.token()
+	if err != nil {
+		return nil, err
+	}
+	notice := func(text string) { _, _ = fmt.Fprintf(s.errOut, "lavendermux: note: %s\n", text) }
+	return opclnt.New(entry, opclnt.WithToken(token), opclnt.WithNotice(notice)), nil
+}
+
+// token reads the operator's token; it is never printed.
+func (s *session) token() (string, error) {
+	if s.flags.TokenFile == "" {
+		return "", nil
+	}
+	raw, err := os.ReadFile(s.flags.TokenFile)
+	if err != nil {
+		return "", &fault.FieldError{Field: "--token-file", Problem: err.Error()}
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// patience returns a context that ends when the user's patience does.
+func (s *session) patience() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(s.ctx, s.flags.Timeout)
+}
+
+func (s *session) print(text string) {
+	_, _ = io.WriteString(s.out, text)
+}
+
+func (s *session) printJSON(v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "encoding the output")
+	}
+	s.print(string(raw) + "\n")
+	return nil
+}
+
+// printLine prints v as JSON on one line.
+func (s *session) printLine(v any) {
+	if raw, err := json.Marshal(v); err == nil {
+		s.print(string(raw) + "\n")
+	}
+}
--- /dev/null
+++ b/cmd/lavendermux/status.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/lavendermux/lavendermux/grid"
+	"github.com/lavendermux/lavendermux/opclnt"
+	"github.com/lavendermux/lavendermux/span"
+	"github.com/lavendermux/lavendermux/status"
+)
+
+const (
+	// statusPause is the time between two looks while waiting; a change is in
+	// force within seconds.
+	statusPause = 500 * time.Millisecond
+	timeForm    = "2006-01-02 15:04:05Z"
+)
+
+// statusCommand shows how far a resource has got.
+type statusCommand struct {
+	Kind   string        `arg:"" help:"pool, subscription, service or policy."`
+	Name   string        `arg:"" help:"Name of the resource."`
+	Wait   span.Duration `default:"0s" help:"How long to wait until it is in force everywhere (${default})."`
+	Output string        `short:"o" enum:"table,json" default:"table" help:"table or json (${default})."`
+}
+
+// Help implements kong's HelpProvider.
+func (c *statusCommand) Help() string {
+	return "Exit code 7 says that the accepted revision is not in force on every instance."
+}
+
+// Run implements kong's command.
+func (c *statusCommand) Run(s *session) error {
+	client, err := s.client()
+	if err != nil {
+		return err
+	}
+	found, err := s.reach(client, c.Kind, c.Name, c.Wait.Std())
+	if err != nil {
+		return err
+	}
+	if c.Output == "json" {
+		err = s.printJSON(found)
+	} else {
+		s.print(statusText(found))
+	}
+	if err != nil {
+		return err
+	}
+	return lagging(found)
+}
+
+// await waits until a resource is in force everywhere; with no time it does not
+// even look.
+func (s *session) await(client *opclnt.Client, kind, name string, patience time.Duration) error {
+	if patience == 0 {
+		return nil
+	}
+	found, err := s.reach(client, kind, name, patience)
+	if err != nil {
+		return err
+	}
+	if err := lagging(found); err != nil {
+		return err
+	}
+	s.print(fmt.Sprintf("%s %s in force on all %d instances\n", kind, name, found.InForce.Of))
+	return nil
+}
+
+// reach returns the status once the resource is in force everywhere or the
+// patience is over.
+func (s *session) reach(client *opclnt.Client, kind, name string, patience time.Duration) (status.Status, error) {
+	end := time.Now().Add(patience)
+	for {
+		ctx, cancel := s.patience()
+		found, err := client.Status(ctx, kind, name)
+		cancel()
+		over := s.ctx.Err() != nil || !time.Now().Before(end)
+		if err != nil || over || found.InForce.Everywhere() {
+			return found, err
+		}
+		s.pause(statusPause)
+	}
+}
+
+func lagging(found status.Status) error {
+	if found.InForce.Everywhere() {
+		return nil
+	}
+	return &notYetError{
+		what:      fmt.Sprintf("%s %s at revision %d", found.Kind, found.Name, found.AcceptedRevision),
+		instances: found.InForce.Instances,
+		of:        found.InForce.Of,
+	}
+}
+
+func statusText(found status.Status) string {
+	what := "accepted"
+	if found.Deleted {
+		what = "deletion accepted"
+	}
+	text := fmt.Sprintf("%s %s: %s at revision %d (%s)\n", found.Kind, found.Name, what, found.AcceptedRevision, found.Operation)
+	text += fmt.Sprintf("in force on %d of %d instances", found.InForce.Instances, found.InForce.Of)
+	if !found.InForce.Since.IsZero() {
+		text += " since " + found.InForce.Since.Format(timeForm)
+	}
+	text += "\n"
+	if len(found.InForce.Lagging) > 0 {
+		text += "lagging: " + strings.Join(found.InForce.Lagging, ", ") + "\n"
+	}
+	if len(found.Conditions) == 0 {
+		return text
+	}
+	g := grid.New("CAUSE", "SINCE", "REASON")
+	for _, c := range found.Conditions {
+		since := "-"
+		if !c.Since.IsZero() {
+			since = c.Since.Format(timeForm)
+		}
+		g.Add(c.Cause, since, c.Reason)
+	}
+	return text + "\n" + g.Text()
+}
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,15 +107,21 @@
 		}
 		return bad
 	case f.Code == CodeConflict:
-		return &fault.ConflictError{Key: "resource", Revision: f.Revision}
+		return &fault.ConflictError{Key: f.subject(), Revision: f.Revision}
 	case f.Code == CodeNotFound:
-		return &fault.NotFoundError{What: f.Reason}
+		return &fault.NotFoundError{What: f.subject()}
 	case f.Outcome == OutcomeNotRun:
 		return &fault.NotRunError{Cause: f.Code, Reason: f.Reason, RetryAfter: f.RetryAfter.Std()}
 	}
 	return &fault.UnknownOutcomeError{Cause: f.Code, Reason: f.Reason}
 }
 
+// subject is what the reason speaks of: the errors' texts begin with it.
+func (f Failure) subject() string {
+	what, _, _ := strings.Cut(f.Reason, ": ")
+	return what
+}
+
 // Parse reads a Failure from the body of an answer, if it is one.
 func Parse(body []byte) (Failure, bool) {
 	var e envelope
--- /dev/null
+++ b/reply/reply_test.go
@@ -0,0 +1,52 @@
+package reply_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/reply"
+)
+
+func TestReply(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reply")
+}
+
+// An error loses its type on the way over HTTP and comes back as another. If
+// "outcome unknown" came back as "not run", a client would repeat what ran.
+var _ = DescribeTable("an error keeps its meaning over HTTP",
+	func(err error, status int, back error) {
+		w := httptest.NewRecorder()
+		reply.Fail(w, errors.Wrap(err, "wrapped"))
+		Expect(w.Code).To(Equal(status))
+		f, ok := reply.Parse(w.Body.Bytes())
+		Expect(ok).To(BeTrue())
+		Expect(f.Err()).To(Equal(back))
+	},
+	Entry("not run", &fault.NotRunError{Cause: "saturated", Reason: "full", RetryAfter: time.Second},
+		http.StatusServiceUnavailable, &fault.NotRunError{Cause: "saturated", Reason: "full", RetryAfter: time.Second}),
+	Entry("unknown", &fault.UnknownOutcomeError{Cause: "cutOff", Reason: "gone"},
+		http.StatusGatewayTimeout, &fault.UnknownOutcomeError{Cause: "cutOff", Reason: "gone"}),
+	Entry("a field", &fault.FieldError{Field: "a", Problem: "is b"},
+		http.StatusBadRequest, &fault.FieldsError{Fields: []*fault.FieldError{{Field: "a", Problem: "is b"}}}),
+	Entry("fields", &fault.FieldsError{Fields: []*fault.FieldError{{Field: "a", Problem: "is b"}}},
+		http.StatusBadRequest, &fault.FieldsError{Fields: []*fault.FieldError{{Field: "a", Problem: "is b"}}}),
+	Entry("no type", errors.New("boom"),
+		http.StatusInternalServerError, &fault.UnknownOutcomeError{Cause: reply.CodeInternal, Reason: "wrapped: boom"}),
+	Entry("no answer", &fault.UnavailableError{Peer: "p", Cause: errors.New("x")},
+		http.StatusInternalServerError, &fault.UnknownOutcomeError{Cause: reply.CodeInternal, Reason: "wrapped: p gave no answer: x"}),
+)
+
+var _ = It("takes other bodies for no failure", func() {
+	for _, body := range []string{"", "<html>", `{"error":"x"}`, `{"error":{}}`, `{}`} {
+		_, ok := reply.Parse([]byte(body))
+		Expect(ok).To(BeFalse())
+	}
+})
