Explain what was done by itself, and report burn on the command line

Cause: when something was repaired, shifted, refused or taken over, an operator asks why; a line in some instance's log is not an answer.

Weighed: keeping reasons in the key-value service (lasts, but a write for each shift) against each entry's memory, asked together, which was taken; the log has the same lines for what is older.

Change: reason (bounded, like deeds counted as one), deed, explain and report burn, which name entries that gave no answer.

--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -17,6 +17,8 @@
 	Delete   deleteCommand   `cmd:"" group:"Resources" help:"Delete a resource."`
 	Watch    watchCommand    `cmd:"" group:"Resources" help:"Print changes of resources as an entry learns of them."`
 	Status   statusCommand   `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
+	Explain  explainCommand  `cmd:"" group:"Resources" help:"Show what the system did about a resource by itself, and why."`
+	Report   reportCommand   `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
 	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
 	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
 }
--- a/cmd/lavendermux/main_test.go
+++ b/cmd/lavendermux/main_test.go
@@ -19,8 +19,12 @@
 
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/counts"
+	"github.com/lavendermux/lavendermux/deed"
+	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/reason"
 	"github.com/lavendermux/lavendermux/simkv"
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/wire"
@@ -31,14 +35,17 @@
   {"apiVersion":"lavendermux/v1","kind":"subscription","name":"t1","spec":{"pool":"filing-lm","model":"draft"}},
   {"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","spec":{"service":"filing-lm","models":["draft"]}}
 ]`
-	oldFile  = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","revision":1,"spec":{"service":"other","models":["draft"]}}`
-	badFile  = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","spec":{"service":"filing-lm","model":["draft"]}}`
+	oldFile    = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","revision":1,"spec":{"service":"other","models":["draft"]}}`
+	badFile    = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"filing-lm","spec":{"service":"filing-lm","model":["draft"]}}`
+	policyFile = `{"apiVersion":"lavendermux/v1","kind":"policy","name":"default","spec":{"objectives":[
+  {"name":"answers","service":"case-desk","success":0.999,"latency":"500ms"}]}}`
 	sideFile = `{"instance":"case-desk-1","service":"case-desk","dataCentre":"shah-alam","region":"klang-valley","listen":"127.0.0.1:9000",
   "plainService":"http://127.0.0.1:4","keyValue":"http://127.0.0.1:1","instanceList":"http://127.0.0.1:2"}`
 )
 
 var (
 	clock      = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	times      = regexp.MustCompile(`burn at \d{4}-\d\d-\d\d \d\d:\d\dZ`)
 	operations = regexp.MustCompile(`[A-Z2-7]{26}`)
 )
 
@@ -48,6 +55,9 @@
 	folder string
 	url    string
 	lines  strings.Builder
+
+	counts  *counts.Counts
+	reasons *reason.Log
 }
 
 func newBench(t *testing.T) *bench {
@@ -73,6 +83,11 @@
 		})
 	})
 	api.Register(router)
+	now := func() time.Time { return clock }
+	b.counts = counts.New("entry-1", cache, counts.WithClock(now))
+	b.counts.Register(router)
+	b.reasons = reason.New("entry-1", reason.WithClock(now))
+	b.reasons.Register(router)
 	entry := httptest.NewServer(router)
 	t.Cleanup(entry.Close)
 	b.url = entry.URL
@@ -148,6 +163,29 @@
 	g.Expect(b.lines.String()).To(ContainSubstring("(exit code 5)"))
 }
 
+// One of two entries is gone when an operator asks why. What the other knows
+// must still come, with a word that a part is missing.
+func TestReportsOfSeveralEntries(t *testing.T) {
+	b := newBench(t)
+	b.run("", "explain", "pool", "filing-lm")
+	b.run(policyFile, "apply", "-f", "-")
+	b.counts.Live("case-officer", "case-desk", time.Second, nil)
+	b.counts.Live("creditor", "case-desk", time.Second, &fault.NotRunError{Cause: "saturated"})
+	b.reasons.Note("pool", "filing-lm", deed.Deed{
+		Verb: deed.VerbShift, What: "w7 to live", Cause: "liveWaits", Why: "12 live requests waited for 3 slots",
+	})
+	b.run("", "explain", "pool", "filing-lm", "--entry", "http://127.0.0.1:1")
+	b.run("", "explain", "pool", "filing-lm", "-o", "json")
+	b.run("", "report", "burn", "--entry", "http://127.0.0.1:1")
+	b.run("", "report", "burn", "-o", "html", "--file", filepath.Join(b.folder, "burn.html"))
+	text := times.ReplaceAllString(b.lines.String(), "TIME")
+	goldie.New(t).Assert(t, "reports", []byte(text))
+	page, err := os.ReadFile(filepath.Join(b.folder, "burn.html"))
+	g := NewWithT(t)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(page)).To(HavePrefix("<!doctype html>"))
+}
+
 func TestSettingsCheck(t *testing.T) {
 	b := newBench(t)
 	file := filepath.Join(b.folder, "side.json")
--- /dev/null
+++ b/cmd/lavendermux/report.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/burn"
+	"github.com/lavendermux/lavendermux/counts"
+	"github.com/lavendermux/lavendermux/report"
+)
+
+const pageMode = 0o644
+
+type (
+	// reportCommand groups the reports.
+	reportCommand struct {
+		Burn burnCommand `cmd:"" help:"Report how fast the objectives' error budgets are being spent, by whom and why."`
+	}
+
+	burnCommand struct {
+		Output string `short:"o" enum:"table,json,html" default:"table" help:"table, json or html, one page with charts (${default})."`
+		File   string `placeholder:"FILE" help:"Where to write; by default to standard output."`
+	}
+)
+
+// Help implements kong's HelpProvider.
+func (c *burnCommand) Help() string {
+	return `Each entry counts what passed through it; name all of them with --entry, separated by commas, since the balancer
+would answer with one entry's part. The report names entries that gave no answer and since when it counts.`
+}
+
+// Run implements kong's command.
+func (c *burnCommand) Run(s *session) error {
+	var series []burn.Series
+	var entries []string
+	missing, err := s.askAll(counts.Path, func(read func(any) error) error {
+		var answer struct {
+			Instance string        `json:"instance"`
+			Series   []burn.Series `json:"series"`
+		}
+		if err := read(&answer); err != nil {
+			return err
+		}
+		entries = append(entries, answer.Instance)
+		series = append(series, answer.Series...)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	r := report.New(time.Now(), series, report.WithEntries(entries...), report.WithMissing(missing...))
+	if c.File == "" {
+		return c.write(s, r)
+	}
+	var page bytes.Buffer
+	to := *s
+	to.out = &page
+	if err := c.write(&to, r); err != nil {
+		return err
+	}
+	return errors.Wrap(os.WriteFile(c.File, page.Bytes(), pageMode), "writing the report")
+}
+
+func (c *burnCommand) write(s *session, r *report.Report) error {
+	switch c.Output {
+	case "json":
+		return s.printJSON(r)
+	case "html":
+		page, err := r.HTML()
+		if err != nil {
+			return err
+		}
+		s.print(string(page))
+		return nil
+	}
+	s.print(r.Table())
+	return nil
+}
--- /dev/null
+++ b/reason/reason_test.go
@@ -0,0 +1,86 @@
+package reason_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/deed"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/reason"
+)
+
+func TestReason(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reason")
+}
+
+var _ = Describe("Log", func() {
+	var (
+		now   time.Time
+		lines *strings.Builder
+		l     *reason.Log
+	)
+
+	BeforeEach(func() {
+		now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		lines = &strings.Builder{}
+		l = reason.New("entry-1", reason.WithClock(func() time.Time { return now }), reason.WithDeeds(4), reason.WithLog(logs.New(lines)))
+	})
+
+	note := func(what string) {
+		l.Note(object.KindPool, "p", deed.Deed{Verb: deed.VerbRefuse, What: what, Cause: "saturated", Why: "why"})
+	}
+
+	It("answers with the newest first", func() {
+		note("a")
+		now = now.Add(time.Second)
+		note("b")
+		r := mux.NewRouter()
+		l.Register(r)
+		w := httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/explain/pool/p", nil))
+		Expect(w.Body.String()).To(MatchRegexp(`(?s)"instance": "entry-1".*"what": "b".*"what": "a"`))
+		w = httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/explain/pol/p", nil))
+		Expect(w.Code).To(Equal(http.StatusBadRequest))
+	})
+
+	// A saturated pool refuses a thousand requests. One line each would push out
+	// the repair that led to it, and fill the log.
+	It("counts what is done again and again as one", func() {
+		note("repair")
+		for range 1000 {
+			note("refused")
+			note("shifted")
+		}
+		all := l.Deeds(object.KindPool, "p")
+		Expect(all).To(HaveLen(3))
+		Expect(all[1].Count).To(Equal(int64(1000)))
+		Expect(strings.Count(lines.String(), "\n")).To(Equal(3))
+		now = now.Add(time.Hour)
+		note("refused")
+		Expect(l.Deeds(object.KindPool, "p")).To(HaveLen(4))
+	})
+
+	It("is bounded in deeds and in resources", func() {
+		for i := range 2000 {
+			now = now.Add(time.Second)
+			note(fmt.Sprint(i))
+			l.Note(object.KindService, fmt.Sprint(i), deed.Deed{What: "x"})
+		}
+		all := l.Deeds(object.KindPool, "p")
+		Expect(all).To(HaveLen(4))
+		Expect(all[0].What).To(Equal("1999"))
+		Expect(l.Deeds(object.KindService, "1999")).To(HaveLen(1))
+		Expect(l.Deeds(object.KindService, "0")).To(BeEmpty())
+	})
+})
