--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -1,4 +1,5 @@
-// Command lavendermux is the rollout service and its operators' command line.
+// Command lavendermux is the rollout service: the entry instances, the
+// processes beside the endpoints, and the operators' command line.
 package main
 
 import (
@@ -19,6 +20,8 @@
 	Status   statusCommand   `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
 	Explain  explainCommand  `cmd:"" group:"Resources" help:"Show what the system did about a resource by itself, and why."`
 	Report   reportCommand   `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
+	Entry    entryCommand    `cmd:"" group:"Programs" help:"Run an entry instance."`
+	Side     sideCommand     `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
 	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
 	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
 }
--- a/cmd/lavendermux/session.go
+++ b/cmd/lavendermux/session.go
@@ -77,6 +77,7 @@
 		_, _ = fmt.Fprintf(s.errOut, "lavendermux: %v\nTry \"lavendermux --help\".\n", err)
 		return exitInvalid
 	}
+	kctx.BindTo(s.ctx, (*context.Context)(nil))
 	return s.report(kctx.Run(s))
 }
 
