Work out where a revision is in force from the hubs' digests

Cause: status must say on how many instances a change is in force, since when, and must not claim "everywhere" for a data centre that is silent.

Change: package inforc; the resource API asks it and says when no hub answers.

--- a/cmd/lavendermux/main_test.go
+++ b/cmd/lavendermux/main_test.go
@@ -68,11 +68,11 @@
 	cache := confs.New()
 	api := opapi.New(
 		change.New(kv, change.WithClock(func() time.Time { return clock })), cache,
-		opapi.WithInForce(func(revision int64) spread.Report {
+		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
 			if revision > 2 {
-				return spread.Report{Instances: 1, Of: 2, Lagging: []string{"entry-2"}}
+				return spread.Report{Instances: 1, Of: 2, Lagging: []string{"entry-2"}}, nil
 			}
-			return spread.Report{Instances: 2, Of: 2, Since: clock}
+			return spread.Report{Instances: 2, Of: 2, Since: clock}, nil
 		}),
 	)
 	router := mux.NewRouter()
--- a/cmd/lavendermux/status.go
+++ b/cmd/lavendermux/status.go
@@ -110,6 +110,9 @@
 	if len(found.InForce.Lagging) > 0 {
 		text += "lagging: " + strings.Join(found.InForce.Lagging, ", ") + "\n"
 	}
+	if len(found.InForce.Silent) > 0 {
+		text += "no news from: " + strings.Join(found.InForce.Silent, ", ") + "\n"
+	}
 	if len(found.Conditions) == 0 {
 		return text
 	}
--- /dev/null
+++ b/inforc/inforc_test.go
@@ -0,0 +1,104 @@
+package inforc_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/inforc"
+	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+func TestInforc(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "inforc")
+}
+
+var _ = Describe("Tracker", func() {
+	var (
+		now     time.Time
+		digests []*wire.DataCentreDigest
+		t       *inforc.Tracker
+	)
+
+	BeforeEach(func() {
+		now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		digests = nil
+		t = inforc.New(
+			func(context.Context) ([]*wire.DataCentreDigest, error) { return digests, nil },
+			inforc.WithClock(func() time.Time { return now }),
+		)
+	})
+
+	// hear replaces a data centre's digest: how many instances have a revision.
+	hear := func(dataCentre string, old, current int64) {
+		d := &wire.DataCentreDigest{DataCentre: dataCentre, AsOfUnixMs: now.UnixMilli()}
+		if old > 0 {
+			d.Counts = append(d.Counts, &wire.RevisionCount{Revision: 5, Instances: old, Examples: []string{dataCentre + "-1"}})
+		}
+		d.Counts = append(d.Counts, &wire.RevisionCount{Revision: 9, Instances: current})
+		for i, held := range digests {
+			if held.GetDataCentre() == dataCentre {
+				digests[i] = d
+				return
+			}
+		}
+		digests = append(digests, d)
+	}
+
+	report := func(ctx SpecContext, revision int64) spread.Report {
+		r, err := t.Report(ctx, revision)
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+
+	It("knows nothing before it has heard anything", func(ctx SpecContext) {
+		Expect(report(ctx, 1).Everywhere()).To(BeFalse())
+	})
+
+	It("adds up the data centres and says since when", func(ctx SpecContext) {
+		hear("tln-a", 2, 8)
+		hear("tln-b", 0, 10)
+		r := report(ctx, 7)
+		Expect(r.Instances).To(Equal(18))
+		Expect(r.Of).To(Equal(20))
+		Expect(r.Lagging).To(Equal([]string{"tln-a-1"}))
+		Expect(report(ctx, 5).Everywhere()).To(BeTrue())
+		Expect(report(ctx, 5).Since).To(BeZero())
+		now = now.Add(4 * time.Second)
+		hear("tln-a", 0, 10)
+		hear("tln-b", 0, 10)
+		r = report(ctx, 7)
+		Expect(r.Everywhere()).To(BeTrue())
+		Expect(r.Since).To(Equal(now))
+	})
+
+	// A data centre is cut off. Its last digest says that all have the change,
+	// but since then some may have restarted, and nobody can tell.
+	It("does not call a change in force everywhere while a data centre is silent", func(ctx SpecContext) {
+		hear("tln-a", 0, 10)
+		hear("tln-b", 0, 10)
+		now = now.Add(11 * time.Second)
+		hear("tln-a", 0, 10)
+		r := report(ctx, 9)
+		Expect(r.Silent).To(Equal([]string{"tln-b"}))
+		Expect(r.Everywhere()).To(BeFalse())
+	})
+
+	It("counts anew after an instance came with an old configuration", func(ctx SpecContext) {
+		hear("tln-a", 1, 9)
+		report(ctx, 9)
+		hear("tln-a", 0, 10)
+		first := report(ctx, 9).Since
+		now = now.Add(time.Second)
+		hear("tln-a", 1, 10)
+		Expect(report(ctx, 9).Everywhere()).To(BeFalse())
+		now = now.Add(time.Second)
+		hear("tln-a", 0, 11)
+		Expect(report(ctx, 9).Since).To(BeTemporally(">", first))
+	})
+})
--- a/opapi/opapi.go
+++ b/opapi/opapi.go
@@ -70,7 +70,7 @@
 		writer     *change.Writer
 		cache      *confs.Cache
 		logger     *log.Logger
-		inForce    func(revision int64) spread.Report
+		inForce    func(ctx context.Context, revision int64) (spread.Report, error)
 		conditions func(kind, name string) []condit.Condition
 		newID      func() string
 		watches    chan struct{}
@@ -96,7 +96,7 @@
 		writer:     w,
 		cache:      cache,
 		logger:     log.New(io.Discard),
-		inForce:    func(int64) spread.Report { return spread.Report{} },
+		inForce:    func(context.Context, int64) (spread.Report, error) { return spread.Report{}, nil },
 		conditions: func(string, string) []condit.Condition { return nil },
 		newID:      rand.Text,
 		watches:    make(chan struct{}, defaultWatches),
@@ -110,7 +110,7 @@
 
 // WithInForce sets what knows how far a revision has got. The default knows
 // nothing.
-func WithInForce(f func(revision int64) spread.Report) Option {
+func WithInForce(f func(ctx context.Context, revision int64) (spread.Report, error)) Option {
 	return func(a *API) { a.inForce = f }
 }
 
--- a/opapi/opapi_test.go
+++ b/opapi/opapi_test.go
@@ -58,11 +58,11 @@
 	b.api = opapi.New(
 		change.New(b.kv, change.WithClock(func() time.Time { return clock })), b.cache,
 		opapi.WithNewID(func() string { n++; return fmt.Sprintf("made-%d", n) }),
-		opapi.WithInForce(func(revision int64) spread.Report {
+		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
 			if revision > 1 {
-				return spread.Report{Instances: 2, Of: 3, Lagging: []string{"entry-3"}}
+				return spread.Report{Instances: 2, Of: 3, Lagging: []string{"entry-3"}}, nil
 			}
-			return spread.Report{Instances: 3, Of: 3, Since: clock, AsOf: clock}
+			return spread.Report{Instances: 3, Of: 3, Since: clock, AsOf: clock}, nil
 		}),
 		opapi.WithConditions(func(kind, _ string) []condit.Condition {
 			if kind != "pool" {
--- a/opapi/status.go
+++ b/opapi/status.go
@@ -1,8 +1,10 @@
 package opapi
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/condit"
@@ -12,6 +14,9 @@
 	"github.com/lavendermux/lavendermux/status"
 )
 
+// statusTimeout bounds asking a hub, which is a few milliseconds away.
+const statusTimeout = 2 * time.Second
+
 func (a *API) status(w http.ResponseWriter, r *http.Request) {
 	kind, name := mux.Vars(r)["kind"], mux.Vars(r)["name"]
 	o, source, err := a.read(r.Context(), kind, name)
@@ -20,6 +25,9 @@
 		reply.Fail(w, err)
 		return
 	}
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	inForce, unheard := a.inForce(ctx, o.Revision)
 	s := status.Status{
 		Kind:             kind,
 		Name:             name,
@@ -27,12 +35,18 @@
 		Operation:        o.Operation,
 		Deleted:          o.Deleted,
 		Source:           source,
-		InForce:          a.inForce(o.Revision),
+		InForce:          inForce,
 		Conditions:       a.against(o, source),
 	}
 	if s.InForce.Lagging == nil {
 		s.InForce.Lagging = []string{}
 	}
+	if unheard != nil {
+		s.Conditions = append(s.Conditions, condit.Condition{
+			Cause:  "membershipSilent",
+			Reason: "no hub of this data centre says who has which revision: " + unheard.Error(),
+		})
+	}
 	reply.JSON(w, http.StatusOK, s)
 }
 
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -16,12 +16,15 @@
 	// Lagging names instances that hold a lesser revision; a few examples when
 	// there are many.
 	Lagging []string `json:"lagging"`
-	// AsOf is how old the oldest report behind these numbers is at most; zero
-	// when nothing has been heard.
+	// AsOf is when the oldest report behind these numbers was made; zero when
+	// nothing has been heard.
 	AsOf time.Time `json:"asOf,omitzero"`
+	// Silent names data centres whose report is too old to rely on.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Everywhere reports whether the revision is in force on all live instances.
+// While a data centre is silent nobody can tell.
 func (r Report) Everywhere() bool {
-	return r.Of > 0 && r.Instances == r.Of
+	return r.Of > 0 && r.Instances == r.Of && len(r.Silent) == 0
 }
