Hand what an entry does to its counts, metrics and reasons

Cause: callers' outcomes concern the objectives' counts, the metrics and the log of reasons alike, and three calls at each place would drift apart.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -110,10 +110,19 @@
 }
 
 // Register adds the routes to r: "/v1/metrics" answers JSON and "/metrics" the
-// Prometheus text format.
-func (m *Meter) Register(r *mux.Router) {
-	r.HandleFunc("/v1/metrics", m.serveJSON).Methods(http.MethodGet)
-	r.HandleFunc("/metrics", m.serveText).Methods(http.MethodGet)
+// Prometheus text format. Each of refresh runs before an answer, to set values
+// that are only worth working out when somebody asks.
+func (m *Meter) Register(r *mux.Router, refresh ...func()) {
+	page := func(serve http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			for _, f := range refresh {
+				f()
+			}
+			serve(w, r)
+		}
+	}
+	r.HandleFunc("/v1/metrics", page(m.serveJSON)).Methods(http.MethodGet)
+	r.HandleFunc("/metrics", page(m.serveText)).Methods(http.MethodGet)
 }
 
 // find returns the series of name and labels, made at its first use.
--- /dev/null
+++ b/observ/observ_test.go
@@ -0,0 +1,55 @@
+package observ_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/counts"
+	"github.com/lavendermux/lavendermux/deed"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/observ"
+	"github.com/lavendermux/lavendermux/reason"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const poolBody = `{"apiVersion":"lavendermux/v1","kind":"pool","name":"drafts","spec":{"service":"filing-lm","models":["m"]}}`
+
+func TestObserv(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "observ")
+}
+
+var _ = It("hands what an entry does to its metrics and reasons", func() {
+	cache := confs.New()
+	reasons := reason.New("entry-1")
+	o := observ.New(cache, counts.New("entry-1", cache), meter.New(), reasons)
+	r := mux.NewRouter()
+	o.Register(r)
+	refused := &fault.NotRunError{Cause: "saturated", Reason: "full"}
+	o.Live("a", "filing-lm", time.Second, refused)
+	Expect(reasons.Deeds("pool", "drafts")).To(BeEmpty())
+	cache.Apply(&wire.FetchResponse{Revision: 3, Resources: []*wire.Resource{
+		{Kind: "pool", Name: "drafts", Revision: 3, Body: []byte(poolBody)},
+	}})
+	o.Live("a", "filing-lm", time.Second, refused)
+	o.Live("a", "filing-lm", time.Second, nil)
+	o.Live("a", "filing-lm", time.Second, &fault.FieldError{Field: "prompt"})
+	o.Deed("pool", "drafts", deed.Deed{Verb: deed.VerbTakeOver, What: "held here", Cause: "leaseWon"})
+	found := reasons.Deeds("pool", "drafts")
+	Expect(found).To(HaveLen(2))
+	Expect(found[1].Cause).To(Equal("saturated"))
+	w := httptest.NewRecorder()
+	r.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	Expect(w.Body.String()).To(ContainSubstring(`lavendermux_live_requests_total{service="filing-lm",outcome="notRun",cause="saturated"} 2`))
+	Expect(w.Body.String()).To(ContainSubstring(`lavendermux_live_requests_total{service="filing-lm",outcome="invalid",cause="none"} 1`))
+	Expect(w.Body.String()).To(ContainSubstring(`lavendermux_live_latency_seconds_count{service="filing-lm"} 1`))
+	Expect(w.Body.String()).To(ContainSubstring(`lavendermux_configuration_revision 3`))
+})
