--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/counts"
 	"github.com/lavendermux/lavendermux/dial"
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/fleet"
@@ -29,11 +30,15 @@
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/observ"
 	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/reason"
 	"github.com/lavendermux/lavendermux/relay"
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/serve"
+	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/train"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -62,6 +67,7 @@
 		train *train.Train
 		ops   *opapi.API
 		jobs  *jobrun.Runner
+		seen  *observ.Observer
 
 		leaving atomic.Bool
 
@@ -90,6 +96,8 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.seen = observ.New(e.conf, counts.New(cfg.Instance, e.conf), meter.New(),
+		reason.New(cfg.Instance, reason.WithLog(e.log)))
 	e.clients()
 	e.membership()
 	e.faces()
@@ -130,9 +138,13 @@
 func (e *Entry) faces() {
 	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
 		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare))
-	e.front = front.New(e.relay, e.conf, front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
+	e.front = front.New(e.relay, e.conf,
+		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
 	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
-	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithInForce(e.beats.InForce))
+	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log),
+		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
+			return e.beats.InForce(revision), nil
+		}))
 }
 
 // describe is what the instance says of itself in heartbeats.
@@ -210,6 +222,7 @@
 	e.front.Register(r)
 	e.train.Register(r)
 	e.ops.Register(r)
+	e.seen.Register(r)
 	return r
 }
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/lavendermux/lavendermux/action"
+	"github.com/lavendermux/lavendermux/deed"
 	"github.com/lavendermux/lavendermux/feed"
 	"github.com/lavendermux/lavendermux/holder"
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/maker"
+	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/scorer"
 	"github.com/lavendermux/lavendermux/subscr"
 	"github.com/lavendermux/lavendermux/swaps"
@@ -35,12 +38,19 @@
 
 func (e *Entry) runPool(ctx context.Context, name string, fence int64) {
 	open := func(ctx context.Context, sub string, config func() subscr.Subscription) (*feed.Feed, error) {
-		return feed.Open(ctx, sub, fence, config, e.store, feed.WithLog(e.log))
+		return feed.Open(ctx, sub, fence, config, e.store, feed.WithLog(e.log), feed.WithObserver(e.seen))
 	}
 	h := holder.New(name, fence, e.conf, open, holder.WithLog(e.log))
-	s := swaps.New(name, fence, h.Pool, h.Want, e.view, e.dial, swaps.WithLog(e.log))
+	s := swaps.New(name, fence, h.Pool, h.Want, e.view, e.dial,
+		swaps.WithLog(e.log), swaps.WithReasons(e.seen.Deed))
 	m := maker.New(name, h.Pool, h.Feeds, e.relay, e.view, s.Loaded,
 		maker.WithScorer(e.scorer), maker.WithLog(e.log))
+	e.seen.Deed(object.KindPool, name, deed.Deed{
+		Verb:  deed.VerbTakeOver,
+		What:  "the job of pool " + name + " taken over",
+		Cause: "leaseWon",
+		Why:   fmt.Sprintf("the lease was free; fencing number %d", fence),
+	})
 	e.hold(name, h)
 	defer e.hold(name, nil)
 	if err := h.Run(ctx, m, s); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -45,6 +45,7 @@
 		store   store
 		bulk    bulk
 		log     *log.Logger
+		seen    observer
 		planner *strag.Planner
 		gather  time.Duration
 
@@ -67,6 +68,8 @@
 		every     time.Duration
 		duration  time.Duration
 		idle      time.Time
+		// lastPull is when the trainer's time was last counted.
+		lastPull  time.Time
 		overtaken error
 		stats     stats
 
@@ -97,7 +100,14 @@
 		Load(ctx context.Context, subscription string) ([]grpreq.Group, []sample.Sample, error)
 	}
 
-	none struct{}
+	// observer counts what the trainer got. Its zero, unseen, forgets it.
+	observer interface {
+		Sample(subscription string, staleness, bound int64, endpoint string)
+		Idle(subscription string, waited, whole time.Duration, who string)
+	}
+
+	none   struct{}
+	unseen struct{}
 
 	// step is the groups of one step that are not whole.
 	step struct {
@@ -122,6 +132,8 @@
 		runs      []*try
 		// notBefore holds a slot back after a failed attempt.
 		notBefore time.Time
+		// endpoint made the ready sample, as far as is known.
+		endpoint string
 	}
 
 	// try is one attempt under way.
@@ -166,6 +178,7 @@
 		config:   config,
 		store:    s,
 		bulk:     none{},
+		seen:     unseen{},
 		log:      log.New(nil),
 		gather:   defaultGather,
 		turn:     make(chan struct{}, 1),
@@ -178,7 +191,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.planner = strag.New(strag.WithSpares(config().SpareAttempts))
+	f.planner = strag.New(strag.WithMoves(config().SpareAttempts))
 	if err := f.adopt(ctx); err != nil {
 		return nil, err
 	}
@@ -197,6 +210,11 @@
 	return func(f *Feed) { f.log = l }
 }
 
+// WithObserver sets who counts what the trainer got. By default nobody does.
+func WithObserver(o observer) Option {
+	return func(f *Feed) { f.seen = o }
+}
+
 // WithGather sets how long an offer waits for more samples after the first. The
 // default is 200 ms.
 func WithGather(d time.Duration) Option {
@@ -309,3 +327,6 @@
 func (none) Load(context.Context, string) ([]grpreq.Group, []sample.Sample, error) {
 	return nil, nil, nil
 }
+
+func (unseen) Sample(string, int64, int64, string)               {}
+func (unseen) Idle(string, time.Duration, time.Duration, string) {}
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -177,6 +177,7 @@
 		f.stats.Wasted += s.Tokens
 		return false, nil
 	}
+	t.slot.endpoint = t.worker
 	var others []string
 	for _, other := range t.slot.runs {
 		others = append(others, other.id)
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -165,10 +165,9 @@
 
 // await returns samples that may be delivered, as soon as there are some.
 func (f *Feed) await(ctx context.Context, most int, wait time.Duration) []*sample.Sample {
-	begin := time.Now()
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
-	defer f.wasIdle(begin)
+	defer f.wasIdle()
 	var enough <-chan time.Time
 	for {
 		f.mu.Lock()
@@ -182,7 +181,7 @@
 			return picked
 		}
 		if len(picked) > 0 && enough == nil {
-			f.wasIdle(begin)
+			f.wasIdle()
 			timer := time.NewTimer(f.gather)
 			defer timer.Stop()
 			enough = timer.C
@@ -200,13 +199,20 @@
 }
 
 // wasIdle counts the time in which the trainer had nothing.
-func (f *Feed) wasIdle(time.Time) {
+func (f *Feed) wasIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
+	waited := time.Duration(0)
 	if !f.idle.IsZero() {
-		f.stats.IdleSeconds += time.Since(f.idle).Seconds()
+		waited = now.Sub(f.idle)
 		f.idle = time.Time{}
 	}
+	f.stats.IdleSeconds += waited.Seconds()
+	if !f.lastPull.IsZero() {
+		f.seen.Idle(f.name, waited, max(waited, now.Sub(f.lastPull)), f.config().Pool)
+	}
+	f.lastPull = now
 }
 
 // pick chooses ready samples that are fresh now, oldest step first, and tells
@@ -284,6 +290,7 @@
 		}
 		left = append(left, s.ID)
 		out.Samples = append(out.Samples, *s)
+		f.countSample(slot)
 	}
 	if len(left) < len(picked) && !f.config().Cursor {
 		// Nothing has been sent under this number yet.
@@ -295,6 +302,14 @@
 	return out
 }
 
+// countSample notes the age at which a sample leaves.
+func (f *Feed) countSample(s *slotState) {
+	oldest, err := s.ready.Oldest()
+	if err == nil {
+		f.seen.Sample(f.name, f.book.Published-oldest, f.config().StalenessBound, s.endpoint)
+	}
+}
+
 func (f *Feed) nothing(c cursor.Cursor) *offer.Offer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/front/call.go
+++ b/front/call.go
@@ -11,7 +11,6 @@
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/servce"
 	"github.com/lavendermux/lavendermux/wire"
-	"github.com/lavendermux/lavendermux/work"
 )
 
 // hopHeaders concern one connection only and are not passed on.
@@ -42,7 +41,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
 	begin := time.Now()
-	err = f.passOn(ctx, w, name, s, callRequest(r, id, caller, s, body))
+	err = f.passOn(ctx, w, s, callRequest(r, id, caller, s, body))
 	f.count.Live(caller, name, time.Since(begin), err)
 }
 
@@ -92,15 +91,9 @@
 }
 
 func (f *Front) passOn(
-	ctx context.Context, w http.ResponseWriter, name string, s servce.Service, req *wire.CallRequest,
+	ctx context.Context, w http.ResponseWriter, s servce.Service, req *wire.CallRequest,
 ) error {
-	item := work.Work{Caller: req.GetCaller(), Pool: name, Kind: wire.WorkKind_WORK_KIND_LIVE, Tokens: 1}
-	if err := f.admit.Admit(item); err != nil {
-		Fail(w, req.GetRequestId(), err)
-		return err
-	}
 	resp, err := f.relay.Call(ctx, req, f.conf.Homes(s.Service).Doors)
-	f.admit.Observe(item, err)
 	if err != nil {
 		Fail(w, req.GetRequestId(), err)
 		return err
--- a/front/front.go
+++ b/front/front.go
@@ -15,7 +15,6 @@
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/wire"
-	"github.com/lavendermux/lavendermux/work"
 )
 
 const (
@@ -44,7 +43,6 @@
 	Front struct {
 		relay   relayer
 		conf    *confs.Cache
-		admit   admitter
 		count   counter
 		log     *log.Logger
 		maxBody int64
@@ -61,18 +59,11 @@
 		Call(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error)
 	}
 
-	// admitter holds callers to their share. The zero one, open, lets all in.
-	admitter interface {
-		Admit(w work.Work) error
-		Observe(w work.Work, err error)
-	}
-
 	// counter counts what callers got. The zero one, uncounted, forgets it.
 	counter interface {
 		Live(caller, service string, took time.Duration, err error)
 	}
 
-	open      struct{}
 	uncounted struct{}
 )
 
@@ -85,7 +76,6 @@
 	f := &Front{
 		relay:   relay,
 		conf:    conf,
-		admit:   open{},
 		count:   uncounted{},
 		log:     log.New(nil),
 		maxBody: defaultMaxBody,
@@ -96,11 +86,6 @@
 	return f
 }
 
-// WithAdmit sets who holds callers to their share. By default all are let in.
-func WithAdmit(a admitter) Option {
-	return func(f *Front) { f.admit = a }
-}
-
 // WithCount sets who counts what callers got. By default nobody does.
 func WithCount(c counter) Option {
 	return func(f *Front) { f.count = c }
@@ -122,12 +107,6 @@
 	r.PathPrefix("/v1/services/{service}/").HandlerFunc(f.call)
 }
 
-// Admit lets all in.
-func (open) Admit(work.Work) error { return nil }
-
-// Observe does nothing.
-func (open) Observe(work.Work, error) {}
-
 // Live does nothing.
 func (uncounted) Live(string, string, time.Duration, error) {}
 
--- a/front/generate.go
+++ b/front/generate.go
@@ -15,7 +15,6 @@
 	"github.com/lavendermux/lavendermux/span"
 	"github.com/lavendermux/lavendermux/strict"
 	"github.com/lavendermux/lavendermux/wire"
-	"github.com/lavendermux/lavendermux/work"
 )
 
 type (
@@ -141,25 +140,10 @@
 func (f *Front) answer(
 	ctx context.Context, w http.ResponseWriter, service string, req *wire.RunRequest, stream bool,
 ) error {
-	item := work.Work{
-		Caller:   req.GetCaller(),
-		Pool:     req.GetPool(),
-		Kind:     req.GetKind(),
-		Priority: req.GetPriority(),
-		Tokens:   req.GetExpectedTokens(),
-	}
-	if err := f.admit.Admit(item); err != nil {
-		Fail(w, req.GetRequestId(), err)
-		return err
-	}
-	var err error
 	if stream {
-		err = f.stream(ctx, w, service, req)
-	} else {
-		err = f.whole(ctx, w, service, req)
+		return f.stream(ctx, w, service, req)
 	}
-	f.admit.Observe(item, err)
-	return err
+	return f.whole(ctx, w, service, req)
 }
 
 // whole gathers the answer and sends it only when its end vouches for it.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/queue"
 	"github.com/lavendermux/lavendermux/slots"
@@ -28,6 +29,7 @@
 		mu    sync.Mutex
 		queue *queue.Queue[*waiter]
 		slots *slots.Slots
+		admit *admit.Admit
 		timer *time.Timer
 		opts  []queue.Option
 	}
@@ -48,11 +50,11 @@
 //	g := gate.New(slots.New(32))
 //	leave, err := g.Enter(ctx, req)
 func New(s *slots.Slots, opts ...Option) *Gate {
-	g := &Gate{slots: s}
+	g := &Gate{slots: s, admit: admit.New()}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.queue = queue.New[*waiter](s, g.opts...)
+	g.queue = queue.New[*waiter](s, append(g.opts, queue.WithAdmit(g.admit))...)
 	return g
 }
 
@@ -71,7 +73,7 @@
 	}
 }
 
-// Divide changes how the slots are divided, from now on.
+// Divide changes how the slots are divided among the kinds of work, from now on.
 func (g *Gate) Divide(opts ...slots.Option) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -81,6 +83,15 @@
 	g.turn(time.Now())
 }
 
+// Share changes the callers' shares, from now on.
+func (g *Gate) Share(opts ...admit.Option) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, opt := range opts {
+		opt(g.admit)
+	}
+}
+
 // Load is what waits and runs.
 func (g *Gate) Load() *wire.DoorLoad {
 	g.mu.Lock()
@@ -112,7 +123,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	ticket, err := g.queue.Push(w, describe(ctx, req), now)
+	item := describe(ctx, req)
+	if err := g.admit.Admit(item, g.slots.Total(), now); err != nil {
+		return err
+	}
+	ticket, err := g.queue.Push(w, item, now)
 	w.ticket = ticket
 	g.turn(now)
 	return err
--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -57,7 +57,7 @@
 		w.write(t, fmt.Sprintf("pool-%d", i), 1)
 	}
 	w.grow(s.dataCentres, s.entries, s.workers)
-	stopJobs := w.startJobs(s.dataCentres*s.entries/entriesPerJob)
+	stopJobs := w.startJobs(s.dataCentres * s.entries / entriesPerJob)
 	defer w.stopAll()
 	time.Sleep(2 * time.Minute)
 	synctest.Wait()
--- a/relay/call.go
+++ b/relay/call.go
@@ -10,7 +10,6 @@
 	"github.com/lavendermux/lavendermux/refuse"
 	"github.com/lavendermux/lavendermux/tenure"
 	"github.com/lavendermux/lavendermux/wire"
-	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -21,14 +20,6 @@
 	homeAwayRetry = 2 * time.Second
 )
 
-type (
-	// reply is what one door answered.
-	reply struct {
-		resp *wire.CallResponse
-		err  error
-	}
-)
-
 // Call passes req to an endpoint of its service and returns the whole answer.
 // Its errors are *fault.NotRunError, *fault.UnknownOutcomeError and
 // *fault.FieldError. A request that is not idempotent is handed over at most
@@ -88,12 +79,10 @@
 			RetryAfter: homeAwayRetry,
 		}
 	}
-	got := r.callDoor(ctx, req, door)
-	return got.resp, got.err
+	return r.callDoor(ctx, req, door)
 }
 
-// callOnce asks the best door, and when the request may be repeated and the
-// answer takes unusually long, a second one beside it.
+// callOnce asks the best door that has not been tried.
 func (r *Relay) callOnce(ctx context.Context, req *wire.CallRequest, tried map[string]bool) (*wire.CallResponse, error) {
 	doors := r.pick(req.GetService(), 0, tried)
 	if len(doors) == 0 {
@@ -104,47 +93,12 @@
 		}
 	}
 	tried[doors[0].GetInstance()] = true
-	after, hedged := r.hedge(req.GetService(), req.GetIdempotent())
-	if !hedged || len(doors) < 2 {
-		got := r.callDoor(ctx, req, doors[0])
-		return got.resp, got.err
-	}
-	return r.callHedged(ctx, req, doors, after)
-}
-
-func (r *Relay) callHedged(
-	ctx context.Context, req *wire.CallRequest, doors []*wire.EndpointState, after time.Duration,
-) (*wire.CallResponse, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	replies := make(chan reply, len(doors))
-	ask := func(door *wire.EndpointState) {
-		replies <- r.callDoor(ctx, proto.CloneOf(req), door)
-	}
-	go ask(doors[0])
-	running := 1
-	timer := time.NewTimer(after)
-	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			if r.spend(req.GetService()) {
-				running++
-				go ask(doors[1])
-			}
-		case got := <-replies:
-			running--
-			if got.err == nil || running == 0 {
-				return got.resp, got.err
-			}
-		}
-	}
+	return r.callDoor(ctx, req, doors[0])
 }
 
-func (r *Relay) callDoor(ctx context.Context, req *wire.CallRequest, door *wire.EndpointState) reply {
+func (r *Relay) callDoor(ctx context.Context, req *wire.CallRequest, door *wire.EndpointState) (*wire.CallResponse, error) {
 	req.TimeoutMs = timeLeft(ctx)
 	id := door.GetInstance()
-	begin := time.Now()
 	r.sent(req.GetService(), id)
 	resp, err := r.dial.Door(door.GetAddress()).Call(ctx, connect.NewRequest(req))
 	var load *wire.DoorLoad
@@ -163,6 +117,6 @@
 			out = nil
 		}
 	}
-	r.outcome(ctx, req.GetService(), id, load, time.Since(begin), 1, err)
-	return reply{resp: out, err: err}
+	r.outcome(ctx, req.GetService(), id, load, err)
+	return out, err
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -158,13 +158,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	req := p.request(ctx)
-	begin := time.Now()
-	before := tokens(p.made)
 	p.relay.sent(p.service, id)
 	stream, err := p.relay.dial.Door(door.GetAddress()).Run(ctx, connect.NewRequest(req))
 	if err != nil {
 		err = p.broken(ctx, err)
-		p.relay.outcome(ctx, p.service, id, nil, 0, 0, err)
+		p.relay.outcome(ctx, p.service, id, nil, err)
 		return nil, err
 	}
 	defer func() { _ = stream.Close() }()
@@ -174,7 +172,7 @@
 		p.relay.learn(p.service, id, load)
 		return nil, own.cause
 	}
-	p.relay.outcome(ctx, p.service, id, load, time.Since(begin), tokens(p.made)-before, err)
+	p.relay.outcome(ctx, p.service, id, load, err)
 	if err != nil {
 		p.tried[id] = true
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -190,19 +190,16 @@
 func (r *Relay) learn(service, id string, load *wire.DoorLoad) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.target(service).route.Learn(id, load, time.Now())
+	r.target(service).route.Learn(id, load)
 }
 
-// outcome notes the end of a request. Units tells how much work it was: the
-// tokens of a stream, 1 for a call.
+// outcome notes the end of a request.
 //
 // A caller that hangs up, and a deadline that a live door reports, say nothing
 // against the endpoint: a few impatient callers would otherwise have healthy
-// endpoints set aside. An endpoint that is slow shows in the latency of what it
-// finishes, and one that is silent ends at the deadline without a report.
-func (r *Relay) outcome(
-	ctx context.Context, service, id string, load *wire.DoorLoad, took time.Duration, units int64, err error,
-) {
+// endpoints set aside. An endpoint that is silent ends at the deadline without a
+// report, and that is a failure.
+func (r *Relay) outcome(ctx context.Context, service, id string, load *wire.DoorLoad, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.target(service)
@@ -210,14 +207,11 @@
 	late := errors.As(err, &unknown) && unknown.Cause == CauseDeadline
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
-		t.route.Learn(id, load, time.Now())
+		t.route.Learn(id, load)
 	case late && load != nil:
-		t.route.Observe(id, load, 0, nil, time.Now())
+		t.route.Observe(id, load, nil, time.Now())
 	default:
-		t.route.Observe(id, load, took/time.Duration(max(units, 1)), err, time.Now())
-	}
-	if err == nil {
-		t.budget.Observe(took)
+		t.route.Observe(id, load, err, time.Now())
 	}
 }
 
@@ -242,18 +236,6 @@
 	return wait, allowed && wait <= longestWait
 }
 
-func (r *Relay) hedge(service string, idempotent bool) (time.Duration, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.target(service).budget.Hedge(idempotent)
-}
-
-func (r *Relay) spend(service string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.target(service).budget.Spend()
-}
-
 func without(eps []*wire.EndpointState, avoid map[string]bool) []*wire.EndpointState {
 	var out []*wire.EndpointState
 	for _, ep := range eps {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -69,7 +69,7 @@
 done
 bin/standin await --entry "$entries" --within 30s
 for file in "$dir"/resources/*.json; do
-  curl -fsS -X PUT "${entries%%,*}/v1/resources/$(value "$file" kind)/$(value "$file" name)" --data-binary @"$file" >/dev/null
+  bin/lavendermux apply --entry "${entries%%,*}" --file "$file"
 done
 model=$(value "$(ls "$dir"/resources/3*.json | head -n 1)" model)
 subscriptions=""
--- a/side/side.go
+++ b/side/side.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/calls"
 	"github.com/lavendermux/lavendermux/confs"
@@ -187,7 +188,8 @@
 	return &wire.BeatRequest{Endpoint: st}
 }
 
-// follow puts the pool's share for live work in force whenever it changes.
+// follow puts the pool's share for live work and the callers' shares in force
+// whenever they change.
 func (s *Side) follow(ctx context.Context) {
 	for {
 		changed := s.conf.Changed()
@@ -196,6 +198,12 @@
 				s.gate.Divide(slots.WithLiveReserve(p.LiveReserve))
 			}
 		}
+		for _, p := range s.conf.Policies() {
+			for _, q := range p.Callers {
+				q = q.Filled()
+				s.gate.Share(admit.WithWeight(q.Caller, q.Weight), admit.WithMaxShare(q.Caller, q.MaxShare))
+			}
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -14,7 +14,9 @@
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/deed"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/pace"
 	"github.com/lavendermux/lavendermux/pool"
@@ -50,7 +52,7 @@
 		fleet fleet
 		dial  dialer
 		log   *log.Logger
-		why   func(kind, name, what string)
+		why   func(kind, name string, d deed.Deed)
 
 		mu     sync.Mutex
 		rolls  map[string]*roll
@@ -107,7 +109,7 @@
 		fleet: f,
 		dial:  d,
 		log:   log.New(nil),
-		why:   func(string, string, string) {},
+		why:   func(string, string, deed.Deed) {},
 		rolls: map[string]*roll{},
 		known: map[string]*knowledge{},
 	}
@@ -124,7 +126,7 @@
 
 // WithReasons sets who is told, for operators, what was done about a pool and
 // why. By default nobody is.
-func WithReasons(why func(kind, name, what string)) Option {
+func WithReasons(why func(kind, name string, d deed.Deed)) Option {
 	return func(s *Swaps) { s.why = why }
 }
 
@@ -245,7 +247,12 @@
 		s.log.Info("weights switched", "pool", s.name, "model", r.model, "version", r.version,
 			"staged", took-turn.Round(time.Millisecond), "switched", turn.Round(time.Millisecond), "within", time.Duration(p.SwitchWithin))
 	}
-	s.why("pool", s.name, "weights of "+r.model+" version "+r.version+": "+state+" after "+took.String())
+	s.why(object.KindPool, s.name, deed.Deed{
+		Verb:  deed.VerbRollOut,
+		What:  "weights of " + r.model + " version " + r.version + ": " + state,
+		Cause: "published",
+		Why:   "the trainer published it " + took.String() + " ago",
+	})
 }
 
 // workers describes all workers to the decision about the next orders.
@@ -381,7 +388,12 @@
 		r.unknown[id] = s.unsettled(id)
 		r.after[id] = now.Add(askAgain)
 	}
-	s.why("pool", s.name, "order for "+r.model+" version "+r.version+" at "+id+": "+err.Error())
+	s.why(object.KindPool, s.name, deed.Deed{
+		Verb:  deed.VerbRefuse,
+		What:  "order for " + r.model + " version " + r.version + " not carried out at " + id,
+		Cause: "order",
+		Why:   err.Error(),
+	})
 }
 
 // causeNotReady is a door's refusal before it knows its engine.
