--- /dev/null
+++ b/relay/call.go
@@ -0,0 +1,122 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/refuse"
+	"github.com/lavendermux/lavendermux/tenure"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const (
+	// CauseHomeAway says that the endpoint which remembers a request's
+	// idempotency key cannot be reached now.
+	CauseHomeAway = "homeAway"
+	// homeAwayRetry is the time in which a restarted door is back.
+	homeAwayRetry = 2 * time.Second
+)
+
+// Call passes req to an endpoint of its service and returns the whole answer.
+// Its errors are *fault.NotRunError, *fault.UnknownOutcomeError and
+// *fault.FieldError. A request that is not idempotent is handed over at most
+// once; one with an idempotency key goes to the endpoint among homes that
+// remembers the key, and to no other.
+func (r *Relay) Call(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error) {
+	r.first(req.GetService())
+	if req.GetIdempotencyKey() != "" && !req.GetIdempotent() {
+		return r.callHome(ctx, req, homes)
+	}
+	tried := map[string]bool{}
+	for attempt := 1; ; attempt++ {
+		resp, err := r.callOnce(ctx, req, tried)
+		if err == nil {
+			return resp, nil
+		}
+		wait, more := r.callAgain(ctx, req, err, attempt)
+		if !more {
+			return nil, err
+		}
+		if pause(ctx, wait) != nil {
+			return nil, err
+		}
+	}
+}
+
+// callAgain decides whether a failed call is sent once more. A refusal with
+// another endpoint to ask needs no wait.
+func (r *Relay) callAgain(ctx context.Context, req *wire.CallRequest, err error, attempt int) (time.Duration, bool) {
+	var notRun *fault.NotRunError
+	if errors.As(err, &notRun) && notRun.Cause == CauseNoEndpoint {
+		return 0, false
+	}
+	if ctx.Err() != nil {
+		return 0, false
+	}
+	if r.second(req.GetService(), err, attempt) {
+		return 0, true
+	}
+	wait, more := r.again(req.GetService(), err, req.GetIdempotent(), attempt)
+	deadline, set := ctx.Deadline()
+	if set && time.Until(deadline) <= wait {
+		return 0, false
+	}
+	return wait, more
+}
+
+// callHome sends a keyed request to the one endpoint that remembers its key.
+// Two copies that came through different entries meet there.
+func (r *Relay) callHome(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error) {
+	id := tenure.HomeOf(req.GetIdempotencyKey(), homes)
+	door := r.view.Endpoint(id)
+	if door == nil || door.GetGone() {
+		return nil, &fault.NotRunError{
+			Cause:      CauseHomeAway,
+			Reason:     "the endpoint that remembers this idempotency key cannot be reached",
+			RetryAfter: homeAwayRetry,
+		}
+	}
+	return r.callDoor(ctx, req, door)
+}
+
+// callOnce asks the best door that has not been tried.
+func (r *Relay) callOnce(ctx context.Context, req *wire.CallRequest, tried map[string]bool) (*wire.CallResponse, error) {
+	doors := r.pick(req.GetService(), 0, tried)
+	if len(doors) == 0 {
+		return nil, &fault.NotRunError{
+			Cause:      CauseNoEndpoint,
+			Reason:     "no endpoint of " + req.GetService() + " takes work",
+			RetryAfter: noEndpointRetry,
+		}
+	}
+	tried[doors[0].GetInstance()] = true
+	return r.callDoor(ctx, req, doors[0])
+}
+
+func (r *Relay) callDoor(ctx context.Context, req *wire.CallRequest, door *wire.EndpointState) (*wire.CallResponse, error) {
+	req.TimeoutMs = timeLeft(ctx)
+	id := door.GetInstance()
+	r.sent(req.GetService(), id)
+	resp, err := r.dial.Door(door.GetAddress()).Call(ctx, connect.NewRequest(req))
+	var load *wire.DoorLoad
+	var out *wire.CallResponse
+	switch {
+	case err != nil:
+		err = transport(err)
+	case resp.Msg.GetRequestId() != req.GetRequestId():
+		err = &fault.UnknownOutcomeError{Cause: CauseMixedUp, Reason: "an answer to another request arrived"}
+	default:
+		out = resp.Msg
+		load = out.GetLoad()
+		err = refuse.Error(out.GetRefusal())
+		if out.GetRefusal() != nil {
+			load = out.GetRefusal().GetLoad()
+			out = nil
+		}
+	}
+	r.outcome(ctx, req.GetService(), id, load, err)
+	return out, err
+}
