Learn how far expected tokens are off, and try work against the estimate

Cause: an entry passes on the most tokens that an answer may have as what is expected, and the queue then refuses what it could do.

Change: the queue compares what work of each kind made with what was expected. When even so nothing seems doable it lets one piece in on a free slot, at most every 30 s: without that nothing would ever end and correct the estimate.

Also: a caller whose greatest share is all isn't bounded (it was, by the work that it had waiting), a changed weight holds at once, and cancelled work that didn't run is given back to its caller's share.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -49,8 +49,7 @@
 	}
 
 	caller struct {
-		use    float64
-		weight float64
+		use float64
 	}
 )
 
@@ -76,7 +75,7 @@
 // slots, with a *fault.NotRunError.
 func (a *Admit) Admit(w work.Work, slots int, now time.Time) error {
 	share, ok := a.maxShares[w.Caller]
-	if !ok {
+	if !ok || share >= 1 {
 		return nil
 	}
 	a.fade(now)
@@ -101,7 +100,7 @@
 	if !ok || a.total <= 0 {
 		return 0
 	}
-	fair := a.total * c.weight / a.weight
+	fair := a.total * a.weightOf(w.Caller) / a.weight
 	return max(c.use/fair-1, 0) * a.penalty
 }
 
@@ -111,12 +110,9 @@
 	a.fade(now)
 	c, ok := a.callers[w.Caller]
 	if !ok {
-		c = &caller{weight: 1}
-		if weight, has := a.weights[w.Caller]; has {
-			c.weight = weight
-		}
+		c = &caller{}
 		a.callers[w.Caller] = c
-		a.weight += c.weight
+		a.weight += a.weightOf(w.Caller)
 	}
 	c.use += service.Seconds()
 	a.total += service.Seconds()
@@ -134,6 +130,13 @@
 	a.total -= back
 }
 
+func (a *Admit) weightOf(name string) float64 {
+	if weight, ok := a.weights[name]; ok && weight > 0 {
+		return weight
+	}
+	return 1
+}
+
 func (a *Admit) use(name string) float64 {
 	if c, ok := a.callers[name]; ok {
 		return c.use
@@ -160,6 +163,6 @@
 			continue
 		}
 		a.total += c.use
-		a.weight += c.weight
+		a.weight += a.weightOf(name)
 	}
 }
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -51,6 +51,25 @@
 		Expect(a.Excess(of("other"), start)).To(BeNumerically("~", 1, 1e-9), "3 s of 6 s where a quarter is fair")
 	})
 
+	It("follows a change of weight at once", func() {
+		a := New(WithPenalty(1))
+		a.Charge(of("court"), 3*time.Second, start)
+		a.Charge(of("other"), time.Second, start)
+		Expect(a.Excess(of("court"), start)).To(BeNumerically(">", 0))
+		WithWeight("court", 3)(a)
+		later := start.Add(time.Second)
+		Expect(a.Excess(of("court"), later)).To(BeZero())
+		WithWeight("court", 0)(a)
+		Expect(a.Excess(of("court"), later.Add(time.Second))).To(BeNumerically("~", 0.5, 1e-9))
+	})
+
+	// A policy that names a caller without a bound must not bound it.
+	It("does not bound a caller whose greatest share is all", func() {
+		a := New(WithMaxShare("script", 1))
+		a.Charge(of("script"), time.Hour, start)
+		Expect(a.Admit(of("script"), 1, start)).To(Succeed())
+	})
+
 	It("forgets use with time", func() {
 		a := New(WithMemory(10*time.Second), WithPenalty(1))
 		a.Charge(of("script"), 9*time.Second, start)
--- a/admit/options.go
+++ b/admit/options.go
@@ -5,8 +5,8 @@
 // Option changes admission.
 type Option func(*Admit)
 
-// WithWeight sets a caller's weight in the division of what there is. The
-// default is 1.
+// WithWeight sets a caller's weight in the division of what there is; one that
+// isn't above 0 counts as the default, 1.
 func WithWeight(caller string, weight float64) Option {
 	return func(a *Admit) { a.weights[caller] = weight }
 }
--- a/cmd/measure/compare.go
+++ b/cmd/measure/compare.go
@@ -31,7 +31,7 @@
 	var all []comparison
 	all = append(all, queues()...)
 	all = append(all, queueSweeps()...)
-	all = append(all, returns(), reserves(), minimums())
+	all = append(all, biases(), returns(), reserves(), minimums())
 	all = append(all, fairness()...)
 	all = append(all, bursts(), routes(), lag(), lagAll(), prefixes(200), prefixes(4))
 	all = append(all, faults()...)
@@ -101,6 +101,21 @@
 	return way{fmt.Sprintf(format, x), func(p *plays.Play) { p.QueueOptions = []queue.Option{opt} }}
 }
 
+func biases() comparison {
+	p := base()
+	p.Load = 1.5
+	c := comparison{
+		name:    "biased estimates",
+		text:    "Senders of live work expect several times what it makes.",
+		play:    p,
+		columns: []string{columnGood, columnLive, columnLong, columnTokens, columnShort, columnWasted},
+	}
+	for _, x := range []float64{0.5, 1, 2, 4, 40} {
+		c.ways = append(c.ways, way{fmt.Sprintf("expected %g times", x), func(p *plays.Play) { p.Bias = x }})
+	}
+	return c
+}
+
 func returns() comparison {
 	p := base()
 	p.Load = 1.3
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -146,8 +146,9 @@
 func (g *Gate) cancel(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Cancel(w.ticket)
-	g.turn(time.Now())
+	now := time.Now()
+	g.queue.Cancel(w.ticket, now)
+	g.turn(now)
 }
 
 // turn answers everyone whose lot is decided now, and sets the timer for the
--- a/plays/door.go
+++ b/plays/door.go
@@ -22,7 +22,7 @@
 		Pop(now time.Time) (*attempt, uint64, bool)
 		Expire(now time.Time, refuse func(*attempt, *fault.NotRunError))
 		Done(ticket uint64, made int64, now time.Time)
-		Cancel(ticket uint64) bool
+		Cancel(ticket uint64, now time.Time) bool
 		Load(now time.Time) *wire.DoorLoad
 	}
 
@@ -86,7 +86,7 @@
 		made := int64(s.now.Sub(a.sent).Seconds() * Rate * d.speed())
 		d.made(made)
 	}
-	d.queue.Cancel(ticket)
+	d.queue.Cancel(ticket, s.now)
 	a.end(d.queue.Load(s.now), &fault.UnknownOutcomeError{Cause: "deadline"})
 	d.work()
 }
--- a/plays/load.go
+++ b/plays/load.go
@@ -126,6 +126,9 @@
 		r.work.Pool = "heavy"
 	}
 	r.tokens = max(int64(float64(r.work.Tokens)*truth), 1)
+	if p.Bias > 0 && live {
+		r.work.Tokens = int64(float64(r.work.Tokens) * p.Bias)
+	}
 	if p.Prefixes > 0 {
 		r.prefix = prefix(rng, p.Prefixes)
 	}
--- a/plays/plain.go
+++ b/plays/plain.go
@@ -80,9 +80,9 @@
 
 func (p *plain) Expire(time.Time, func(*attempt, *fault.NotRunError)) {}
 
-func (p *plain) Done(ticket uint64, _ int64, _ time.Time) { p.Cancel(ticket) }
+func (p *plain) Done(ticket uint64, _ int64, now time.Time) { p.Cancel(ticket, now) }
 
-func (p *plain) Cancel(ticket uint64) bool {
+func (p *plain) Cancel(ticket uint64, _ time.Time) bool {
 	if w, ok := p.running[ticket]; ok {
 		p.slots.Finish(w)
 		delete(p.running, ticket)
--- a/plays/plays.go
+++ b/plays/plays.go
@@ -57,6 +57,9 @@
 		Poison float64
 		// Error is the deviation of the logarithm of true by expected tokens.
 		Error float64
+		// Bias multiplies what senders of live work expect, as when they give the
+		// most that it may make. 0 is 1.
+		Bias float64
 		// Patience is how often a refused caller asks again.
 		Patience int
 		// Deaf callers come back after a second, whatever they were told.
--- a/queue/pace.go
+++ b/queue/pace.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// memory is how much of the past the measured rate keeps at each piece of
-	// finished work. 0.95 averages over about 20 pieces, some four seconds of
-	// an endpoint that ends five a second: short enough to follow a batch that
-	// fills up, long enough that one straggler doesn't move it.
+	// memory is how much of the past is kept at each piece of finished work.
+	// 0.95 averages over about 20 pieces, some four seconds of an endpoint that
+	// ends five a second: short enough to follow a batch that fills up, long
+	// enough that one straggler doesn't move it.
 	memory = 0.95
 
 	// overrun is the share of its estimate that work which has outlived the
@@ -18,18 +18,34 @@
 	overrun = 0.25
 )
 
-// pace estimates how long work takes on one slot.
-type pace struct {
-	made    float64
-	seconds float64
-	count   float64
-}
+type (
+	// pace estimates how long work takes on one slot.
+	pace struct {
+		made    float64
+		seconds float64
+		byKind  [kinds]lengths
+	}
+
+	// lengths compares the tokens that work of one kind made with what its
+	// senders expected. Senders may give the most that it may make; without the
+	// comparison the queue then refuses work that it could do.
+	lengths struct {
+		made     float64
+		count    float64
+		told     float64
+		expected float64
+	}
+)
 
 func newPace(rate, mean float64) pace {
-	return pace{made: mean, seconds: mean / rate, count: 1}
+	p := pace{made: mean, seconds: mean / rate}
+	for k := range p.byKind {
+		p.byKind[k] = lengths{made: mean, count: 1, told: mean, expected: mean}
+	}
+	return p
 }
 
-func (p *pace) observe(made int64, took time.Duration) {
+func (p *pace) observe(w work.Work, made int64, took time.Duration) {
 	// Work that made nothing says nothing about the rate; it would make every
 	// later estimate infinite.
 	if made <= 0 || took <= 0 {
@@ -37,7 +53,13 @@
 	}
 	p.made = p.made*memory + float64(made)
 	p.seconds = p.seconds*memory + took.Seconds()
-	p.count = p.count*memory + 1
+	l := &p.byKind[kind(w)]
+	l.made = l.made*memory + float64(made)
+	l.count = l.count*memory + 1
+	if w.Tokens > 0 {
+		l.told = l.told*memory + float64(made)
+		l.expected = l.expected*memory + float64(w.Tokens)
+	}
 }
 
 // rate is the tokens that one slot makes in a second.
@@ -46,10 +68,11 @@
 }
 
 func (p *pace) tokens(w work.Work) float64 {
+	l := &p.byKind[kind(w)]
 	if w.Tokens > 0 {
-		return float64(w.Tokens)
+		return float64(w.Tokens) * l.told / l.expected
 	}
-	return p.made / p.count
+	return l.made / l.count
 }
 
 func (p *pace) service(w work.Work) time.Duration {
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -15,6 +15,10 @@
 	// longest stands for a prediction where there is no slot at all: a minute,
 	// in which an operator or the platform may have changed that.
 	longest = time.Minute
+	// probeEvery is the least time between two pieces of work that are let in
+	// against the estimate. Were all of them too long indeed, each held for the
+	// 10 s of a short deadline, a door of 32 slots would lose 1% of its work.
+	probeEvery = 30 * time.Second
 	// furthest bounds the time after which refused work is told to come back.
 	// Under load that stays a forecast of hours is a guess, and after a burst it
 	// is wrong: beyond four minutes no more callers were served when they came.
@@ -49,6 +53,9 @@
 		return nil
 	}
 	service, budget := q.pace.service(e.work), e.work.Deadline.Sub(now)
+	if service > budget && q.mayProbe(e, now) {
+		return nil
+	}
 	if service > budget {
 		return &fault.NotRunError{
 			Cause:      CauseTooLong,
@@ -69,6 +76,19 @@
 	return nil
 }
 
+// mayProbe lets work in now and then that the estimate says is too long, when a
+// slot is free and nothing waits. Without it a queue whose estimates have become
+// far too great refuses everything, and never sees work end that would correct
+// them.
+func (q *Queue[T]) mayProbe(e *entry[T], now time.Time) bool {
+	if len(q.waiting) > 0 || !q.slots.Fits(e.work) || now.Sub(q.probed) < probeEvery {
+		return false
+	}
+	q.probed = now
+	e.probe = true
+	return true
+}
+
 func saturated(after time.Duration, reason string) error {
 	return &fault.NotRunError{Cause: CauseSaturated, Reason: reason, RetryAfter: after}
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -54,6 +54,7 @@
 		last     uint64
 		plan     planner
 		arrivals arrivals
+		probed   time.Time
 	}
 
 	entry[T any] struct {
@@ -63,6 +64,9 @@
 		pushed time.Time
 		// due orders the work of one rank.
 		due     time.Time
+		charged time.Duration
+		// probe is true for work that is let in against the estimate.
+		probe   bool
 		started time.Time
 	}
 
@@ -111,7 +115,8 @@
 		q.arrivals.add(w, e.due.Sub(now), q.pace.service(w).Seconds(), now, q.settings.forecast)
 	}
 	if q.settings.admit != nil {
-		q.settings.admit.Charge(w, q.pace.service(w), now)
+		e.charged = q.pace.service(w)
+		q.settings.admit.Charge(w, e.charged, now)
 	}
 	return e.ticket, nil
 }
@@ -154,7 +159,7 @@
 // waiting work has a deadline.
 func (q *Queue[T]) Next() (at time.Time, ok bool) {
 	for _, e := range q.waiting {
-		if e.work.Deadline.IsZero() {
+		if e.work.Deadline.IsZero() || e.probe {
 			continue
 		}
 		t := e.work.Deadline.Add(-q.pace.service(e.work))
@@ -174,22 +179,24 @@
 	}
 	delete(q.running, ticket)
 	q.slots.Finish(e.work)
-	q.pace.observe(made, now.Sub(e.started))
+	q.pace.observe(e.work, made, now.Sub(e.started))
 }
 
 // Cancel ends work, waiting or running, without learning from it. It reports
 // whether the work was still there.
-func (q *Queue[T]) Cancel(ticket uint64) bool {
+func (q *Queue[T]) Cancel(ticket uint64, now time.Time) bool {
 	if e, ok := q.running[ticket]; ok {
 		delete(q.running, ticket)
 		q.slots.Finish(e.work)
 		return true
 	}
-	n := len(q.waiting)
-	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry[T]) bool {
-		return e.ticket == ticket
-	})
-	return len(q.waiting) < n
+	i := slices.IndexFunc(q.waiting, func(e *entry[T]) bool { return e.ticket == ticket })
+	if i < 0 {
+		return false
+	}
+	q.refund(q.waiting[i], now)
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	return true
 }
 
 // Load returns what the door says of itself on each reply.
@@ -216,16 +223,21 @@
 
 // hopeless reports whether work that started now would still end too late.
 func (q *Queue[T]) hopeless(e *entry[T], now time.Time) bool {
-	if e.work.Deadline.IsZero() {
+	if e.work.Deadline.IsZero() || e.probe {
 		return false
 	}
 	return now.Add(q.pace.service(e.work)).After(e.work.Deadline)
 }
 
-func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration, now time.Time) {
+// refund takes back the caller's charge for work that didn't run.
+func (q *Queue[T]) refund(e *entry[T], now time.Time) {
 	if q.settings.admit != nil {
-		q.settings.admit.Refund(e.work, q.pace.service(e.work), now)
+		q.settings.admit.Refund(e.work, e.charged, now)
 	}
+}
+
+func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration, now time.Time) {
+	q.refund(e, now)
 	q.dropped = append(q.dropped, refused[T]{item: e.item, err: &fault.NotRunError{
 		Cause:      cause,
 		Reason:     reason,
