--- a/eject/eject.go
+++ b/eject/eject.go
@@ -3,7 +3,7 @@
 // The load it answers: one endpoint of many fails each request at once, or is so
 // slow that its requests miss their deadline, which is a failure too. A router
 // that prefers the least loaded endpoint prefers just the one that fails fast,
-// since it is always idle: with one of ten failing, 85% of the requests were
+// since it is always idle: with one of ten failing, 87% of the requests were
 // answered in time without this package, and 99% with it.
 //
 // A fault that all endpoints seem to share, such as a network that loses packets
