--- a/beats/beats.go
+++ b/beats/beats.go
@@ -52,6 +52,8 @@
 		rand     *rand.Rand
 		listed   []insts.Instance
 		relistAt time.Time
+		// lone counts the rounds in a row in which no hub answered.
+		lone     int
 		rotas    []*rota.Rota
 		refused  map[string]time.Time
 		peers    map[string]peer
--- a/beats/round.go
+++ b/beats/round.go
@@ -23,8 +23,14 @@
 	// attempts bounds how many entries are asked in one round. A round over many
 	// dead ones would hold up the next beat.
 	attempts = 4
-	// relistSoon is how soon the list is read again when no hub was found.
-	relistSoon = 15 * time.Second
+	// relistFirst and relistLast bound how soon the list is read again when no hub
+	// was found; the wait doubles. The list lags, so an instance that starts with
+	// the rest of a deployment often finds it empty and must not wait long; when
+	// all entries are gone for minutes, the list is not asked each second by all.
+	relistFirst = time.Second
+	relistLast  = 15 * time.Second
+	// maxDoublings bounds the doubling of that wait.
+	maxDoublings = 4
 	// narrow and wide are the shares by which waits are spread.
 	narrow = 0.1
 	wide   = 0.5
@@ -127,11 +133,9 @@
 // after it would begin too.
 func (c *Client) refuse(target insts.Instance) {
 	until := time.Now().Add(c.jitter(passOther, wide))
-	relist := time.Now().Add(c.jitter(relistSoon, wide))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused[target.ID] = until
-	c.relistBy(relist)
 }
 
 func (c *Client) heard(target insts.Instance) {
@@ -218,14 +222,23 @@
 
 // finish notes how the round went.
 func (c *Client) finish(heard int) {
-	relist := time.Now().Add(c.jitter(relistSoon, wide))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.completed = true
-	if heard == 0 {
-		c.last = nil
-		c.relistBy(relist)
+	if heard > 0 {
+		c.lone = 0
+		return
 	}
+	c.last = nil
+	c.lone++
+	c.relistBy(time.Now().Add(c.relistWait()))
+}
+
+// relistWait is how soon the list is read again after rounds without a hub. The
+// caller holds the lock.
+func (c *Client) relistWait() time.Duration {
+	wait := min(relistFirst<<min(c.lone, maxDoublings), relistLast)
+	return time.Duration(float64(wait) * (1 + wide*(2*c.rand.Float64()-1)))
 }
 
 // relistBy moves the next reading of the list forward. The caller holds the lock.
@@ -247,11 +260,11 @@
 	}
 	listed, err := c.list(ctx)
 	wait := c.jitter(c.relist, narrow)
-	if err != nil {
-		wait = c.jitter(relistSoon, wide)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if err != nil {
+		wait = c.relistWait()
+	}
 	c.relistAt = time.Now().Add(wait)
 	if err == nil {
 		c.listed = slices.DeleteFunc(listed, func(i insts.Instance) bool {
--- a/calls/calls.go
+++ b/calls/calls.go
@@ -215,6 +215,7 @@
 				Reason:     "the door cannot tell yet whether an earlier copy ran before it started",
 				RetryAfter: keymem.Sure(since, window, time.Now()),
 			}
+		case keymem.Wait:
 		}
 		select {
 		case <-done:
--- /dev/null
+++ b/matrix/path_test.go
@@ -0,0 +1,50 @@
+package matrix
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/simscr"
+	"github.com/lavendermux/lavendermux/simtrn"
+)
+
+// trainer returns a trainer that checks every sample it gets.
+func (w *world) trainer(steps int, opts ...simtrn.Option) *simtrn.Trainer {
+	return simtrn.New(drafts, w.urls(), append([]simtrn.Option{
+		simtrn.WithHTTP(w.net.Client(clientIP)),
+		simtrn.WithModel(model),
+		simtrn.WithStore("http://"+weightsIP+":80", 1<<20),
+		simtrn.WithSteps(steps),
+		simtrn.WithGroups(4, 4),
+		simtrn.WithBound(2),
+		simtrn.WithFirstVersion(2),
+		simtrn.WithScores(simscr.Score),
+		simtrn.WithSeed(1),
+	}, opts...)...)
+}
+
+// A deployment without faults: the trainer's steps are whole and each of its
+// samples is unique, fresh and rightly attributed, while callers get whole
+// answers from the same engines.
+func TestPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, size{entries: 3, engines: 3, desks: 3})
+		defer w.close()
+		load := make(chan any, 2)
+		go func() {
+			load <- simcal.New(w.urls(), simcal.WithHTTP(w.net.Client(clientIP)), simcal.WithModel(model),
+				simcal.WithDuration(20*time.Second), simcal.WithRate(5, 4), simcal.WithAttempts(3), simcal.WithSeed(3),
+				simcal.WithRequest(10*time.Second, 0, 32)).Run(context.Background())
+		}()
+		sum, err := w.trainer(3).Run(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Samples).To(Equal(3 * 16))
+		<-load
+	})
+}
--- a/netset/netset.go
+++ b/netset/netset.go
@@ -40,7 +40,7 @@
 //	l, err := n.Listen("127.0.0.1:8080")
 func New(opts ...Option) *Net {
 	n := &Net{
-		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		listen: listenTCP,
 		dial:   (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	for _, opt := range opts {
@@ -97,3 +97,8 @@
 	n.http.CloseIdleConnections()
 	n.peers.CloseIdleConnections()
 }
+
+func listenTCP(address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(context.Background(), "tcp", address)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -45,7 +45,7 @@
 //	s, err := serve.Start("127.0.0.1:8080", handler)
 //	defer s.Stop(ctx)
 func Start(address string, handler http.Handler, opts ...Option) (*Server, error) {
-	o := options{listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) }}
+	o := options{listen: listenTCP}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -114,3 +114,8 @@
 	cfg.NextProtos = []string{"h2", "http/1.1"}
 	return cfg
 }
+
+func listenTCP(address string) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(context.Background(), "tcp", address)
+}
