Let the beats' report of a revision remember since when, and name the silent

Cause: two packages added up the hubs' digests; one knew since when a revision is in force, the other asked the hubs.

Change: beats asks, inforc adds up. While a data centre's digest is older than ten seconds nothing counts as in force everywhere.

--- a/beats/beats.go
+++ b/beats/beats.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/inforc"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/rota"
@@ -64,6 +65,7 @@
 		last      *wire.BeatRequest
 		digests   []*wire.DataCentreDigest
 		digestsAt time.Time
+		inForce   inforc.Tracker
 	}
 
 	// configuration is the instance's copy of the resources; confs.Cache has it.
--- a/beats/force.go
+++ b/beats/force.go
@@ -15,8 +15,6 @@
 	digestsKeep = time.Second
 	// digestsTimeout bounds the question to a hub.
 	digestsTimeout = time.Second
-	// maxLagging bounds how many instances that lag are named.
-	maxLagging = 10
 )
 
 // InForce reports on how many instances of the fleet a revision is in force. It
@@ -33,7 +31,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return report(c.digests, revision)
+	return c.inForce.Report(c.digests, revision, time.Now())
 }
 
 // readDigests asks the hubs in turn. The version of the own copy goes along, so
@@ -55,23 +53,3 @@
 		return
 	}
 }
-
-func report(digests []*wire.DataCentreDigest, revision int64) spread.Report {
-	out := spread.Report{Lagging: []string{}}
-	for _, d := range digests {
-		asOf := time.UnixMilli(d.GetAsOfUnixMs())
-		if out.AsOf.IsZero() || asOf.Before(out.AsOf) {
-			out.AsOf = asOf
-		}
-		for _, n := range d.GetCounts() {
-			out.Of += int(n.GetInstances())
-			if n.GetRevision() >= revision {
-				out.Instances += int(n.GetInstances())
-				continue
-			}
-			room := max(0, maxLagging-len(out.Lagging))
-			out.Lagging = append(out.Lagging, n.GetExamples()[:min(room, len(n.GetExamples()))]...)
-		}
-	}
-	return out
-}
--- a/inforc/inforc.go
+++ b/inforc/inforc.go
@@ -4,7 +4,6 @@
 package inforc
 
 import (
-	"context"
 	"math"
 	"slices"
 	"sync"
@@ -27,59 +26,35 @@
 )
 
 type (
-	// Tracker is safe for concurrent use. See New.
+	// Tracker remembers since when revisions have been in force everywhere; safe
+	// for concurrent use. The zero Tracker remembers nothing and is ready.
 	Tracker struct {
-		source func(ctx context.Context) ([]*wire.DataCentreDigest, error)
-		now    func() time.Time
-
 		mu sync.Mutex
 		// steps are the revisions that have come to be in force everywhere, in
 		// order, each with the time at which this was first seen.
 		steps []step
 	}
 
-	// Option changes a Tracker as New makes it.
-	Option func(*Tracker)
-
 	step struct {
 		revision int64
 		at       time.Time
 	}
 )
 
-// New returns a tracker that asks source, such as beats.Client.Digests.
-//
-//	t := inforc.New(client.Digests)
-//	r, err := t.Report(ctx, 42)
-func New(source func(ctx context.Context) ([]*wire.DataCentreDigest, error), opts ...Option) *Tracker {
-	t := &Tracker{source: source, now: time.Now}
-	for _, opt := range opts {
-		opt(t)
-	}
-	return t
-}
-
-// WithClock sets where the time comes from. The default is time.Now.
-func WithClock(now func() time.Time) Option {
-	return func(t *Tracker) { t.now = now }
-}
-
-// Report says how far a revision has got. Since is when a tracker first saw it
+// Report says how far a revision has got. Since is when the tracker first saw it
 // in force everywhere, so it is exact to the time between two calls.
-func (t *Tracker) Report(ctx context.Context, revision int64) (spread.Report, error) {
-	digests, err := t.source(ctx)
-	if err != nil {
-		return spread.Report{}, err
-	}
+//
+//	var t inforc.Tracker
+//	r := t.Report(digests, 42, time.Now())
+func (t *Tracker) Report(digests []*wire.DataCentreDigest, revision int64, now time.Time) spread.Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := t.now()
 	r := sum(digests, revision, now)
 	t.observe(digests, now)
 	if r.Everywhere() {
 		r.Since = t.since(revision)
 	}
-	return r, nil
+	return r
 }
 
 // observe notes the least revision of any instance. When it falls, as for an
--- a/inforc/inforc_test.go
+++ b/inforc/inforc_test.go
@@ -1,7 +1,6 @@
 package inforc_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -28,10 +27,7 @@
 	BeforeEach(func() {
 		now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		digests = nil
-		t = inforc.New(
-			func(context.Context) ([]*wire.DataCentreDigest, error) { return digests, nil },
-			inforc.WithClock(func() time.Time { return now }),
-		)
+		t = &inforc.Tracker{}
 	})
 
 	// hear replaces a data centre's digest: how many instances have a revision.
@@ -50,55 +46,53 @@
 		digests = append(digests, d)
 	}
 
-	report := func(ctx SpecContext, revision int64) spread.Report {
-		r, err := t.Report(ctx, revision)
-		Expect(err).NotTo(HaveOccurred())
-		return r
+	report := func(revision int64) spread.Report {
+		return t.Report(digests, revision, now)
 	}
 
-	It("knows nothing before it has heard anything", func(ctx SpecContext) {
-		Expect(report(ctx, 1).Everywhere()).To(BeFalse())
+	It("knows nothing before it has heard anything", func() {
+		Expect(report(1).Everywhere()).To(BeFalse())
 	})
 
-	It("adds up the data centres and says since when", func(ctx SpecContext) {
+	It("adds up the data centres and says since when", func() {
 		hear("tln-a", 2, 8)
 		hear("tln-b", 0, 10)
-		r := report(ctx, 7)
+		r := report(7)
 		Expect(r.Instances).To(Equal(18))
 		Expect(r.Of).To(Equal(20))
 		Expect(r.Lagging).To(Equal([]string{"tln-a-1"}))
-		Expect(report(ctx, 5).Everywhere()).To(BeTrue())
-		Expect(report(ctx, 5).Since).To(BeZero())
+		Expect(report(5).Everywhere()).To(BeTrue())
+		Expect(report(5).Since).To(BeZero())
 		now = now.Add(4 * time.Second)
 		hear("tln-a", 0, 10)
 		hear("tln-b", 0, 10)
-		r = report(ctx, 7)
+		r = report(7)
 		Expect(r.Everywhere()).To(BeTrue())
 		Expect(r.Since).To(Equal(now))
 	})
 
 	// A data centre is cut off. Its last digest says that all have the change,
 	// but since then some may have restarted, and nobody can tell.
-	It("does not call a change in force everywhere while a data centre is silent", func(ctx SpecContext) {
+	It("does not call a change in force everywhere while a data centre is silent", func() {
 		hear("tln-a", 0, 10)
 		hear("tln-b", 0, 10)
 		now = now.Add(11 * time.Second)
 		hear("tln-a", 0, 10)
-		r := report(ctx, 9)
+		r := report(9)
 		Expect(r.Silent).To(Equal([]string{"tln-b"}))
 		Expect(r.Everywhere()).To(BeFalse())
 	})
 
-	It("counts anew after an instance came with an old configuration", func(ctx SpecContext) {
+	It("counts anew after an instance came with an old configuration", func() {
 		hear("tln-a", 1, 9)
-		report(ctx, 9)
+		report(9)
 		hear("tln-a", 0, 10)
-		first := report(ctx, 9).Since
+		first := report(9).Since
 		now = now.Add(time.Second)
 		hear("tln-a", 1, 10)
-		Expect(report(ctx, 9).Everywhere()).To(BeFalse())
+		Expect(report(9).Everywhere()).To(BeFalse())
 		now = now.Add(time.Second)
 		hear("tln-a", 0, 11)
-		Expect(report(ctx, 9).Since).To(BeTemporally(">", first))
+		Expect(report(9).Since).To(BeTemporally(">", first))
 	})
 })
