Hold accepted specs against what instances read, by fuzzing

Cause: a spec that the resource API accepts and an instance cannot read would be in force nowhere. The first run found that a policy without callers writes out "null" lists, which are refused when they come back; empty lists are now left out.

--- a/kinds/kinds_test.go
+++ b/kinds/kinds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -90,3 +91,40 @@
 		Expect(kinds.Uses(promise, object.KindSubscription, "t")).To(BeTrue())
 	})
 })
+
+// FuzzAccept holds what operators send against what instances read later: both
+// must come to the same spec, and a spec that was accepted must never be refused
+// by the instances that have to put it in force.
+func FuzzAccept(f *testing.F) {
+	for _, seed := range []string{
+		`{"service":"s","models":["m"],"scorer":"http://h:1","switchWithin":"6s","liveReserve":0.5}`,
+		`{"pool":"p","model":"m","stalenessBound":0,"stepWithin":"4m","cursor":true}`,
+		`{"service":"s","idempotentMethods":["GET","PUT"],"keyWindow":"10m","timeout":"5s"}`,
+		`{"callers":[{"caller":"a","weight":2}],"objectives":[{"name":"o","caller":"a","success":0.9,"latency":"1s"}]}`,
+		`{"models":null}`, `[]`, `{"service":"s","models":["m"],"service":"t"}`, `{"retryBudget":1e-9}`,
+	} {
+		for _, kind := range object.Kinds {
+			f.Add(kind, []byte(seed))
+		}
+	}
+	f.Fuzz(func(t *testing.T, kind string, raw []byte) {
+		accepted, err := kinds.Accept(kind, raw)
+		if err != nil {
+			return
+		}
+		read, err := kinds.Read(kind, raw)
+		if err != nil {
+			t.Fatalf("accepted, but instances cannot read it: %v", err)
+		}
+		if !reflect.DeepEqual(accepted, read) {
+			t.Fatalf("accepted %+v, read %+v", accepted, read)
+		}
+		stored, err := json.Marshal(accepted)
+		if err != nil {
+			t.Fatalf("accepted what has no JSON: %v", err)
+		}
+		if _, err := kinds.Accept(kind, stored); err != nil {
+			t.Fatalf("the spec with its defaults written out is refused: %v", err)
+		}
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,10 +20,10 @@
 // Policy is the spec of a resource of kind "policy".
 type Policy struct {
 	// Callers are the callers that differ from the default; none twice.
-	Callers []quota.Quota `json:"callers"`
+	Callers []quota.Quota `json:"callers,omitempty"`
 	// Objectives are the promises that the report on service-level burn
 	// follows; no name twice.
-	Objectives []goal.Objective `json:"objectives"`
+	Objectives []goal.Objective `json:"objectives,omitempty"`
 	// RetryBudget is the greatest share of requests, 0 to 1, that are sent a
 	// second time. 0 turns retries off. The default is 0.1.
 	RetryBudget float64 `json:"retryBudget"`
