Guard the doors of entries by hashed tokens; check the examples

The examples were checked by nothing.

Change: package tokens, two codes in reply, a test over all files of examples/. The entry does not use the guard yet.

--- /dev/null
+++ b/cmd/lavendermux/examples_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/ecfg"
+	"github.com/lavendermux/lavendermux/kinds"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/scfg"
+	"github.com/lavendermux/lavendermux/strict"
+)
+
+const examples = "../../examples"
+
+// TestExamples holds the ready settings and resources of both deployments: each
+// file is right, names only what is there, and is of the size that the
+// deployment has.
+func TestExamples(t *testing.T) {
+	for _, deployment := range []string{"perdana", "koolitund"} {
+		t.Run(deployment, func(t *testing.T) {
+			g := NewWithT(t)
+			places := make(map[string]int)
+			for _, raw := range files(g, deployment, "entries") {
+				cfg, err := ecfg.Parse(raw)
+				g.Expect(err).NotTo(HaveOccurred())
+				places[cfg.DataCentre]++
+			}
+			g.Expect(places).To(HaveLen(3))
+			served := make(map[string]int)
+			for _, raw := range files(g, deployment, "sides") {
+				cfg, err := scfg.Parse(raw)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(places).To(HaveKey(cfg.DataCentre))
+				served[cfg.Service]++
+			}
+			g.Expect(served).To(HaveLen(2))
+			specs := resources(g, deployment)
+			for key, spec := range specs {
+				err := kinds.Refer(spec, func(kind, name string) (kinds.Spec, bool) {
+					found, ok := specs[object.Key(kind, name)]
+					return found, ok
+				})
+				g.Expect(err).NotTo(HaveOccurred(), key)
+			}
+		})
+	}
+}
+
+// resources accepts the deployment's resources as an entry would.
+func resources(g *WithT, deployment string) map[string]kinds.Spec {
+	specs := make(map[string]kinds.Spec)
+	for _, raw := range files(g, deployment, "resources") {
+		var o object.Object
+		g.Expect(strict.Decode(raw, &o)).To(Succeed())
+		g.Expect(o.Validate()).To(Succeed())
+		spec, err := kinds.Accept(o.Kind, o.Spec)
+		g.Expect(err).NotTo(HaveOccurred(), o.Name)
+		specs[object.Key(o.Kind, o.Name)] = spec
+	}
+	return specs
+}
+
+func files(g *WithT, deployment, folder string) []json.RawMessage {
+	names, err := filepath.Glob(filepath.Join(examples, deployment, folder, "*.json"))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(names).NotTo(BeEmpty())
+	var all []json.RawMessage
+	for _, name := range names {
+		raw, err := os.ReadFile(name)
+		g.Expect(err).NotTo(HaveOccurred())
+		all = append(all, raw)
+	}
+	return all
+}
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -26,6 +26,10 @@
 	CodeNotFound = "notFound"
 	// CodeConflict says that a resource moved on; Revision is the current one.
 	CodeConflict = "conflict"
+	// CodeUnauthenticated says that nobody knows who asks.
+	CodeUnauthenticated = "unauthenticated"
+	// CodeForbidden says that who asks may not.
+	CodeForbidden = "forbidden"
 	// CodeInternal is a fault of the system itself.
 	CodeInternal = "internal"
 )
@@ -141,6 +145,10 @@
 		return http.StatusNotFound
 	case f.Code == CodeConflict:
 		return http.StatusConflict
+	case f.Code == CodeUnauthenticated:
+		return http.StatusUnauthorized
+	case f.Code == CodeForbidden:
+		return http.StatusForbidden
 	case f.Code == CodeInternal:
 		return http.StatusInternalServerError
 	case f.Outcome == OutcomeNotRun:
--- /dev/null
+++ b/tokens/tokens_test.go
@@ -0,0 +1,113 @@
+package tokens_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/tokens"
+)
+
+const callerHeader = "Lavendermux-Caller"
+
+func TestTokens(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tokens")
+}
+
+var _ = Describe("Keys", func() {
+	var (
+		secrets = make(map[string]string)
+		guarded http.Handler
+		seen    string
+	)
+
+	BeforeEach(func() {
+		rights := map[string]string{
+			"anna":     `"kinds":{"pool":"write","*":"read"}`,
+			"ben":      `"kinds":{"policy":"read"}`,
+			"creditor": `"caller":true`,
+			"trainer":  `"subscriptions":["drafts"]`,
+		}
+		var lines []string
+		for name, right := range rights {
+			token, hash := tokens.Make()
+			secrets[name] = token
+			lines = append(lines, fmt.Sprintf(`{"name":%q,"hash":%q,%s}`, name, hash, right))
+		}
+		file := `{"tokens":[` + strings.Join(lines, ",") + `]}`
+		keys, err := tokens.Load([]byte(file))
+		Expect(err).NotTo(HaveOccurred())
+		for _, token := range secrets {
+			Expect(file).NotTo(ContainSubstring(token))
+		}
+		seen = ""
+		guarded = keys.Guard(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			Expect(r.Header.Get("Authorization")).To(BeEmpty())
+			seen = tokens.Name(r.Context()) + "," + r.Header.Get(callerHeader)
+		}), tokens.WithCallerHeader(callerHeader))
+	})
+
+	ask := func(name, method, path string) int {
+		r := httptest.NewRequest(method, path, nil)
+		r.Header.Set(callerHeader, "somebody-else")
+		if name != "" {
+			r.Header.Set("Authorization", "Bearer "+secrets[name])
+		}
+		w := httptest.NewRecorder()
+		guarded.ServeHTTP(w, r)
+		return w.Code
+	}
+
+	DescribeTable("lets each to what its token is for",
+		func(name, method, path string, code int) {
+			Expect(ask(name, method, path)).To(Equal(code))
+		},
+		Entry(nil, "", "GET", "/readyz", 200),
+		Entry(nil, "", "GET", "/v1/resources", 401),
+		Entry(nil, "nobody", "GET", "/v1/resources", 401),
+		Entry(nil, "anna", "GET", "/v1/resources", 200),
+		Entry(nil, "anna", "PUT", "/v1/resources/pool/p", 200),
+		Entry(nil, "anna", "DELETE", "/v1/resources/policy/p", 403),
+		Entry(nil, "anna", "GET", "/v1/watch", 200),
+		Entry(nil, "anna", "GET", "/v1/burn", 200),
+		Entry(nil, "anna", "POST", "/v1/generate", 403),
+		Entry(nil, "ben", "GET", "/v1/resources", 403),
+		Entry(nil, "ben", "GET", "/v1/resources/policy/p/status", 200),
+		Entry(nil, "ben", "PUT", "/v1/resources/policy/p", 403),
+		Entry(nil, "ben", "GET", "/v1/watch?kind=pool", 403),
+		Entry(nil, "ben", "GET", "/v1/explain/policy/p", 200),
+		Entry(nil, "ben", "GET", "/metrics", 200),
+		Entry(nil, "creditor", "POST", "/v1/generate", 200),
+		Entry(nil, "creditor", "GET", "/metrics", 403),
+		Entry(nil, "creditor", "GET", "/", 403),
+		Entry(nil, "creditor", "POST", "/v1/subscriptions/drafts/pull", 403),
+		Entry(nil, "trainer", "POST", "/v1/subscriptions/drafts/pull", 200),
+		Entry(nil, "trainer", "POST", "/v1/subscriptions/checks/pull", 403),
+		Entry(nil, "trainer", "PUT", "/v1/resources/pool/p", 403),
+	)
+
+	// A caller gives itself the name of one with a greater share. The other would
+	// see refusals for load that it never sent.
+	It("calls a caller by its token and not by what it says", func() {
+		Expect(ask("creditor", "POST", "/v1/generate")).To(Equal(200))
+		Expect(seen).To(Equal("creditor,creditor"))
+	})
+
+	DescribeTable("refuses a wrong file with the field's name",
+		func(line, want string) {
+			_, err := tokens.Load([]byte(`{"tokens":[` + line + `]}`))
+			Expect(err).To(MatchError(ContainSubstring(want)))
+		},
+		Entry(nil, `{"name":"a","hash":"secret"}`, "tokens[0].hash: is not"),
+		Entry(nil, `{"hash":"sha256:`+strings.Repeat("0", 64)+`"}`, "tokens[0].name: is empty"),
+		Entry(nil, `{"name":"a","hash":"sha256:`+strings.Repeat("0", 64)+`","kinds":{"pol":"read"}}`, "tokens[0].kinds.pol: is no kind"),
+		Entry(nil, `{"name":"a","hash":"sha256:`+strings.Repeat("0", 64)+`","kinds":{"pool":"rw"}}`, `tokens[0].kinds.pool: is "read" or "write"`),
+		Entry(nil, `{"name":"a","token":"x"}`, "tokens[0].token: is no field here"),
+	)
+})
