Guard an entry's door by tokens and TLS; drop settings that nobody serves

Cause: the settings named a token file and TLS files that no process used, so that an operator could believe a door guarded that stood open.

Change: the entry takes WithKeys and WithTLS, the command line loads both and "settings token" makes a token with its line. peerTLS is gone from the settings until the calls between processes speak TLS: it is refused as an unknown field instead of being passed over. A reason log without a logger writes nowhere; it wrote to standard error, since the library takes nil for that.

Not done: TLS between the processes; a change of the token file needs a restart.

--- a/cmd/lavendermux/entry.go
+++ b/cmd/lavendermux/entry.go
@@ -8,6 +8,7 @@
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/entry"
 	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/tokens"
 )
 
 type entryCommand struct {
@@ -26,5 +27,27 @@
 	}
 	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
 		logs.WithField(logs.FieldInstance, cfg.Instance))
-	return entry.New(cfg, entry.WithLog(logger)).Run(ctx)
+	opts := []entry.Option{entry.WithLog(logger)}
+	door, err := cfg.TLS.Config()
+	if err != nil {
+		return errors.Wrap(err, "settings: tls")
+	}
+	opts = append(opts, entry.WithTLS(door))
+	if cfg.TokenFile != "" {
+		keys, err := loadKeys(cfg.TokenFile)
+		if err != nil {
+			return err
+		}
+		opts = append(opts, entry.WithKeys(keys))
+	}
+	return entry.New(cfg, opts...).Run(ctx)
+}
+
+func loadKeys(name string) (*tokens.Keys, error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the token file")
+	}
+	keys, err := tokens.Load(raw)
+	return keys, errors.Wrapf(err, "token file %s", name)
 }
--- a/cmd/lavendermux/main_test.go
+++ b/cmd/lavendermux/main_test.go
@@ -27,6 +27,7 @@
 	"github.com/lavendermux/lavendermux/reason"
 	"github.com/lavendermux/lavendermux/simkv"
 	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/tokens"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -186,6 +187,28 @@
 	g.Expect(string(page)).To(HavePrefix("<!doctype html>"))
 }
 
+// A token that the command makes is let in by the file line that it prints, and
+// the line does not give the token away.
+func TestSettingsToken(t *testing.T) {
+	var out, errOut bytes.Buffer
+	s := &session{ctx: t.Context(), out: &out, errOut: &errOut}
+	g := NewWithT(t)
+	g.Expect(run(s, []string{"settings", "token", "anna", "--kinds", "pool=write;*=read"})).To(Equal(exitOK))
+	token := strings.TrimSpace(out.String())
+	g.Expect(errOut.String()).NotTo(ContainSubstring(token))
+	keys, err := tokens.Load([]byte(`{"tokens":[` + errOut.String() + `]}`))
+	g.Expect(err).NotTo(HaveOccurred())
+	guarded := keys.Guard(http.NotFoundHandler())
+	for method, code := range map[string]int{http.MethodGet: http.StatusNotFound, http.MethodPut: http.StatusForbidden} {
+		r := httptest.NewRequest(method, "/v1/resources/policy/p", nil)
+		r.Header.Set("Authorization", "Bearer "+token)
+		w := httptest.NewRecorder()
+		guarded.ServeHTTP(w, r)
+		g.Expect(w.Code).To(Equal(code))
+	}
+	g.Expect(run(s, []string{"settings", "token", "anna", "--kinds", "pol=write"})).To(Equal(exitInvalid))
+}
+
 func TestSettingsCheck(t *testing.T) {
 	b := newBench(t)
 	file := filepath.Join(b.folder, "side.json")
--- a/cmd/lavendermux/settings.go
+++ b/cmd/lavendermux/settings.go
@@ -1,17 +1,20 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/scfg"
+	"github.com/lavendermux/lavendermux/tokens"
 )
 
 type (
 	// settingsCommand groups what looks at settings files.
 	settingsCommand struct {
 		Check settingsCheckCommand `cmd:"" help:"Check a settings file and show it with every default."`
+		Token settingsTokenCommand `cmd:"" help:"Make a token, and the line for the token file that lets it in."`
 	}
 
 	settingsCheckCommand struct {
@@ -19,6 +22,22 @@
 		File    string `arg:"" help:"Settings file; - for standard input."`
 		Quiet   bool   `short:"q" help:"Print nothing when the file is right."`
 	}
+
+	settingsTokenCommand struct {
+		Name          string            `arg:"" help:"Who will hold the token."`
+		Caller        bool              `help:"For live requests."`
+		Subscriptions []string          `placeholder:"NAME" help:"For the trainer of these subscriptions."`
+		Kinds         map[string]string `placeholder:"KIND=RIGHT" help:"For an operator: read or write, by kind of resource; * for all kinds."`
+	}
+
+	// tokenLine is one entry of a token file.
+	tokenLine struct {
+		Name          string            `json:"name"`
+		Hash          string            `json:"hash"`
+		Caller        bool              `json:"caller,omitempty"`
+		Subscriptions []string          `json:"subscriptions,omitempty"`
+		Kinds         map[string]string `json:"kinds,omitempty"`
+	}
 )
 
 // Run implements kong's command.
@@ -50,3 +69,25 @@
 	}
 	return nil, &fault.FieldError{Field: "program", Problem: "is entry or side"}
 }
+
+// Help implements kong's HelpProvider.
+func (c *settingsTokenCommand) Help() string {
+	return `The token goes to standard output and is kept nowhere; the line for the file {"tokens": [...]} goes to standard error
+and holds only its hash.`
+}
+
+// Run implements kong's command.
+func (c *settingsTokenCommand) Run(s *session) error {
+	token, hash := tokens.Make()
+	line := tokenLine{Name: c.Name, Hash: hash, Caller: c.Caller, Subscriptions: c.Subscriptions, Kinds: c.Kinds}
+	raw, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	if _, err := tokens.Load([]byte(`{"tokens":[` + string(raw) + `]}`)); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(s.errOut, "%s\n", raw)
+	s.print(token + "\n")
+	return nil
+}
--- a/ecfg/ecfg.go
+++ b/ecfg/ecfg.go
@@ -67,9 +67,6 @@
 	LogFormat string `json:"logFormat"`
 	// TLS are the files for Listen. The default is plain text.
 	TLS certs.Files `json:"tls,omitzero"`
-	// PeerTLS are the files for PeerListen and for calls to peers. The default
-	// is plain text.
-	PeerTLS certs.Files `json:"peerTLS,omitzero"`
 	// TokenFile holds the hashed tokens of operators and callers. The default
 	// is empty: everyone who reaches Listen is let in.
 	TokenFile string `json:"tokenFile,omitempty"`
@@ -118,7 +115,6 @@
 	bad.Merge("logLevel", logs.CheckLevel(s.LogLevel))
 	bad.Merge("logFormat", logs.CheckFormat(s.LogFormat))
 	bad.Merge("tls", s.TLS.Validate())
-	bad.Merge("peerTLS", s.PeerTLS.Validate())
 	return bad.Err()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"slices"
 	"sync"
@@ -39,6 +40,7 @@
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/serve"
 	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/tokens"
 	"github.com/lavendermux/lavendermux/train"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -68,6 +70,8 @@
 		ops   *opapi.API
 		jobs  *jobrun.Runner
 		seen  *observ.Observer
+		keys  *tokens.Keys
+		tls   *tls.Config
 
 		leaving atomic.Bool
 
@@ -114,6 +118,17 @@
 	return func(e *Entry) { e.log = l }
 }
 
+// WithKeys sets the tokens without which nobody is let in at the door for
+// callers, trainers and operators. By default everyone is.
+func WithKeys(k *tokens.Keys) Option {
+	return func(e *Entry) { e.keys = k }
+}
+
+// WithTLS makes that door speak TLS. The default, also for nil, is plain text.
+func WithTLS(cfg *tls.Config) Option {
+	return func(e *Entry) { e.tls = cfg }
+}
+
 func (e *Entry) clients() {
 	timeout := time.Duration(e.cfg.KeyValueTimeout)
 	e.dial = dial.New(e.net.Peers())
@@ -170,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	faces, err := serve.Start(e.cfg.Listen, e.handler(), serve.WithListen(e.net.Listen))
+	faces, err := serve.Start(e.cfg.Listen, e.handler(), serve.WithListen(e.net.Listen), serve.WithTLS(e.tls))
 	if err != nil {
 		return errors.CombineErrors(err, peers.Stop(ctx))
 	}
@@ -223,7 +238,10 @@
 	e.train.Register(r)
 	e.ops.Register(r)
 	e.seen.Register(r)
-	return r
+	if e.keys == nil {
+		return r
+	}
+	return e.keys.Guard(r, tokens.WithCallerHeader(front.CallerHeader))
 }
 
 // ready is what the platform's balancer asks.
--- a/reason/reason.go
+++ b/reason/reason.go
@@ -4,6 +4,7 @@
 package reason
 
 import (
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -66,7 +67,7 @@
 func New(instance string, opts ...Option) *Log {
 	l := &Log{
 		instance: instance,
-		logger:   logs.New(nil),
+		logger:   logs.New(io.Discard),
 		now:      time.Now,
 		limit:    defaultDeeds,
 		deeds:    make(map[key][]deed.Deed),
--- a/scfg/scfg.go
+++ b/scfg/scfg.go
@@ -4,7 +4,6 @@
 import (
 	"time"
 
-	"github.com/lavendermux/lavendermux/certs"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/netad"
@@ -65,9 +64,6 @@
 	LogLevel string `json:"logLevel"`
 	// LogFormat is logfmt, json or text. The default is logfmt.
 	LogFormat string `json:"logFormat"`
-	// PeerTLS are the files for Listen and for calls to peers. The default is
-	// plain text.
-	PeerTLS certs.Files `json:"peerTLS,omitzero"`
 }
 
 // Default returns Settings with every default set.
@@ -110,7 +106,6 @@
 	bad.Check(s.StopWithin > 0, "stopWithin", "is not above zero")
 	bad.Merge("logLevel", logs.CheckLevel(s.LogLevel))
 	bad.Merge("logFormat", logs.CheckFormat(s.LogFormat))
-	bad.Merge("peerTLS", s.PeerTLS.Validate())
 	return bad.Err()
 }
 
