--- a/opclnt/opclnt.go
+++ b/opclnt/opclnt.go
@@ -99,6 +99,12 @@
 	return func(c *Client) { c.token = token }
 }
 
+// WithPause sets how long to wait before a change is asked for again the first
+// time; each further wait is twice as long. The default is 300ms.
+func WithPause(d time.Duration) Option {
+	return func(c *Client) { c.pause = d }
+}
+
 // WithNotice sets who is told that an answer comes from an entry's own
 // configuration, since the key-value service is silent. The default is nobody.
 func WithNotice(f func(text string)) Option {
--- a/opclnt/opclnt_test.go
+++ b/opclnt/opclnt_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -30,7 +31,7 @@
 		answers[min(n, len(answers)-1)](w, r)
 	}))
 	DeferCleanup(server.Close)
-	return opclnt.New(server.URL), &operations
+	return opclnt.New(server.URL, opclnt.WithPause(time.Millisecond)), &operations
 }
 
 func cut(http.ResponseWriter, *http.Request) {
