Say in status when no endpoint of a resource's service is known

Cause: a pool without live workers was accepted and in force, and its status named nothing that stands against it.

Not run: no test covers the wiring in the entry; the resource API's own test covers that conditions are shown.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -156,7 +156,7 @@
 	e.front = front.New(e.relay, e.conf,
 		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
 	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
-	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log),
+	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log), opapi.WithConditions(e.conditions),
 		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
 			return e.beats.InForce(revision), nil
 		}))
