--- a/door/door.go
+++ b/door/door.go
@@ -16,6 +16,7 @@
 	"github.com/lavendermux/lavendermux/genreq"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/token"
+	"github.com/lavendermux/lavendermux/turn"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -59,7 +60,7 @@
 
 		track attrib.Tracker
 		// orders lets one order through at a time.
-		orders sync.Mutex
+		orders *turn.Turn
 
 		mu sync.Mutex
 		// fence is the greatest fencing number seen. A door that restarts has
@@ -107,6 +108,7 @@
 		gate:    gate,
 		log:     log.New(nil),
 		poll:    defaultPoll,
+		orders:  turn.New(),
 		settled: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -142,8 +144,10 @@
 
 // Refresh asks the engine once what it holds.
 func (d *Door) Refresh(ctx context.Context) {
-	d.orders.Lock()
-	defer d.orders.Unlock()
+	if d.orders.Take(ctx) != nil {
+		return
+	}
+	defer d.orders.Give()
 	d.refresh(ctx)
 }
 
--- a/door/order.go
+++ b/door/order.go
@@ -29,8 +29,10 @@
 	if err != nil {
 		return err
 	}
-	d.orders.Lock()
-	defer d.orders.Unlock()
+	if err := d.orders.Take(ctx); err != nil {
+		return &fault.NotRunError{Cause: CauseDeadline, Reason: "another order was under way", RetryAfter: notReadyRetry}
+	}
+	defer d.orders.Give()
 	if err := d.pass(req.GetFence()); err != nil {
 		return err
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/sample"
 	"github.com/lavendermux/lavendermux/strag"
 	"github.com/lavendermux/lavendermux/subscr"
+	"github.com/lavendermux/lavendermux/turn"
 )
 
 const (
@@ -27,6 +28,8 @@
 
 	// CauseService says that the key-value service could not record.
 	CauseService = "keyValueService"
+	// CauseBusy says that another pull of the subscription is under way.
+	CauseBusy = "busy"
 
 	// defaultEvery is the pace of new versions before two have been seen.
 	defaultEvery = 10 * time.Minute
@@ -49,10 +52,9 @@
 		planner *strag.Planner
 		gather  time.Duration
 
-		// turn lets one pull through at a time.
-		turn chan struct{}
-		// saving lets one record through at a time.
-		saving sync.Mutex
+		// pulls lets one pull through at a time, saving one record.
+		pulls  *turn.Turn
+		saving *turn.Turn
 
 		mu sync.Mutex
 		// book and the fields below are guarded by mu.
@@ -181,7 +183,8 @@
 		seen:     unseen{},
 		log:      log.New(nil),
 		gather:   defaultGather,
-		turn:     make(chan struct{}, 1),
+		pulls:    turn.New(),
+		saving:   turn.New(),
 		groups:   map[string]*group{},
 		trials:   map[string]*try{},
 		changed:  make(chan struct{}),
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -29,12 +29,10 @@
 // A trainer that carries no cursor gets the outstanding offer again until it
 // acknowledges it by Ack, and no offer leaves without a record.
 func (f *Feed) Pull(ctx context.Context, text string, most int, wait time.Duration) (*offer.Offer, error) {
-	select {
-	case f.turn <- struct{}{}:
-		defer func() { <-f.turn }()
-	case <-ctx.Done():
-		return nil, &fault.NotRunError{Cause: "busy", Reason: "another pull of this subscription is under way"}
+	if err := f.pulls.Take(ctx); err != nil {
+		return nil, &fault.NotRunError{Cause: CauseBusy, Reason: "another pull of this subscription is under way"}
 	}
+	defer f.pulls.Give()
 	c, err := f.settle(text)
 	if err != nil {
 		return nil, err
--- a/feed/record.go
+++ b/feed/record.go
@@ -72,8 +72,10 @@
 // save writes the ledger to the key-value service. After a
 // *fault.UnavailableError it may or may not be stored; the next save finds out.
 func (f *Feed) save(ctx context.Context) error {
-	f.saving.Lock()
-	defer f.saving.Unlock()
+	if err := f.saving.Take(ctx); err != nil {
+		return &fault.UnavailableError{Peer: "key-value service", Cause: err}
+	}
+	defer f.saving.Give()
 	if err := f.blocked(); err != nil {
 		return err
 	}
--- a/matrix/path_test.go
+++ b/matrix/path_test.go
@@ -42,9 +42,11 @@
 				simcal.WithDuration(20*time.Second), simcal.WithRate(5, 4), simcal.WithAttempts(3), simcal.WithSeed(3),
 				simcal.WithRequest(10*time.Second, 0, 32)).Run(context.Background())
 		}()
-		sum, err := w.trainer(3).Run(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+		defer cancel()
+		sum, err := w.trainer(3).Run(ctx)
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(sum.Samples).To(Equal(3 * 16))
+		g.Expect(sum.Samples).To(BeEquivalentTo(3 * 16))
 		<-load
 	})
 }
