Let the caller stand-in ask an engine or a service itself

Cause: what the way through the system adds is measured against the same client asking the same stand-in in the same run. The docs of the stand-ins and the network say that in testing/synctest they are made inside the bubble: a test that made an engine outside of it hung until go test's own timeout.

--- a/cmd/standin/clients.go
+++ b/cmd/standin/clients.go
@@ -43,6 +43,7 @@
 		Service     string        `help:"Plain service to book slots of, instead of the model."`
 		Keyed       float64       `default:"0.5" help:"Share of bookings with an idempotency key."`
 		Status      float64       `help:"Share of requests to the service that ask for a case's status."`
+		Direct      bool          `help:"Ask an engine or a plain service itself, at the URLs given as entries."`
 		Concurrency int           `default:"4" help:"Requests at a time."`
 		Rate        float64       `help:"Requests a second; 0: whenever a caller is free."`
 		Duration    time.Duration `default:"10s" help:"How long to send."`
@@ -89,7 +90,7 @@
 
 // Run sends the load, prints a summary, and fails when an answer was wrong.
 func (c *callerCommand) Run(ctx context.Context) error {
-	load := simcal.New(c.Entry,
+	opts := []simcal.Option{
 		simcal.WithCaller(c.Caller),
 		simcal.WithModel(c.Model),
 		simcal.WithService(c.Service, c.Keyed),
@@ -101,8 +102,11 @@
 		simcal.WithPrefix(c.Prefix),
 		simcal.WithAttempts(c.Attempts),
 		simcal.WithSeed(c.Seed),
-	)
-	sum := load.Run(ctx)
+	}
+	if c.Direct {
+		opts = append(opts, simcal.WithDirect())
+	}
+	sum := simcal.New(c.Entry, opts...).Run(ctx)
 	if err := printJSON(sum); err != nil {
 		return err
 	}
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -57,7 +57,8 @@
 	}
 )
 
-// New returns a network without instances.
+// New returns a network without instances. In a test with testing/synctest it is made inside the
+// bubble: waiting on what was made outside of it stops virtual time.
 //
 //	n := memnet.New(memnet.WithDelay(time.Millisecond))
 //	srv, err := n.Serve("10.0.0.1:80", handler)
--- a/simcal/options.go
+++ b/simcal/options.go
@@ -45,6 +45,13 @@
 	return func(c *config) { c.status = share }
 }
 
+// WithDirect makes the load ask an engine or a plain service itself, at the URLs
+// that are given as entries, so that a run shows what the way through the system
+// adds. All answers of an engine are streams. The default is to ask entries.
+func WithDirect() Option {
+	return func(c *config) { c.direct = true }
+}
+
 // WithCaller sets the caller's name, which families and prompts carry too, so
 // that two loads at the same time stay apart. The default is "caller".
 func WithCaller(caller string) Option {
--- a/simcal/request.go
+++ b/simcal/request.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/lavendermux/lavendermux/genreq"
 	"github.com/lavendermux/lavendermux/simsrv"
 	"github.com/lavendermux/lavendermux/simtxt"
 )
@@ -55,6 +56,7 @@
 		Version string           `json:"version"`
 		Done    bool             `json:"done"`
 		Tokens  int64            `json:"tokens"`
+		Total   int64            `json:"total"`
 		Error   *refusalResponse `json:"error"`
 	}
 
@@ -174,7 +176,9 @@
 
 // plain sends one request to the plain service and reads its answer whole.
 func (l *Load) plain(ctx context.Context, method, path string, a arrival, key string, in any) ([]byte, result) {
-	path = "/v1/services/" + url.PathEscape(l.config.service) + path
+	if !l.config.direct {
+		path = "/v1/services/" + url.PathEscape(l.config.service) + path
+	}
 	resp, err := l.send(ctx, method, path, a, key, in)
 	if err != nil {
 		return nil, result{outcome: outcomeNoAnswer, problem: err.Error()}
@@ -194,7 +198,7 @@
 		Priority:  l.config.priority,
 		Timeout:   l.config.timeout.String(),
 	}
-	resp, err := l.send(ctx, http.MethodPost, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", a, "", in)
+	resp, err := l.ask(ctx, a, in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
@@ -202,7 +206,7 @@
 	if res, mixed := l.mixedUp(a, resp); mixed {
 		return res
 	}
-	if in.Stream && resp.StatusCode == http.StatusOK {
+	if (in.Stream || l.config.direct) && resp.StatusCode == http.StatusOK {
 		return l.stream(a, in, resp.Body)
 	}
 	raw, res := read(resp)
@@ -222,6 +226,21 @@
 	return l.whole(in, out.Text, out.Tokens, named)
 }
 
+// ask sends a request for a generation to an entry, or to the engine itself.
+func (l *Load) ask(ctx context.Context, a arrival, in generateRequest) (*http.Response, error) {
+	if !l.config.direct {
+		path := "/v1/models/" + url.PathEscape(l.config.model) + "/generate"
+		return l.send(ctx, http.MethodPost, path, a, "", in)
+	}
+	return l.send(ctx, http.MethodPost, "/v1/generate", a, "", genreq.Request{
+		ID:        l.requestID(a),
+		Model:     l.config.model,
+		Prompt:    in.Prompt,
+		MaxTokens: in.MaxTokens,
+		Priority:  in.Priority,
+	})
+}
+
 // stream reads events to the end that the service itself puts.
 func (l *Load) stream(a arrival, in generateRequest, body io.Reader) result {
 	sc := bufio.NewScanner(body)
@@ -241,7 +260,8 @@
 		case e.Error != nil:
 			return refused(*e.Error)
 		case e.Done:
-			return l.whole(in, text, e.Tokens, named)
+			// An engine's end has the length as its total.
+			return l.whole(in, text, max(e.Tokens, e.Total), named)
 		case text == "" && e.Text != "":
 			l.mu.Lock()
 			l.first.Add(milliseconds(time.Since(a.at)))
--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -70,6 +70,7 @@
 		streaming   float64
 		keyed       float64
 		status      float64
+		direct      bool
 		attempts    int
 		seed        uint64
 	}
--- a/simcal/simcal_test.go
+++ b/simcal/simcal_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/simeng"
 	"github.com/lavendermux/lavendermux/simsrv"
 	"github.com/lavendermux/lavendermux/simsvc"
 	"github.com/lavendermux/lavendermux/simtxt"
@@ -208,3 +209,21 @@
 		}, simcal.WithService("case-desk", 0), simcal.WithStatus(1))
 	}
 }
+
+func TestSimcalAsksEngineAndServiceThemselves(t *testing.T) {
+	var engine *simeng.Server
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { engine.ServeHTTP(w, r) })
+	run(t, h, func(g Gomega, l *simcal.Load) {
+		// Made in the bubble, like all that waits there.
+		engine = simeng.New(simeng.WithModel("draft", "1"))
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes).To(HaveLen(1), "%v", sum.Problems)
+		g.Expect(sum.Outcomes["ok"]).To(Equal(engine.Counts().Whole))
+		g.Expect(sum.Tokens).To(Equal(engine.Counts().Tokens))
+	}, simcal.WithDirect())
+	svc := simsvc.New(simsvc.WithDelay(time.Second))
+	run(t, svc, func(g Gomega, l *simcal.Load) {
+		g.Expect(l.Run(context.Background()).Outcomes).To(HaveLen(1))
+		g.Expect(svc.Runs("slot-0", "caller-0")).To(Equal(1))
+	}, simcal.WithDirect(), simcal.WithService("booking-api", 0))
+}
--- a/simeng/simeng.go
+++ b/simeng/simeng.go
@@ -107,7 +107,8 @@
 	}
 )
 
-// New returns an engine. It serves HTTP.
+// New returns an engine. It serves HTTP. In a test with testing/synctest it is made inside the
+// bubble: waiting on what was made outside of it stops virtual time.
 //
 //	e := simeng.New(simeng.WithModel("draft", "1"), simeng.WithSlots(32))
 //	err := http.ListenAndServe(addr, e)
