--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,12 +11,14 @@
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/counts"
 	"github.com/lavendermux/lavendermux/dial"
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/fleet"
@@ -28,16 +30,24 @@
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/observ"
 	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/reason"
 	"github.com/lavendermux/lavendermux/relay"
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/serve"
+	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/train"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
 
+// compressFrom is from how many bytes on an answer to a peer is compressed. The
+// answer to a heartbeat is 20 bytes, and would grow by it.
+const compressFrom = 512
+
 type (
 	// Entry is one entry instance. See New and Run.
 	Entry struct {
@@ -57,6 +67,7 @@
 		train *train.Train
 		ops   *opapi.API
 		jobs  *jobrun.Runner
+		seen  *observ.Observer
 
 		leaving atomic.Bool
 
@@ -85,6 +96,8 @@
 	for _, opt := range opts {
 		opt(e)
 	}
+	e.seen = observ.New(e.conf, counts.New(cfg.Instance, e.conf), meter.New(),
+		reason.New(cfg.Instance, reason.WithLog(e.log)))
 	e.clients()
 	e.membership()
 	e.faces()
@@ -125,9 +138,13 @@
 func (e *Entry) faces() {
 	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
 		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare))
-	e.front = front.New(e.relay, e.conf, front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
+	e.front = front.New(e.relay, e.conf,
+		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
 	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
-	e.ops = opapi.New(change.New(e.store), e.conf)
+	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log),
+		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
+			return e.beats.InForce(revision), nil
+		}))
 }
 
 // describe is what the instance says of itself in heartbeats.
@@ -205,6 +222,7 @@
 	e.front.Register(r)
 	e.train.Register(r)
 	e.ops.Register(r)
+	e.seen.Register(r)
 	return r
 }
 
@@ -222,7 +240,8 @@
 
 func (e *Entry) peerHandler() http.Handler {
 	m := http.NewServeMux()
-	m.Handle(wireconnect.NewPeerServiceHandler(&peerHandler{Hub: e.hub, entry: e}))
+	m.Handle(wireconnect.NewPeerServiceHandler(&peerHandler{Hub: e.hub, entry: e},
+		connect.WithCompressMinBytes(compressFrom)))
 	return m
 }
 
@@ -262,10 +281,7 @@
 	return lease.New(e.store, job, e.cfg.Instance,
 		lease.WithAddress(e.cfg.PeerListen),
 		lease.WithCandidates(e.candidates),
-		lease.WithHolder(func(job string) (string, bool) {
-			entry, _ := e.view.Holder(job)
-			return entry.GetInstance(), entry != nil
-		}),
+		lease.WithHolder(e.view.SureHolder),
 		lease.WithChange(change),
 		lease.WithSeed(uint64(e.boot)),
 		lease.WithLogger(e.log))
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -31,9 +31,14 @@
 	// packets is what TCP and IP add to a request and its answer, in bytes: four
 	// segments with 52 bytes of headers each.
 	packets = 4 * 52
-	// firstLines is about what the request line, the status line, Host and the
-	// two lengths take, in bytes.
-	firstLines = 160
+	// headers is what HTTP/2 adds to a call on a connection that has carried a few,
+	// in bytes. BenchmarkBeatOverLoopback gives 233 bytes for a beat of 163 and an
+	// answer of 20 or so.
+	headers = 60
+	// pings is a probe of HTTP/2 and its answer, with the headers of TCP and IP: a
+	// connection to a hub is silent for 6 seconds between two beats, and is probed
+	// after 5.
+	pings = 2 * (17 + 52)
 )
 
 var errCut = errors.New("connection refused")
@@ -50,7 +55,9 @@
 		kv     *simkv.Server
 		listed []insts.Instance
 		lists  int
-		nodes  map[string]*node
+		// kvCalls counts the calls of the key-value service in each second.
+		kvCalls map[int64]int
+		nodes   map[string]*node
 	}
 
 	node struct {
@@ -109,6 +116,8 @@
 		cut:   func(string, string) bool { return false },
 		kv:    simkv.New(),
 		nodes: map[string]*node{},
+
+		kvCalls: map[int64]int{},
 	}
 	w.hosts[kvHost] = w.kv
 	return w
@@ -122,6 +131,9 @@
 	handler := w.hosts[req.URL.Host]
 	gone := handler == nil || w.cut(t.from, req.URL.Host)
 	w.calls[req.URL.Host]++
+	if req.URL.Host == kvHost {
+		w.kvCalls[time.Now().Unix()]++
+	}
 	w.mu.Unlock()
 	if gone {
 		return nil, errCut
@@ -148,8 +160,15 @@
 			return nil, errCut
 		}
 	}
+	// A cut also takes the answers that are under way.
+	w.mu.Lock()
+	gone = w.cut(t.from, req.URL.Host)
+	w.mu.Unlock()
+	if gone {
+		return nil, errCut
+	}
 	resp := rec.Result()
-	size := headerSize(req.Header) + len(body) + headerSize(resp.Header) + rec.Body.Len() + packets + firstLines
+	size := len(body) + rec.Body.Len() + headers + packets + pings
 	w.mu.Lock()
 	w.sent[t.from] += size
 	w.sent[req.URL.Host] += size
@@ -157,16 +176,6 @@
 	return resp, nil
 }
 
-func headerSize(h http.Header) int {
-	n := 0
-	for name, values := range h {
-		for _, v := range values {
-			n += len(name) + len(v) + 4
-		}
-	}
-	return n
-}
-
 func (w *world) add(id string, role string, p place) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -292,6 +301,22 @@
 	return revision
 }
 
+func (w *world) remove(t testing.TB, name string) {
+	t.Helper()
+	c := keyval.New("http://"+kvHost, keyval.WithHTTP(&http.Client{Transport: transport{world: w, from: "operator"}}))
+	rec, err := c.Get(t.Context(), "resources/pool/"+name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Delete(t.Context(), rec.Key, rec.Revision); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func inDataCentre(id string, n int) bool {
+	return strings.HasPrefix(id, fmt.Sprintf("entry-%d-", n)) || strings.HasPrefix(id, fmt.Sprintf("worker-%d-", n))
+}
+
 // everywhere waits until all live instances hold a revision, and returns how
 // long that took.
 func (w *world) everywhere(revision int64, limit time.Duration) (time.Duration, error) {
--- a/side/side.go
+++ b/side/side.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/calls"
 	"github.com/lavendermux/lavendermux/confs"
@@ -99,7 +100,7 @@
 func (s *Side) doors() {
 	if s.cfg.PlainService != "" {
 		service := plain.New(s.cfg.PlainService, plain.WithHTTP(s.net.Client()))
-		s.calls = calls.New(service, keymem.New(time.Now()), calls.WithHome(s.isHome))
+		s.calls = calls.New(service, keymem.New(), calls.WithHome(s.isHome))
 		return
 	}
 	s.gate = gate.New(slots.New(s.cfg.Slots))
@@ -116,10 +117,15 @@
 
 // isHome says whether this endpoint remembers an idempotency key, and since when.
 func (s *Side) isHome(key string) (bool, time.Time) {
-	s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+	s.noteHomes()
 	return s.tenure.Home(key)
 }
 
+func (s *Side) noteHomes() {
+	h := s.conf.Homes(s.cfg.Service)
+	s.tenure.Note(h.Doors, h.Founding[s.cfg.Instance] == s.boot, time.Now())
+}
+
 // Run serves until ctx ends, then drains: it refuses new work at once and ends
 // when the last request in flight has its answer, or after the settings'
 // stopWithin.
@@ -182,7 +188,8 @@
 	return &wire.BeatRequest{Endpoint: st}
 }
 
-// follow puts the pool's share for live work in force whenever it changes.
+// follow puts the pool's share for live work and the callers' shares in force
+// whenever they change.
 func (s *Side) follow(ctx context.Context) {
 	for {
 		changed := s.conf.Changed()
@@ -191,6 +198,12 @@
 				s.gate.Divide(slots.WithLiveReserve(p.LiveReserve))
 			}
 		}
+		for _, p := range s.conf.Policies() {
+			for _, q := range p.Callers {
+				q = q.Filled()
+				s.gate.Share(admit.WithWeight(q.Caller, q.Weight), admit.WithMaxShare(q.Caller, q.MaxShare))
+			}
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -204,7 +217,7 @@
 func (s *Side) followHomes(ctx context.Context) {
 	for {
 		changed := s.conf.Changed()
-		s.tenure.Note(s.conf.Homes(s.cfg.Service), time.Now())
+		s.noteHomes()
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/simcal/request.go
+++ b/simcal/request.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -22,6 +23,8 @@
 	requestHeader = "Lavendermux-Request"
 	timeoutHeader = "Lavendermux-Timeout"
 	keyHeader     = "Idempotency-Key"
+	// attemptHeader counts the copies of a keyed request; the first is 1.
+	attemptHeader = "Lavendermux-Attempt"
 	kindNotRun    = "notRun"
 	kindUnknown   = "outcomeUnknown"
 	maxAnswer     = 8 << 20
@@ -104,6 +107,7 @@
 	}
 	var res result
 	for attempt := 1; ; attempt++ {
+		a.attempt = attempt
 		res = l.bounded(ctx, a, key, send)
 		if attempt >= l.config.attempts || ctx.Err() != nil || !repeatable(res.outcome, key) {
 			break
@@ -318,6 +322,7 @@
 	req.Header.Set(timeoutHeader, l.config.timeout.String())
 	if key != "" {
 		req.Header.Set(keyHeader, key)
+		req.Header.Set(attemptHeader, strconv.Itoa(a.attempt))
 	}
 	return l.config.http.Do(req)
 }
--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -80,6 +80,8 @@
 		number int
 		// at is when it was due; zero: when a caller takes it.
 		at time.Time
+		// attempt counts how often the request was sent, this time included.
+		attempt int
 	}
 
 	// summary is what the callers saw.
@@ -155,7 +157,7 @@
 				return
 			}
 			select {
-			case due <- arrival{n, time.Now()}:
+			case due <- arrival{number: n, at: time.Now()}:
 			default:
 				l.count(outcomeSkipped)
 			}
