--- a/cmd/measure/trainers.go
+++ b/cmd/measure/trainers.go
@@ -1,3 +1,137 @@
 package main
 
-func playTrainers(_ int) {}
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lavendermux/lavendermux/demand"
+	"github.com/lavendermux/lavendermux/sched"
+	"github.com/lavendermux/lavendermux/steps"
+	"github.com/lavendermux/lavendermux/strag"
+	"github.com/lavendermux/lavendermux/tally"
+)
+
+type (
+	chooseFunc = func(trainers []demand.Demand, now time.Time) (int, bool)
+
+	trainersCase struct {
+		name   string
+		weight float64
+		choose func() chooseFunc
+		limit  func(d *demand.Demand, speed float64, now time.Time) int64
+	}
+
+	trainersRun struct {
+		idle, worst, age, p99, wasted, delivered, long float64
+	}
+)
+
+// playTrainers plays four trainers of unlike steps, one of which wants most of
+// the tokens, on shared workers at several loads.
+func playTrainers(seeds int) {
+	cases := []trainersCase{
+		{"first come", 0.5, func() chooseFunc { return firstWish }, nil},
+		{"random", 0.5, randomTrainer, nil},
+		{"round robin", 0.5, roundRobin, nil},
+		{"round robin within the bound", 0.5, boundedRobin, nil},
+		{"sched, even weights", 0.5, scheduled, nil},
+		{"sched, idle time only", 1, scheduled, nil},
+		{"sched, staleness only", 0, scheduled, nil},
+	}
+	t := newTable("load", "choice", "idle share", "worst trainer's", "age mean", "age p99", "wasted share", "delivered Mtokens", "length against all")
+	for _, workers := range []int{80, 40, 20, 10} {
+		for _, c := range cases {
+			play := trainersPlay(workers, c)
+			runs := each(seeds, func(seed uint64) trainersRun { return trainersOnce(trainersPlay(workers, c), seed) })
+			var s [7]tally.Series
+			for _, r := range runs {
+				for i, v := range []float64{r.idle, r.worst, r.age, r.p99, r.wasted, r.delivered / 1e6, r.long} {
+					s[i].Add(v)
+				}
+			}
+			t.add([]string{fmt.Sprintf("%.2g", play.Load()), c.name}, "%.3g",
+				&s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
+		}
+	}
+	t.print()
+}
+
+func trainersOnce(p *steps.Play, seed uint64) trainersRun {
+	r := p.Run(seed)
+	return trainersRun{
+		idle:      r.Idle.Mean(),
+		worst:     r.Idle.Quantile(1),
+		age:       r.Age.Mean(),
+		p99:       r.Age.Quantile(0.99),
+		wasted:    r.Wasted / max(1, r.Delivered+r.Wasted),
+		delivered: r.Delivered,
+		long:      r.Long,
+	}
+}
+
+func trainersPlay(workers int, c trainersCase) *steps.Play {
+	p := &steps.Play{
+		Workers: workers, Slots: 8, Speed: 40, Slow: 0.03, Still: 0.1,
+		Long: 3 * time.Hour, Noise: 0.4, Choose: c.choose(), Limit: c.limit,
+		Next: func() nextFunc { return strag.New().Next },
+	}
+	idle, stale := c.weight, 1-c.weight
+	p.Trainer(1024, 8, 2, 5*time.Minute, 1600, idle, stale)
+	p.Trainer(256, 8, 1, 4*time.Minute, 800, idle, stale)
+	p.Trainer(128, 4, 2, 2*time.Minute, 800, idle, stale)
+	p.Trainer(256, 8, 4, 6*time.Minute, 1600, idle, stale)
+	return p
+}
+
+func scheduled() chooseFunc { return sched.New().Choose }
+
+// firstWish serves the trainer whose last version or wish is the oldest.
+func firstWish(trainers []demand.Demand, _ time.Time) (int, bool) {
+	best, found := 0, false
+	for i := range trainers {
+		if trainers[i].Waiting > 0 && (!found || trainers[i].Published.Before(trainers[best].Published)) {
+			best, found = i, true
+		}
+	}
+	return best, found
+}
+
+func randomTrainer() chooseFunc {
+	rng := rand.New(rand.NewPCG(2, 2))
+	return func(trainers []demand.Demand, _ time.Time) (int, bool) {
+		var list []int
+		for i := range trainers {
+			if trainers[i].Waiting > 0 {
+				list = append(list, i)
+			}
+		}
+		if len(list) == 0 {
+			return 0, false
+		}
+		return list[rng.IntN(len(list))], true
+	}
+}
+
+func roundRobin() chooseFunc {
+	return robin(func(*demand.Demand, time.Time) bool { return true })
+}
+
+// boundedRobin goes round among trainers whose next sample is within its bound.
+func boundedRobin() chooseFunc {
+	c := sched.New()
+	return robin(func(d *demand.Demand, now time.Time) bool { return c.Age(d, now) <= d.Bound })
+}
+
+func robin(may func(*demand.Demand, time.Time) bool) chooseFunc {
+	last := 0
+	return func(trainers []demand.Demand, now time.Time) (int, bool) {
+		for range trainers {
+			last = (last + 1) % len(trainers)
+			if trainers[last].Waiting > 0 && may(&trainers[last], now) {
+				return last, true
+			}
+		}
+		return 0, false
+	}
+}
--- a/steps/trainer.go
+++ b/steps/trainer.go
@@ -286,13 +286,14 @@
 func (p *Play) ask() {
 	p.demands = p.demands[:0]
 	for _, t := range p.trainers {
-		p.demands = append(p.demands, t.demand())
+		p.demands = append(p.demands, t.demand(p))
 	}
 }
 
-func (t *trainer) demand() demand.Demand {
+func (t *trainer) demand(p *Play) demand.Demand {
 	d := demand.Demand{
-		Trainer: strconv.Itoa(t.index), Bound: t.bound, Version: t.version, Loaded: t.version,
+		Duration: seconds(t.mean() / p.Speed),
+		Trainer:  strconv.Itoa(t.index), Bound: t.bound, Version: t.version, Loaded: t.version,
 		Published: t.since, Every: t.every, Step: t.step, Idle: t.idle,
 		IdleWeight: t.idleness, StalenessWeight: t.staleness,
 		Ready: t.ready, Held: t.held, Waiting: t.waits,
