--- a/cmd/measure/starts.go
+++ b/cmd/measure/starts.go
@@ -13,7 +13,7 @@
 )
 
 type (
-	nextFunc = func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start
+	nextFunc = func(slots []slot.Slot, free int, now time.Time) []start.Start
 
 	startsCase struct {
 		name string
@@ -90,7 +90,7 @@
 }
 
 // first starts slots in the order in which they were asked for.
-func first(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+func first(slots []slot.Slot, free int, _ time.Time) []start.Start {
 	var starts []start.Start
 	for i := range slots {
 		if len(starts) == free {
@@ -106,18 +106,18 @@
 // firstMoved starts slots as first does, and moves stragglers as strag does.
 func firstMoved() nextFunc {
 	p := strag.New()
-	return func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start {
-		starts := first(slots, free, limit, now)
+	return func(slots []slot.Slot, free int, now time.Time) []start.Start {
+		starts := first(slots, free, now)
 		if len(starts) > 0 {
 			return starts
 		}
-		return p.Next(slots, free, limit, now)
+		return p.Next(slots, free, now)
 	}
 }
 
 func random() nextFunc {
 	rng := rand.New(rand.NewPCG(1, 1))
-	return func(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+	return func(slots []slot.Slot, free int, _ time.Time) []start.Start {
 		var starts []start.Start
 		for _, i := range rng.Perm(len(slots)) {
 			if len(starts) == free {
--- a/cmd/measure/trainers.go
+++ b/cmd/measure/trainers.go
@@ -19,7 +19,6 @@
 		name   string
 		weight float64
 		choose func() chooseFunc
-		limit  func(d *demand.Demand, speed float64, now time.Time) int64
 	}
 
 	trainersRun struct {
@@ -31,13 +30,15 @@
 // the tokens, on shared workers at several loads.
 func playTrainers(seeds int) {
 	cases := []trainersCase{
-		{"first come", 0.5, func() chooseFunc { return firstWish }, nil},
-		{"random", 0.5, randomTrainer, nil},
-		{"round robin", 0.5, roundRobin, nil},
-		{"round robin within the bound", 0.5, boundedRobin, nil},
-		{"sched, even weights", 0.5, scheduled, nil},
-		{"sched, idle time only", 1, scheduled, nil},
-		{"sched, staleness only", 0, scheduled, nil},
+		{"first come", 0.5, func() chooseFunc { return firstWish }},
+		{"random", 0.5, randomTrainer},
+		{"round robin", 0.5, roundRobin},
+		{"round robin within the bound", 0.5, boundedRobin},
+		{"sched, even weights", 0.5, scheduled},
+		{"sched, idle time only", 1, scheduled},
+		{"sched, 0.25 on idle time", 0.25, scheduled},
+		{"sched, 0.1 on idle time", 0.1, scheduled},
+		{"sched, staleness only", 0, scheduled},
 	}
 	t := newTable("load", "choice", "idle share", "worst trainer's", "age mean", "age p99", "wasted share", "delivered Mtokens", "length against all")
 	for _, workers := range []int{80, 40, 20, 10} {
@@ -73,7 +74,7 @@
 func trainersPlay(workers int, c trainersCase) *steps.Play {
 	p := &steps.Play{
 		Workers: workers, Slots: 8, Speed: 40, Slow: 0.03, Still: 0.1,
-		Long: 3 * time.Hour, Noise: 0.4, Choose: c.choose(), Limit: c.limit,
+		Long: 3 * time.Hour, Noise: 0.4, Choose: c.choose(),
 		Next: func() nextFunc { return strag.New().Next },
 	}
 	idle, stale := c.weight, 1-c.weight
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -14,6 +14,10 @@
 	"github.com/lavendermux/lavendermux/demand"
 )
 
+// leastShare is the weight of a trainer whose operators do not mind idle time at
+// all: it still gets its turn when it is late.
+const leastShare = 0.1
+
 // Chooser chooses between trainers. See New.
 type Chooser struct{}
 
@@ -66,12 +70,8 @@
 // is begun at once when only idle time matters, and at the last moment when only
 // staleness does.
 func due(d *demand.Demand, now time.Time) bool {
-	total := d.IdleWeight + d.StalenessWeight
-	if total == 0 || !d.Idle.IsZero() {
-		return true
-	}
-	ahead := time.Duration(d.IdleWeight / total * float64(d.Bound+1) * float64(d.Every))
-	return now.Add(d.Duration + ahead).After(needed(d))
+	ahead := time.Duration(idleShare(d) * float64(d.Bound+1) * float64(d.Every))
+	return !d.Idle.IsZero() || now.Add(ahead).After(latest(d))
 }
 
 // needed returns when the trainer wants the step that the next sample is for.
@@ -82,8 +82,35 @@
 	return d.Published.Add(time.Duration(1+d.Held/d.Step) * d.Every)
 }
 
-// before says whether a's sample goes ahead of b's: the one that is needed
-// sooner, less the time that it takes.
+// before says whether a's sample goes ahead of b's: the one that must begin sooner
+// for its trainer not to wait. Of two that are late the one goes first whose
+// trainer has waited longest for the work that it still lacks, so that a short
+// step is not kept behind a long one and a long one is not kept for ever.
 func before(a, b *demand.Demand, now time.Time) bool {
-	return needed(a).Sub(now)-a.Duration < needed(b).Sub(now)-b.Duration
+	lateA, lateB := now.Sub(latest(a)), now.Sub(latest(b))
+	if lateA > 0 && lateB > 0 {
+		return weighted(a, lateA) > weighted(b, lateB)
+	}
+	return lateA > lateB
+}
+
+// weighted returns how late a step is, against the work that it lacks, in the eyes
+// of its operators.
+func weighted(d *demand.Demand, late time.Duration) float64 {
+	work := float64(d.Step-d.Held%d.Step) * float64(d.Duration)
+	return max(idleShare(d), leastShare) * float64(late) / work
+}
+
+// latest returns when the next sample must begin.
+func latest(d *demand.Demand) time.Time {
+	return needed(d).Add(-d.Duration)
+}
+
+// idleShare returns how much of the weight is on idle time.
+func idleShare(d *demand.Demand) float64 {
+	total := d.IdleWeight + d.StalenessWeight
+	if total == 0 {
+		return 1
+	}
+	return d.IdleWeight / total
 }
--- a/steps/steps.go
+++ b/steps/steps.go
@@ -45,10 +45,8 @@
 		Noise float64
 		// Choose picks the trainer whose sample begins, as sched does.
 		Choose func(trainers []demand.Demand, now time.Time) (int, bool)
-		// Limit returns the greatest length that may begin; nil for none.
-		Limit func(d *demand.Demand, speed float64, now time.Time) int64
 		// Next returns a planner of starts, as strag is, for one trainer.
-		Next func() func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start
+		Next func() func(slots []slot.Slot, free int, now time.Time) []start.Start
 
 		rng      *rand.Rand
 		now      time.Time
@@ -183,23 +181,17 @@
 		}
 		t := p.trainers[i]
 		if p.begin(t, p.waitingWave(t)) == 0 {
-			// Only samples above the limit wait, so this trainer is passed over
-			// until the next tick.
-			t.passed = true
+			return
 		}
 	}
 }
 
 func (p *Play) begin(t *trainer, w *wave) int {
-	limit := int64(0)
-	if p.Limit != nil {
-		limit = p.Limit(&p.demands[t.index], p.Speed, p.now)
-	}
 	n := batch
 	if len(p.trainers) == 1 {
 		n = len(p.free)
 	}
-	starts := t.next(w.slots, min(n, len(p.free), w.waiting), limit, p.now)
+	starts := t.next(w.slots, min(n, len(p.free), w.waiting), p.now)
 	for _, s := range starts {
 		p.launch(t, w, s)
 	}
@@ -285,7 +277,6 @@
 func (p *Play) ticked() {
 	p.at(p.now.Add(tick), p.ticked)
 	for _, t := range p.trainers {
-		t.passed = false
 		for _, w := range t.waves {
 			w.report(p)
 		}
@@ -299,7 +290,7 @@
 			if w.waiting > 0 {
 				continue
 			}
-			for _, s := range t.next(w.slots, len(p.free), 0, p.now) {
+			for _, s := range t.next(w.slots, len(p.free), p.now) {
 				p.launch(t, w, s)
 			}
 		}
--- a/steps/trainer.go
+++ b/steps/trainer.go
@@ -32,7 +32,7 @@
 		idleness  float64
 		staleness float64
 
-		next    func([]slot.Slot, int, int64, time.Time) []start.Start
+		next    func([]slot.Slot, int, time.Time) []start.Start
 		rng     *rand.Rand
 		ready   int
 		held    int
@@ -44,7 +44,6 @@
 		idle    time.Time
 		idled   time.Duration
 		waves   []*wave
-		passed  bool
 		count   int
 		tokens  float64
 		length  float64
@@ -298,9 +297,6 @@
 		IdleWeight: t.idleness, StalenessWeight: t.staleness,
 		Ready: t.ready, Held: t.held, Waiting: t.waits,
 	}
-	if t.passed {
-		d.Waiting = 0
-	}
 	return d
 }
 
--- a/strag/strag.go
+++ b/strag/strag.go
@@ -61,7 +61,7 @@
 // New returns a planner.
 //
 //	p := strag.New(strag.WithMoves(2))
-//	starts := p.Next(slots, free, 0, now)
+//	starts := p.Next(slots, free, now)
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		moves:  defaultMoves,
@@ -77,14 +77,13 @@
 
 // Next returns at most free attempts to begin now, in the order in which they
 // are to begin. Slots that wait go first, the longest before the others; what is
-// left of free goes to stragglers. Slots that are expected to grow longer than
-// limit tokens keep waiting; 0 is no limit.
-func (p *Planner) Next(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start {
+// left of free goes to stragglers.
+func (p *Planner) Next(slots []slot.Slot, free int, now time.Time) []start.Start {
 	if free <= 0 {
 		return nil
 	}
 	p.learn(slots)
-	starts := p.waiting(slots, free, float64(limit))
+	starts := p.waiting(slots, free)
 	if len(starts) == free {
 		return starts
 	}
@@ -149,7 +148,7 @@
 }
 
 // waiting picks the slots with the most tokens still to make.
-func (p *Planner) waiting(slots []slot.Slot, free int, limit float64) []start.Start {
+func (p *Planner) waiting(slots []slot.Slot, free int) []start.Start {
 	p.lines = p.lines[:0]
 	for i := range slots {
 		s := &slots[i]
@@ -157,9 +156,6 @@
 			continue
 		}
 		rest := p.rest(s, s.Tokens)
-		if limit > 0 && rest > limit {
-			continue
-		}
 		if first(slots, i) {
 			rest += ahead
 		}
