--- a/cmd/measure/trainers.go
+++ b/cmd/measure/trainers.go
@@ -41,17 +41,22 @@
 		{"sched, staleness only", 0, scheduled},
 	}
 	t := newTable("load", "choice", "idle share", "worst trainer's", "age mean", "age p99", "wasted share", "delivered Mtokens", "length against all")
-	for _, workers := range []int{80, 40, 20, 10} {
+	loads := []struct{ workers, longer int }{{80, 1}, {40, 1}, {20, 1}, {10, 1}, {40, 4}}
+	for _, l := range loads {
 		for _, c := range cases {
-			play := trainersPlay(workers, c)
-			runs := each(seeds, func(seed uint64) trainersRun { return trainersOnce(trainersPlay(workers, c), seed) })
+			play := trainersPlay(l.workers, l.longer, c)
+			runs := each(seeds, func(seed uint64) trainersRun { return trainersOnce(trainersPlay(l.workers, l.longer, c), seed) })
 			var s [7]tally.Series
 			for _, r := range runs {
 				for i, v := range []float64{r.idle, r.worst, r.age, r.p99, r.wasted, r.delivered / 1e6, r.long} {
 					s[i].Add(v)
 				}
 			}
-			t.add([]string{fmt.Sprintf("%.2g", play.Load()), c.name}, "%.3g",
+			load := fmt.Sprintf("%.2g", play.Load())
+			if l.longer > 1 {
+				load += ", long samples"
+			}
+			t.add([]string{load, c.name}, "%.3g",
 				&s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
 		}
 	}
@@ -71,17 +76,19 @@
 	}
 }
 
-func trainersPlay(workers int, c trainersCase) *steps.Play {
+// trainersPlay makes samples longer times as long, and steps of as many fewer.
+func trainersPlay(workers, longer int, c trainersCase) *steps.Play {
 	p := &steps.Play{
 		Workers: workers, Slots: 8, Speed: 40, Slow: 0.03, Still: 0.1,
 		Long: 3 * time.Hour, Noise: 0.4, Choose: c.choose(),
 		Next: func() nextFunc { return strag.New().Next },
 	}
+	long := float64(longer)
 	idle, stale := c.weight, 1-c.weight
-	p.Trainer(1024, 8, 2, 5*time.Minute, 1600, idle, stale)
-	p.Trainer(256, 8, 1, 4*time.Minute, 800, idle, stale)
-	p.Trainer(128, 4, 2, 2*time.Minute, 800, idle, stale)
-	p.Trainer(256, 8, 4, 6*time.Minute, 1600, idle, stale)
+	p.Trainer(1024/longer, 8, 2, 5*time.Minute, 1600*long, idle, stale)
+	p.Trainer(256/longer, 8, 1, 4*time.Minute, 800*long, idle, stale)
+	p.Trainer(128/longer, 4, 2, 2*time.Minute, 800*long, idle, stale)
+	p.Trainer(256/longer, 8, 4, 6*time.Minute, 1600*long, idle, stale)
 	return p
 }
 
@@ -121,7 +128,7 @@
 // boundedRobin goes round among trainers whose next sample is within its bound.
 func boundedRobin() chooseFunc {
 	c := sched.New()
-	return robin(func(d *demand.Demand, now time.Time) bool { return c.Age(d, now) <= d.Bound })
+	return robin(func(d *demand.Demand, _ time.Time) bool { return c.Age(d) <= d.Bound })
 }
 
 func robin(may func(*demand.Demand, time.Time) bool) chooseFunc {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -39,7 +39,7 @@
 	best, found := 0, false
 	for i := range trainers {
 		d := &trainers[i]
-		if d.Waiting == 0 || c.Age(d, now) > d.Bound || !due(d, now) {
+		if d.Waiting == 0 || c.Age(d) > d.Bound || !due(d, now) {
 			continue
 		}
 		if !found || before(d, &trainers[best], now) {
@@ -50,20 +50,16 @@
 }
 
 // Age returns how many versions old a sample that begins now is expected to be
-// at its delivery: by its place in the trainer's queue, since a trainer publishes
-// one version a step, and by how long it runs.
-func (c *Chooser) Age(d *demand.Demand, now time.Time) int64 {
-	byPlace := int64(d.Held / d.Step)
+// at its delivery, by its place in the trainer's queue: a trainer publishes one
+// version a step, and the steps before this one must be whole first. Judging each
+// sample by its length as well was measured and is not done: the long ones of a
+// group were kept back until their finished siblings were too old.
+func (c *Chooser) Age(d *demand.Demand) int64 {
+	age := int64(d.Held/d.Step) + d.Version - d.Loaded
 	if d.Idle.IsZero() {
-		byPlace++
+		age++
 	}
-	byTime := int64(now.Add(d.Duration).Sub(d.Published) / d.Every)
-	if !d.Idle.IsZero() {
-		// A trainer that waits publishes nothing until its step is whole, so the
-		// time that it has waited does not make samples older.
-		byTime = int64(d.Duration / d.Every)
-	}
-	return max(byPlace, byTime) + d.Version - d.Loaded
+	return age
 }
 
 // due says whether a sample may begin so early. A step that is needed far ahead
