--- /dev/null
+++ b/cmd/measure/roles.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"time"
+
+	"github.com/lavendermux/lavendermux/move"
+	"github.com/lavendermux/lavendermux/quota"
+	"github.com/lavendermux/lavendermux/shift"
+	"github.com/lavendermux/lavendermux/surge"
+	"github.com/lavendermux/lavendermux/tally"
+)
+
+type rolesCase struct {
+	name string
+	// minimum and guarantee keep the quotas' own; without them a side may be
+	// taken down to one worker, or may take back as many as it wants.
+	minimum, guarantee, static bool
+	opts                       []shift.Option
+}
+
+// playRoles plays live load beside the rollouts of two pools on 100 workers.
+func playRoles(seeds int) {
+	cases := []rolesCase{
+		{name: "static split", static: true},
+		{name: "plain priority"},
+		{name: "priority and minimum", minimum: true},
+		{name: "priority, minimum and guarantee", minimum: true, guarantee: true},
+		{name: "the same, cost 0 s", minimum: true, guarantee: true, opts: []shift.Option{shift.WithCost(0)}},
+		{name: "the same, cost 5 s", minimum: true, guarantee: true, opts: []shift.Option{shift.WithCost(5 * time.Second)}},
+		{name: "the same, cost 40 s", minimum: true, guarantee: true, opts: []shift.Option{shift.WithCost(40 * time.Second)}},
+		{name: "the same, no limit on speed", minimum: true, guarantee: true, opts: []shift.Option{shift.WithSpeed(1)}},
+		{name: "the same, speed 0.01", minimum: true, guarantee: true, opts: []shift.Option{shift.WithSpeed(0.01)}},
+		{name: "the same, room 1", minimum: true, guarantee: true, opts: []shift.Option{shift.WithRoom(1)}},
+		{name: "the same, room 1.4", minimum: true, guarantee: true, opts: []shift.Option{shift.WithRoom(1.4)}},
+	}
+	t := newTable("bursts", "way", "live p99 s", "live short", "first pool done", "first pool short", "second pool done", "second pool short", "moves an hour")
+	for _, height := range []float64{2, 4} {
+		for _, c := range cases {
+			runs := each(seeds, func(seed uint64) [7]float64 { return rolesOnce(c, height, seed) })
+			var s [7]tally.Series
+			for _, r := range runs {
+				for i, v := range r {
+					s[i].Add(v)
+				}
+			}
+			bursts := "live x2"
+			if height > 2 {
+				bursts = "live x4"
+			}
+			t.add([]string{bursts, c.name}, "%.3g", &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
+		}
+	}
+	t.print()
+}
+
+func rolesOnce(c rolesCase, height float64, seed uint64) [7]float64 {
+	play := &surge.Play{Long: 2 * time.Hour, Move: 10 * time.Second}
+	quotas := []quota.Quota{
+		{Name: "live", Priority: 3, Minimum: 15, Guarantee: 60, Workers: 40},
+		{Name: "first", Priority: 2, Minimum: 10, Guarantee: 30, Workers: 30},
+		{Name: "second", Priority: 1, Minimum: 10, Guarantee: 30, Workers: 30},
+	}
+	loads := []float64{25, 25, 25}
+	bursts := []float64{4, 4, 2}
+	heights := []float64{height, 2, 2}
+	for i := range quotas {
+		play.Add(quotas[i], loads[i], bursts[i], heights[i])
+	}
+	if !c.static {
+		p := shift.New(c.opts...)
+		play.Plan = func(quotas []quota.Quota, now time.Time) []move.Move {
+			for i := range quotas {
+				if !c.minimum {
+					quotas[i].Minimum = 1
+				}
+				if !c.guarantee {
+					quotas[i].Guarantee = 100
+				}
+			}
+			return p.Plan(quotas, now)
+		}
+	}
+	r := play.Run(seed)
+	hours := play.Long.Hours()
+	return [7]float64{
+		r.P99[0], r.Short[0], r.Done[1], r.Short[1], r.Done[2], r.Short[2], float64(r.Moves) / hours,
+	}
+}
