--- a/cmd/measure/starts.go
+++ b/cmd/measure/starts.go
@@ -13,7 +13,7 @@
 )
 
 type (
-	nextFunc = func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start
+	nextFunc = func(slots []slot.Slot, free int, now time.Time) []start.Start
 
 	startsCase struct {
 		name string
@@ -34,6 +34,7 @@
 	}{
 		{"even workers, good guess", 0, 0, 0.2},
 		{"even workers, poor guess", 0, 0, 0.7},
+		{"even workers, no guess", 0, 0, -1},
 		{"5% slow", 0.05, 0, 0.4},
 		{"5% slow, 20% stand still", 0.05, 0.2, 0.4},
 	}
@@ -89,7 +90,7 @@
 }
 
 // first starts slots in the order in which they were asked for.
-func first(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+func first(slots []slot.Slot, free int, _ time.Time) []start.Start {
 	var starts []start.Start
 	for i := range slots {
 		if len(starts) == free {
@@ -105,18 +106,18 @@
 // firstMoved starts slots as first does, and moves stragglers as strag does.
 func firstMoved() nextFunc {
 	p := strag.New()
-	return func(slots []slot.Slot, free int, limit int64, now time.Time) []start.Start {
-		starts := first(slots, free, limit, now)
+	return func(slots []slot.Slot, free int, now time.Time) []start.Start {
+		starts := first(slots, free, now)
 		if len(starts) > 0 {
 			return starts
 		}
-		return p.Next(slots, free, limit, now)
+		return p.Next(slots, free, now)
 	}
 }
 
 func random() nextFunc {
 	rng := rand.New(rand.NewPCG(1, 1))
-	return func(slots []slot.Slot, free int, _ int64, _ time.Time) []start.Start {
+	return func(slots []slot.Slot, free int, _ time.Time) []start.Start {
 		var starts []start.Start
 		for _, i := range rng.Perm(len(slots)) {
 			if len(starts) == free {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -14,6 +14,10 @@
 	"github.com/lavendermux/lavendermux/demand"
 )
 
+// leastShare is the weight of a trainer whose operators do not mind idle time at
+// all: it still gets its turn when it is late.
+const leastShare = 0.1
+
 // Chooser chooses between trainers. See New.
 type Chooser struct{}
 
@@ -35,7 +39,7 @@
 	best, found := 0, false
 	for i := range trainers {
 		d := &trainers[i]
-		if d.Waiting == 0 || c.Age(d, now) > d.Bound || !due(d, now) {
+		if d.Waiting == 0 || c.Age(d) > d.Bound || !due(d, now) {
 			continue
 		}
 		if !found || before(d, &trainers[best], now) {
@@ -46,32 +50,24 @@
 }
 
 // Age returns how many versions old a sample that begins now is expected to be
-// at its delivery: by its place in the trainer's queue, since a trainer publishes
-// one version a step, and by how long it runs.
-func (c *Chooser) Age(d *demand.Demand, now time.Time) int64 {
-	byPlace := int64(d.Held / d.Step)
+// at its delivery, by its place in the trainer's queue: a trainer publishes one
+// version a step, and the steps before this one must be whole first. Judging each
+// sample by its length as well was measured and is not done: the long ones of a
+// group were kept back until their finished siblings were too old.
+func (c *Chooser) Age(d *demand.Demand) int64 {
+	age := int64(d.Held/d.Step) + d.Version - d.Loaded
 	if d.Idle.IsZero() {
-		byPlace++
-	}
-	byTime := int64(now.Add(d.Duration).Sub(d.Published) / d.Every)
-	if !d.Idle.IsZero() {
-		// A trainer that waits publishes nothing until its step is whole, so the
-		// time that it has waited does not make samples older.
-		byTime = int64(d.Duration / d.Every)
+		age++
 	}
-	return max(byPlace, byTime) + d.Version - d.Loaded
+	return age
 }
 
 // due says whether a sample may begin so early. A step that is needed far ahead
 // is begun at once when only idle time matters, and at the last moment when only
 // staleness does.
 func due(d *demand.Demand, now time.Time) bool {
-	total := d.IdleWeight + d.StalenessWeight
-	if total == 0 || !d.Idle.IsZero() {
-		return true
-	}
-	ahead := time.Duration(d.IdleWeight / total * float64(d.Bound+1) * float64(d.Every))
-	return now.Add(d.Duration + ahead).After(needed(d))
+	ahead := time.Duration(idleShare(d) * float64(d.Bound+1) * float64(d.Every))
+	return !d.Idle.IsZero() || now.Add(ahead).After(latest(d))
 }
 
 // needed returns when the trainer wants the step that the next sample is for.
@@ -82,8 +78,35 @@
 	return d.Published.Add(time.Duration(1+d.Held/d.Step) * d.Every)
 }
 
-// before says whether a's sample goes ahead of b's: the one that is needed
-// sooner, less the time that it takes.
+// before says whether a's sample goes ahead of b's: the one that must begin sooner
+// for its trainer not to wait. Of two that are late the one goes first whose
+// trainer has waited longest for the work that it still lacks, so that a short
+// step is not kept behind a long one and a long one is not kept for ever.
 func before(a, b *demand.Demand, now time.Time) bool {
-	return needed(a).Sub(now)-a.Duration < needed(b).Sub(now)-b.Duration
+	lateA, lateB := now.Sub(latest(a)), now.Sub(latest(b))
+	if lateA > 0 && lateB > 0 {
+		return weighted(a, lateA) > weighted(b, lateB)
+	}
+	return lateA > lateB
+}
+
+// weighted returns how late a step is, against the work that it lacks, in the eyes
+// of its operators.
+func weighted(d *demand.Demand, late time.Duration) float64 {
+	work := float64(d.Step-d.Held%d.Step) * float64(d.Duration)
+	return max(idleShare(d), leastShare) * float64(late) / work
+}
+
+// latest returns when the next sample must begin.
+func latest(d *demand.Demand) time.Time {
+	return needed(d).Add(-d.Duration)
+}
+
+// idleShare returns how much of the weight is on idle time.
+func idleShare(d *demand.Demand) float64 {
+	total := d.IdleWeight + d.StalenessWeight
+	if total == 0 {
+		return 1
+	}
+	return d.IdleWeight / total
 }
