--- a/opapi/status.go
+++ b/opapi/status.go
@@ -1,34 +1,21 @@
 package opapi
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/condit"
 	"github.com/lavendermux/lavendermux/kinds"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/reply"
-	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/status"
 )
 
-// status is what an operator sees of a resource's way into force.
-type status struct {
-	Kind string `json:"kind"`
-	Name string `json:"name"`
-	// AcceptedRevision is the resource's revision; that of the deletion when it
-	// was deleted.
-	AcceptedRevision int64  `json:"acceptedRevision"`
-	Operation        string `json:"operation,omitempty"`
-	Deleted          bool   `json:"deleted,omitempty"`
-	// Source says where AcceptedRevision was read.
-	Source string `json:"source"`
-	// InForce counts the instances whose configuration has reached
-	// AcceptedRevision.
-	InForce spread.Report `json:"inForce"`
-	// Conditions are what stands against the resource; empty when nothing does.
-	Conditions []condit.Condition `json:"conditions"`
-}
+// statusTimeout bounds asking a hub, which is a few milliseconds away.
+const statusTimeout = 2 * time.Second
 
 func (a *API) status(w http.ResponseWriter, r *http.Request) {
 	kind, name := mux.Vars(r)["kind"], mux.Vars(r)["name"]
@@ -38,19 +25,28 @@
 		reply.Fail(w, err)
 		return
 	}
-	s := status{
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	inForce, unheard := a.inForce(ctx, o.Revision)
+	s := status.Status{
 		Kind:             kind,
 		Name:             name,
 		AcceptedRevision: o.Revision,
 		Operation:        o.Operation,
 		Deleted:          o.Deleted,
 		Source:           source,
-		InForce:          a.inForce(o.Revision),
+		InForce:          inForce,
 		Conditions:       a.against(o, source),
 	}
 	if s.InForce.Lagging == nil {
 		s.InForce.Lagging = []string{}
 	}
+	if unheard != nil {
+		s.Conditions = append(s.Conditions, condit.Condition{
+			Cause:  "membershipSilent",
+			Reason: "no hub of this data centre says who has which revision: " + unheard.Error(),
+		})
+	}
 	reply.JSON(w, http.StatusOK, s)
 }
 
--- a/simcal/request.go
+++ b/simcal/request.go
@@ -9,6 +9,8 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lavendermux/lavendermux/simsrv"
@@ -16,11 +18,15 @@
 )
 
 const (
-	callerHeader = "Lavendermux-Caller"
-	keyHeader    = "Idempotency-Key"
-	kindNotRun   = "notRun"
-	kindUnknown  = "outcomeUnknown"
-	maxAnswer    = 8 << 20
+	callerHeader  = "Lavendermux-Caller"
+	requestHeader = "Lavendermux-Request"
+	timeoutHeader = "Lavendermux-Timeout"
+	keyHeader     = "Idempotency-Key"
+	// attemptHeader counts the copies of a keyed request; the first is 1.
+	attemptHeader = "Lavendermux-Attempt"
+	kindNotRun    = "notRun"
+	kindUnknown   = "outcomeUnknown"
+	maxAnswer     = 8 << 20
 )
 
 var eventPrefix = []byte("data:")
@@ -60,6 +66,10 @@
 		Family string `json:"family"`
 	}
 
+	statusMessage struct {
+		ID string `json:"id"`
+	}
+
 	errorResponse struct {
 		Error refusalResponse `json:"error"`
 	}
@@ -86,12 +96,16 @@
 	key := ""
 	if l.config.service != "" {
 		send = l.book
+		if l.draw(l.config.status) {
+			send = l.askStatus
+		}
 		if l.draw(l.config.keyed) {
-			key = fmt.Sprintf("%s-%d-%d", l.config.caller, l.config.seed, a.number)
+			key = l.requestID(a)
 		}
 	}
 	var res result
 	for attempt := 1; ; attempt++ {
+		a.attempt = attempt
 		res = l.bounded(ctx, a, key, send)
 		if attempt >= l.config.attempts || ctx.Err() != nil || !repeatable(res.outcome, key) {
 			break
@@ -137,13 +151,7 @@
 		Slot:   fmt.Sprintf("slot-%d", a.number),
 		Family: fmt.Sprintf("%s-%d", l.config.caller, l.config.seed),
 	}
-	path := "/v1/services/" + url.PathEscape(l.config.service) + "/bookings"
-	resp, err := l.post(ctx, path, key, in)
-	if err != nil {
-		return result{outcome: outcomeNoAnswer, problem: err.Error()}
-	}
-	defer resp.Body.Close()
-	raw, res := read(resp)
+	raw, res := l.plain(ctx, http.MethodPost, "/bookings", a, key, in)
 	if res.outcome != outcomeOK {
 		return res
 	}
@@ -154,6 +162,34 @@
 	return res
 }
 
+// askStatus asks a plain service for the status of a case.
+func (l *Load) askStatus(ctx context.Context, a arrival, key string) result {
+	want := statusMessage{ID: l.requestID(a)}
+	raw, res := l.plain(ctx, http.MethodGet, "/status/"+want.ID, a, key, nil)
+	if res.outcome != outcomeOK {
+		return res
+	}
+	var out statusMessage
+	if json.Unmarshal(raw, &out) != nil || out != want {
+		return result{outcome: outcomeWrong, problem: "asked about " + want.ID + ", was answered " + string(raw)}
+	}
+	return res
+}
+
+// plain sends one request to the plain service and reads its answer whole.
+func (l *Load) plain(ctx context.Context, method, path string, a arrival, key string, in any) ([]byte, result) {
+	path = "/v1/services/" + url.PathEscape(l.config.service) + path
+	resp, err := l.send(ctx, method, path, a, key, in)
+	if err != nil {
+		return nil, result{outcome: outcomeNoAnswer, problem: err.Error()}
+	}
+	defer resp.Body.Close()
+	if res, mixed := l.mixedUp(a, resp); mixed {
+		return nil, res
+	}
+	return read(resp)
+}
+
 func (l *Load) generate(ctx context.Context, a arrival, _ string) result {
 	in := generateRequest{
 		Prompt:    fmt.Sprintf("%s%s %d request %d", l.config.prefix, l.config.caller, l.config.seed, a.number),
@@ -162,11 +198,14 @@
 		Priority:  l.config.priority,
 		Timeout:   l.config.timeout.String(),
 	}
-	resp, err := l.post(ctx, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", "", in)
+	resp, err := l.send(ctx, http.MethodPost, "/v1/models/"+url.PathEscape(l.config.model)+"/generate", a, "", in)
 	if err != nil {
 		return result{outcome: outcomeNoAnswer, problem: err.Error()}
 	}
 	defer resp.Body.Close()
+	if res, mixed := l.mixedUp(a, resp); mixed {
+		return res
+	}
 	if in.Stream && resp.StatusCode == http.StatusOK {
 		return l.stream(a, in, resp.Body)
 	}
@@ -241,25 +280,49 @@
 	return result{outcome: outcomeOK, tokens: tokens}
 }
 
-func (l *Load) post(ctx context.Context, path, key string, in any) (*http.Response, error) {
-	raw, err := json.Marshal(in)
-	if err != nil {
-		return nil, err
+func (l *Load) send(
+	ctx context.Context, method, path string, a arrival, key string, in any,
+) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return nil, err
+		}
+		// The body's kind is hidden, or the transport might send it twice by itself.
+		body = io.MultiReader(bytes.NewReader(raw))
 	}
-	// The body's kind is hidden, or the transport might send it twice by itself.
-	body := io.MultiReader(bytes.NewReader(raw))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, l.entry()+path, body)
+	req, err := http.NewRequestWithContext(ctx, method, l.entry()+path, body)
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(callerHeader, l.config.caller)
+	req.Header.Set(requestHeader, l.requestID(a))
+	req.Header.Set(timeoutHeader, l.config.timeout.String())
 	if key != "" {
 		req.Header.Set(keyHeader, key)
+		req.Header.Set(attemptHeader, strconv.Itoa(a.attempt))
 	}
 	return l.config.http.Do(req)
 }
 
+func (l *Load) requestID(a arrival) string {
+	return fmt.Sprintf("%s-%d-%d", l.config.caller, l.config.seed, a.number)
+}
+
+// mixedUp tells whether an answer names another request than its own. The
+// service returns the id that a request came with, and adds to it after a dot.
+// An answer without an id is told by its content alone.
+func (l *Load) mixedUp(a arrival, resp *http.Response) (result, bool) {
+	got := resp.Header.Get(requestHeader)
+	own := l.requestID(a)
+	if got == "" || got == own || strings.HasPrefix(got, own+".") {
+		return result{}, false
+	}
+	return result{outcome: outcomeWrong, problem: "asked as " + own + ", was answered as " + got}, true
+}
+
 // read reads an answer to its end and tells what it means.
 func read(resp *http.Response) ([]byte, result) {
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
--- a/simcal/simcal.go
+++ b/simcal/simcal.go
@@ -69,6 +69,7 @@
 		maxTokens   int64
 		streaming   float64
 		keyed       float64
+		status      float64
 		attempts    int
 		seed        uint64
 	}
@@ -76,7 +77,10 @@
 	// arrival is one request that is due.
 	arrival struct {
 		number int
-		at     time.Time
+		// at is when it was due; zero: when a caller takes it.
+		at time.Time
+		// attempt counts how often the request was sent, this time included.
+		attempt int
 	}
 
 	// summary is what the callers saw.
@@ -122,6 +126,9 @@
 	for range l.config.concurrency {
 		wg.Go(func() {
 			for a := range due {
+				if a.at.IsZero() {
+					a.at = time.Now()
+				}
 				l.request(ctx, a)
 			}
 		})
@@ -149,14 +156,14 @@
 				return
 			}
 			select {
-			case due <- arrival{n, time.Now()}:
+			case due <- arrival{number: n, at: time.Now()}:
 			default:
 				l.count(outcomeSkipped)
 			}
 			continue
 		}
 		select {
-		case due <- arrival{n, time.Now()}:
+		case due <- arrival{number: n}:
 		case <-end.C:
 			return
 		case <-ctx.Done():
--- a/simeng/options.go
+++ b/simeng/options.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// WithMemory sets how many versions of a model fit in memory, the one in use
+// included. The default is 0, no limit.
+func WithMemory(versions int) Option {
+	return func(c *config) { c.memory = versions }
+}
+
 // WithLag sets how old the load in the engine's state is, how late cache events
 // come, and which share of those is lost. The default is 1 s, 2 s and 0.05.
 func WithLag(load, events time.Duration, lost float64) Option {
@@ -110,13 +116,16 @@
 	}
 }
 
-// WithWeights sets the weight store that staging fetches from, and the client
-// it is fetched with. The default is none: staging takes only its own time.
-func WithWeights(base string, client *http.Client) Option {
-	return func(c *config) {
-		c.weights = base
-		c.http = client
-	}
+// WithWeights sets the weight store that staging fetches from. The default is
+// none: staging takes only its own time.
+func WithWeights(base string) Option {
+	return func(c *config) { c.weights = base }
+}
+
+// WithHTTP sets the client that weights are fetched with. The default is
+// http.DefaultClient.
+func WithHTTP(h *http.Client) Option {
+	return func(c *config) { c.http = h }
 }
 
 // WithoutFence makes the engine ignore fencing numbers. The default is that it
