--- a/beats/beats.go
+++ b/beats/beats.go
@@ -177,7 +177,8 @@
 }
 
 // Candidates returns the entries that the instance list and the members name.
-// Members count over the list, which lags.
+// Members count over the list, which lags. An entry that says it is leaving is no
+// candidate, so that others act as hub before it ends.
 func (c *Client) Candidates() []insts.Instance {
 	c.mu.Lock()
 	listed := c.listed
@@ -185,8 +186,13 @@
 	if c.view == nil {
 		return listed
 	}
-	out := slices.Clone(listed)
-	for _, e := range c.view.Entries() {
+	members := c.view.Entries()
+	leaving := map[string]bool{}
+	for _, e := range members {
+		leaving[e.GetInstance()] = e.GetLeaving()
+	}
+	out := slices.DeleteFunc(slices.Clone(listed), func(i insts.Instance) bool { return leaving[i.ID] })
+	for _, e := range members {
 		if !e.GetLeaving() {
 			out = append(out, entry(e))
 		}
--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -87,6 +87,32 @@
 	})
 }
 
+// Both hubs of a data centre are stopped as planned. While they still serve, two
+// others must act as hub, so that nobody notices when they end.
+func TestHubsLeave(t *testing.T) {
+	run(t, 2, func(_ *testing.T, g *WithT, w *world) {
+		old := w.hubs("dc-0")
+		for _, id := range old {
+			n := w.snapshot()[id]
+			n.mu.Lock()
+			n.leaving = true
+			n.mu.Unlock()
+			n.client.Wake()
+		}
+		time.Sleep(12 * time.Second)
+		synctest.Wait()
+		g.Expect(len(w.hubs("dc-0"))).To(BeNumerically(">=", 4))
+		for _, id := range old {
+			w.kill(id)
+		}
+		w.watchAll(40*time.Second, func(n *node) {
+			if n.hub != nil {
+				g.Expect(len(n.view.Endpoints("filing-lm"))).To(Equal(10), n.id)
+			}
+		})
+	})
+}
+
 // The key-value service is down for ten minutes. Instances that are replaced in
 // it must serve with what their peers hold; a user notices when the balancer
 // finds fewer and fewer ready entries as the outage goes on.
--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/lease"
 	"github.com/lavendermux/lavendermux/tally"
 	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
 
 const (
@@ -180,6 +181,7 @@
 	defer w.mu.Unlock()
 	clear(w.sent)
 	clear(w.kvCalls)
+	clear(w.calls)
 	w.lists = 0
 }
 
@@ -201,7 +203,12 @@
 		s := series[role]
 		t.Logf("bytes a second, both ways, %s: mean %.0f most %.0f of %d", role, s.Mean(), s.Quantile(1), s.Count())
 	}
-	t.Logf("readings of the instance list: %.2f a second", float64(w.lists)/seconds)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Logf("calls a second in all: instance list %.2f, Beat %.1f, Members %.1f, Fetch %.2f", float64(w.lists)/seconds,
+		float64(w.calls[wireconnect.PeerServiceBeatProcedure])/seconds,
+		float64(w.calls[wireconnect.PeerServiceMembersProcedure])/seconds,
+		float64(w.calls[wireconnect.PeerServiceFetchProcedure])/seconds)
 }
 
 // peak returns the calls of the service in the minute since reset, and in its
--- a/hub/world_test.go
+++ b/hub/world_test.go
@@ -74,6 +74,7 @@
 
 		mu       sync.Mutex
 		draining bool
+		leaving  bool
 		models   []*wire.ModelState
 		jobs     []*wire.JobState
 	}
@@ -130,7 +131,7 @@
 	w.mu.Lock()
 	handler := w.hosts[req.URL.Host]
 	gone := handler == nil || w.cut(t.from, req.URL.Host)
-	w.calls[req.URL.Host]++
+	w.calls[req.URL.Path]++
 	if req.URL.Host == kvHost {
 		w.kvCalls[time.Now().Unix()]++
 	}
@@ -239,7 +240,7 @@
 	if n.hub != nil {
 		return &wire.BeatRequest{Entry: &wire.EntryState{
 			Instance: n.id, DataCentre: n.place.dataCentre, Region: n.place.region, Address: n.id, Boot: n.boot,
-			Jobs: n.jobs,
+			Jobs: n.jobs, Leaving: n.leaving,
 		}}
 	}
 	return &wire.BeatRequest{Endpoint: &wire.EndpointState{
