--- a/entry/entry.go
+++ b/entry/entry.go
@@ -287,13 +287,15 @@
 		lease.WithLogger(e.log))
 }
 
-// candidates are the entries that may hold jobs.
+// candidates are the entries that may hold jobs. The instance list is among
+// their sources, since an entry that has just started knows few members: all
+// entries of a fleet that restarts would take themselves for the first candidate
+// of every job and ask the key-value service at once.
 func (e *Entry) candidates() []string {
 	out := []string{e.cfg.Instance}
-	for _, s := range e.view.Entries() {
-		if !s.GetLeaving() && !s.GetGone() && s.GetInstance() != e.cfg.Instance {
-			out = append(out, s.GetInstance())
-		}
+	for _, c := range e.beats.Candidates() {
+		out = append(out, c.ID)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,9 +29,11 @@
 		boot      int64
 		endpoints map[string]*wire.EndpointState
 		entries   map[string]*wire.EntryState
-		holders   map[string]holding
-		digests   []*wire.DataCentreDigest
-		missing   map[string]time.Time
+		// sorted is entries in the order of their instances.
+		sorted  []*wire.EntryState
+		holders map[string]holding
+		digests []*wire.DataCentreDigest
+		missing map[string]time.Time
 	}
 
 	holding struct {
@@ -127,12 +129,7 @@
 func (v *View) Entries() []*wire.EntryState {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	ids := slices.Sorted(maps.Keys(v.entries))
-	out := make([]*wire.EntryState, 0, len(ids))
-	for _, id := range ids {
-		out = append(out, v.entries[id])
-	}
-	return out
+	return slices.Clone(v.sorted)
 }
 
 // Digests returns which configuration is in force at how many instances of each
@@ -163,10 +160,13 @@
 	return h.entry.GetInstance(), h.entry != nil && !h.job.GetInDoubt()
 }
 
-// index finds the holder of each job. It is asked for far more often than it
-// changes: every entry looks for every job each second.
+// index sorts the entries and finds the holder of each job. Both are asked for
+// far more often than they change: every entry looks for every job each second.
 func (v *View) index() {
 	clear(v.holders)
+	v.sorted = slices.SortedFunc(maps.Values(v.entries), func(a, b *wire.EntryState) int {
+		return cmp.Compare(a.GetInstance(), b.GetInstance())
+	})
 	for _, e := range v.entries {
 		for _, j := range e.GetJobs() {
 			if j.GetFence() > v.holders[j.GetJob()].job.GetFence() {
--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -58,6 +58,9 @@
 		w.write(t, fmt.Sprintf("pool-%d", i), 1)
 	}
 	w.grow(s.dataCentres, s.entries, s.workers)
+	for _, n := range w.snapshot() {
+		n.setModels("v1")
+	}
 	stopJobs := w.startJobs(s.dataCentres * s.entries / entriesPerJob)
 	defer w.stopAll()
 	time.Sleep(2 * time.Minute)
@@ -65,7 +68,8 @@
 	w.calm(t)
 	w.afterOutage(t)
 	stopJobs()
-	w.restart(t)
+	stopJobs = w.restart(t, s)
+	stopJobs()
 }
 
 // startJobs lets all entries compete for n jobs.
@@ -87,16 +91,20 @@
 				lease.WithHolder(e.view.SureHolder),
 				lease.WithCandidates(func() []string {
 					out := []string{id}
-					for _, o := range e.view.Entries() {
-						if o.GetInstance() != id {
-							out = append(out, o.GetInstance())
-						}
+					for _, c := range e.client.Candidates() {
+						out = append(out, c.ID)
 					}
-					return out
+					slices.Sort(out)
+					return slices.Compact(out)
 				})))
 		}
 		for _, k := range keepers {
-			done.Go(func() { k.Run(ctx) })
+			done.Go(func() {
+				for !e.client.Ready() && ctx.Err() == nil {
+					time.Sleep(100 * time.Millisecond)
+				}
+				k.Run(ctx)
+			})
 		}
 		done.Go(func() {
 			for ctx.Err() == nil {
@@ -242,7 +250,7 @@
 }
 
 // restart ends all instances and starts all at once.
-func (w *world) restart(t *testing.T) {
+func (w *world) restart(t *testing.T, s fleetSize) func() {
 	all := w.snapshot()
 	w.stopAll()
 	w.reset()
@@ -252,7 +260,9 @@
 		w.start(id, seed)
 		seed++
 	}
-	ready, complete := time.Duration(0), time.Duration(0)
+	jobs := s.dataCentres * s.entries / entriesPerJob
+	stopJobs := w.startJobs(jobs)
+	ready, complete, held := time.Duration(0), time.Duration(0), time.Duration(0)
 	workers := 0
 	for _, n := range all {
 		if n.hub == nil {
@@ -261,9 +271,12 @@
 	}
 	for time.Since(begin) < time.Minute {
 		synctest.Wait()
-		allReady, allSeen := true, true
+		allReady, allSeen, taken := true, true, map[string]bool{}
 		for _, n := range w.snapshot() {
 			allReady = allReady && n.client.Ready()
+			for _, j := range n.beat().GetEntry().GetJobs() {
+				taken[j.GetJob()] = true
+			}
 			allSeen = allSeen && (n.hub == nil || len(n.view.Endpoints("")) == workers)
 		}
 		if allReady && ready == 0 {
@@ -272,12 +285,16 @@
 		if allSeen && complete == 0 {
 			complete = time.Since(begin)
 		}
+		if len(taken) == jobs && held == 0 {
+			held = time.Since(begin)
+		}
 		time.Sleep(time.Second)
 	}
 	total, most := w.peak()
-	t.Logf("all restart: ready after %s, all members seen after %s; kv calls in the minute %d, busiest second %d, lists %d",
-		ready, complete, total, most, w.lists)
+	t.Logf("all restart: ready after %s, all members seen after %s, all %d jobs held after %s; kv calls in the minute %d, busiest second %d, lists %d",
+		ready, complete, jobs, held, total, most, w.lists)
 	w.bytes(t, w.hubs(""), time.Minute.Seconds())
+	return stopJobs
 }
 
 // TestMeasureProbes prints what a beat every 6 seconds costs on a connection that
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -78,6 +78,9 @@
 		// fence is 0 unless the job was held and not lost since.
 		fence  int64
 		vacant time.Time
+		// place is this entry's rank among the candidates as of placedAt.
+		place    int
+		placedAt time.Time
 	}
 
 	// service is what a keeper needs of the key-value service; keyval.Client has
@@ -219,12 +222,25 @@
 	return now.Sub(k.vacant) >= time.Duration(rank)*k.step
 }
 
+// rank returns this entry's place among the candidates, computed anew once in a
+// step: in an outage all jobs of the fleet look vacant to all entries, for long.
 func (k *Keeper) rank() int {
+	now := time.Now()
+	k.mu.Lock()
+	place, fresh := k.place, !k.placedAt.IsZero() && now.Sub(k.placedAt) < k.step
+	k.mu.Unlock()
+	if fresh {
+		return place
+	}
 	candidates := k.candidates()
-	if rank := rendez.Rank(k.job, candidates, k.holder); rank >= 0 {
-		return rank
+	place = rendez.Rank(k.job, candidates, k.holder)
+	if place < 0 {
+		place = len(candidates)
 	}
-	return len(candidates)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.place, k.placedAt = place, now
+	return place
 }
 
 // missed starts the wait of the later candidates anew when the service did not
