--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -14,10 +16,15 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/member"
 	"github.com/lavendermux/lavendermux/tally"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -314,3 +321,94 @@
 		t.Logf("probed after %s: %d bytes and %d pieces a beat", after, l.bytes.Load()/beats, l.turns.Load()/beats)
 	}
 }
+
+// TestMeasureMemory prints what a hub's table and a member's copy take at the full
+// size, in bytes of live heap.
+func TestMeasureMemory(t *testing.T) {
+	full := fleetSize{7, 50, 100}
+	resp := &wire.MembersResponse{Whole: true, Version: 1, Boot: 1}
+	var reqs []*wire.BeatRequest
+	for d := range full.dataCentres {
+		for i := range full.entries + full.workers {
+			id := fmt.Sprintf("instance-%d-%d", d, i)
+			req := &wire.BeatRequest{Sequence: 1}
+			if i < full.entries {
+				req.Entry = &wire.EntryState{Instance: id, DataCentre: "cyberjaya-a", Region: "klang-valley", Address: "10.20.30.40:7100", Boot: 1}
+				resp.Entries = append(resp.Entries, req.GetEntry())
+			} else {
+				req.Endpoint = &wire.EndpointState{
+					Instance: id, Service: "filing-lm", DataCentre: "cyberjaya-a", Region: "klang-valley",
+					Address: "10.20.30.40:7100", Boot: 1, Ready: true, Role: "rollout",
+					Models: []*wire.ModelState{{Model: "filing-7b", Version: "step-41234", Staged: []string{"step-41235"}}},
+					Load:   &wire.DoorLoad{Slots: 8},
+				}
+				resp.Endpoints = append(resp.Endpoints, req.GetEndpoint())
+			}
+			reqs = append(reqs, req)
+		}
+	}
+	raw, err := proto.Marshal(resp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("whole table on the wire before compression: %d bytes", len(raw))
+	view, table := fleet.New(), member.New("cyberjaya-a", 1)
+	t.Logf("a member's copy of %d: %d bytes", len(reqs), grown(func() {
+		decoded := &wire.MembersResponse{}
+		if err := proto.Unmarshal(raw, decoded); err != nil {
+			t.Fatal(err)
+		}
+		view.Apply(time.Now(), decoded)
+	}))
+	t.Logf("a hub's table of %d: %d bytes", len(reqs), grown(func() {
+		for _, req := range reqs {
+			table.Beat(time.Now(), req)
+		}
+	}))
+	runtime.KeepAlive(view)
+	runtime.KeepAlive(table)
+}
+
+func grown(work func()) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	work()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// TestMeasureConnections prints what the heartbeat connections of a hub's 150
+// members take, both ends together, in bytes of live heap and of stacks.
+func TestMeasureConnections(t *testing.T) {
+	const members = 150
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	_, handler := wireconnect.NewPeerServiceHandler(wireconnect.UnimplementedPeerServiceHandler{})
+	srv := httptest.NewUnstartedServer(handler)
+	srv.Config.Protocols = &protocols
+	srv.Start()
+	defer srv.Close()
+	var clients []*http.Client
+	stacks := func() int64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.StackInuse)
+	}
+	before := stacks()
+	heap := grown(func() {
+		for range members {
+			c := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+			_, err := wireconnect.NewPeerServiceClient(c, srv.URL).Beat(t.Context(), connect.NewRequest(&wire.BeatRequest{}))
+			if connect.CodeOf(err) != connect.CodeUnimplemented {
+				t.Fatal(err)
+			}
+			clients = append(clients, c)
+		}
+	})
+	t.Logf("%d connections, both ends: %d bytes of heap, %d of stacks", members, heap, stacks()-before)
+	for _, c := range clients {
+		c.CloseIdleConnections()
+	}
+}
