--- a/hub/hub_test.go
+++ b/hub/hub_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// All entries of a data centre die while its endpoints go on. Other data centres'
+// callers must still find them, and they must get changes of configuration.
+func TestAllEntriesOfADataCentreDie(t *testing.T) {
+	run(t, 2, func(t *testing.T, g *WithT, w *world) {
+		for i := range 4 {
+			w.kill(fmt.Sprintf("entry-0-%d", i))
+		}
+		w.watchAll(2*time.Minute, func(n *node) {
+			if n.hub != nil {
+				g.Expect(len(n.view.Endpoints("filing-lm"))).To(Equal(10), n.id)
+			}
+		})
+		_, err := w.everywhere(w.write(t, "a", 2), inForce)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
 // Both hubs of a data centre are stopped as planned. While they still serve, two
 // others must act as hub, so that nobody notices when they end.
 func TestHubsLeave(t *testing.T) {
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -199,3 +199,18 @@
 		t.Since(&wire.MembersRequest{})
 	}
 }
+
+// BenchmarkTick is what a hub of 150 members in a fleet of 1,050 does each second.
+func BenchmarkTick(b *testing.B) {
+	t := member.New("dc-0", 1)
+	other := member.New("dc-1", 2)
+	for i := range 1050 {
+		of := map[bool]*member.Table{true: t, false: other}[i < 150]
+		of.Beat(start, beat(0, worker(fmt.Sprint(i), 1)))
+	}
+	t.Merge(start, "dc-1", other.Since(&wire.MembersRequest{DataCentre: "dc-1"}))
+	for b.Loop() {
+		t.Expire(start)
+		t.Digest(start)
+	}
+}
