--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -239,8 +239,11 @@
 }
 
 func (w *world) afterOutage(t *testing.T) {
+	w.reset()
 	w.kv.SetDown(true)
 	time.Sleep(window)
+	tried, busiest := w.peak()
+	t.Logf("in an outage of 10 minutes: %.2f attempts a second, busiest %d", float64(tried)/window.Seconds(), busiest)
 	w.reset()
 	w.kv.SetDown(false)
 	before := w.kv.Counts()
