--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -14,12 +16,18 @@
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 
+	"google.golang.org/protobuf/proto"
+
+	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/member"
 	"github.com/lavendermux/lavendermux/tally"
 	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
 
 const (
@@ -57,6 +65,9 @@
 		w.write(t, fmt.Sprintf("pool-%d", i), 1)
 	}
 	w.grow(s.dataCentres, s.entries, s.workers)
+	for _, n := range w.snapshot() {
+		n.setModels("v1")
+	}
 	stopJobs := w.startJobs(s.dataCentres * s.entries / entriesPerJob)
 	defer w.stopAll()
 	time.Sleep(2 * time.Minute)
@@ -64,7 +75,8 @@
 	w.calm(t)
 	w.afterOutage(t)
 	stopJobs()
-	w.restart(t)
+	stopJobs = w.restart(t, s)
+	stopJobs()
 }
 
 // startJobs lets all entries compete for n jobs.
@@ -86,16 +98,20 @@
 				lease.WithHolder(e.view.SureHolder),
 				lease.WithCandidates(func() []string {
 					out := []string{id}
-					for _, o := range e.view.Entries() {
-						if o.GetInstance() != id {
-							out = append(out, o.GetInstance())
-						}
+					for _, c := range e.client.Candidates() {
+						out = append(out, c.ID)
 					}
-					return out
+					slices.Sort(out)
+					return slices.Compact(out)
 				})))
 		}
 		for _, k := range keepers {
-			done.Go(func() { k.Run(ctx) })
+			done.Go(func() {
+				for !e.client.Ready() && ctx.Err() == nil {
+					time.Sleep(100 * time.Millisecond)
+				}
+				k.Run(ctx)
+			})
 		}
 		done.Go(func() {
 			for ctx.Err() == nil {
@@ -180,6 +196,7 @@
 	defer w.mu.Unlock()
 	clear(w.sent)
 	clear(w.kvCalls)
+	clear(w.calls)
 	w.lists = 0
 }
 
@@ -201,7 +218,12 @@
 		s := series[role]
 		t.Logf("bytes a second, both ways, %s: mean %.0f most %.0f of %d", role, s.Mean(), s.Quantile(1), s.Count())
 	}
-	t.Logf("readings of the instance list: %.2f a second", float64(w.lists)/seconds)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Logf("calls a second in all: instance list %.2f, Beat %.1f, Members %.1f, Fetch %.2f", float64(w.lists)/seconds,
+		float64(w.calls[wireconnect.PeerServiceBeatProcedure])/seconds,
+		float64(w.calls[wireconnect.PeerServiceMembersProcedure])/seconds,
+		float64(w.calls[wireconnect.PeerServiceFetchProcedure])/seconds)
 }
 
 // peak returns the calls of the service in the minute since reset, and in its
@@ -217,8 +239,11 @@
 }
 
 func (w *world) afterOutage(t *testing.T) {
+	w.reset()
 	w.kv.SetDown(true)
 	time.Sleep(window)
+	tried, busiest := w.peak()
+	t.Logf("in an outage of 10 minutes: %.2f attempts a second, busiest %d", float64(tried)/window.Seconds(), busiest)
 	w.reset()
 	w.kv.SetDown(false)
 	before := w.kv.Counts()
@@ -235,7 +260,7 @@
 }
 
 // restart ends all instances and starts all at once.
-func (w *world) restart(t *testing.T) {
+func (w *world) restart(t *testing.T, s fleetSize) func() {
 	all := w.snapshot()
 	w.stopAll()
 	w.reset()
@@ -245,7 +270,9 @@
 		w.start(id, seed)
 		seed++
 	}
-	ready, complete := time.Duration(0), time.Duration(0)
+	jobs := s.dataCentres * s.entries / entriesPerJob
+	stopJobs := w.startJobs(jobs)
+	ready, complete, held := time.Duration(0), time.Duration(0), time.Duration(0)
 	workers := 0
 	for _, n := range all {
 		if n.hub == nil {
@@ -254,9 +281,12 @@
 	}
 	for time.Since(begin) < time.Minute {
 		synctest.Wait()
-		allReady, allSeen := true, true
+		allReady, allSeen, taken := true, true, map[string]bool{}
 		for _, n := range w.snapshot() {
 			allReady = allReady && n.client.Ready()
+			for _, j := range n.beat().GetEntry().GetJobs() {
+				taken[j.GetJob()] = true
+			}
 			allSeen = allSeen && (n.hub == nil || len(n.view.Endpoints("")) == workers)
 		}
 		if allReady && ready == 0 {
@@ -265,10 +295,123 @@
 		if allSeen && complete == 0 {
 			complete = time.Since(begin)
 		}
+		if len(taken) == jobs && held == 0 {
+			held = time.Since(begin)
+		}
 		time.Sleep(time.Second)
 	}
 	total, most := w.peak()
-	t.Logf("all restart: ready after %s, all members seen after %s; kv calls in the minute %d, busiest second %d, lists %d",
-		ready, complete, total, most, w.lists)
+	t.Logf("all restart: ready after %s, all members seen after %s, all %d jobs held after %s; kv calls in the minute %d, busiest second %d, lists %d",
+		ready, complete, jobs, held, total, most, w.lists)
 	w.bytes(t, w.hubs(""), time.Minute.Seconds())
+	return stopJobs
+}
+
+// TestMeasureProbes prints what a beat every 6 seconds costs on a connection that
+// is probed after 5 seconds of silence, and on one that is probed after 20. It
+// takes a minute of real time.
+func TestMeasureProbes(t *testing.T) {
+	const beats = 5
+	for _, after := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		l := newLink(t, func(p *http.Protocols) { p.SetUnencryptedHTTP2(true) }, after)
+		l.beat()
+		l.bytes.Store(0)
+		l.turns.Store(0)
+		for range beats {
+			time.Sleep(6 * time.Second)
+			l.beat()
+		}
+		t.Logf("probed after %s: %d bytes and %d pieces a beat", after, l.bytes.Load()/beats, l.turns.Load()/beats)
+	}
+}
+
+// TestMeasureMemory prints what a hub's table and a member's copy take at the full
+// size, in bytes of live heap.
+func TestMeasureMemory(t *testing.T) {
+	full := fleetSize{7, 50, 100}
+	resp := &wire.MembersResponse{Whole: true, Version: 1, Boot: 1}
+	var reqs []*wire.BeatRequest
+	for d := range full.dataCentres {
+		for i := range full.entries + full.workers {
+			id := fmt.Sprintf("instance-%d-%d", d, i)
+			req := &wire.BeatRequest{Sequence: 1}
+			if i < full.entries {
+				req.Entry = &wire.EntryState{Instance: id, DataCentre: "cyberjaya-a", Region: "klang-valley", Address: "10.20.30.40:7100", Boot: 1}
+				resp.Entries = append(resp.Entries, req.GetEntry())
+			} else {
+				req.Endpoint = &wire.EndpointState{
+					Instance: id, Service: "filing-lm", DataCentre: "cyberjaya-a", Region: "klang-valley",
+					Address: "10.20.30.40:7100", Boot: 1, Ready: true, Role: "rollout",
+					Models: []*wire.ModelState{{Model: "filing-7b", Version: "step-41234", Staged: []string{"step-41235"}}},
+					Load:   &wire.DoorLoad{Slots: 8},
+				}
+				resp.Endpoints = append(resp.Endpoints, req.GetEndpoint())
+			}
+			reqs = append(reqs, req)
+		}
+	}
+	raw, err := proto.Marshal(resp)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("whole table on the wire before compression: %d bytes", len(raw))
+	view, table := fleet.New(), member.New("cyberjaya-a", 1)
+	t.Logf("a member's copy of %d: %d bytes", len(reqs), grown(func() {
+		decoded := &wire.MembersResponse{}
+		if err := proto.Unmarshal(raw, decoded); err != nil {
+			t.Fatal(err)
+		}
+		view.Apply(time.Now(), decoded)
+	}))
+	t.Logf("a hub's table of %d: %d bytes", len(reqs), grown(func() {
+		for _, req := range reqs {
+			table.Beat(time.Now(), req)
+		}
+	}))
+	runtime.KeepAlive(view)
+	runtime.KeepAlive(table)
+}
+
+func grown(work func()) int64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	work()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return int64(after.HeapAlloc) - int64(before.HeapAlloc)
+}
+
+// TestMeasureConnections prints what the heartbeat connections of a hub's 150
+// members take, both ends together, in bytes of live heap and of stacks.
+func TestMeasureConnections(t *testing.T) {
+	const members = 150
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	_, handler := wireconnect.NewPeerServiceHandler(wireconnect.UnimplementedPeerServiceHandler{})
+	srv := httptest.NewUnstartedServer(handler)
+	srv.Config.Protocols = &protocols
+	srv.Start()
+	defer srv.Close()
+	var clients []*http.Client
+	stacks := func() int64 {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return int64(m.StackInuse)
+	}
+	before := stacks()
+	heap := grown(func() {
+		for range members {
+			c := &http.Client{Transport: &http.Transport{Protocols: &protocols}}
+			_, err := wireconnect.NewPeerServiceClient(c, srv.URL).Beat(t.Context(), connect.NewRequest(&wire.BeatRequest{}))
+			if connect.CodeOf(err) != connect.CodeUnimplemented {
+				t.Fatal(err)
+			}
+			clients = append(clients, c)
+		}
+	})
+	t.Logf("%d connections, both ends: %d bytes of heap, %d of stacks", members, heap, stacks()-before)
+	for _, c := range clients {
+		c.CloseIdleConnections()
+	}
 }
