Let callers give up when leave to ask again is beyond their timeout

Cause: in a trial of the demo with faults a refusal said to come back after ten minutes, and the load of 45 s lasted 182 s, until it was ended. Change: the refusal stands as the outcome then. Figures: go test -count=3 -race ./simcal passes; the load of the new test ends within 12 s of virtual time.

--- a/simcal/request.go
+++ b/simcal/request.go
@@ -109,10 +109,15 @@
 	for attempt := 1; ; attempt++ {
 		a.attempt = attempt
 		res = l.bounded(ctx, a, key, send)
-		if attempt >= l.config.attempts || ctx.Err() != nil || !repeatable(res.outcome, key) {
+		// A caller is not willing to wait longer for leave to ask again than for
+		// the answer itself; the refusal then stands as the outcome.
+		if attempt >= l.config.attempts || !repeatable(res.outcome, key) || res.after > l.config.timeout {
 			break
 		}
 		simsrv.Pause(ctx, res.after)
+		if ctx.Err() != nil {
+			break
+		}
 		l.mu.Lock()
 		l.retries++
 		l.mu.Unlock()
--- a/simcal/simcal_test.go
+++ b/simcal/simcal_test.go
@@ -227,3 +227,18 @@
 		g.Expect(svc.Runs("slot-0", "caller-0")).To(Equal(1))
 	}, simcal.WithDirect(), simcal.WithService("booking-api", 0))
 }
+
+// The service says when to come back, and that is long after the caller has lost
+// interest. The load must end in its time with the refusal as the outcome.
+func TestSimcalDoesNotWaitLongerThanItsTimeout(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Second)
+		reply(w, http.StatusServiceUnavailable, message{"error": message{"kind": "notRun", "retryAfterMs": 600_000}})
+	})
+	run(t, h, func(g Gomega, l *simcal.Load) {
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes).To(HaveKey("notRun"))
+		g.Expect(sum.Retries).To(BeZero())
+		g.Expect(sum.Seconds).To(BeNumerically("<", 12))
+	}, simcal.WithService("booking-api", 1), simcal.WithAttempts(3))
+}
