End dials with the network; name a process a process

Cause: a transport goes on dialing after its request was given up, and a dial at a cut outlived the network, which synctest reports as a deadlock. The engine stand-in called what it forgets in a crash a life, a word that no reader looks for. Change: after Close all dials and listens fail at once. The type is process now, in memnet the count is of generations. No other change of behaviour. Conclusion: tests that end in the middle of a cut leave nothing behind.

--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -34,9 +34,9 @@
 
 		mu        sync.Mutex
 		listeners map[string]*listener
-		// lives counts how often each instance was killed. What belongs to an
-		// earlier life of an instance fails.
-		lives map[string]int
+		// generations counts how often each instance was killed. What belongs to an
+		// earlier generation of an instance fails.
+		generations map[string]int
 		// cuts are by direction: from a to b.
 		cuts   map[pair]bool
 		frozen map[string]bool
@@ -44,6 +44,8 @@
 		// conns holds the ends of all open connections, each with its instance.
 		conns map[*conn]bool
 		port  int
+		// closed is set for good by Close.
+		closed bool
 		// changed is closed whenever the fields above change for those who wait.
 		changed chan struct{}
 	}
@@ -57,21 +59,22 @@
 	}
 )
 
-// New returns a network without instances. In a test with testing/synctest it is made inside the
-// bubble: waiting on what was made outside of it stops virtual time.
+// New returns a network without instances. In a test with testing/synctest it
+// is made inside the bubble: waiting on what was made outside of it stops
+// virtual time.
 //
 //	n := memnet.New(memnet.WithDelay(time.Millisecond))
 //	srv, err := n.Serve("10.0.0.1:80", handler)
 func New(opts ...Option) *Network {
 	n := &Network{
-		listeners: make(map[string]*listener),
-		lives:     make(map[string]int),
-		cuts:      make(map[pair]bool),
-		frozen:    make(map[string]bool),
-		delays:    make(map[pair]time.Duration),
-		conns:     make(map[*conn]bool),
-		port:      firstPort,
-		changed:   make(chan struct{}),
+		listeners:   make(map[string]*listener),
+		generations: make(map[string]int),
+		cuts:        make(map[pair]bool),
+		frozen:      make(map[string]bool),
+		delays:      make(map[pair]time.Duration),
+		conns:       make(map[*conn]bool),
+		port:        firstPort,
+		changed:     make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(n)
@@ -93,6 +96,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.closed {
+		return nil, &net.OpError{Op: "listen", Net: network, Addr: address(addr), Err: syscall.ENETDOWN}
+	}
 	if n.listeners[addr] != nil {
 		return nil, &net.OpError{Op: "listen", Net: network, Addr: address(addr), Err: syscall.EADDRINUSE}
 	}
@@ -112,10 +118,10 @@
 // process that starts there later asks for its own.
 func (n *Network) Dialer(from string) func(ctx context.Context, _, addr string) (net.Conn, error) {
 	n.mu.Lock()
-	life := n.lives[from]
+	generation := n.generations[from]
 	n.mu.Unlock()
 	return func(ctx context.Context, _, addr string) (net.Conn, error) {
-		c, err := n.dial(ctx, from, life, addr)
+		c, err := n.dial(ctx, from, generation, addr)
 		if err != nil {
 			return nil, &net.OpError{Op: "dial", Net: network, Addr: address(addr), Err: err}
 		}
@@ -207,7 +213,7 @@
 // are reset, and its dialers fail from now on. A new process may start there.
 func (n *Network) Kill(ip string) {
 	n.mu.Lock()
-	n.lives[ip]++
+	n.generations[ip]++
 	ended := n.take(func(host string) bool { return host == ip })
 	n.wake()
 	n.mu.Unlock()
@@ -216,15 +222,11 @@
 	}
 }
 
-// Close ends all instances, so that no goroutine stays behind in a test.
+// Close ends all instances and all dials, now and from now on, so that no
+// goroutine stays behind in a test.
 func (n *Network) Close() {
 	n.mu.Lock()
-	for _, l := range n.listeners {
-		n.lives[l.host]++
-	}
-	for c := range n.conns {
-		n.lives[c.host]++
-	}
+	n.closed = true
 	ended := n.take(func(string) bool { return true })
 	n.wake()
 	n.mu.Unlock()
@@ -233,6 +235,12 @@
 	}
 }
 
+// isDead tells whether an instance was killed since it had a generation. The
+// caller holds the lock.
+func (n *Network) isDead(ip string, generation int) bool {
+	return n.closed || n.generations[ip] != generation
+}
+
 // take returns how to end the listeners and connections of some instances. The
 // caller holds the lock, and ends them without it.
 func (n *Network) take(of func(host string) bool) []func() {
@@ -287,7 +295,7 @@
 	return n.delay
 }
 
-func (n *Network) dial(ctx context.Context, from string, life int, addr string) (net.Conn, error) {
+func (n *Network) dial(ctx context.Context, from string, generation int, addr string) (net.Conn, error) {
 	to, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return nil, err
@@ -296,7 +304,7 @@
 	defer end.Stop()
 	for {
 		n.mu.Lock()
-		dead := n.lives[from] != life
+		dead := n.isDead(from, generation)
 		waits := n.cuts[pair{from, to}] || n.cuts[pair{to, from}] || n.frozen[from]
 		delay, changed := n.delayOf(from, to), n.changed
 		n.mu.Unlock()
@@ -309,7 +317,7 @@
 		}
 		select {
 		case <-answered:
-			return n.connect(from, life, addr)
+			return n.connect(from, generation, addr)
 		case <-changed:
 		case <-end.C:
 			return nil, syscall.ETIMEDOUT
@@ -320,10 +328,10 @@
 }
 
 // connect makes a connection and hands its other end to the listener.
-func (n *Network) connect(from string, life int, addr string) (net.Conn, error) {
+func (n *Network) connect(from string, generation int, addr string) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.lives[from] != life {
+	if n.isDead(from, generation) {
 		return nil, syscall.ENETDOWN
 	}
 	l := n.listeners[addr]
--- a/memnet/memnet_test.go
+++ b/memnet/memnet_test.go
@@ -137,6 +137,22 @@
 	})
 }
 
+// A request is given up while its dial waits at a cut; the transport goes on
+// dialing behind it. The end of the network must end that dial, or the test
+// would fail over a goroutine that stays behind.
+func TestMemnetCloseEndsDials(t *testing.T) {
+	inBubble(t, func(g Gomega, n *memnet.Network) {
+		n.Cut(serverIP, callerIP)
+		ctx, cancel := within(time.Second)
+		defer cancel()
+		_, err := post(ctx, n.Client(callerIP), "a")
+		g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeTrue(), "%v", err)
+		n.Close()
+		_, err = n.Listen(addr)
+		g.Expect(errors.Is(err, syscall.ENETDOWN)).To(BeTrue(), "%v", err)
+	})
+}
+
 // A process is stopped by a signal and continued later. Who talks to it meets
 // silence on open connections and on new ones, and its answers come late.
 func TestMemnetFreezeHoldsBytesBothWays(t *testing.T) {
--- a/simeng/handlers.go
+++ b/simeng/handlers.go
@@ -23,7 +23,7 @@
 	}
 )
 
-func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleGenerate(w http.ResponseWriter, r *http.Request, p *process) {
 	var req genreq.Request
 	if !simsrv.Read(w, r, &req) {
 		return
@@ -33,54 +33,54 @@
 		return
 	}
 	st := newStream(&s.config, req)
-	if status, problem := s.admit(l, st); status != http.StatusOK {
+	if status, problem := s.admit(p, st); status != http.StatusOK {
 		simsrv.Fail(w, status, problem)
 		return
 	}
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		l.leave(st)
+		p.leave(st)
 	}()
 	w.Header().Set("Content-Type", "text/event-stream")
-	s.run(w, r, l, st)
+	s.run(w, r, p, st)
 }
 
-func (s *Server) admit(l *life, st *stream) (int, string) {
+func (s *Server) admit(p *process, st *stream) (int, string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.models[st.req.Model] == nil {
+	if p.models[st.req.Model] == nil {
 		return http.StatusNotFound, "model: " + strconv.Quote(st.req.Model) + " is not loaded"
 	}
-	if l.streams[st.req.ID] != nil {
+	if p.streams[st.req.ID] != nil {
 		return http.StatusBadRequest, "id: " + strconv.Quote(st.req.ID) + " runs already"
 	}
-	if !l.admit(st) {
+	if !p.admit(st) {
 		return http.StatusTooManyRequests, "all slots are taken and too many wait"
 	}
 	return http.StatusOK, ""
 }
 
 // run streams tokens until the answer is whole, cancelled or cut off.
-func (s *Server) run(w http.ResponseWriter, r *http.Request, l *life, st *stream) {
+func (s *Server) run(w http.ResponseWriter, r *http.Request, p *process, st *stream) {
 	tick := time.NewTicker(s.config.tick)
 	defer tick.Stop()
 	for {
-		s.await(r, l, st)
+		s.await(r, p, st)
 		select {
 		case <-tick.C:
 		case <-st.cancelled:
-		case <-l.crashed:
+		case <-p.crashed:
 			simsrv.Drop()
 		case <-r.Context().Done():
 			return
 		}
-		t, done := s.step(l, st)
+		t, done := s.step(p, st)
 		if t.Tokens > 0 && writeEvent(w, t) != nil {
 			return
 		}
 		if done {
-			s.hang(r, l)
+			s.hang(r, p)
 			_ = writeEvent(w, token.Token{Done: true, Total: st.made, Finish: st.finish})
 			return
 		}
@@ -88,7 +88,7 @@
 }
 
 // await returns when the stream has a slot, is cancelled or is given up.
-func (s *Server) await(r *http.Request, l *life, st *stream) {
+func (s *Server) await(r *http.Request, p *process, st *stream) {
 	s.mu.Lock()
 	granted := st.granted
 	s.mu.Unlock()
@@ -100,13 +100,13 @@
 	select {
 	case <-granted:
 	case <-st.cancelled:
-	case <-l.crashed:
+	case <-p.crashed:
 	case <-r.Context().Done():
 	}
 }
 
 // step makes what is due, and reports whether the stream is at its end.
-func (s *Server) step(l *life, st *stream) (token.Token, bool) {
+func (s *Server) step(p *process, st *stream) (token.Token, bool) {
 	f := s.faults.Get()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,7 +121,7 @@
 	}
 	s.begin(st)
 	read, cached := st.read, st.cached
-	t := l.advance(st, time.Now(), f)
+	t := p.advance(st, time.Now(), f)
 	s.counts.PromptTokens += st.read - read
 	s.counts.CachedTokens += st.cached - cached
 	s.counts.Tokens += t.Tokens
@@ -132,7 +132,7 @@
 	return t, done
 }
 
-func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request, p *process) {
 	id, err := url.PathUnescape(mux.Vars(r)["id"])
 	if err != nil {
 		simsrv.Fail(w, http.StatusBadRequest, err.Error())
@@ -140,7 +140,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st := l.streams[id]; st != nil {
+	if st := p.streams[id]; st != nil {
 		select {
 		case <-st.cancelled:
 		default:
@@ -150,10 +150,10 @@
 	simsrv.Reply(w, http.StatusOK, struct{}{})
 }
 
-func (s *Server) handleState(w http.ResponseWriter, _ *http.Request, l *life) {
+func (s *Server) handleState(w http.ResponseWriter, _ *http.Request, p *process) {
 	checks := s.checksFence()
 	s.mu.Lock()
-	st := l.state(time.Now(), checks)
+	st := p.state(time.Now(), checks)
 	s.mu.Unlock()
 	simsrv.Reply(w, http.StatusOK, st)
 }
@@ -164,7 +164,7 @@
 
 // handleExport answers with the text whose KV cache the engine holds for a
 // request, which is what an import needs to rebuild it.
-func (s *Server) handleExport(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleExport(w http.ResponseWriter, r *http.Request, p *process) {
 	id, err := url.PathUnescape(mux.Vars(r)["id"])
 	if err != nil {
 		simsrv.Fail(w, http.StatusBadRequest, err.Error())
@@ -172,18 +172,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := l.streams[id]
+	st := p.streams[id]
 	if st == nil {
 		simsrv.Fail(w, http.StatusNotFound, id+" does not run")
 		return
 	}
-	version := l.models[st.req.Model].version
+	version := p.models[st.req.Model].version
 	_, _ = fmt.Fprintf(w, "%s@%s:%s", st.req.Model, version, st.req.Prompt+st.req.Prior)
 }
 
 // handleImport puts an exported KV cache in the prefix cache. One that other
 // weights made is refused.
-func (s *Server) handleImport(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleImport(w http.ResponseWriter, r *http.Request, p *process) {
 	var in cacheMessage
 	if !simsrv.Read(w, r, &in) {
 		return
@@ -195,19 +195,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := l.models[name]
+	m := p.models[name]
 	if m == nil || m.version != version || version == "" {
 		simsrv.Fail(w, http.StatusConflict, "the KV cache is of weights that are not in use here")
 		return
 	}
-	l.cache.use(hashes(name, version, text), time.Now())
+	p.cache.use(hashes(name, version, text), time.Now())
 	simsrv.Reply(w, http.StatusOK, struct{}{})
 }
 
-func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request, p *process) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
 	s.mu.Lock()
-	events := l.cache.since(after, time.Now().Add(-s.config.eventLag))
+	events := p.cache.since(after, time.Now().Add(-s.config.eventLag))
 	s.mu.Unlock()
 	simsrv.Reply(w, http.StatusOK, eventsResponse{Events: events})
 }
--- a/simeng/orders.go
+++ b/simeng/orders.go
@@ -25,16 +25,16 @@
 	}
 )
 
-func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request, l *life) {
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request, p *process) {
 	var o order.Order
 	if !simsrv.Read(w, r, &o) {
 		return
 	}
-	if current, ok := s.takeFence(l, o.Fence); !ok {
+	if current, ok := s.takeFence(p, o.Fence); !ok {
 		simsrv.Reply(w, http.StatusConflict, fenceResponse{Fence: current})
 		return
 	}
-	f := s.carryOut(r.Context(), l, o)
+	f := s.carryOut(r.Context(), p, o)
 	if s.faults.Take(func(f *faults) *int { return &f.LoseOrders }) {
 		simsrv.Drop()
 	}
@@ -42,35 +42,35 @@
 		simsrv.Fail(w, f.status, f.problem)
 		return
 	}
-	s.handleState(w, r, l)
+	s.handleState(w, r, p)
 }
 
 // takeFence refuses a number that a greater one has overtaken.
-func (s *Server) takeFence(l *life, fence int64) (int64, bool) {
+func (s *Server) takeFence(p *process, fence int64) (int64, bool) {
 	checks := s.checksFence()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if checks && fence < l.fence {
+	if checks && fence < p.fence {
 		s.counts.OldOrders++
-		return l.fence, false
+		return p.fence, false
 	}
 	s.counts.Orders++
-	l.fence = max(l.fence, fence)
-	return l.fence, true
+	p.fence = max(p.fence, fence)
+	return p.fence, true
 }
 
-func (s *Server) carryOut(ctx context.Context, l *life, o order.Order) *failure {
+func (s *Server) carryOut(ctx context.Context, p *process, o order.Order) *failure {
 	switch o.Kind {
 	case order.Stage:
-		return s.stage(ctx, l, o)
+		return s.stage(ctx, p, o)
 	case order.Switch:
-		return s.change(l, o)
+		return s.change(p, o)
 	case order.Unload:
-		return s.unload(l, o)
+		return s.unload(p, o)
 	case order.Role:
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		l.role = o.Role
+		p.role = o.Role
 		return nil
 	}
 	return &failure{http.StatusBadRequest, "kind: " + o.Kind + " is not known"}
@@ -78,23 +78,23 @@
 
 // stage fetches a version. A model that the engine has not held so far is added
 // without a version in use.
-func (s *Server) stage(ctx context.Context, l *life, o order.Order) *failure {
+func (s *Server) stage(ctx context.Context, p *process, o order.Order) *failure {
 	if o.Model == "" || o.Version == "" {
 		return &failure{http.StatusBadRequest, "model and version: must be given"}
 	}
 	if err := s.fetch(ctx, o.Model, o.Version); err != nil {
 		return &failure{http.StatusBadGateway, err.Error()}
 	}
-	s.sleep(l, s.config.stageTime)
+	s.sleep(p, s.config.stageTime)
 	if s.faults.Take(func(f *faults) *int { return &f.FailStages }) {
 		return &failure{http.StatusInternalServerError, "staging failed"}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := l.models[o.Model]
+	m := p.models[o.Model]
 	if m == nil {
 		m = &model{staged: make(map[string]bool)}
-		l.models[o.Model] = m
+		p.models[o.Model] = m
 	}
 	if s.config.memory > 0 && !m.staged[o.Version] && len(m.staged) >= s.config.memory {
 		return &failure{http.StatusInsufficientStorage, "memory is full of versions of " + o.Model}
@@ -127,27 +127,27 @@
 
 // change puts a staged version in use. It pauses the model's streams, which go
 // on with the new weights.
-func (s *Server) change(l *life, o order.Order) *failure {
+func (s *Server) change(p *process, o order.Order) *failure {
 	s.ordering <- struct{}{}
 	defer func() { <-s.ordering }()
 	s.mu.Lock()
-	m := l.models[o.Model]
+	m := p.models[o.Model]
 	if m == nil || !m.staged[o.Version] {
 		s.mu.Unlock()
 		return &failure{http.StatusNotFound, o.Model + " version " + o.Version + " is not staged"}
 	}
 	m.version = ""
 	m.changing = true
-	l.epoch++
+	p.epoch++
 	s.mu.Unlock()
 
-	s.sleep(l, s.config.switchTime)
+	s.sleep(p, s.config.switchTime)
 	failed := s.faults.Take(func(f *faults) *int { return &f.FailSwitches })
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m.changing = false
-	l.epoch++
+	p.epoch++
 	if failed {
 		return &failure{http.StatusInternalServerError, "the switch failed halfway"}
 	}
@@ -155,10 +155,10 @@
 	return nil
 }
 
-func (s *Server) unload(l *life, o order.Order) *failure {
+func (s *Server) unload(p *process, o order.Order) *failure {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := l.models[o.Model]
+	m := p.models[o.Model]
 	if m == nil || !m.staged[o.Version] {
 		return nil
 	}
@@ -170,12 +170,12 @@
 }
 
 // sleep lets an order take its time, which a crash ends.
-func (s *Server) sleep(l *life, d time.Duration) {
+func (s *Server) sleep(p *process, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-	case <-l.crashed:
+	case <-p.crashed:
 		simsrv.Drop()
 	}
 }
--- a/simeng/life.go
+++ b/simeng/process.go
@@ -8,13 +8,13 @@
 )
 
 type (
-	// life is all that an engine forgets when it crashes. The server's lock
+	// process is all that an engine forgets when it crashes. The server's lock
 	// guards it.
-	life struct {
+	process struct {
 		config *config
 		// starts is when the engine answers again after a crash.
 		starts time.Time
-		// crashed is closed when this life ends.
+		// crashed is closed when this process ends.
 		crashed chan struct{}
 		fence   int64
 		epoch   int64
@@ -43,8 +43,8 @@
 	}
 )
 
-func newLife(c *config) *life {
-	l := &life{
+func newProcess(c *config) *process {
+	p := &process{
 		config:  c,
 		crashed: make(chan struct{}),
 		role:    c.role,
@@ -53,31 +53,31 @@
 		cache:   newCache(c),
 	}
 	for name, version := range c.models {
-		l.models[name] = &model{version: version, staged: map[string]bool{version: true}}
+		p.models[name] = &model{version: version, staged: map[string]bool{version: true}}
 	}
-	return l
+	return p
 }
 
 // state is what the engine says of itself.
-func (l *life) state(now time.Time, checksFence bool) engst.State {
-	old := l.loadAt(now.Add(-l.config.loadLag))
+func (p *process) state(now time.Time, checksFence bool) engst.State {
+	old := p.loadAt(now.Add(-p.config.loadLag))
 	st := engst.State{
-		Epoch:   l.epoch,
-		Role:    l.role,
-		Slots:   l.config.slots,
+		Epoch:   p.epoch,
+		Role:    p.role,
+		Slots:   p.config.slots,
 		Running: old.running,
 		Waiting: old.waiting,
 	}
 	if checksFence {
-		st.Fence = l.fence
+		st.Fence = p.fence
 	}
-	names := make([]string, 0, len(l.models))
-	for name := range l.models {
+	names := make([]string, 0, len(p.models))
+	for name := range p.models {
 		names = append(names, name)
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		m := l.models[name]
+		m := p.models[name]
 		st.Add(name, m.version, m.stagedVersions())
 	}
 	return st
@@ -93,101 +93,101 @@
 }
 
 // noteLoad keeps the load for the state, which tells it late.
-func (l *life) noteLoad(now time.Time) {
-	l.loads = append(l.loads, load{at: now, running: len(l.running), waiting: len(l.waiting)})
-	l.loadAt(now.Add(-l.config.loadLag))
+func (p *process) noteLoad(now time.Time) {
+	p.loads = append(p.loads, load{at: now, running: len(p.running), waiting: len(p.waiting)})
+	p.loadAt(now.Add(-p.config.loadLag))
 }
 
 // loadAt returns the load at a moment, and forgets what was before.
-func (l *life) loadAt(at time.Time) load {
+func (p *process) loadAt(at time.Time) load {
 	var found load
 	last := -1
-	for i, ld := range l.loads {
+	for i, ld := range p.loads {
 		if ld.at.After(at) {
 			break
 		}
 		found, last = ld, i
 	}
 	if last > 0 {
-		l.loads = slices.Delete(l.loads, 0, last)
+		p.loads = slices.Delete(p.loads, 0, last)
 	}
 	return found
 }
 
 // admit gives a stream a slot, or a place among those that wait. It returns
 // false when there is neither.
-func (l *life) admit(st *stream) bool {
-	if len(l.running) >= l.config.slots && len(l.waiting) >= l.config.queue {
+func (p *process) admit(st *stream) bool {
+	if len(p.running) >= p.config.slots && len(p.waiting) >= p.config.queue {
 		return false
 	}
-	l.streams[st.req.ID] = st
-	l.wait(st, false)
-	if l.config.preempt {
-		l.preempt(st)
+	p.streams[st.req.ID] = st
+	p.wait(st, false)
+	if p.config.preempt {
+		p.preempt(st)
 	}
-	l.fill()
+	p.fill()
 	return true
 }
 
 // wait puts a stream behind those of its own priority, or before them if it has
 // run already.
-func (l *life) wait(st *stream, ran bool) {
-	place := len(l.waiting)
-	for i, other := range l.waiting {
+func (p *process) wait(st *stream, ran bool) {
+	place := len(p.waiting)
+	for i, other := range p.waiting {
 		if other.req.Priority < st.req.Priority || ran && other.req.Priority == st.req.Priority {
 			place = i
 			break
 		}
 	}
 	st.granted = make(chan struct{})
-	l.waiting = slices.Insert(l.waiting, place, st)
+	p.waiting = slices.Insert(p.waiting, place, st)
 }
 
 // preempt takes the slot of the least important running stream if all slots are
 // taken and st outranks it. That stream goes on later where it stopped.
-func (l *life) preempt(st *stream) {
-	if len(l.running) < l.config.slots {
+func (p *process) preempt(st *stream) {
+	if len(p.running) < p.config.slots {
 		return
 	}
-	least := l.running[0]
-	for _, other := range l.running[1:] {
+	least := p.running[0]
+	for _, other := range p.running[1:] {
 		if other.req.Priority <= least.req.Priority {
 			least = other
 		}
 	}
 	if least.req.Priority < st.req.Priority {
-		l.running = slices.DeleteFunc(l.running, func(o *stream) bool { return o == least })
-		l.wait(least, true)
+		p.running = slices.DeleteFunc(p.running, func(o *stream) bool { return o == least })
+		p.wait(least, true)
 	}
 }
 
 // fill hands free slots to those that wait.
-func (l *life) fill() {
+func (p *process) fill() {
 	now := time.Now()
-	for len(l.running) < l.config.slots && len(l.waiting) > 0 {
-		st := l.waiting[0]
-		l.waiting = l.waiting[1:]
-		l.running = append(l.running, st)
+	for len(p.running) < p.config.slots && len(p.waiting) > 0 {
+		st := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		p.running = append(p.running, st)
 		st.last = now
 		close(st.granted)
 	}
-	l.noteLoad(now)
+	p.noteLoad(now)
 }
 
 // leave takes a stream out, wherever it stands.
-func (l *life) leave(st *stream) {
+func (p *process) leave(st *stream) {
 	same := func(o *stream) bool { return o == st }
-	l.running = slices.DeleteFunc(l.running, same)
-	l.waiting = slices.DeleteFunc(l.waiting, same)
-	if l.streams[st.req.ID] == st {
-		delete(l.streams, st.req.ID)
+	p.running = slices.DeleteFunc(p.running, same)
+	p.waiting = slices.DeleteFunc(p.waiting, same)
+	if p.streams[st.req.ID] == st {
+		delete(p.streams, st.req.ID)
 	}
-	l.fill()
+	p.fill()
 }
 
 // rate is how many tokens a second each running stream makes now.
-func (l *life) rate(slowness float64) float64 {
-	r := min(l.config.streamRate, l.config.totalRate/float64(max(1, len(l.running))))
+func (p *process) rate(slowness float64) float64 {
+	r := min(p.config.streamRate, p.config.totalRate/float64(max(1, len(p.running))))
 	if slowness > 1 {
 		r /= slowness
 	}
--- a/simeng/simeng.go
+++ b/simeng/simeng.go
@@ -41,8 +41,8 @@
 		// engine changes them one at a time.
 		ordering chan struct{}
 
-		mu   sync.Mutex
-		life *life
+		mu      sync.Mutex
+		process *process
 		// What follows outlives a crash: it is what a test knows, not the engine.
 		counts countsResponse
 		ran    map[string]int
@@ -107,8 +107,9 @@
 	}
 )
 
-// New returns an engine. It serves HTTP. In a test with testing/synctest it is made inside the
-// bubble: waiting on what was made outside of it stops virtual time.
+// New returns an engine. It serves HTTP. In a test with testing/synctest it is
+// made inside the bubble: waiting on what was made outside of it stops virtual
+// time.
 //
 //	e := simeng.New(simeng.WithModel("draft", "1"), simeng.WithSlots(32))
 //	err := http.ListenAndServe(addr, e)
@@ -122,7 +123,7 @@
 		opt(&s.config)
 	}
 	s.faults = simsrv.New(simsrv.WithAction(s.strike))
-	s.life = newLife(&s.config)
+	s.process = newProcess(&s.config)
 	s.router = s.routes()
 	return s
 }
@@ -136,9 +137,9 @@
 // time of restart it answers nobody; then it serves its first versions.
 func (s *Server) Crash(restart time.Duration) {
 	s.mu.Lock()
-	old := s.life
-	s.life = newLife(&s.config)
-	s.life.starts = time.Now().Add(restart)
+	old := s.process
+	s.process = newProcess(&s.config)
+	s.process.starts = time.Now().Add(restart)
 	s.mu.Unlock()
 	close(old.crashed)
 }
@@ -202,25 +203,25 @@
 }
 
 // call applies the faults that strike any request, and hands the request to the
-// engine's present life, which a crash in the middle of it ends.
-func (s *Server) call(next func(http.ResponseWriter, *http.Request, *life)) http.HandlerFunc {
+// engine's present process, which a crash in the middle of it ends.
+func (s *Server) call(next func(http.ResponseWriter, *http.Request, *process)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.faults.Get()
 		simsrv.Pause(r.Context(), time.Duration(f.SlowMs)*time.Millisecond)
 		s.mu.Lock()
-		l := s.life
+		p := s.process
 		s.mu.Unlock()
-		if s.faults.Get().Down || time.Now().Before(l.starts) {
+		if s.faults.Get().Down || time.Now().Before(p.starts) {
 			simsrv.Drop()
 		}
-		s.hang(r, l)
-		next(w, r, l)
+		s.hang(r, p)
+		next(w, r, p)
 	}
 }
 
 // hang waits until the engine no longer hangs. A caller who gives up, or a
 // crash, ends the request.
-func (s *Server) hang(r *http.Request, l *life) {
+func (s *Server) hang(r *http.Request, p *process) {
 	for s.faults.Get().Hang {
 		ended := make(chan struct{})
 		go func() {
@@ -229,7 +230,7 @@
 		}()
 		select {
 		case <-ended:
-		case <-l.crashed:
+		case <-p.crashed:
 			simsrv.Drop()
 		}
 		if r.Context().Err() != nil {
--- a/simeng/simeng_test.go
+++ b/simeng/simeng_test.go
@@ -152,7 +152,7 @@
 }
 
 // A few answers run far longer than the rest, which is what stalls a trainer's
-// step. Resuming one must not draw a second short life for it.
+// step. Resuming one must not draw a second short length for it.
 func TestSimengLengthsHaveHeavyTail(t *testing.T) {
 	inBubble(t, func(b *bench) {
 		over, late := 0, 0
--- a/simeng/stream.go
+++ b/simeng/stream.go
@@ -88,32 +88,32 @@
 
 // advance makes the tokens that are due by now. A stream that reads its prompt
 // or is paused makes none.
-func (l *life) advance(st *stream, now time.Time, f faults) token.Token {
+func (p *process) advance(st *stream, now time.Time, f faults) token.Token {
 	elapsed := now.Sub(st.last).Seconds()
 	st.last = now
-	m := l.models[st.req.Model]
+	m := p.models[st.req.Model]
 	if m.changing || f.Hang {
 		return token.Token{}
 	}
-	rate := l.rate(f.Slowness)
+	rate := p.rate(f.Slowness)
 	if !st.prefilled {
 		st.prefilled = true
-		st.credit = -rate * l.prefill(st, m.version, now)
+		st.credit = -rate * p.prefill(st, m.version, now)
 	}
 	st.credit += rate * elapsed
 	n := min(int64(math.Floor(max(0, st.credit))), st.length-st.made)
 	st.credit -= float64(n)
-	return l.make(st, m.version, n, f.Silent)
+	return p.make(st, m.version, n, f.Silent)
 }
 
-func (l *life) make(st *stream, version string, n int64, silent bool) token.Token {
+func (p *process) make(st *stream, version string, n int64, silent bool) token.Token {
 	var b strings.Builder
 	for range n {
 		b.WriteString(st.text.Word(version, st.made))
 		st.made++
 	}
 	t := token.Token{Text: b.String(), Tokens: n, Version: version}
-	if silent || l.config.silent {
+	if silent || p.config.silent {
 		t.Version = ""
 	}
 	return t
@@ -121,12 +121,12 @@
 
 // prefill returns how many seconds reading the prompt takes: what the cache
 // holds of it takes none.
-func (l *life) prefill(st *stream, version string, now time.Time) float64 {
+func (p *process) prefill(st *stream, version string, now time.Time) float64 {
 	text := st.req.Prompt + st.req.Prior
-	hits := l.cache.use(hashes(st.req.Model, version, text), now)
+	hits := p.cache.use(hashes(st.req.Model, version, text), now)
 	st.read = int64(len(text) / tokenBytes)
 	st.cached = int64(hits * blockBytes / tokenBytes)
-	return float64(len(text)-hits*blockBytes) / tokenBytes / l.config.prefillRate
+	return float64(len(text)-hits*blockBytes) / tokenBytes / p.config.prefillRate
 }
 
 func writeEvent(w http.ResponseWriter, t token.Token) error {
--- a/simkv/simkv.go
+++ b/simkv/simkv.go
@@ -64,8 +64,9 @@
 	}
 )
 
-// New returns a service without keys. It serves HTTP. In a test with testing/synctest it is made inside the
-// bubble: waiting on what was made outside of it stops virtual time.
+// New returns a service without keys. It serves HTTP. In a test with
+// testing/synctest it is made inside the bubble: waiting on what was made
+// outside of it stops virtual time.
 //
 //	kv := simkv.New(simkv.WithRates(300, 2000))
 //	err := http.ListenAndServe(addr, kv)
--- a/simsrv/simsrv.go
+++ b/simsrv/simsrv.go
@@ -41,8 +41,9 @@
 	}
 )
 
-// New returns faults that are all off. In a test with testing/synctest it is made inside the
-// bubble: waiting on what was made outside of it stops virtual time.
+// New returns faults that are all off. In a test with testing/synctest they are
+// made inside the bubble: waiting on what was made outside of it stops virtual
+// time.
 //
 //	f := simsrv.New[faults]()
 //	f.Update(func(v *faults) { v.Down = true })
