Take over a killed holder's job without losing a sample

Cause: after a take-over the new holder knows which samples it owes but not the prompts, and the trainer waited without end. Change: a pull's answer names the groups whose prompts are lost, and the trainer submits them again; an unreachable holder is a true refusal. TestHolderKilled failed before (no end in ten minutes of virtual time) and passes.

--- /dev/null
+++ b/matrix/stop_test.go
@@ -0,0 +1,53 @@
+package matrix
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/jobs"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/lease"
+)
+
+// The entry that holds the pool's job is killed in the middle of a step, as by a
+// fault of its machine. Another entry takes the job over; the trainer notices at
+// most a pause, gets every sample once, and none that names wrong weights.
+func TestHolderKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, size{entries: 3, engines: 3})
+		defer w.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer cancel()
+		killed := make(chan struct{})
+		go func() {
+			defer close(killed)
+			time.Sleep(3 * time.Second)
+			w.kill(w.holder())
+		}()
+		sum, err := w.trainer(3).Run(ctx)
+		<-killed
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Samples).To(BeEquivalentTo(3 * 16))
+	})
+}
+
+// holder returns the entry that holds the pool's job, as the record says.
+func (w *world) holder() *process {
+	rec, err := keyval.New("http://"+kvIP+":80", keyval.WithHTTP(w.client)).Get(context.Background(), lease.Prefix+jobs.Pool(pool))
+	if err != nil {
+		w.t.Fatalf("reading who holds the job: %v", err)
+	}
+	for _, p := range w.entries {
+		if strings.Contains(string(rec.Value), `"`+p.name+`"`) {
+			return p
+		}
+	}
+	w.t.Fatalf("no entry is named in %s", rec.Value)
+	return nil
+}
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -198,9 +198,7 @@
 // nobody any more.
 func (w *world) kill(p *process) {
 	w.net.Kill(p.ip)
-	p.cancel()
-	<-p.done
-	p.done <- nil
+	_ = w.stop(p)
 }
 
 // stop ends a process as a planned stop does, and returns what Run returned.
@@ -223,7 +221,9 @@
 	}
 	for _, group := range [][]*process{w.entries, w.sides, w.desks} {
 		for _, p := range group {
-			<-p.done
+			if err := <-p.done; err != nil {
+				w.t.Logf("%s ended with %v", p.name, err)
+			}
 		}
 	}
 	w.client.CloseIdleConnections()
--- a/simtrn/check.go
+++ b/simtrn/check.go
@@ -41,6 +41,8 @@
 		Published string          `json:"published"`
 		Open      int64           `json:"open"`
 		Samples   []sampleMessage `json:"samples"`
+		// Missing names groups whose prompts the service has lost.
+		Missing []string `json:"missing"`
 	}
 
 	sampleMessage struct {
--- a/simtrn/simtrn.go
+++ b/simtrn/simtrn.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -108,7 +110,9 @@
 		// Failures counts calls that were tried again.
 		Failures int64 `json:"failures"`
 		// Lost counts answers to pulls that the trainer threw away on purpose.
-		Lost          int64   `json:"lost"`
+		Lost int64 `json:"lost"`
+		// Resubmitted counts groups that the service had lost.
+		Resubmitted   int64   `json:"resubmitted"`
 		Seconds       float64 `json:"seconds"`
 		IdleSeconds   float64 `json:"idleSeconds"`
 		IdleShare     float64 `json:"idleShare"`
@@ -210,13 +214,55 @@
 		for _, s := range resp.Samples {
 			t.take(s)
 		}
-		if len(resp.Samples) == 0 {
-			simsrv.Pause(ctx, emptyPause)
+		if len(resp.Samples) > 0 {
+			continue
+		}
+		if err := t.remind(ctx, resp); err != nil {
+			return err
 		}
+		simsrv.Pause(ctx, emptyPause)
 	}
 	return nil
 }
 
+// remind submits again what the service has lost with an instance: the groups
+// whose prompts it asks for, and all that lack samples when it owes fewer than
+// this trainer lacks. A group that it knows is left as it is.
+func (t *Trainer) remind(ctx context.Context, resp pullResponse) error {
+	lost := make(map[string]bool)
+	for _, id := range resp.Missing {
+		lost[id] = true
+	}
+	var in groupsRequest
+	for _, id := range slices.Sorted(maps.Keys(t.groups)) {
+		if lost[id] || resp.Open < t.owed() && t.lacks(t.groups[id]) {
+			in.Groups = append(in.Groups, t.groups[id])
+		}
+	}
+	if len(in.Groups) == 0 {
+		return nil
+	}
+	t.sum.Resubmitted += int64(len(in.Groups))
+	return t.call(ctx, "/groups", callTimeout, in, nil)
+}
+
+func (t *Trainer) owed() int64 {
+	n := 0
+	for _, missing := range t.missing {
+		n += missing
+	}
+	return int64(n)
+}
+
+func (t *Trainer) lacks(g groupMessage) bool {
+	for i := range g.Samples {
+		if !t.seen[g.sampleID(i)] {
+			return true
+		}
+	}
+	return false
+}
+
 // acknowledge sends the last cursor, so that the service can forget the last
 // offer.
 func (t *Trainer) acknowledge(ctx context.Context) error {
--- a/train/train.go
+++ b/train/train.go
@@ -7,11 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/fault"
@@ -129,7 +131,7 @@
 		TimeoutMs: timeout.Milliseconds(),
 	}))
 	if err != nil {
-		return 0, nil, &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: "the holder gave no answer: " + err.Error()}
+		return 0, nil, unanswered(err)
 	}
 	if resp.Msg.GetNotHolder() {
 		return 0, nil, &fault.NotRunError{Cause: CauseNoHolder, Reason: "the job has just moved", RetryAfter: noHolderRetry}
@@ -137,6 +139,19 @@
 	return int(resp.Msg.GetStatus()), resp.Msg.GetBody(), nil
 }
 
+// unanswered says what is known when the holder gave no answer: nothing ran if no
+// connection to it could be opened.
+func unanswered(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == opDial {
+		return &fault.NotRunError{Cause: CauseNoHolder, Reason: "the holder cannot be reached", RetryAfter: noHolderRetry}
+	}
+	return &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: "the holder gave no answer: " + err.Error()}
+}
+
+// opDial is what package net calls the opening of a connection.
+const opDial = "dial"
+
 // pullWait reads how long a pull may wait, so that the way to the holder waits
 // longer. What cannot be read here is refused there.
 func pullWait(body []byte) time.Duration {
