Keep prompts and samples on two disks; count a trainer's waiting whole

The holder copies each prompt and finished sample to two of the entries with a disk, by rendezvous order; a successor reads them. Weighed: the key-value service (prompts of 32 KB make 16 MB a step, against values of 1 MB and several hundred writes a second) and the trainer alone (samples made anew).

--- a/door/door.go
+++ b/door/door.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -106,7 +107,7 @@
 	d := &Door{
 		engine:  engine,
 		gate:    gate,
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		poll:    defaultPoll,
 		orders:  turn.New(),
 		settled: make(chan struct{}),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/beats"
+	"github.com/lavendermux/lavendermux/bulk"
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/counts"
@@ -70,8 +72,10 @@
 		ops   *opapi.API
 		jobs  *jobrun.Runner
 		seen  *observ.Observer
-		keys  *tokens.Keys
-		tls   *tls.Config
+		// disk is nil without a data folder.
+		disk *bulk.Store
+		keys *tokens.Keys
+		tls  *tls.Config
 
 		leaving atomic.Bool
 
@@ -91,7 +95,7 @@
 	e := &Entry{
 		cfg:     cfg,
 		net:     netset.New(),
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		boot:    time.Now().UnixNano(),
 		conf:    confs.New(),
 		view:    fleet.New(),
@@ -181,6 +185,14 @@
 // nothing more, stops its jobs and hands their leases back, and ends when the
 // last request in flight has its answer.
 func (e *Entry) Run(ctx context.Context) error {
+	if e.cfg.DataFolder != "" {
+		disk, err := bulk.Open(e.cfg.DataFolder, bulk.WithLimit(int64(e.cfg.DataLimit)))
+		if err != nil {
+			return err
+		}
+		e.disk = disk
+		defer func() { _ = disk.Close() }()
+	}
 	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.Listen))
 	if err != nil {
 		return err
@@ -284,7 +296,7 @@
 	if e.leaving.Load() {
 		return nil
 	}
-	var out []string
+	out := []string{jobs.Sweep}
 	for name := range e.conf.Pools() {
 		out = append(out, jobs.Pool(name))
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/action"
+	"github.com/lavendermux/lavendermux/change"
+	"github.com/lavendermux/lavendermux/copies"
 	"github.com/lavendermux/lavendermux/deed"
 	"github.com/lavendermux/lavendermux/feed"
 	"github.com/lavendermux/lavendermux/holder"
@@ -21,12 +23,20 @@
 // the same lease.
 const restartPause = time.Second
 
+// sweepEvery is how often the marks of deleted resources are looked through. At
+// 1,800 changes a day, all of them deletions, an hour leaves 75 to be read.
+const sweepEvery = time.Hour
+
 // do does one job until its lease is lost.
 func (e *Entry) do(ctx context.Context, job string, fence int64) {
 	for ctx.Err() == nil {
-		if name, isPool := jobs.PoolOf(job); isPool {
+		name, isPool := jobs.PoolOf(job)
+		switch {
+		case isPool:
 			e.runPool(ctx, name, fence)
-		} else {
+		case job == jobs.Sweep:
+			e.runSweep(ctx)
+		default:
 			e.runHomes(ctx, jobs.ServiceOf(job))
 		}
 		select {
@@ -36,15 +46,33 @@
 	}
 }
 
+// runSweep removes the marks of long deleted resources from time to time.
+func (e *Entry) runSweep(ctx context.Context) {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if _, err := change.New(e.store).Sweep(ctx); err != nil {
+				e.log.Warn("marks of deleted resources not removed", "err", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (e *Entry) runPool(ctx context.Context, name string, fence int64) {
+	kept := copies.New(fence, e.view, e.dial)
 	open := func(ctx context.Context, sub string, config func() subscr.Subscription) (*feed.Feed, error) {
-		return feed.Open(ctx, sub, fence, config, e.store, feed.WithLog(e.log), feed.WithObserver(e.seen))
+		return feed.Open(ctx, sub, fence, config, e.store, feed.WithLog(e.log), feed.WithObserver(e.seen),
+			feed.WithBulk(kept))
 	}
 	h := holder.New(name, fence, e.conf, open, holder.WithLog(e.log))
 	s := swaps.New(name, fence, h.Pool, h.Want, e.view, e.dial,
 		swaps.WithLog(e.log), swaps.WithReasons(e.seen.Deed))
 	m := maker.New(name, h.Pool, h.Feeds, e.relay, e.view, s.Loaded,
-		maker.WithScorer(e.scorer), maker.WithLog(e.log))
+		maker.WithScorer(e.scorer), maker.WithBulk(kept), maker.WithLog(e.log))
 	e.seen.Deed(object.KindPool, name, deed.Deed{
 		Verb:  deed.VerbTakeOver,
 		What:  "the job of pool " + name + " taken over",
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,6 +4,9 @@
 	"context"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/bulk"
+	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/hub"
 	"github.com/lavendermux/lavendermux/wire"
 )
@@ -29,14 +32,44 @@
 
 // Keep implements wireconnect.PeerServiceHandler.
 func (h *peerHandler) Keep(
-	context.Context, *connect.Request[wire.KeepRequest],
+	_ context.Context, req *connect.Request[wire.KeepRequest],
 ) (*connect.Response[wire.KeepResponse], error) {
-	return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	disk := h.entry.disk
+	if disk == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	}
+	var err error
+	if req.Msg.GetDrop() {
+		err = disk.Drop(req.Msg.GetKey(), req.Msg.GetFence())
+	} else {
+		err = disk.Keep(req.Msg.GetKey(), req.Msg.GetValue(), req.Msg.GetFence())
+	}
+	var (
+		old  *fault.OldFenceError
+		full *bulk.FullError
+	)
+	switch {
+	case errors.As(err, &old):
+		return connect.NewResponse(&wire.KeepResponse{OldFence: true}), nil
+	case errors.As(err, &full):
+		return nil, connect.NewError(connect.CodeResourceExhausted, full)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&wire.KeepResponse{}), nil
 }
 
 // Kept implements wireconnect.PeerServiceHandler.
 func (h *peerHandler) Kept(
-	context.Context, *connect.Request[wire.KeptRequest],
+	_ context.Context, req *connect.Request[wire.KeptRequest],
 ) (*connect.Response[wire.KeptResponse], error) {
-	return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	disk := h.entry.disk
+	if disk == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	}
+	found, more, err := disk.Kept(req.Msg.GetPrefix(), req.Msg.GetAfterKey())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&wire.KeptResponse{Blobs: found, More: more}), nil
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -69,9 +70,11 @@
 		published time.Time
 		every     time.Duration
 		duration  time.Duration
-		idle      time.Time
-		// lastPull is when the trainer's time was last counted.
-		lastPull  time.Time
+		// idle is when the first pull of the trainer's present wait came.
+		idle time.Time
+		// begun is when the pull under way came, pulled when the last one ended.
+		begun     time.Time
+		pulled    time.Time
 		overtaken error
 		stats     stats
 
@@ -79,6 +82,8 @@
 		// unknown; guarded by saving.
 		revision int64
 		pending  []string
+		// targets names where the copies are; guarded by saving.
+		targets string
 		// downUntil is guarded by mu: until then the service is not asked again.
 		downUntil time.Time
 	}
@@ -100,6 +105,7 @@
 		KeepSample(ctx context.Context, subscription string, s sample.Sample) error
 		DropGroup(ctx context.Context, subscription, group string)
 		Load(ctx context.Context, subscription string) ([]grpreq.Group, []sample.Sample, error)
+		Targets(subscription string) string
 	}
 
 	// observer counts what the trainer got. Its zero, unseen, forgets it.
@@ -181,7 +187,7 @@
 		store:    s,
 		bulk:     none{},
 		seen:     unseen{},
-		log:      log.New(nil),
+		log:      log.New(io.Discard),
 		gather:   defaultGather,
 		pulls:    turn.New(),
 		saving:   turn.New(),
@@ -264,9 +270,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range groups {
-		if f.book.Groups[g.ID] != nil {
-			f.insert(g)
+		if f.book.Groups[g.ID] == nil {
+			go f.bulk.DropGroup(context.WithoutCancel(ctx), f.name, g.ID)
+			continue
 		}
+		f.insert(g)
 	}
 	for i := range samples {
 		f.fill(&samples[i])
@@ -327,6 +335,7 @@
 func (none) KeepGroup(context.Context, string, grpreq.Group) error   { return nil }
 func (none) KeepSample(context.Context, string, sample.Sample) error { return nil }
 func (none) DropGroup(context.Context, string, string)               {}
+func (none) Targets(string) string                                   { return "" }
 func (none) Load(context.Context, string) ([]grpreq.Group, []sample.Sample, error) {
 	return nil, nil, nil
 }
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -33,7 +33,7 @@
 		Every:           f.every,
 		Step:            1,
 		Duration:        f.duration,
-		Idle:            f.idle,
+		Idle:            f.idleSince(now),
 		IdleWeight:      config.IdleWeight,
 		StalenessWeight: config.StalenessWeight,
 	}
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -18,6 +18,9 @@
 	// offer is recorded before it leaves, and the key-value service takes several
 	// hundred writes a second in all.
 	defaultGather = 200 * time.Millisecond
+	// betweenPulls is the longest time between two pulls of one wait; a trainer
+	// that stays away longer is training.
+	betweenPulls = time.Second
 	// maxMissing bounds how many lost groups one answer names.
 	maxMissing = 64
 )
@@ -33,6 +36,8 @@
 		return nil, &fault.NotRunError{Cause: CauseBusy, Reason: "another pull of this subscription is under way"}
 	}
 	defer f.pulls.Give()
+	f.waits(time.Now())
+	defer f.waited()
 	c, err := f.settle(text)
 	if err != nil {
 		return nil, err
@@ -165,21 +170,16 @@
 func (f *Feed) await(ctx context.Context, most int, wait time.Duration) []*sample.Sample {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
-	defer f.wasIdle()
 	var enough <-chan time.Time
 	for {
 		f.mu.Lock()
 		picked, lacking := f.pick(most)
 		changed := f.changed
-		if len(picked) == 0 && lacking && f.idle.IsZero() {
-			f.idle = time.Now()
-		}
 		f.mu.Unlock()
 		if len(picked) >= most || (len(picked) > 0 && !lacking) {
 			return picked
 		}
 		if len(picked) > 0 && enough == nil {
-			f.wasIdle()
 			timer := time.NewTimer(f.gather)
 			defer timer.Stop()
 			enough = timer.C
@@ -196,21 +196,39 @@
 	}
 }
 
-// wasIdle counts the time in which the trainer had nothing.
-func (f *Feed) wasIdle() {
+// waits notes that a pull has come. Pulls that follow each other closely are one
+// wait: the trainer lacks something of its step until it goes off to train.
+func (f *Feed) waits(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := time.Now()
-	waited := time.Duration(0)
-	if !f.idle.IsZero() {
-		waited = now.Sub(f.idle)
-		f.idle = time.Time{}
+	if f.idle.IsZero() || now.Sub(f.pulled) > betweenPulls {
+		f.idle = now
 	}
+	f.begun = now
+}
+
+// waited counts the time of a pull as the trainer's waiting, out of the time
+// since the last pull ended.
+func (f *Feed) waited() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	waited := now.Sub(f.begun)
 	f.stats.IdleSeconds += waited.Seconds()
-	if !f.lastPull.IsZero() {
-		f.seen.Idle(f.name, waited, max(waited, now.Sub(f.lastPull)), f.config().Pool)
+	if !f.pulled.IsZero() {
+		f.seen.Idle(f.name, waited, now.Sub(f.pulled), f.config().Pool)
+	}
+	f.begun = time.Time{}
+	f.pulled = now
+}
+
+// idleSince is since when the trainer waits; zero while it trains. The caller
+// holds mu.
+func (f *Feed) idleSince(now time.Time) time.Time {
+	if f.begun.IsZero() && now.Sub(f.pulled) > betweenPulls {
+		return time.Time{}
 	}
-	f.lastPull = now
+	return f.idle
 }
 
 // pick chooses ready samples that are fresh now, oldest step first, and tells
--- a/feed/record.go
+++ b/feed/record.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/grpreq"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/ledger"
 	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/sample"
 )
 
 const (
@@ -58,8 +60,10 @@
 
 // Save records the ledger if something in it has not been recorded, and returns
 // what Overtaken does. The holder calls it again and again, so that an outage
-// ends with everything recorded.
+// ends with everything recorded. It also copies everything again when the
+// instances with disks have changed.
 func (f *Feed) Save(ctx context.Context) error {
+	f.copyAgain(ctx)
 	f.mu.Lock()
 	dirty := f.book.Unrecorded()
 	f.mu.Unlock()
@@ -163,3 +167,49 @@
 func (f *Feed) key() string {
 	return KeyPrefix + f.name
 }
+
+// copyAgain copies what this holder has to disks that have come in place of
+// others. Without it the copies would dwindle as instances are replaced, and the
+// loss of the holder would one day cost what it held.
+func (f *Feed) copyAgain(ctx context.Context) {
+	targets := f.bulk.Targets(f.name)
+	if f.saving.Take(ctx) != nil {
+		return
+	}
+	same := targets == f.targets
+	f.targets = targets
+	f.saving.Give()
+	if same || targets == "" {
+		return
+	}
+	groups, samples := f.held()
+	for _, g := range groups {
+		if err := f.bulk.KeepGroup(ctx, f.name, g); err != nil {
+			f.log.Warn("a prompt is in memory only", "subscription", f.name, "group", g.ID, "err", err)
+		}
+	}
+	for _, s := range samples {
+		if err := f.bulk.KeepSample(ctx, f.name, s); err != nil {
+			f.log.Warn("a sample is in memory only", "subscription", f.name, "sample", s.ID, "err", err)
+		}
+	}
+}
+
+// held returns copies of the open groups and of the samples that are ready.
+func (f *Feed) held() ([]grpreq.Group, []sample.Sample) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var (
+		groups  []grpreq.Group
+		samples []sample.Sample
+	)
+	for _, g := range f.groups {
+		groups = append(groups, g.Group)
+		for _, s := range g.slots {
+			if s.ready != nil {
+				samples = append(samples, *s.ready)
+			}
+		}
+	}
+	return groups, samples
+}
--- a/feed/submit.go
+++ b/feed/submit.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/grpreq"
+	"golang.org/x/sync/errgroup"
 )
 
 // Submit takes in groups and returns how many are new. A group that is known
@@ -22,11 +23,7 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, g := range added {
-		if err := f.bulk.KeepGroup(ctx, f.name, g); err != nil {
-			f.log.Warn("a prompt is in memory only", "subscription", f.name, "group", g.ID, "err", err)
-		}
-	}
+	f.copyGroups(ctx, added)
 	if len(added) == 0 {
 		return 0, f.Overtaken()
 	}
@@ -39,6 +36,26 @@
 	return len(added), err
 }
 
+// copyGroups copies prompts to disks, several at a time: a step of 512 groups
+// would otherwise wait for as many answers, one after the other.
+func (f *Feed) copyGroups(ctx context.Context, groups []grpreq.Group) {
+	var g errgroup.Group
+	g.SetLimit(copiesAtOnce)
+	for _, group := range groups {
+		g.Go(func() error {
+			if err := f.bulk.KeepGroup(ctx, f.name, group); err != nil {
+				f.log.Warn("a prompt is in memory only", "subscription", f.name, "group", group.ID, "err", err)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
+
+// copiesAtOnce bounds the copies under way: a disk writes those that come
+// together in one go.
+const copiesAtOnce = 32
+
 // add checks all groups before it takes in the first.
 func (f *Feed) add(groups []grpreq.Group) ([]grpreq.Group, error) {
 	var bad fault.FieldsError
--- a/front/front.go
+++ b/front/front.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"io"
 	"net/http"
 	"time"
 
@@ -77,7 +78,7 @@
 		relay:   relay,
 		conf:    conf,
 		count:   uncounted{},
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		maxBody: defaultMaxBody,
 	}
 	for _, opt := range opts {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -73,7 +74,7 @@
 		fence:   fence,
 		conf:    conf,
 		open:    open,
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		feeds:   map[string]*feed.Feed{},
 		opening: map[string]error{},
 	}
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -203,7 +203,7 @@
 	case h.table == nil && leading:
 		h.begin(ctx, now)
 	case h.table != nil && now.Sub(h.wanted) >= h.linger:
-		h.log.Info("no longer hub", "instance", h.self().GetInstance())
+		h.log.Info("no longer hub", "dataCentre", h.self().GetDataCentre())
 		h.stop()
 		h.table = nil
 	case h.table != nil:
@@ -214,7 +214,7 @@
 
 func (h *Hub) begin(ctx context.Context, now time.Time) {
 	self := h.self()
-	h.log.Info("acting as hub", "instance", self.GetInstance(), "dataCentre", self.GetDataCentre())
+	h.log.Info("acting as hub", "dataCentre", self.GetDataCentre())
 	h.table = member.New(self.GetDataCentre(), tableBoot(self.GetInstance(), now))
 	h.table.Seed(now, h.view.Entries(), h.view.Endpoints(""))
 	ctx, h.stop = context.WithCancel(ctx)
--- a/jobrun/jobrun.go
+++ b/jobrun/jobrun.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -60,7 +61,7 @@
 		wanted: wanted,
 		keeper: keeper,
 		do:     do,
-		log:    log.New(nil),
+		log:    log.New(io.Discard),
 		wake:   make(chan struct{}, 1),
 		jobs:   map[string]*job{},
 	}
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -6,6 +6,10 @@
 const (
 	poolPrefix = "pool/"
 	homePrefix = "home/"
+
+	// Sweep names the job that removes the marks of deleted resources once
+	// nothing can bring them back.
+	Sweep = "sweep"
 )
 
 // Pool names the job that runs a pool: its subscriptions' delivery, the starts
--- a/maker/maker.go
+++ b/maker/maker.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -108,7 +109,7 @@
 		fleet:   f,
 		loaded:  loaded,
 		scorer:  func(string) scorer { return nil },
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		choose:  sched.New(),
 		bulk:    none{},
 		running: map[string]*run{},
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -59,6 +59,7 @@
 		desks    []*process
 		client   *http.Client
 		log      *bytes.Buffer
+		folders  []string
 	}
 
 	// process is one of the system's processes.
@@ -72,6 +73,8 @@
 	size struct {
 		entries, engines, desks int
 		engine                  []simeng.Option
+		// disks is how many of the entries have one.
+		disks int
 	}
 )
 
@@ -113,6 +116,9 @@
 		w.list.Put(insts.Instance{ID: deskName(i), Role: insts.RoleEndpoint, Service: deskService, DataCentre: dataCentre(i),
 			Region: "ee-north", Address: deskIP(i) + ":80", State: insts.StateLive})
 	}
+	for range n.disks {
+		w.folders = append(w.folders, t.TempDir())
+	}
 	for i := range n.entries {
 		w.entries = append(w.entries, w.startEntry(i))
 	}
@@ -165,6 +171,9 @@
 	cfg.Listen, cfg.PeerListen = entryIP(i)+":80", entryIP(i)+":81"
 	cfg.KeyValue, cfg.InstanceList, cfg.WeightStore = "http://"+kvIP+":80", "http://"+listIP+":80", "http://"+weightsIP+":80"
 	cfg.ReadyGrace = span.Duration(time.Second)
+	if i < len(w.folders) {
+		cfg.DataFolder = w.folders[i]
+	}
 	e := entry.New(cfg, entry.WithNet(w.netOf(entryIP(i))), entry.WithLog(w.logger(cfg.Instance)))
 	return w.run(entryIP(i), cfg.Instance, e.Run)
 }
--- a/side/side.go
+++ b/side/side.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -70,7 +71,7 @@
 	s := &Side{
 		cfg:  cfg,
 		net:  netset.New(),
-		log:  log.New(nil),
+		log:  log.New(io.Discard),
 		conf: confs.New(),
 		boot: time.Now().UnixNano(),
 	}
--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"io"
 	"strconv"
 	"sync"
 	"time"
@@ -108,7 +109,7 @@
 		want:  want,
 		fleet: f,
 		dial:  d,
-		log:   log.New(nil),
+		log:   log.New(io.Discard),
 		why:   func(string, string, deed.Deed) {},
 		rolls: map[string]*roll{},
 		known: map[string]*knowledge{},
--- a/train/train.go
+++ b/train/train.go
@@ -70,7 +70,7 @@
 //	t := train.New(conf, local, view, dialer)
 //	t.Register(router)
 func New(conf *confs.Cache, l local, f fleet, d dialer, opts ...Option) *Train {
-	t := &Train{conf: conf, local: l, fleet: f, dial: d, log: log.New(nil)}
+	t := &Train{conf: conf, local: l, fleet: f, dial: d, log: log.New(io.Discard)}
 	for _, opt := range opts {
 		opt(t)
 	}
