Answer outside of the lock where an answer may be long

Cause: an export of a KV cache or a long list of bookings to a client that does not read held the stand-in's lock, and in virtual time a goroutine that waits for a lock stops the clock. Change: both are gathered under the lock and written without it.

--- a/simeng/handlers.go
+++ b/simeng/handlers.go
@@ -1,7 +1,7 @@
 package simeng
 
 import (
-	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -170,15 +170,23 @@
 		simsrv.Fail(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	cache, found := s.export(p, id)
+	if !found {
+		simsrv.Fail(w, http.StatusNotFound, id+" does not run")
+		return
+	}
+	_, _ = io.WriteString(w, cache)
+}
+
+func (s *Server) export(p *process, id string) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := p.streams[id]
 	if st == nil {
-		simsrv.Fail(w, http.StatusNotFound, id+" does not run")
-		return
+		return "", false
 	}
 	version := p.models[st.req.Model].version
-	_, _ = fmt.Fprintf(w, "%s@%s:%s", st.req.Model, version, st.req.Prompt+st.req.Prior)
+	return st.req.Model + "@" + version + ":" + st.req.Prompt + st.req.Prior, true
 }
 
 // handleImport puts an exported KV cache in the prefix cache. One that other
--- a/simsvc/simsvc.go
+++ b/simsvc/simsvc.go
@@ -5,6 +5,7 @@
 package simsvc
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -189,14 +190,18 @@
 }
 
 func (s *Server) handleRan(w http.ResponseWriter, _ *http.Request) {
+	simsrv.Reply(w, http.StatusOK, s.ran())
+}
+
+func (s *Server) ran() ranResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	resp := ranResponse{Bookings: []run{}, Status: s.status}
+	resp := ranResponse{Bookings: []run{}, Status: maps.Clone(s.status)}
 	for b, n := range s.runs {
 		resp.Bookings = append(resp.Bookings, run{booking: b, Runs: n})
 	}
 	slices.SortFunc(resp.Bookings, func(a, b run) int {
 		return strings.Compare(a.Slot+"\x00"+a.Family+"\x00"+a.Key, b.Slot+"\x00"+b.Family+"\x00"+b.Key)
 	})
-	simsrv.Reply(w, http.StatusOK, resp)
+	return resp
 }
