--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,13 +139,13 @@
 func (e *Entry) membership() {
 	seed := uint64(e.boot)
 	e.hub = hub.New(e.describe, e.conf, e.store,
-		hub.WithHTTP(e.net.Peers()),
+		hub.WithHTTP(e.net.Control()),
 		hub.WithLeading(func() bool { return e.beats.Leading() }),
 		hub.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
 		hub.WithView(e.view), hub.WithSeed(seed), hub.WithLogger(e.log))
 	e.beats = beats.New(func() *wire.BeatRequest { return &wire.BeatRequest{Entry: e.describe()} },
 		e.list.List, e.conf,
-		beats.WithHTTP(e.net.Peers()), beats.WithView(e.view), beats.WithLocal(e.hub),
+		beats.WithHTTP(e.net.Control()), beats.WithView(e.view), beats.WithLocal(e.hub),
 		beats.WithSeed(seed), beats.WithLogger(e.log))
 	e.jobs = jobrun.New(e.wantedJobs, e.keeper, e.do, jobrun.WithLog(e.log))
 }
@@ -305,13 +305,15 @@
 		lease.WithLogger(e.log))
 }
 
-// candidates are the entries that may hold jobs.
+// candidates are the entries that may hold jobs. The instance list is among
+// their sources, since an entry that has just started knows few members: all
+// entries of a fleet that restarts would take themselves for the first candidate
+// of every job and ask the key-value service at once.
 func (e *Entry) candidates() []string {
 	out := []string{e.cfg.Instance}
-	for _, s := range e.view.Entries() {
-		if !s.GetLeaving() && !s.GetGone() && s.GetInstance() != e.cfg.Instance {
-			out = append(out, s.GetInstance())
-		}
+	for _, c := range e.beats.Candidates() {
+		out = append(out, c.ID)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/steps/trainer.go
+++ b/steps/trainer.go
@@ -32,7 +32,7 @@
 		idleness  float64
 		staleness float64
 
-		next    func([]slot.Slot, int, int64, time.Time) []start.Start
+		next    func([]slot.Slot, int, time.Time) []start.Start
 		rng     *rand.Rand
 		ready   int
 		held    int
@@ -44,7 +44,6 @@
 		idle    time.Time
 		idled   time.Duration
 		waves   []*wave
-		passed  bool
 		count   int
 		tokens  float64
 		length  float64
@@ -133,7 +132,10 @@
 			i := g*t.group + k
 			length := scale * math.Exp(sampleSpread*t.rng.NormFloat64())
 			w.lengths[i] = int64(min(length, longest*t.median)) + 1
-			w.slots[i] = slot.Slot{Group: g, Expected: int64(guess) + 1}
+			w.slots[i] = slot.Slot{Group: g}
+			if p.Noise >= 0 {
+				w.slots[i].Expected = int64(guess) + 1
+			}
 		}
 	}
 	t.waits += t.step
@@ -283,20 +285,18 @@
 func (p *Play) ask() {
 	p.demands = p.demands[:0]
 	for _, t := range p.trainers {
-		p.demands = append(p.demands, t.demand())
+		p.demands = append(p.demands, t.demand(p))
 	}
 }
 
-func (t *trainer) demand() demand.Demand {
+func (t *trainer) demand(p *Play) demand.Demand {
 	d := demand.Demand{
-		Trainer: strconv.Itoa(t.index), Bound: t.bound, Version: t.version, Loaded: t.version,
+		Duration: seconds(t.mean() / p.Speed),
+		Trainer:  strconv.Itoa(t.index), Bound: t.bound, Version: t.version, Loaded: t.version,
 		Published: t.since, Every: t.every, Step: t.step, Idle: t.idle,
 		IdleWeight: t.idleness, StalenessWeight: t.staleness,
 		Ready: t.ready, Held: t.held, Waiting: t.waits,
 	}
-	if t.passed {
-		d.Waiting = 0
-	}
 	return d
 }
 
