--- a/cmd/measure/roles.go
+++ b/cmd/measure/roles.go
@@ -46,7 +46,7 @@
 			if height > 2 {
 				bursts = "live x4"
 			}
-			t.add([]string{bursts, c.name}, "%.3g", &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
+			t.add([]string{bursts, c.name}, &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
 		}
 	}
 	t.print()
--- a/cmd/measure/rollouts.go
+++ b/cmd/measure/rollouts.go
@@ -35,6 +35,7 @@
 		"roles":    playRoles,
 		"starts":   playStarts,
 		"trainers": playTrainers,
+		"weights":  playWeights,
 	}
 	only := c.Only
 	if len(only) == 0 {
@@ -72,10 +73,10 @@
 }
 
 // add appends a row: its names, then mean ± deviation over seeds of each series.
-func (t *table) add(names []string, format string, series ...*tally.Series) {
+func (t *table) add(names []string, series ...*tally.Series) {
 	row := slices.Clone(names)
 	for _, s := range series {
-		row = append(row, fmt.Sprintf(format+" ± "+format, s.Mean(), s.Deviation()))
+		row = append(row, fmt.Sprintf("%.3g ± %.2g", s.Mean(), s.Deviation()))
 	}
 	t.grid.Add(row...)
 }
--- a/cmd/measure/starts.go
+++ b/cmd/measure/starts.go
@@ -69,7 +69,7 @@
 				wasted.Add(r.wasted)
 				moved.Add(r.moved)
 			}
-			t.add([]string{l.name, c.name}, "%.3g", &p50, &p99, &idle, &wasted, &moved)
+			t.add([]string{l.name, c.name}, &p50, &p99, &idle, &wasted, &moved)
 		}
 	}
 	t.print()
--- a/cmd/measure/trainers.go
+++ b/cmd/measure/trainers.go
@@ -56,7 +56,7 @@
 			if l.longer > 1 {
 				load += ", long samples"
 			}
-			t.add([]string{load, c.name}, "%.3g",
+			t.add([]string{load, c.name},
 				&s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
 		}
 	}
--- /dev/null
+++ b/cmd/measure/weights.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/fetch"
+	"github.com/lavendermux/lavendermux/order"
+	"github.com/lavendermux/lavendermux/pace"
+	"github.com/lavendermux/lavendermux/tally"
+	"github.com/lavendermux/lavendermux/task"
+	"github.com/lavendermux/lavendermux/worker"
+)
+
+type (
+	weightsCase struct {
+		name string
+		run  func(p *fetch.Play, seed uint64) [8]float64
+	}
+
+	// greedy is the plain baseline: every worker fetches as soon as it may, and
+	// switches as soon as it can, or once all hold the version.
+	greedy struct {
+		together bool
+	}
+
+	// blind hides the live load from a roll-out.
+	blind struct {
+		*pace.Roll
+	}
+)
+
+// Next asks everyone for everything that is left to do.
+func (g *greedy) Next(workers []worker.Worker, now time.Time) []task.Task {
+	bare := false
+	for i := range workers {
+		s := workers[i].State
+		bare = bare || s == worker.Bare || s == worker.Staging
+	}
+	var tasks []task.Task
+	for i := range workers {
+		w := &workers[i]
+		switch {
+		case now.Before(w.NotBefore):
+		case w.State == worker.Bare:
+			tasks = append(tasks, task.Task{Worker: w.Name, Kind: order.Stage})
+		case w.State == worker.Staged && (!g.together || !bare):
+			tasks = append(tasks, task.Task{Worker: w.Name, Kind: order.Switch})
+		}
+	}
+	return tasks
+}
+
+// Next is the roll-out's own without the live load.
+func (b *blind) Next(workers []worker.Worker, now time.Time) []task.Task {
+	hidden := slices.Clone(workers)
+	for i := range hidden {
+		hidden[i].Live = 0
+	}
+	return b.Roll.Next(hidden, now)
+}
+
+// Refused does nothing.
+func (g *greedy) Refused() {}
+
+// State says nothing.
+func (g *greedy) State() string { return "" }
+
+// playWeights plays roll-outs over 700 workers with a store that grants three
+// fetches a second, of which others ask for up to one.
+func playWeights(seeds int) {
+	paced := func(opts ...pace.Option) func(p *fetch.Play, seed uint64) [8]float64 {
+		return func(p *fetch.Play, seed uint64) [8]float64 {
+			opts := append([]pace.Option{pace.WithRate(p.Rate)}, opts...)
+			return weightsRow(p, seed, pace.New(opts...))
+		}
+	}
+	cases := []weightsCase{
+		{"no limit, each switches at once", func(p *fetch.Play, seed uint64) [8]float64 { return weightsRow(p, seed, &greedy{}) }},
+		{"no limit, all together", func(p *fetch.Play, seed uint64) [8]float64 { return weightsRow(p, seed, &greedy{together: true}) }},
+		{"pace", paced()},
+		{"pace, blind to live load", func(p *fetch.Play, seed uint64) [8]float64 {
+			return weightsRow(p, seed, &blind{pace.New(pace.WithRate(p.Rate))})
+		}},
+		{"pace, growth 2", paced(pace.WithGrowth(2))},
+		{"pace, growth 32", paced(pace.WithGrowth(32))},
+		{"pace, quorum 0.9", paced(pace.WithQuorum(0.9))},
+		{"pace, quorum 1", paced(pace.WithQuorum(1))},
+	}
+	plays := []struct {
+		name string
+		play fetch.Play
+	}{
+		{"calm", fetch.Play{}},
+		{"a switch takes 1 s", fetch.Play{Turn: time.Second}},
+		{"1% fail, 1% silent", fetch.Play{Fail: 0.01, Gone: 0.01}},
+		{"others take a third", fetch.Play{Fail: 0.01, Others: 1}},
+		{"version does not load", fetch.Play{Bad: 1}},
+		{"version fails in use", fetch.Play{BadUse: 1}},
+		{"version fails half the time", fetch.Play{Bad: 0.5}},
+	}
+	t := newTable("load", "way", "staged s", "whole s", "switch s", "refused", "failed loads", "failed switches", "live beside loading", "halted")
+	for _, l := range plays {
+		for _, c := range cases {
+			runs := each(seeds, func(seed uint64) [8]float64 {
+				play := l.play
+				play.Workers, play.Rate, play.Long = 700, 3, 10*time.Minute
+				play.Turn = max(play.Turn, 300*time.Millisecond)
+				return c.run(&play, seed)
+			})
+			var s [8]tally.Series
+			for _, r := range runs {
+				for i, v := range r {
+					s[i].Add(v)
+				}
+			}
+			t.add([]string{l.name, c.name}, &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6], &s[7])
+		}
+	}
+	fmt.Println("600 s stands for never.")
+	fmt.Println()
+	t.print()
+}
+
+func weightsRow(p *fetch.Play, seed uint64, h interface {
+	Next(workers []worker.Worker, now time.Time) []task.Task
+	Refused()
+	State() string
+}) [8]float64 {
+	r := p.Run(seed, h)
+	halted := 0.0
+	if r.State == pace.Halted || r.State == pace.Partial {
+		halted = 1
+	}
+	return [8]float64{
+		r.Staged, r.Whole, r.Switch, float64(r.Refused), float64(r.Failed), float64(r.Down), r.Live, halted,
+	}
+}
--- a/pace/options.go
+++ b/pace/options.go
@@ -11,7 +11,7 @@
 		holders  int
 		patience time.Duration
 		quorum   float64
-		live     float64
+		growth   int
 	}
 )
 
@@ -39,8 +39,8 @@
 	return func(c *config) { c.quorum = share }
 }
 
-// WithLive sets above which share of slots with live requests a worker is not
-// staged while there is time; the default is 0.9.
-func WithLive(share float64) Option {
-	return func(c *config) { c.live = share }
+// WithGrowth sets how many switches may be under way for each worker that has
+// switched; the default is 8.
+func WithGrowth(n int) Option {
+	return func(c *config) { c.growth = n }
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -38,7 +38,7 @@
 	defaultHolders  = 1
 	defaultPatience = 5 * time.Minute
 	defaultQuorum   = 0.98
-	defaultLive     = 0.9
+	defaultGrowth   = 8
 
 	// A worker fails for its own reasons with the chance soundFault, and on a
 	// version that is at fault with at least badFault; doubt is the chance that a
@@ -48,9 +48,6 @@
 	badFault   = 0.5
 	doubt      = 0.001
 
-	// growth is how many switches may be under way for each that has succeeded.
-	growth = 8
-
 	// tries is how often one worker is given the version; more would only wait
 	// for a worker that is itself at fault.
 	tries = 3
@@ -65,7 +62,7 @@
 	share    float64
 	patience time.Duration
 	quorum   float64
-	live     float64
+	growth   int
 
 	began   time.Time
 	last    time.Time
@@ -86,7 +83,7 @@
 		holders:  defaultHolders,
 		patience: defaultPatience,
 		quorum:   defaultQuorum,
-		live:     defaultLive,
+		growth:   defaultGrowth,
 	}
 	for _, opt := range opts {
 		opt(&cfg)
@@ -98,7 +95,7 @@
 		credit:   1,
 		patience: cfg.patience,
 		quorum:   cfg.quorum,
-		live:     cfg.live,
+		growth:   cfg.growth,
 		state:    Fetching,
 	}
 }
@@ -123,7 +120,7 @@
 	if r.state == Halted || r.state == Partial {
 		return ask(workers, now)
 	}
-	if suspect(workers, worker.Staged) || suspect(workers, worker.Switched) {
+	if suspect(workers, worker.Bare, worker.Staged) || suspect(workers, worker.Staged, worker.Switched) {
 		r.state = Halted
 		if switched > 0 {
 			r.state = Partial
@@ -141,7 +138,7 @@
 	}
 	tasks := ask(workers, now)
 	if r.turning {
-		tasks = append(tasks, turn(workers, switched, now)...)
+		tasks = append(tasks, r.turn(workers, switched, now)...)
 	}
 	return append(tasks, r.stage(workers, staged+switched, now)...)
 }
@@ -186,7 +183,6 @@
 func (r *Roll) stage(workers []worker.Worker, shown int, now time.Time) []task.Task {
 	r.queue = r.queue[:0]
 	busy := 0
-	hurry := r.turning || now.Sub(r.began) >= r.patience/2
 	for i := range workers {
 		w := &workers[i]
 		if w.State == worker.Staging {
@@ -195,9 +191,6 @@
 		if w.State != worker.Bare || w.Failures >= tries || now.Before(w.NotBefore) {
 			continue
 		}
-		if w.Live > r.live && !hurry {
-			continue
-		}
 		r.queue = append(r.queue, i)
 	}
 	slices.SortFunc(r.queue, func(a, b int) int {
@@ -219,10 +212,10 @@
 	return tasks
 }
 
-// turn orders the switch, in waves of growth times the workers that have shown
+// turn orders the switch, in waves of growth times as many as the workers that have shown
 // that the version can be used. All at once would lose the whole pool to a
 // version that loads and then fails in use.
-func turn(workers []worker.Worker, shown int, now time.Time) []task.Task {
+func (r *Roll) turn(workers []worker.Worker, shown int, now time.Time) []task.Task {
 	busy := 0
 	for i := range workers {
 		if workers[i].State == worker.Switching || workers[i].State == worker.Unknown {
@@ -232,7 +225,7 @@
 	var tasks []task.Task
 	for i := range workers {
 		w := &workers[i]
-		if busy > growth*shown {
+		if busy > r.growth*shown {
 			break
 		}
 		if w.State == worker.Staged && w.Failures < tries && !now.Before(w.NotBefore) {
@@ -257,17 +250,17 @@
 }
 
 // suspect says whether the failures speak for a fault in the version, for the
-// step whose success is the state done: a version may load and then fail in use,
+// step from the state before to done: a version may load and then fail in use,
 // and many loads must not hide that. Each worker counts once: a worker that fails
 // three times says no more of the version than one that fails once.
-func suspect(workers []worker.Worker, done string) bool {
+func suspect(workers []worker.Worker, before, done string) bool {
 	failed, sound := 0.0, 0.0
 	for i := range workers {
 		w := &workers[i]
 		switch {
 		case w.State == worker.Switched || w.State == done:
 			sound++
-		case w.Failures > 0 && (w.State == worker.Staged) == (done == worker.Switched):
+		case w.Failures > 0 && w.State == before:
 			failed++
 		}
 	}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -26,8 +26,10 @@
 	Name string
 	// State is one of the constants of this package.
 	State string
-	// Failures counts the orders of this version that the engine itself failed;
-	// refusals of the weight store are not among them.
+	// Failures counts the orders that the engine itself failed at the step that
+	// the worker is at: to stage while it is Bare, to switch while it is Staged.
+	// It begins at 0 anew when the worker is staged. Refusals of the weight store
+	// are not among them.
 	Failures int
 	// NotBefore is when the worker may be given the next order; zero for now.
 	NotBefore time.Time
