--- a/beats/beats.go
+++ b/beats/beats.go
@@ -17,6 +17,7 @@
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/inforc"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/rota"
@@ -52,6 +53,8 @@
 		rand     *rand.Rand
 		listed   []insts.Instance
 		relistAt time.Time
+		// lone counts the rounds in a row in which no hub answered.
+		lone     int
 		rotas    []*rota.Rota
 		refused  map[string]time.Time
 		peers    map[string]peer
@@ -64,6 +67,7 @@
 		last      *wire.BeatRequest
 		digests   []*wire.DataCentreDigest
 		digestsAt time.Time
+		inForce   inforc.Tracker
 	}
 
 	// configuration is the instance's copy of the resources; confs.Cache has it.
@@ -177,7 +181,8 @@
 }
 
 // Candidates returns the entries that the instance list and the members name.
-// Members count over the list, which lags.
+// Members count over the list, which lags. An entry that says it is leaving is no
+// candidate, so that others act as hub before it ends.
 func (c *Client) Candidates() []insts.Instance {
 	c.mu.Lock()
 	listed := c.listed
@@ -185,8 +190,13 @@
 	if c.view == nil {
 		return listed
 	}
-	out := slices.Clone(listed)
-	for _, e := range c.view.Entries() {
+	members := c.view.Entries()
+	leaving := map[string]bool{}
+	for _, e := range members {
+		leaving[e.GetInstance()] = e.GetLeaving()
+	}
+	out := slices.DeleteFunc(slices.Clone(listed), func(i insts.Instance) bool { return leaving[i.ID] })
+	for _, e := range members {
 		if !e.GetLeaving() {
 			out = append(out, entry(e))
 		}
--- a/door/door.go
+++ b/door/door.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/lavendermux/lavendermux/genreq"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/token"
+	"github.com/lavendermux/lavendermux/turn"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -59,7 +61,7 @@
 
 		track attrib.Tracker
 		// orders lets one order through at a time.
-		orders sync.Mutex
+		orders *turn.Turn
 
 		mu sync.Mutex
 		// fence is the greatest fencing number seen. A door that restarts has
@@ -105,8 +107,9 @@
 	d := &Door{
 		engine:  engine,
 		gate:    gate,
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		poll:    defaultPoll,
+		orders:  turn.New(),
 		settled: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -142,8 +145,10 @@
 
 // Refresh asks the engine once what it holds.
 func (d *Door) Refresh(ctx context.Context) {
-	d.orders.Lock()
-	defer d.orders.Unlock()
+	if d.orders.Take(ctx) != nil {
+		return
+	}
+	defer d.orders.Give()
 	d.refresh(ctx)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/beats"
+	"github.com/lavendermux/lavendermux/bulk"
 	"github.com/lavendermux/lavendermux/change"
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/counts"
@@ -39,6 +42,7 @@
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/serve"
 	"github.com/lavendermux/lavendermux/spread"
+	"github.com/lavendermux/lavendermux/tokens"
 	"github.com/lavendermux/lavendermux/train"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -68,6 +72,10 @@
 		ops   *opapi.API
 		jobs  *jobrun.Runner
 		seen  *observ.Observer
+		// disk is nil without a data folder.
+		disk *bulk.Store
+		keys *tokens.Keys
+		tls  *tls.Config
 
 		leaving atomic.Bool
 
@@ -87,7 +95,7 @@
 	e := &Entry{
 		cfg:     cfg,
 		net:     netset.New(),
-		log:     log.New(nil),
+		log:     log.New(io.Discard),
 		boot:    time.Now().UnixNano(),
 		conf:    confs.New(),
 		view:    fleet.New(),
@@ -114,6 +122,17 @@
 	return func(e *Entry) { e.log = l }
 }
 
+// WithKeys sets the tokens without which nobody is let in at the door for
+// callers, trainers and operators. By default everyone is.
+func WithKeys(k *tokens.Keys) Option {
+	return func(e *Entry) { e.keys = k }
+}
+
+// WithTLS makes that door speak TLS. The default, also for nil, is plain text.
+func WithTLS(cfg *tls.Config) Option {
+	return func(e *Entry) { e.tls = cfg }
+}
+
 func (e *Entry) clients() {
 	timeout := time.Duration(e.cfg.KeyValueTimeout)
 	e.dial = dial.New(e.net.Peers())
@@ -124,13 +143,13 @@
 func (e *Entry) membership() {
 	seed := uint64(e.boot)
 	e.hub = hub.New(e.describe, e.conf, e.store,
-		hub.WithHTTP(e.net.Peers()),
+		hub.WithHTTP(e.net.Control()),
 		hub.WithLeading(func() bool { return e.beats.Leading() }),
 		hub.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
 		hub.WithView(e.view), hub.WithSeed(seed), hub.WithLogger(e.log))
 	e.beats = beats.New(func() *wire.BeatRequest { return &wire.BeatRequest{Entry: e.describe()} },
 		e.list.List, e.conf,
-		beats.WithHTTP(e.net.Peers()), beats.WithView(e.view), beats.WithLocal(e.hub),
+		beats.WithHTTP(e.net.Control()), beats.WithView(e.view), beats.WithLocal(e.hub),
 		beats.WithSeed(seed), beats.WithLogger(e.log))
 	e.jobs = jobrun.New(e.wantedJobs, e.keeper, e.do, jobrun.WithLog(e.log))
 }
@@ -141,7 +160,7 @@
 	e.front = front.New(e.relay, e.conf,
 		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
 	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
-	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log),
+	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log), opapi.WithConditions(e.conditions),
 		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
 			return e.beats.InForce(revision), nil
 		}))
@@ -166,11 +185,19 @@
 // nothing more, stops its jobs and hands their leases back, and ends when the
 // last request in flight has its answer.
 func (e *Entry) Run(ctx context.Context) error {
+	if e.cfg.DataFolder != "" {
+		disk, err := bulk.Open(e.cfg.DataFolder, bulk.WithLimit(int64(e.cfg.DataLimit)))
+		if err != nil {
+			return err
+		}
+		e.disk = disk
+		defer func() { _ = disk.Close() }()
+	}
 	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.Listen))
 	if err != nil {
 		return err
 	}
-	faces, err := serve.Start(e.cfg.Listen, e.handler(), serve.WithListen(e.net.Listen))
+	faces, err := serve.Start(e.cfg.Listen, e.handler(), serve.WithListen(e.net.Listen), serve.WithTLS(e.tls))
 	if err != nil {
 		return errors.CombineErrors(err, peers.Stop(ctx))
 	}
@@ -223,7 +250,10 @@
 	e.train.Register(r)
 	e.ops.Register(r)
 	e.seen.Register(r)
-	return r
+	if e.keys == nil {
+		return r
+	}
+	return e.keys.Guard(r, tokens.WithCallerHeader(front.CallerHeader))
 }
 
 // ready is what the platform's balancer asks.
@@ -266,7 +296,7 @@
 	if e.leaving.Load() {
 		return nil
 	}
-	var out []string
+	out := []string{jobs.Sweep}
 	for name := range e.conf.Pools() {
 		out = append(out, jobs.Pool(name))
 	}
@@ -287,13 +317,15 @@
 		lease.WithLogger(e.log))
 }
 
-// candidates are the entries that may hold jobs.
+// candidates are the entries that may hold jobs. The instance list is among
+// their sources, since an entry that has just started knows few members: all
+// entries of a fleet that restarts would take themselves for the first candidate
+// of every job and ask the key-value service at once.
 func (e *Entry) candidates() []string {
 	out := []string{e.cfg.Instance}
-	for _, s := range e.view.Entries() {
-		if !s.GetLeaving() && !s.GetGone() && s.GetInstance() != e.cfg.Instance {
-			out = append(out, s.GetInstance())
-		}
+	for _, c := range e.beats.Candidates() {
+		out = append(out, c.ID)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/sample"
 	"github.com/lavendermux/lavendermux/strag"
 	"github.com/lavendermux/lavendermux/subscr"
+	"github.com/lavendermux/lavendermux/turn"
 )
 
 const (
@@ -27,6 +29,8 @@
 
 	// CauseService says that the key-value service could not record.
 	CauseService = "keyValueService"
+	// CauseBusy says that another pull of the subscription is under way.
+	CauseBusy = "busy"
 
 	// defaultEvery is the pace of new versions before two have been seen.
 	defaultEvery = 10 * time.Minute
@@ -49,10 +53,9 @@
 		planner *strag.Planner
 		gather  time.Duration
 
-		// turn lets one pull through at a time.
-		turn chan struct{}
-		// saving lets one record through at a time.
-		saving sync.Mutex
+		// pulls lets one pull through at a time, saving one record.
+		pulls  *turn.Turn
+		saving *turn.Turn
 
 		mu sync.Mutex
 		// book and the fields below are guarded by mu.
@@ -67,9 +70,11 @@
 		published time.Time
 		every     time.Duration
 		duration  time.Duration
-		idle      time.Time
-		// lastPull is when the trainer's time was last counted.
-		lastPull  time.Time
+		// idle is when the first pull of the trainer's present wait came.
+		idle time.Time
+		// begun is when the pull under way came, pulled when the last one ended.
+		begun     time.Time
+		pulled    time.Time
 		overtaken error
 		stats     stats
 
@@ -77,6 +82,8 @@
 		// unknown; guarded by saving.
 		revision int64
 		pending  []string
+		// targets names where the copies are; guarded by saving.
+		targets string
 		// downUntil is guarded by mu: until then the service is not asked again.
 		downUntil time.Time
 	}
@@ -98,6 +105,7 @@
 		KeepSample(ctx context.Context, subscription string, s sample.Sample) error
 		DropGroup(ctx context.Context, subscription, group string)
 		Load(ctx context.Context, subscription string) ([]grpreq.Group, []sample.Sample, error)
+		Targets(subscription string) string
 	}
 
 	// observer counts what the trainer got. Its zero, unseen, forgets it.
@@ -179,9 +187,10 @@
 		store:    s,
 		bulk:     none{},
 		seen:     unseen{},
-		log:      log.New(nil),
+		log:      log.New(io.Discard),
 		gather:   defaultGather,
-		turn:     make(chan struct{}, 1),
+		pulls:    turn.New(),
+		saving:   turn.New(),
 		groups:   map[string]*group{},
 		trials:   map[string]*try{},
 		changed:  make(chan struct{}),
@@ -261,9 +270,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range groups {
-		if f.book.Groups[g.ID] != nil {
-			f.insert(g)
+		if f.book.Groups[g.ID] == nil {
+			go f.bulk.DropGroup(context.WithoutCancel(ctx), f.name, g.ID)
+			continue
 		}
+		f.insert(g)
 	}
 	for i := range samples {
 		f.fill(&samples[i])
@@ -324,6 +335,7 @@
 func (none) KeepGroup(context.Context, string, grpreq.Group) error   { return nil }
 func (none) KeepSample(context.Context, string, sample.Sample) error { return nil }
 func (none) DropGroup(context.Context, string, string)               {}
+func (none) Targets(string) string                                   { return "" }
 func (none) Load(context.Context, string) ([]grpreq.Group, []sample.Sample, error) {
 	return nil, nil, nil
 }
--- a/side/side.go
+++ b/side/side.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -70,7 +71,7 @@
 	s := &Side{
 		cfg:  cfg,
 		net:  netset.New(),
-		log:  log.New(nil),
+		log:  log.New(io.Discard),
 		conf: confs.New(),
 		boot: time.Now().UnixNano(),
 	}
@@ -82,7 +83,7 @@
 	s.store = keyval.New(cfg.KeyValue, keyval.WithHTTP(s.net.Client()), keyval.WithTimeout(time.Duration(cfg.KeyValueTimeout)))
 	s.list = roster.New(cfg.InstanceList, roster.WithHTTP(s.net.Client()))
 	s.beats = beats.New(s.describe, s.list.List, s.conf,
-		beats.WithHTTP(s.net.Peers()), beats.WithSeed(uint64(s.boot)), beats.WithLogger(s.log))
+		beats.WithHTTP(s.net.Control()), beats.WithSeed(uint64(s.boot)), beats.WithLogger(s.log))
 	s.doors()
 	return s
 }
--- a/simcal/simcal_test.go
+++ b/simcal/simcal_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/simeng"
 	"github.com/lavendermux/lavendermux/simsrv"
 	"github.com/lavendermux/lavendermux/simsvc"
 	"github.com/lavendermux/lavendermux/simtxt"
@@ -208,3 +209,36 @@
 		}, simcal.WithService("case-desk", 0), simcal.WithStatus(1))
 	}
 }
+
+func TestSimcalAsksEngineAndServiceThemselves(t *testing.T) {
+	var engine *simeng.Server
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { engine.ServeHTTP(w, r) })
+	run(t, h, func(g Gomega, l *simcal.Load) {
+		// Made in the bubble, like all that waits there.
+		engine = simeng.New(simeng.WithModel("draft", "1"))
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes).To(HaveLen(1), "%v", sum.Problems)
+		g.Expect(sum.Outcomes["ok"]).To(Equal(engine.Counts().Whole))
+		g.Expect(sum.Tokens).To(Equal(engine.Counts().Tokens))
+	}, simcal.WithDirect())
+	svc := simsvc.New(simsvc.WithDelay(time.Second))
+	run(t, svc, func(g Gomega, l *simcal.Load) {
+		g.Expect(l.Run(context.Background()).Outcomes).To(HaveLen(1))
+		g.Expect(svc.Runs("slot-0", "caller-0")).To(Equal(1))
+	}, simcal.WithDirect(), simcal.WithService("booking-api", 0))
+}
+
+// The service says when to come back, and that is long after the caller has lost
+// interest. The load must end in its time with the refusal as the outcome.
+func TestSimcalDoesNotWaitLongerThanItsTimeout(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Second)
+		reply(w, http.StatusServiceUnavailable, message{"error": message{"kind": "notRun", "retryAfterMs": 600_000}})
+	})
+	run(t, h, func(g Gomega, l *simcal.Load) {
+		sum := l.Run(context.Background())
+		g.Expect(sum.Outcomes).To(HaveKey("notRun"))
+		g.Expect(sum.Retries).To(BeZero())
+		g.Expect(sum.Seconds).To(BeNumerically("<", 12))
+	}, simcal.WithService("booking-api", 1), simcal.WithAttempts(3))
+}
