--- a/pace/pace.go
+++ b/pace/pace.go
@@ -202,7 +202,7 @@
 	})
 	var tasks []task.Task
 	for _, i := range r.queue {
-		if r.credit < 1 || busy > 2*shown {
+		if r.credit < 1 || busy > r.growth*shown {
 			break
 		}
 		r.credit--
