--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -10,6 +10,7 @@
 type cli struct {
 	Load     loadCommand     `cmd:"" help:"Measure the decisions about live and mixed work."`
 	Rollouts rolloutsCommand `cmd:"" help:"Measure the decisions about rollouts."`
+	Path     pathCommand     `cmd:"" help:"Measure what the path adds to a direct call. See scripts/path.sh."`
 }
 
 func main() {
--- a/door/door.go
+++ b/door/door.go
@@ -27,6 +27,9 @@
 	// CauseNotReady refuses work before the door has asked its engine what it
 	// holds.
 	CauseNotReady = "notReady"
+	// CauseRole refuses a rollout at an engine that takes live work only. Without
+	// it the rollout would wait at the door for as long as the role lasts.
+	CauseRole = "role"
 	// CauseVersion refuses work that must start on another weight version.
 	CauseVersion = "version"
 	// CauseOldFence refuses an order of a holder that has been overtaken.
@@ -259,6 +262,13 @@
 	}
 }
 
+// Role returns what the engine serves first, "" before it has answered.
+func (d *Door) Role() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Role
+}
+
 // Load is what the door knows of the work on its engine; it does not lag.
 func (d *Door) Load() *wire.DoorLoad {
 	d.mu.Lock()
@@ -275,7 +285,7 @@
 // open says whether the door takes new work, and counts it in if so. Both
 // happen under one lock, so that Idle cannot miss work that came in while Drain
 // was called.
-func (d *Door) open() error {
+func (d *Door) open(kind wire.WorkKind) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -288,6 +298,9 @@
 			RetryAfter: notReadyRetry,
 		}
 	}
+	if kind == wire.WorkKind_WORK_KIND_ROLLOUT && d.state.Role == order.RoleLive {
+		return &fault.NotRunError{Cause: CauseRole, Reason: "the engine takes live work only"}
+	}
 	d.running.Add(1)
 	return nil
 }
--- a/door/run.go
+++ b/door/run.go
@@ -56,7 +56,7 @@
 // *fault.UnknownOutcomeError after that; the caller turns it into the stream's
 // last event.
 func (d *Door) Run(ctx context.Context, req *wire.RunRequest, send func(*wire.RunEvent) error) error {
-	if err := d.open(); err != nil {
+	if err := d.open(req.GetKind()); err != nil {
 		return err
 	}
 	defer d.running.Done()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/maker"
 	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/roles"
 	"github.com/lavendermux/lavendermux/scorer"
 	"github.com/lavendermux/lavendermux/subscr"
 	"github.com/lavendermux/lavendermux/swaps"
@@ -81,7 +82,9 @@
 	})
 	e.hold(name, h)
 	defer e.hold(name, nil)
-	if err := h.Run(ctx, m, s); err != nil {
+	r := roles.New(name, fence, h.Pool, m.Waiting, e.view, e.dial,
+		roles.WithLog(e.log), roles.WithReasons(e.seen.Deed))
+	if err := h.Run(ctx, m, s, r); err != nil {
 		e.log.Warn("pool job ended", "pool", name, "fence", fence, "err", err)
 	}
 }
--- a/feed/submit.go
+++ b/feed/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,15 +42,19 @@
 func (f *Feed) copyGroups(ctx context.Context, groups []grpreq.Group) {
 	var g errgroup.Group
 	g.SetLimit(copiesAtOnce)
+	var failed atomic.Int64
 	for _, group := range groups {
 		g.Go(func() error {
-			if err := f.bulk.KeepGroup(ctx, f.name, group); err != nil {
-				f.log.Warn("a prompt is in memory only", "subscription", f.name, "group", group.ID, "err", err)
+			err := f.bulk.KeepGroup(ctx, f.name, group)
+			if err != nil {
+				failed.Add(1)
 			}
-			return nil
+			return err
 		})
 	}
-	_ = g.Wait()
+	if err := g.Wait(); err != nil {
+		f.log.Warn("prompts are in memory only", "subscription", f.name, "groups", failed.Load(), "err", err)
+	}
 }
 
 // copiesAtOnce bounds the copies under way: a disk writes those that come
--- a/maker/attempt.go
+++ b/maker/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/feed"
+	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/pool"
 	"github.com/lavendermux/lavendermux/sample"
 	"github.com/lavendermux/lavendermux/wire"
@@ -100,15 +101,16 @@
 }
 
 // avoid names the workers that must not get the attempt: the one that the
-// decision named, and those whose weights are unknown or already too old, as
-// after an engine's restart. A sample from them would be thrown away.
+// decision named, those in the live role, which take no rollouts, and those whose
+// weights are unknown or already too old, as after an engine's restart: a sample
+// from them would be thrown away.
 func (m *Maker) avoid(p pool.Pool, r *run) []string {
 	var out []string
 	if r.trial.Avoid != "" {
 		out = append(out, r.trial.Avoid)
 	}
 	for _, ep := range m.fleet.Endpoints(p.Service) {
-		if !r.feed.Fresh(versionAt(ep, r.model)) {
+		if ep.GetRole() == order.RoleLive || !r.feed.Fresh(versionAt(ep, r.model)) {
 			out = append(out, ep.GetInstance())
 		}
 	}
--- a/maker/maker.go
+++ b/maker/maker.go
@@ -14,6 +14,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/lavendermux/lavendermux/demand"
 	"github.com/lavendermux/lavendermux/feed"
+	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/pool"
 	"github.com/lavendermux/lavendermux/sample"
 	"github.com/lavendermux/lavendermux/sched"
@@ -164,6 +165,16 @@
 	return len(m.running)
 }
 
+// Waiting returns how many attempts could begin now if there were slots.
+func (m *Maker) Waiting() int {
+	n := 0
+	now := time.Now()
+	for _, f := range m.feeds() {
+		n += f.Demand(m.loaded(f.Model()), now).Waiting
+	}
+	return n
+}
+
 // fill starts as many attempts as there are free slots. It first divides the
 // slots among the subscriptions and then asks each for its share at once, since
 // a subscription's choice looks at all its slots.
@@ -192,7 +203,7 @@
 func (m *Maker) capacity(p pool.Pool) int {
 	total := 0.0
 	for _, ep := range m.fleet.Endpoints(p.Service) {
-		if ep.GetReady() && !ep.GetDraining() && !ep.GetGone() {
+		if ep.GetReady() && !ep.GetDraining() && !ep.GetGone() && ep.GetRole() != order.RoleLive {
 			total += float64(ep.GetLoad().GetSlots()) * (1 - p.LiveReserve)
 		}
 	}
--- /dev/null
+++ b/matrix/shift_test.go
@@ -0,0 +1,65 @@
+package matrix
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/engst"
+	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/simtrn"
+)
+
+// Live requests come in a burst that the slots kept for them cannot carry, while
+// rollouts fill the rest. Workers are moved to live work, and back after the
+// burst as rollouts need them; a caller notices refusals with a time to come back in the first seconds,
+// and a trainer slower steps, but both get all they were promised.
+func TestLiveBurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, size{entries: 3, engines: 4})
+		defer w.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Minute)
+		defer cancel()
+		trained := make(chan error, 1)
+		go func() {
+			_, err := w.trainer(6, simtrn.WithGroups(24, 4)).Run(ctx)
+			trained <- err
+		}()
+		burst := make(chan map[string]int64, 1)
+		go func() {
+			sum := simcal.New(w.urls(), simcal.WithHTTP(w.net.Client(clientIP)), simcal.WithModel(model),
+				simcal.WithDuration(60*time.Second), simcal.WithRate(0, 24), simcal.WithAttempts(5), simcal.WithSeed(5),
+				simcal.WithRequest(15*time.Second, 0, 64)).Run(ctx)
+			burst <- sum.Outcomes
+		}()
+		seen := 0
+		for len(burst) == 0 {
+			seen = max(seen, w.liveEngines())
+			time.Sleep(time.Second)
+		}
+		outcomes := <-burst
+		g.Expect(outcomes["wrong"] + outcomes["cutOff"] + outcomes["noAnswer"]).To(BeZero())
+		g.Expect(seen).To(BeNumerically(">", 0), "no worker was moved to live work")
+		g.Expect(<-trained).NotTo(HaveOccurred())
+		w.until("a worker is back", 2*time.Minute, func() bool { return w.liveEngines() < seen })
+	})
+}
+
+// liveEngines counts the engines that say they are in the live role.
+func (w *world) liveEngines() int {
+	n := 0
+	for i := range w.engines {
+		_, body := w.do(http.MethodGet, "http://"+engineIP(i)+":80/v1/state", nil, nil)
+		var st engst.State
+		if json.Unmarshal(body, &st) == nil && st.Role == "live" {
+			n++
+		}
+	}
+	return n
+}
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -162,7 +162,7 @@
 }
 
 func (w *world) logger(name string) *log.Logger {
-	return log.NewWithOptions(w.log, log.Options{Prefix: name, ReportTimestamp: true, Level: log.DebugLevel})
+	return log.NewWithOptions(w.log, log.Options{Prefix: name, ReportTimestamp: true, Level: log.InfoLevel})
 }
 
 func (w *world) startEntry(i int) *process {
@@ -255,7 +255,7 @@
 		return true
 	})
 	w.apply("pool", pool, map[string]any{"service": lmService, "models": []string{model}, "scorer": "http://" + scorerIP + ":80",
-		"stagePerSecond": 10})
+		"stagePerSecond": 10, "minimumSlots": 8, "guaranteeSlots": 16})
 	w.apply("service", deskService, map[string]any{"service": deskService, "keyWindow": "2m"})
 	w.apply("subscription", drafts, map[string]any{"pool": pool, "model": model, "stalenessBound": 2, "cursor": true, "groupSize": 4})
 	w.until("models answer", time.Minute, func() bool {
--- a/order/order.go
+++ b/order/order.go
@@ -10,6 +10,12 @@
 	Unload = "unload"
 	// Role changes what the engine serves first.
 	Role = "role"
+
+	// RoleLive is the role of an engine that takes live work only.
+	RoleLive = "live"
+	// RoleRollout is the role of one that takes rollouts and, in the slots kept
+	// for it, live work.
+	RoleRollout = "rollout"
 )
 
 // Order is one order to an engine.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -202,20 +202,31 @@
 // Load returns what the door says of itself on each reply.
 func (q *Queue[T]) Load(now time.Time) *wire.DoorLoad {
 	ahead := 0.0
+	live := int64(0)
 	for _, e := range q.running {
 		ahead += q.pace.left(e.work, now.Sub(e.started)).Seconds() * q.pace.rate()
+		live += liveCount(e.work)
 	}
 	for _, e := range q.waiting {
 		ahead += q.pace.tokens(e.work)
+		live += liveCount(e.work)
 	}
 	return &wire.DoorLoad{
 		Slots:       int64(q.slots.Total()),
 		Running:     int64(len(q.running)),
 		Waiting:     int64(len(q.waiting)),
 		AheadTokens: int64(ahead),
+		LiveWork:    live,
 	}
 }
 
+func liveCount(w work.Work) int64 {
+	if w.Live() {
+		return 1
+	}
+	return 0
+}
+
 func (q *Queue[T]) insert(e *entry[T]) {
 	i, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
 	q.waiting = slices.Insert(q.waiting, i, e)
--- a/side/side.go
+++ b/side/side.go
@@ -22,6 +22,7 @@
 	"github.com/lavendermux/lavendermux/keymem"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/plain"
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/scfg"
@@ -32,6 +33,10 @@
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
 
+// roleTick is how soon a change of the engine's role shows in what the door lets
+// in; the door itself learns of it within a second.
+const roleTick = time.Second
+
 type (
 	// Side is one such process. See New and Run.
 	Side struct {
@@ -190,12 +195,19 @@
 }
 
 // follow puts the pool's share for live work and the callers' shares in force
-// whenever they change.
+// whenever they or the engine's role change. An engine in the live role takes no
+// rollouts.
 func (s *Side) follow(ctx context.Context) {
+	tick := time.NewTicker(roleTick)
+	defer tick.Stop()
 	for {
 		changed := s.conf.Changed()
 		for _, p := range s.conf.Pools() {
-			if p.Service == s.cfg.Service {
+			switch {
+			case p.Service != s.cfg.Service:
+			case s.engine.Role() == order.RoleLive:
+				s.gate.Divide(slots.WithLiveReserve(1))
+			default:
 				s.gate.Divide(slots.WithLiveReserve(p.LiveReserve))
 			}
 		}
@@ -207,6 +219,7 @@
 		}
 		select {
 		case <-changed:
+		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
