Choose subsets by data centre, the own one first

Cause: an entry drew its subset over all data centres alike. Of the seven of the size to design for one in seven endpoints is then near; when those few are full the work goes to other data centres, half of it to the other region, though a hundred near endpoints have room.

Weighed: a subset per data centre chosen by the caller (each caller would hold the rule); weights by distance in one draw (uneven). Now 16 of the own data centre and 2 of each other, more where nearer ones are lacking; each of 700 endpoints is in 14 +- 2 subsets of 350 entries. The relay calls it.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -153,22 +153,19 @@
 // work, and forgets the ones that have left.
 func (r *Relay) choose(t *target, service string) {
 	endpoints := r.view.Endpoints(service)
-	ids := make([]string, 0, len(endpoints))
+	ready := make([]*wire.EndpointState, 0, len(endpoints))
 	byID := make(map[string]*wire.EndpointState, len(endpoints))
 	for _, ep := range endpoints {
 		if ep.GetGone() || ep.GetDraining() {
 			continue
 		}
-		ids = append(ids, ep.GetInstance())
+		ready = append(ready, ep)
 		byID[ep.GetInstance()] = ep
 	}
-	var entries []string
-	for _, e := range r.view.Entries() {
-		entries = append(entries, e.GetInstance())
-	}
-	t.near = t.near[:0]
-	for _, id := range t.subset.Pick(r.self, entries, ids) {
-		t.near = append(t.near, byID[id])
+	t.near = t.subset.Near(r.self, r.view.Entries(), ready)
+	if t.near == nil {
+		// Nil means that nothing was chosen yet.
+		t.near = []*wire.EndpointState{}
 	}
 	for id := range t.known {
 		if byID[id] == nil {
--- /dev/null
+++ b/subset/near.go
@@ -0,0 +1,123 @@
+package subset
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+// spill is how many endpoints of each farther data centre an entry talks to even
+// when its own has enough: two, so that there is a second choice when the own
+// data centre is full or has just been lost.
+const spill = 2
+
+// zone is the endpoints of one data centre.
+type zone struct {
+	dataCentre string
+	// distance is 0 for the entry's own data centre, 1 for the others of its
+	// region, 2 for those of other regions.
+	distance  int
+	endpoints []*wire.EndpointState
+}
+
+// Near returns the endpoints that self talks to, the own data centre's before
+// the others. A subset drawn over all data centres alike would hold mostly far
+// endpoints: of seven data centres one in seven is near. Farther data centres
+// give a few each, and more when the nearer ones don't fill the subset. An entry
+// that is in no data centre draws over all alike.
+func (s *Subset) Near(self string, entries []*wire.EntryState, endpoints []*wire.EndpointState) []*wire.EndpointState {
+	own := find(self, entries)
+	if own == nil || len(endpoints) <= s.size {
+		return s.draw(self, s.size, names(entries, nil), endpoints)
+	}
+	var near []*wire.EndpointState
+	zones := split(own, endpoints)
+	for distance := range 3 {
+		at := slices.DeleteFunc(slices.Clone(zones), func(z *zone) bool { return z.distance != distance })
+		for i, z := range at {
+			// What is lacking is spread over the data centres of this distance.
+			lack := max(s.size-len(near), 0)
+			size := (lack + len(at) - i - 1) / (len(at) - i)
+			near = append(near, s.draw(self, max(size, spill), peers(own, z, entries), z.endpoints)...)
+		}
+	}
+	return near
+}
+
+func (s *Subset) draw(self string, size int, peers []string, endpoints []*wire.EndpointState) []*wire.EndpointState {
+	byName := make(map[string]*wire.EndpointState, len(endpoints))
+	all := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		byName[e.GetInstance()] = e
+		all = append(all, e.GetInstance())
+	}
+	var drawn []*wire.EndpointState
+	for _, name := range s.pick(self, size, peers, all) {
+		drawn = append(drawn, byName[name])
+	}
+	return drawn
+}
+
+func find(self string, entries []*wire.EntryState) *wire.EntryState {
+	for _, e := range entries {
+		if e.GetInstance() == self && e.GetDataCentre() != "" {
+			return e
+		}
+	}
+	return nil
+}
+
+// peers are the entries that draw on a data centre from the same distance as
+// own: their subsets are laid side by side.
+func peers(own *wire.EntryState, z *zone, entries []*wire.EntryState) []string {
+	return names(entries, func(e *wire.EntryState) bool {
+		inside := e.GetDataCentre() == z.dataCentre
+		switch z.distance {
+		case 0:
+			return inside
+		case 1:
+			return !inside && e.GetRegion() == own.GetRegion()
+		default:
+			return e.GetRegion() == own.GetRegion()
+		}
+	})
+}
+
+func names(entries []*wire.EntryState, wanted func(*wire.EntryState) bool) []string {
+	var all []string
+	for _, e := range entries {
+		if wanted == nil || wanted(e) {
+			all = append(all, e.GetInstance())
+		}
+	}
+	return all
+}
+
+// split groups endpoints by data centre, in the order of their names.
+func split(own *wire.EntryState, endpoints []*wire.EndpointState) []*zone {
+	byName := map[string]*zone{}
+	var zones []*zone
+	for _, e := range endpoints {
+		z, ok := byName[e.GetDataCentre()]
+		if !ok {
+			z = &zone{dataCentre: e.GetDataCentre(), distance: distance(own, e)}
+			byName[z.dataCentre] = z
+			zones = append(zones, z)
+		}
+		z.endpoints = append(z.endpoints, e)
+	}
+	slices.SortFunc(zones, func(a, b *zone) int { return cmp.Compare(a.dataCentre, b.dataCentre) })
+	return zones
+}
+
+func distance(own *wire.EntryState, e *wire.EndpointState) int {
+	switch {
+	case e.GetDataCentre() == own.GetDataCentre():
+		return 0
+	case e.GetRegion() == own.GetRegion():
+		return 1
+	default:
+		return 2
+	}
+}
--- a/subset/subset.go
+++ b/subset/subset.go
@@ -45,10 +45,13 @@
 
 // Pick returns the endpoints that self talks to, in the order of their hash.
 // Peers are all entries that choose among the same endpoints; self is added
-// when it is missing. Few endpoints are all returned. To prefer a data centre,
-// call Pick once for each with the entries that draw on it.
+// when it is missing. Few endpoints are all returned.
 func (s *Subset) Pick(self string, peers, endpoints []string) []string {
-	if len(endpoints) <= s.size {
+	return s.pick(self, s.size, peers, endpoints)
+}
+
+func (s *Subset) pick(self string, size int, peers, endpoints []string) []string {
+	if len(endpoints) <= size {
 		return slices.Clone(endpoints)
 	}
 	place, n := s.place(self, peers)
@@ -57,7 +60,7 @@
 	// The first peer begins at the first endpoint; each other begins where an
 	// even spread of n beginnings over m endpoints puts it.
 	begin := place * m / n
-	picked := make([]string, s.size)
+	picked := make([]string, size)
 	for i := range picked {
 		picked[i] = ring[(begin+i)%m].name
 	}
--- a/subset/subset_test.go
+++ b/subset/subset_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/wire"
 )
 
 func TestSubset(t *testing.T) {
@@ -14,7 +16,7 @@
 	RunSpecs(t, "subset")
 }
 
-func names(kind string, n int) []string {
+func numbered(kind string, n int) []string {
 	all := make([]string, n)
 	for i := range all {
 		all[i] = fmt.Sprintf("%s-%d", kind, i)
@@ -34,12 +36,12 @@
 
 var _ = Describe("Subset", func() {
 	It("shows all of a small deployment to every entry", func() {
-		Expect(New(16).Pick("entry-1", names("entry", 3), names("worker", 10))).To(ConsistOf(names("worker", 10)))
+		Expect(New(16).Pick("entry-1", numbered("entry", 3), numbered("worker", 10))).To(ConsistOf(numbered("worker", 10)))
 	})
 
 	// Some workers stand in no entry's subset and are idle, while others refuse.
 	It("spreads 350 entries evenly over 700 workers", func() {
-		entries, workers := names("entry", 350), names("worker", 700)
+		entries, workers := numbered("entry", 350), numbered("worker", 700)
 		count := map[string]int{}
 		s := New(16)
 		for _, e := range entries {
@@ -58,7 +60,7 @@
 	// A subset that is drawn anew with each change of the membership costs all
 	// entries all their connections whenever one worker restarts.
 	It("changes little when one member leaves", func() {
-		entries, workers := names("entry", 350), names("worker", 700)
+		entries, workers := numbered("entry", 350), numbered("worker", 700)
 		s := New(16)
 		changed := 0
 		for _, e := range entries[1:] {
@@ -72,7 +74,7 @@
 	})
 
 	It("does not depend on the order of the lists, and adds an entry that its peers don't know yet", func() {
-		entries, workers := names("entry", 20), names("worker", 100)
+		entries, workers := numbered("entry", 20), numbered("worker", 100)
 		s := New(8)
 		want := s.Pick("entry-3", entries, workers)
 		slices.Reverse(entries)
@@ -81,4 +83,63 @@
 		entries = slices.DeleteFunc(entries, func(e string) bool { return e == "entry-3" })
 		Expect(s.Pick("entry-3", entries, workers)).To(Equal(want))
 	})
+
+	// Two regions with seven data centres. Drawn over all alike, six of seven
+	// endpoints of an entry are elsewhere, and it sends its work there as soon as
+	// its two or three near ones are full.
+	It("draws on the own data centre first, and evenly on all", func() {
+		entries, endpoints := fleet(350, 700)
+		s := New(16)
+		count := map[string]int{}
+		for _, e := range entries {
+			var near [3]int
+			for _, w := range s.Near(e.GetInstance(), entries, endpoints) {
+				near[distance(e, w)]++
+				count[w.GetInstance()]++
+			}
+			Expect(near[0]).To(Equal(16))
+			Expect(near[1] + near[2]).To(Equal(6 * spill))
+		}
+		Expect(count).To(HaveLen(700))
+		for w, n := range count {
+			Expect(n).To(BeNumerically("~", 14, 2), w)
+		}
+	})
+
+	// A data centre has few workers of a service, or has just lost them.
+	It("fills up from the next data centres when its own has too few", func() {
+		entries, endpoints := fleet(350, 700)
+		kept := slices.DeleteFunc(endpoints, func(w *wire.EndpointState) bool { return w.GetDataCentre() == "dc-0" })
+		near := New(16).Near("entry-0", entries, kept)
+		Expect(distance(entries[0], near[0])).To(Equal(1))
+		Expect(len(near)).To(BeNumerically("~", 16+3*spill, 2))
+		kept = slices.DeleteFunc(kept, func(w *wire.EndpointState) bool { return w.GetRegion() == "region-0" })
+		Expect(New(16).Near("entry-0", entries, kept)).To(HaveLen(16))
+	})
+
+	It("sees all of a small deployment, and all alike from nowhere", func() {
+		entries, endpoints := fleet(3, 10)
+		Expect(New(16).Near("entry-1", entries, endpoints)).To(HaveLen(10))
+		entries, endpoints = fleet(350, 700)
+		Expect(New(16).Near("unknown", entries, endpoints)).To(HaveLen(16))
+	})
 })
+
+// fleet is entries and endpoints over seven data centres, four of one region and
+// three of another.
+func fleet(entries, endpoints int) (es []*wire.EntryState, ws []*wire.EndpointState) {
+	place := func(i int) (dataCentre, region string) {
+		return fmt.Sprintf("dc-%d", i%7), fmt.Sprintf("region-%d", i%7/4)
+	}
+	for i, name := range numbered("entry", entries) {
+		e := &wire.EntryState{Instance: name}
+		e.DataCentre, e.Region = place(i)
+		es = append(es, e)
+	}
+	for i, name := range numbered("worker", endpoints) {
+		w := &wire.EndpointState{Instance: name}
+		w.DataCentre, w.Region = place(i)
+		ws = append(ws, w)
+	}
+	return es, ws
+}
