--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -126,6 +126,35 @@
 		Expect(refused).To(BeZero(), "the first is a trial, the others follow what it has shown")
 	})
 
+	// All work is too long indeed. Each trial takes a slot until its deadline.
+	It("tries at most every half minute", func() {
+		q := newQueue(4)
+		tried := 0
+		for i := range 60 {
+			if ticket, err := q.Push("long", live(40, float64(i)+10), at(float64(i))); err == nil {
+				tried++
+				q.Cancel(ticket, at(float64(i)))
+			}
+		}
+		Expect(tried).To(Equal(2))
+	})
+
+	// A caller's script starts work and cancels it. What never ran doesn't count
+	// against the caller.
+	It("gives back the charge of work that is cancelled before it runs", func() {
+		shares := admit.New()
+		q := newQueue(1, WithAdmit(shares))
+		w, other := live(1, 100), live(1, 100)
+		w.Caller, other.Caller = "script", "other"
+		push(q, "running", other, start)
+		pop(q, start)
+		ticket := push(q, "waiting", w, start)
+		push(q, "waiting", w, start)
+		Expect(shares.Excess(w, start)).To(BeNumerically(">", 0))
+		q.Cancel(ticket, start)
+		Expect(shares.Excess(w, start)).To(BeZero())
+	})
+
 	// A short question comes behind a queue of long drafts.
 	It("lets short work overtake long work that hasn't waited long", func() {
 		q := newQueue(1)
@@ -186,6 +215,8 @@
 		push(q, "running", live(1, 100), start)
 		pop(q, start)
 		push(q, "waiting", live(2, 5), start)
+		q.Cancel(1, at(4))
+		Expect(pop(q, at(4))).To(BeEmpty(), "what can't end in time isn't started")
 		next, ok := q.Next()
 		Expect(ok).To(BeTrue())
 		Expect(next).To(Equal(at(3)))
