--- a/relay/relay.go
+++ b/relay/relay.go
@@ -80,10 +80,8 @@
 		route  *route.Route
 		subset *subset.Subset
 		// near are the endpoints that this entry talks to, as of version.
-		near  []*wire.EndpointState
-		known map[string]bool
-		// loads are the last that the doors reported.
-		loads   map[string]*wire.DoorLoad
+		near    []*wire.EndpointState
+		known   map[string]bool
 		version int64
 		boot    int64
 		budget  *retry.Budget
--- a/surge/surge_test.go
+++ b/surge/surge_test.go
@@ -9,8 +9,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/sebdah/goldie/v2"
 
+	"github.com/lavendermux/lavendermux/claim"
 	"github.com/lavendermux/lavendermux/move"
-	"github.com/lavendermux/lavendermux/quota"
 	"github.com/lavendermux/lavendermux/shift"
 	"github.com/lavendermux/lavendermux/surge"
 )
@@ -22,8 +22,8 @@
 
 func shared(height float64) *surge.Play {
 	p := &surge.Play{Long: time.Hour, Move: 10 * time.Second}
-	p.Add(quota.Quota{Name: "live", Priority: 2, Minimum: 10, Guarantee: 50, Workers: 35}, 25, 4, height)
-	p.Add(quota.Quota{Name: "rollout", Priority: 1, Minimum: 10, Guarantee: 40, Workers: 35}, 35, 2, 2)
+	p.Add(claim.Claim{Name: "live", Priority: 2, Minimum: 10, Guarantee: 50, Workers: 35}, 25, 4, height)
+	p.Add(claim.Claim{Name: "rollout", Priority: 1, Minimum: 10, Guarantee: 40, Workers: 35}, 35, 2, 2)
 	return p
 }
 
@@ -37,14 +37,14 @@
 			for seed := range uint64(3) {
 				static, shifted := shared(height), shared(height)
 				p := shift.New()
-				shifted.Plan = func(quotas []quota.Quota, now time.Time) []move.Move {
+				shifted.Plan = func(claims []claim.Claim, now time.Time) []move.Move {
 					total := 0
-					for _, q := range quotas {
+					for _, q := range claims {
 						Expect(q.Workers).To(BeNumerically(">=", q.Minimum))
 						total += q.Workers
 					}
 					Expect(total).To(Equal(70))
-					return p.Plan(quotas, now)
+					return p.Plan(claims, now)
 				}
 				a, b := static.Run(seed+1), shifted.Run(seed+1)
 				Expect(b.P99[0]).To(BeNumerically("<", a.P99[0]))
