Give up what waits when no slot is open to it any more

Cause: a door whose endpoint is given to live work keeps all slots for it. Rollouts that waited there were held until their deadline, those without one for as long as the role lasted. They are now refused at the next Expire.

--- a/queue/plan.go
+++ b/queue/plan.go
@@ -43,8 +43,8 @@
 		}
 	}
 	// Work that no slot is open to would wait for ever, or until its deadline.
-	if q.slots.Kept(e.work) >= q.slots.Total() {
-		return saturated(longest, "every slot is kept for other work")
+	if q.closed(e) {
+		return saturated(longest, reasonClosed)
 	}
 	if len(q.waiting) >= q.settings.limit && !q.displaceLast(e, now) {
 		return saturated(q.backlog(now), "as much work waits as may wait")
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -39,6 +39,8 @@
 	CauseTooLong = "tooLong"
 	// CauseDisplaced is the cause when work of a higher rank came later.
 	CauseDisplaced = "displaced"
+
+	reasonClosed = "every slot is kept for other work"
 )
 
 type (
@@ -142,10 +144,16 @@
 // which is to be sent at once: none of it has run.
 func (q *Queue[T]) Expire(now time.Time, refuse func(T, *fault.NotRunError)) {
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry[T]) bool {
-		if !q.hopeless(e, now) {
+		switch {
+		case q.closed(e):
+			// The endpoint has been given to live work since this came. Work
+			// without a deadline would wait for as long as that lasts.
+			q.drop(e, CauseSaturated, reasonClosed, longest, now)
+		case q.hopeless(e, now):
+			q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now), now)
+		default:
 			return false
 		}
-		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now), now)
 		return true
 	})
 	dropped := q.dropped
@@ -232,6 +240,11 @@
 	q.waiting = slices.Insert(q.waiting, i, e)
 }
 
+// closed reports whether no slot is open to the work, now or later.
+func (q *Queue[T]) closed(e *entry[T]) bool {
+	return q.slots.Kept(e.work) >= q.slots.Total()
+}
+
 // hopeless reports whether work that started now would still end too late.
 func (q *Queue[T]) hopeless(e *entry[T], now time.Time) bool {
 	if e.work.Deadline.IsZero() || e.probe {
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -101,6 +101,19 @@
 		push(q, "live", live(1, 100), start)
 	})
 
+	// The endpoint's role changes to live while rollouts wait at its door.
+	It("gives up at once what waits when no slot is open to it any more", func() {
+		divided := slots.New(1)
+		q := New[string](divided, WithRate(tokenRate))
+		push(q, "running", rollout(1, 100), start)
+		pop(q, start)
+		push(q, "waiting", work.Work{Kind: wire.WorkKind_WORK_KIND_ROLLOUT}, start)
+		push(q, "live", live(1, 100), start)
+		Expect(expired(q, start)).To(BeEmpty())
+		slots.WithLiveReserve(1)(divided)
+		Expect(expired(q, start)).To(Equal(map[string]string{"waiting": CauseSaturated}))
+	})
+
 	It("refuses at once what takes longer than there is time", func() {
 		q := newQueue(4)
 		push(q, "probe", live(6, 5), start)
