--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -149,14 +149,14 @@
 	rapid.Check(t, func(t *rapid.T) {
 		p := &play{t: t, taken: map[string]bool{}}
 		p.takeOver()
-		any := func() *holder { return p.holders[rapid.IntRange(0, len(p.holders)-1).Draw(t, "holder")] }
+		pick := func() *holder { return p.holders[rapid.IntRange(0, len(p.holders)-1).Draw(t, "holder")] }
 		t.Repeat(map[string]func(*rapid.T){
-			"submit":   func(*rapid.T) { p.submit(any()) },
-			"pull":     func(*rapid.T) { p.pull(any(), false) },
-			"pullLost": func(*rapid.T) { p.pull(any(), true) },
-			"cut":      func(*rapid.T) { any().cut = true },
+			"submit":   func(*rapid.T) { p.submit(pick()) },
+			"pull":     func(*rapid.T) { p.pull(pick(), false) },
+			"pullLost": func(*rapid.T) { p.pull(pick(), true) },
+			"cut":      func(*rapid.T) { pick().cut = true },
 			"heal": func(*rapid.T) {
-				h := any()
+				h := pick()
 				h.cut = false
 				p.record(h)
 			},
