--- a/entry/entry.go
+++ b/entry/entry.go
@@ -249,7 +249,7 @@
 	e.front.Register(r)
 	e.train.Register(r)
 	e.ops.Register(r)
-	e.seen.Register(r)
+	e.seen.Register(r, e.values)
 	if e.keys == nil {
 		return r
 	}
--- /dev/null
+++ b/entry/values.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+// values sets what the instance's metrics show.
+func (e *Entry) values(set func(name string, v float64, labels ...string)) {
+	set("hub_active", flag(e.hub.Active()))
+	set("ready", flag(e.beats.Ready() && !e.leaving.Load()))
+	set("jobs_held", float64(len(e.jobs.Held())))
+	set("members_entries", float64(len(e.view.Entries())))
+	for service, n := range endpoints(e.view.Endpoints("")) {
+		set("members_endpoints", float64(n), "service", service)
+	}
+	if e.disk != nil {
+		set("disk_held_bytes", float64(e.disk.Held()))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for pool, h := range e.holders {
+		set("job_fence", float64(h.Fence()), "pool", pool)
+		for _, f := range h.Feeds() {
+			f.Values(set)
+		}
+	}
+}
+
+// endpoints counts those that take work, by service.
+func endpoints(all []*wire.EndpointState) map[string]int {
+	out := map[string]int{}
+	for _, ep := range all {
+		if ep.GetReady() && !ep.GetDraining() && !ep.GetGone() {
+			out[ep.GetService()]++
+		}
+	}
+	return out
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -261,6 +261,20 @@
 	return f.stats
 }
 
+// Values sets what the subscription's metrics show.
+func (f *Feed) Values(set func(name string, v float64, labels ...string)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	named := func(name string, v int64) { set(name, float64(v), "subscription", f.name) }
+	named("samples_open", int64(f.book.Open()))
+	named("published_version", f.book.Published)
+	named("samples_stale_total", f.stats.Stale)
+	named("samples_unattributed_total", f.stats.Unattributed)
+	named("attempts_failed_total", f.stats.Failed)
+	named("tokens_wasted_total", f.stats.Wasted)
+	named("offers_unrecorded_total", f.stats.Unrecorded)
+}
+
 // restore brings back what an earlier holder kept in bulk.
 func (f *Feed) restore(ctx context.Context) {
 	groups, samples, err := f.bulk.Load(ctx, f.name)
--- a/observ/observ.go
+++ b/observ/observ.go
@@ -106,12 +106,17 @@
 	o.meter.Count("deeds_total", 1, "verb", d.Verb, "cause", d.Cause)
 }
 
-// Register adds the pages of all parts to r: burn, explain and metrics.
-func (o *Observer) Register(r *mux.Router) {
+// Register adds the pages of all parts to r: burn, explain and metrics. Each of
+// values is called before metrics are shown, to set what is only worth working
+// out when somebody asks.
+func (o *Observer) Register(r *mux.Router, values ...func(set func(name string, v float64, labels ...string))) {
 	o.counts.Register(r)
 	o.reasons.Register(r)
 	o.meter.Register(r, func() {
 		o.meter.Set("configuration_revision", float64(o.conf.Revision()))
+		for _, v := range values {
+			v(o.meter.Set)
+		}
 	})
 }
 
--- a/side/handler.go
+++ b/side/handler.go
@@ -29,10 +29,9 @@
 	if err == nil {
 		return nil
 	}
-	s.log.Debug("refused", "request", req.Msg.GetRequestId(), "err", err)
 	return stream.Send(&wire.RunEvent{
 		RequestId: req.Msg.GetRequestId(),
-		What:      &wire.RunEvent_Refusal{Refusal: refuse.Wire(err, s.drainer().Load())},
+		What:      &wire.RunEvent_Refusal{Refusal: s.refusal(req.Msg.GetRequestId(), err)},
 	})
 }
 
@@ -47,10 +46,9 @@
 		resp, err = s.calls.Call(ctx, req.Msg)
 	}
 	if err != nil {
-		s.log.Debug("refused", "request", req.Msg.GetRequestId(), "err", err)
 		resp = &wire.CallResponse{
 			RequestId: req.Msg.GetRequestId(),
-			Refusal:   refuse.Wire(err, s.drainer().Load()),
+			Refusal:   s.refusal(req.Msg.GetRequestId(), err),
 		}
 	}
 	return connect.NewResponse(resp), nil
@@ -73,3 +71,11 @@
 	}
 	return connect.NewResponse(out), nil
 }
+
+// refusal puts an error into the protocol, and counts it.
+func (s *Side) refusal(request string, err error) *wire.Refusal {
+	r := refuse.Wire(err, s.drainer().Load())
+	s.log.Debug("refused", "request", request, "cause", r.GetCause(), "err", err)
+	s.meter.Count("refusals_total", 1, "outcome", r.GetOutcome().String(), "cause", r.GetCause())
+	return r
+}
--- a/side/side.go
+++ b/side/side.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/admit"
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/calls"
@@ -21,6 +22,7 @@
 	"github.com/lavendermux/lavendermux/gate"
 	"github.com/lavendermux/lavendermux/keymem"
 	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/plain"
@@ -54,6 +56,7 @@
 		calls  *calls.Door
 		tenure *tenure.Tenure
 		boot   int64
+		meter  *meter.Meter
 	}
 
 	// Option changes a Side as New makes it.
@@ -74,11 +77,12 @@
 //	err := s.Run(ctx)
 func New(cfg scfg.Settings, opts ...Option) *Side {
 	s := &Side{
-		cfg:  cfg,
-		net:  netset.New(),
-		log:  log.New(io.Discard),
-		conf: confs.New(),
-		boot: time.Now().UnixNano(),
+		cfg:   cfg,
+		net:   netset.New(),
+		log:   log.New(io.Discard),
+		conf:  confs.New(),
+		boot:  time.Now().UnixNano(),
+		meter: meter.New(),
 	}
 	s.tenure = tenure.New(cfg.Instance)
 	for _, opt := range opts {
@@ -136,10 +140,7 @@
 // when the last request in flight has its answer, or after the settings'
 // stopWithin.
 func (s *Side) Run(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.Handle(wireconnect.NewDoorServiceHandler(&handler{side: s}))
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	server, err := serve.Start(s.cfg.Listen, mux, serve.WithListen(s.net.Listen))
+	server, err := serve.Start(s.cfg.Listen, s.router(), serve.WithListen(s.net.Listen))
 	if err != nil {
 		return err
 	}
@@ -157,6 +158,32 @@
 	return s.stop(server)
 }
 
+func (s *Side) router() *mux.Router {
+	r := mux.NewRouter()
+	path, doors := wireconnect.NewDoorServiceHandler(&handler{side: s})
+	r.PathPrefix(path).Handler(doors)
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	s.meter.Register(r, s.values)
+	return r
+}
+
+// values sets what the metrics show of the door.
+func (s *Side) values() {
+	st := s.describe().GetEndpoint()
+	s.meter.Set("configuration_revision", float64(s.conf.Revision()))
+	s.meter.Set("door_running", float64(st.GetLoad().GetRunning()))
+	s.meter.Set("door_waiting", float64(st.GetLoad().GetWaiting()))
+	s.meter.Set("door_ready", flag(st.GetReady()))
+	s.meter.Set("door_draining", flag(st.GetDraining()))
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 func (s *Side) start(ctx context.Context) {
 	go s.beats.Run(ctx)
 	if s.engine == nil {
