--- a/simtrn/simtrn_test.go
+++ b/simtrn/simtrn_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -53,6 +54,11 @@
 		offers    int
 		// refuse is how many of the next calls are turned away.
 		refuse int
+		// lose is how many groups of the first submission are lost; tells is
+		// whether the service knows that.
+		lose  int
+		tells bool
+		lost  []string
 		// spoil changes samples before they are offered.
 		spoil func([]sample) []sample
 		calls []string
@@ -81,6 +87,12 @@
 		s.published = in.Version
 	case "groups":
 		for _, g := range in.Groups {
+			if s.lose > 0 {
+				s.lose--
+				s.lost = append(s.lost, g.ID)
+				continue
+			}
+			s.lost = slices.DeleteFunc(s.lost, func(id string) bool { return id == g.ID })
 			s.add(g)
 		}
 	case "pull":
@@ -109,7 +121,11 @@
 			s.offer = s.spoil(s.offer)
 		}
 	}
-	return map[string]any{"offer": s.offers, "cursor": strconv.Itoa(s.offers), "samples": s.offer}
+	out := map[string]any{"offer": s.offers, "cursor": strconv.Itoa(s.offers), "samples": s.offer, "open": len(s.due) + len(s.offer)}
+	if s.tells {
+		out["missing"] = s.lost
+	}
+	return out
 }
 
 // train runs a trainer of two steps of 2 groups of 4 in virtual time.
@@ -145,6 +161,7 @@
 		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
 		g.Expect(sum.Steps).To(Equal(2))
 		g.Expect(sum.Samples).To(Equal(int64(16)))
+		g.Expect(sum.Resubmitted).To(BeZero())
 		g.Expect(sum.Failures).To(Equal(int64(2)), "turned away and tried again")
 		g.Expect(sum.Seconds).To(BeNumerically("~", 2.3, 0.2), "two steps of a second and two pauses")
 		g.Expect(sum.IdleShare).To(BeZero())
@@ -176,6 +193,22 @@
 	}, simtrn.WithLoss(0.7))
 }
 
+// The holder of the subscription is lost, and with it the prompts of a group. Its
+// successor says so, or has never heard of the group. Without the trainer's help
+// the step would never be whole.
+func TestSimtrnSubmitsLostGroupsAgain(t *testing.T) {
+	for _, tells := range []bool{true, false} {
+		s := &service{lose: 1, tells: tells}
+		train(t, s, func(g Gomega, tr *simtrn.Trainer, _ *simwts.Server) {
+			sum, err := tr.Run(context.Background())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
+			g.Expect(sum.Samples).To(Equal(int64(16)))
+			g.Expect(sum.Resubmitted).To(Equal(int64(1)))
+		})
+	}
+}
+
 // The trainer waits for a step that never becomes whole, and gives up with what
 // it saw.
 func TestSimtrnGivesUp(t *testing.T) {
