Work out the backlog after the work that is given up has left the queue

The time to come back that given-up work was told counted other work that was being given up in the same moment.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -143,19 +143,26 @@
 // Expire hands out the waiting work that is given up, each with its refusal,
 // which is to be sent at once: none of it has run.
 func (q *Queue[T]) Expire(now time.Time, refuse func(T, *fault.NotRunError)) {
+	var closed, late []*entry[T]
 	q.waiting = slices.DeleteFunc(q.waiting, func(e *entry[T]) bool {
 		switch {
 		case q.closed(e):
 			// The endpoint has been given to live work since this came. Work
 			// without a deadline would wait for as long as that lasts.
-			q.drop(e, CauseSaturated, reasonClosed, longest, now)
+			closed = append(closed, e)
 		case q.hopeless(e, now):
-			q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now), now)
+			late = append(late, e)
 		default:
 			return false
 		}
 		return true
 	})
+	for _, e := range closed {
+		q.drop(e, CauseSaturated, reasonClosed, longest, now)
+	}
+	for _, e := range late {
+		q.drop(e, CauseSaturated, "the work can no longer end before its deadline", q.backlog(now), now)
+	}
 	dropped := q.dropped
 	q.dropped = nil
 	for _, d := range dropped {
