Let the system's own processes speak TLS to each other

With peerTLS in the settings, connections between processes are encrypted and only peers with a certificate of the same authority are let in. HTTP/2 begins on the encrypted connection as on a plain one, so nothing else changes.

--- a/certs/certs.go
+++ b/certs/certs.go
@@ -30,6 +30,11 @@
 	return bad.Err()
 }
 
+// Complete reports whether all files are named.
+func (f Files) Complete() bool {
+	return f.Certificate != "" && f.Key != "" && f.Authority != ""
+}
+
 // Config loads the files for a server and a client alike, or returns nil when
 // none is set. Its errors name the file and never hold what is in it.
 //
--- a/cmd/lavendermux/entry.go
+++ b/cmd/lavendermux/entry.go
@@ -8,6 +8,7 @@
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/entry"
 	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/tokens"
 )
 
@@ -32,7 +33,11 @@
 	if err != nil {
 		return errors.Wrap(err, "settings: tls")
 	}
-	opts = append(opts, entry.WithTLS(door))
+	peers, err := cfg.PeerTLS.Config()
+	if err != nil {
+		return errors.Wrap(err, "settings: peerTLS")
+	}
+	opts = append(opts, entry.WithTLS(door), entry.WithNet(netset.New(netset.WithPeerTLS(peers))))
 	if cfg.TokenFile != "" {
 		keys, err := loadKeys(cfg.TokenFile)
 		if err != nil {
--- a/cmd/lavendermux/side.go
+++ b/cmd/lavendermux/side.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/scfg"
 	"github.com/lavendermux/lavendermux/side"
 )
@@ -26,5 +27,9 @@
 	}
 	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
 		logs.WithField(logs.FieldInstance, cfg.Instance))
-	return side.New(cfg, side.WithLog(logger)).Run(ctx)
+	peers, err := cfg.PeerTLS.Config()
+	if err != nil {
+		return errors.Wrap(err, "settings: peerTLS")
+	}
+	return side.New(cfg, side.WithLog(logger), side.WithNet(netset.New(netset.WithPeerTLS(peers)))).Run(ctx)
 }
--- a/ecfg/ecfg.go
+++ b/ecfg/ecfg.go
@@ -67,6 +67,9 @@
 	LogFormat string `json:"logFormat"`
 	// TLS are the files for Listen. The default is plain text.
 	TLS certs.Files `json:"tls,omitzero"`
+	// PeerTLS are the files with which the system's own processes speak TLS to
+	// each other; all of them or none. The default is plain text.
+	PeerTLS certs.Files `json:"peerTLS,omitzero"`
 	// TokenFile holds the hashed tokens of operators and callers. The default
 	// is empty: everyone who reaches Listen is let in.
 	TokenFile string `json:"tokenFile,omitempty"`
@@ -115,6 +118,9 @@
 	bad.Merge("logLevel", logs.CheckLevel(s.LogLevel))
 	bad.Merge("logFormat", logs.CheckFormat(s.LogFormat))
 	bad.Merge("tls", s.TLS.Validate())
+	bad.Merge("peerTLS", s.PeerTLS.Validate())
+	bad.Check(s.PeerTLS == (certs.Files{}) || s.PeerTLS.Complete(), "peerTLS",
+		"names only some of certificate, key and authority; processes show each other a certificate")
 	return bad.Err()
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -193,7 +193,7 @@
 		e.disk = disk
 		defer func() { _ = disk.Close() }()
 	}
-	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.Listen))
+	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.ListenPeers))
 	if err != nil {
 		return err
 	}
--- a/netset/netset.go
+++ b/netset/netset.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -17,6 +20,9 @@
 	idleTimeout = 90 * time.Second
 	// pingAfter and pingTimeout find a peer that is frozen: a heartbeat to it
 	// would otherwise wait on an open connection.
+	// opDial marks an error before any byte of a request was sent; package net
+	// names the opening of a connection so, and who asks relies on it.
+	opDial      = "dial"
 	pingAfter   = 5 * time.Second
 	pingTimeout = 5 * time.Second
 	// controlPingAfter is pingAfter of connections that carry only heartbeats. A
@@ -35,8 +41,15 @@
 		// control has connections of its own, so that no heartbeat waits behind a
 		// batch of samples.
 		control *http.Client
+		tls     *tls.Config
 	}
 
+	// plainly hides that a connection is encrypted, so that HTTP/2 begins on it
+	// without being negotiated, as between all processes of the system.
+	plainly struct{ net.Conn }
+
+	secured struct{ net.Listener }
+
 	// Option changes a Net as New makes it.
 	Option func(*Net)
 )
@@ -67,7 +80,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext: n.dial,
+		DialContext: n.dialPeer,
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: pingTimeout},
 	}}
@@ -84,6 +97,49 @@
 	return func(n *Net) { n.dial = dial }
 }
 
+// WithPeerTLS encrypts what passes between the system's own processes, and lets
+// in only peers with a certificate if cfg asks for one. The default, also for
+// nil, is plain text.
+func WithPeerTLS(cfg *tls.Config) Option {
+	return func(n *Net) { n.tls = cfg }
+}
+
+// ListenPeers listens for the system's own processes.
+func (n *Net) ListenPeers(address string) (net.Listener, error) {
+	l, err := n.listen(address)
+	if err != nil || n.tls == nil {
+		return l, err
+	}
+	return secured{tls.NewListener(l, n.tls)}, nil
+}
+
+// Accept implements net.Listener. The handshake takes place with the first bytes
+// that are read, so a client that is slow at it holds up nobody else.
+func (s secured) Accept() (net.Conn, error) {
+	c, err := s.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return plainly{c}, nil
+}
+
+func (n *Net) dialPeer(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := n.dial(ctx, network, address)
+	if err != nil || n.tls == nil {
+		return c, err
+	}
+	cfg := n.tls.Clone()
+	cfg.ServerName, _, err = net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "dialling a peer"), c.Close())
+	}
+	secure := tls.Client(c, cfg)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		return nil, errors.CombineErrors(&net.OpError{Op: opDial, Net: network, Err: err}, c.Close())
+	}
+	return plainly{secure}, nil
+}
+
 // Listen listens on an address.
 func (n *Net) Listen(address string) (net.Listener, error) {
 	return n.listen(address)
--- a/scfg/scfg.go
+++ b/scfg/scfg.go
@@ -4,6 +4,7 @@
 import (
 	"time"
 
+	"github.com/lavendermux/lavendermux/certs"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/netad"
@@ -64,6 +65,9 @@
 	LogLevel string `json:"logLevel"`
 	// LogFormat is logfmt, json or text. The default is logfmt.
 	LogFormat string `json:"logFormat"`
+	// PeerTLS are the files with which the system's own processes speak TLS to
+	// each other; all of them or none. The default is plain text.
+	PeerTLS certs.Files `json:"peerTLS,omitzero"`
 }
 
 // Default returns Settings with every default set.
@@ -106,6 +110,9 @@
 	bad.Check(s.StopWithin > 0, "stopWithin", "is not above zero")
 	bad.Merge("logLevel", logs.CheckLevel(s.LogLevel))
 	bad.Merge("logFormat", logs.CheckFormat(s.LogFormat))
+	bad.Merge("peerTLS", s.PeerTLS.Validate())
+	bad.Check(s.PeerTLS == (certs.Files{}) || s.PeerTLS.Complete(), "peerTLS",
+		"names only some of certificate, key and authority; processes show each other a certificate")
 	return bad.Err()
 }
 
--- a/side/side.go
+++ b/side/side.go
@@ -140,7 +140,7 @@
 // when the last request in flight has its answer, or after the settings'
 // stopWithin.
 func (s *Side) Run(ctx context.Context) error {
-	server, err := serve.Start(s.cfg.Listen, s.router(), serve.WithListen(s.net.Listen))
+	server, err := serve.Start(s.cfg.Listen, s.router(), serve.WithListen(s.net.ListenPeers))
 	if err != nil {
 		return err
 	}
