--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -60,6 +60,11 @@
 bin/standin register --list "$(value "$entry1" instanceList)" "$dir"/entries/*.json "$dir"/sides/*.json
 entries=""
 for file in "$dir"/entries/*.json; do
+  folder=$(value "$file" dataFolder)
+  if [ -n "$folder" ]; then
+    rm -rf "$folder"
+    mkdir -p "$folder"
+  fi
   start "$(basename "$file" .json)" bin/lavendermux entry --settings "$file"
   entries=${entries:+$entries,}http://$(value "$file" listen)
 done
