--- a/worker/worker.go
+++ b/worker/worker.go
@@ -29,6 +29,9 @@
 	// Failures counts the orders of this version that the engine itself failed;
 	// refusals of the weight store are not among them.
 	Failures int
+	// Empty says that the worker runs no version of the model, as after a switch
+	// that failed halfway.
+	Empty bool
 	// NotBefore is when the worker may be given the next order; zero for now.
 	NotBefore time.Time
 	// Live is the share of the worker's slots that live requests take, 0 to 1.
