--- a/action/action.go
+++ b/action/action.go
@@ -50,6 +50,10 @@
 	groupsResponse struct {
 		Accepted int `json:"accepted"`
 		Known    int `json:"known"`
+		// Recorded is false while the key-value service is silent: should the
+		// holder be lost before it answers, and no disk have a copy, the groups are
+		// lost too, and later answers owe fewer samples than the trainer lacks.
+		Recorded bool `json:"recorded"`
 	}
 
 	weightsRequest struct {
@@ -156,8 +160,8 @@
 	if err := bad.Err(); err != nil {
 		return nil, err
 	}
-	n, err := f.Submit(ctx, in.Groups)
-	return groupsResponse{Accepted: n, Known: len(in.Groups) - n}, err
+	n, recorded, err := f.Submit(ctx, in.Groups)
+	return groupsResponse{Accepted: n, Known: len(in.Groups) - n, Recorded: recorded}, err
 }
 
 func weights(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -284,7 +284,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range groups {
-		if f.book.Groups[g.ID] == nil {
+		// A group that the ledger lacks was taken in during an outage of the
+		// key-value service, by a holder that was lost before it could record it.
+		// The ledger refuses it if it may have been delivered and forgotten.
+		if _, err := f.book.Add(g.ID, g.Step, g.Samples); err != nil {
 			go f.bulk.DropGroup(context.WithoutCancel(ctx), f.name, g.ID)
 			continue
 		}
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -174,8 +174,13 @@
 	for {
 		f.mu.Lock()
 		picked, lacking := f.pick(most)
+		lost := len(picked) == 0 && len(f.missing()) > 0
 		changed := f.changed
 		f.mu.Unlock()
+		if lost {
+			// The trainer must submit again before anything can get ready.
+			return nil
+		}
 		if len(picked) >= most || (len(picked) > 0 && !lacking) {
 			return picked
 		}
--- a/feed/submit.go
+++ b/feed/submit.go
@@ -11,7 +11,8 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Submit takes in groups and returns how many are new. A group that is known
+// Submit takes in groups and returns how many are new, and whether they are
+// recorded. A group that is known
 // already is left as it is, so a trainer whose answer was lost submits again.
 // When it returns, the groups are recorded and their prompts kept as well as
 // the deployment can; while the key-value service is down the record follows
@@ -19,22 +20,22 @@
 //
 // The errors are *fault.FieldError, *fault.FieldsError, and
 // *ledger.OvertakenError, after which the trainer asks another instance.
-func (f *Feed) Submit(ctx context.Context, groups []grpreq.Group) (int, error) {
-	added, err := f.add(groups)
+func (f *Feed) Submit(ctx context.Context, groups []grpreq.Group) (added int, recorded bool, err error) {
+	fresh, err := f.add(groups)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	f.copyGroups(ctx, added)
-	if len(added) == 0 {
-		return 0, f.Overtaken()
+	f.copyGroups(ctx, fresh)
+	if len(fresh) == 0 {
+		return 0, true, f.Overtaken()
 	}
 	err = f.save(ctx)
 	var down *fault.UnavailableError
 	if errors.As(err, &down) {
-		f.log.Warn("groups taken in without a record", "subscription", f.name, "groups", len(added), "err", err)
-		err = nil
+		f.log.Warn("groups taken in without a record", "subscription", f.name, "groups", len(fresh), "err", err)
+		return len(fresh), false, nil
 	}
-	return len(added), err
+	return len(fresh), err == nil, err
 }
 
 // copyGroups copies prompts to disks, several at a time: a step of 512 groups
