Send nothing unrecorded without the trainer's word on its newest version

Cause of two faults found by the fault matrix: an offer that could not be recorded went out at the second pull of a trainer without a cursor; and a holder that was cut off and overtaken delivered samples three versions old, bound two, since it had not heard of newer ones. Change: a pull may carry what the trainer has published; the record is looked at before an offer goes out again. TestKeyValueDownLong and TestHolderCutOff failed before and pass.

--- a/action/action.go
+++ b/action/action.go
@@ -66,8 +66,10 @@
 
 	pullRequest struct {
 		Cursor string `json:"cursor"`
-		Max    int    `json:"max"`
-		WaitMs int64  `json:"waitMs"`
+		// Published is the trainer's newest version, a decimal number; optional.
+		Published string `json:"published"`
+		Max       int    `json:"max"`
+		WaitMs    int64  `json:"waitMs"`
 	}
 
 	ackRequest struct {
@@ -190,7 +192,14 @@
 	case in.WaitMs < 0 || in.WaitMs > mostWaitMs:
 		return nil, &fault.FieldError{Field: "waitMs", Problem: fmt.Sprintf("is %d, not 0 to %d", in.WaitMs, mostWaitMs)}
 	}
-	return f.Pull(ctx, in.Cursor, in.Max, time.Duration(in.WaitMs)*time.Millisecond)
+	published := int64(0)
+	if in.Published != "" {
+		var err error
+		if published, err = sample.ParseVersion(in.Published); err != nil {
+			return nil, &fault.FieldError{Field: "published", Problem: "is not a decimal number"}
+		}
+	}
+	return f.Pull(ctx, in.Cursor, published, in.Max, time.Duration(in.WaitMs)*time.Millisecond)
 }
 
 func ack(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -25,34 +25,39 @@
 	maxMissing = 64
 )
 
-// Pull settles the trainer's cursor and returns the next samples, at most max,
-// waiting up to wait for the first. A pull that comes twice with the same cursor
+// Pull settles the trainer's cursor and returns the next samples, at most most,
+// waiting up to wait for the first. Published is the newest version that the
+// trainer itself knows to have published, 0 when it does not say: a holder that
+// was cut off may not have heard of it. A pull that comes twice with the same cursor
 // gets the same samples, less those that have become too old meanwhile.
 //
 // A trainer that carries no cursor gets the outstanding offer again until it
 // acknowledges it by Ack, and no offer leaves without a record.
-func (f *Feed) Pull(ctx context.Context, text string, most int, wait time.Duration) (*offer.Offer, error) {
+func (f *Feed) Pull(
+	ctx context.Context, text string, published int64, most int, wait time.Duration,
+) (*offer.Offer, error) {
 	if err := f.pulls.Take(ctx); err != nil {
 		return nil, &fault.NotRunError{Cause: CauseBusy, Reason: "another pull of this subscription is under way"}
 	}
 	defer f.pulls.Give()
 	f.waits(time.Now())
 	defer f.waited()
+	f.publish(published, time.Now())
 	c, err := f.settle(text)
 	if err != nil {
 		return nil, err
 	}
-	if again := f.repeat(); again != nil {
-		return f.send(c, again), f.Overtaken()
-	}
-	picked := f.await(ctx, most, wait)
-	if len(picked) == 0 {
-		return f.nothing(c), f.Overtaken()
+	picked := f.repeat()
+	if picked == nil {
+		picked = f.await(ctx, most, wait)
+		if len(picked) == 0 {
+			return f.nothing(c), f.Overtaken()
+		}
+		f.mu.Lock()
+		f.book.Make(ids(picked))
+		f.mu.Unlock()
 	}
-	f.mu.Lock()
-	f.book.Make(ids(picked))
-	f.mu.Unlock()
-	if err := f.recordOffer(ctx); err != nil {
+	if err := f.recordOffer(ctx, published); err != nil {
 		return nil, err
 	}
 	return f.send(c, picked), f.Overtaken()
@@ -276,16 +281,25 @@
 }
 
 // recordOffer stores the offer before it leaves. While the service is down a
-// trainer that carries its cursor gets it all the same: the cursor then is the
-// record. Any other waits, since after this holder's loss nobody could tell
-// what it got.
-func (f *Feed) recordOffer(ctx context.Context) error {
+// trainer that carries its cursor and says what it has published gets it all the
+// same: the cursor then is the record. Any other waits. Without a cursor nobody
+// could tell after this holder's loss what the trainer got; and a holder that was
+// cut off and overtaken would not know of a newer version, and deliver samples
+// past the staleness bound.
+func (f *Feed) recordOffer(ctx context.Context, published int64) error {
+	f.mu.Lock()
+	stored := !f.book.Unrecorded()
+	f.mu.Unlock()
+	if stored {
+		// The offer goes out again as it was recorded.
+		return nil
+	}
 	err := f.save(ctx)
 	var down *fault.UnavailableError
 	if !errors.As(err, &down) {
 		return err
 	}
-	if f.config().Cursor {
+	if f.config().Cursor && published > 0 {
 		f.mu.Lock()
 		f.stats.Unrecorded++
 		f.mu.Unlock()
@@ -293,7 +307,7 @@
 	}
 	return &fault.NotRunError{
 		Cause:      CauseService,
-		Reason:     "the offer could not be recorded, and this trainer carries no cursor",
+		Reason:     "the offer could not be recorded, and this trainer's pull does not carry both its cursor and what it has published",
 		RetryAfter: 2 * restAfterFailure,
 	}
 }
