--- a/entry/entry.go
+++ b/entry/entry.go
@@ -193,7 +193,7 @@
 		e.disk = disk
 		defer func() { _ = disk.Close() }()
 	}
-	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.Listen))
+	peers, err := serve.Start(e.cfg.PeerListen, e.peerHandler(), serve.WithListen(e.net.ListenPeers))
 	if err != nil {
 		return err
 	}
@@ -249,7 +249,7 @@
 	e.front.Register(r)
 	e.train.Register(r)
 	e.ops.Register(r)
-	e.seen.Register(r)
+	e.seen.Register(r, e.values)
 	if e.keys == nil {
 		return r
 	}
