--- a/cmd/measure/roles.go
+++ b/cmd/measure/roles.go
@@ -32,11 +32,11 @@
 		{name: "the same, room 1", minimum: true, guarantee: true, opts: []shift.Option{shift.WithRoom(1)}},
 		{name: "the same, room 1.4", minimum: true, guarantee: true, opts: []shift.Option{shift.WithRoom(1.4)}},
 	}
-	t := newTable("bursts", "way", "live p99 s", "live short", "first pool done", "first pool short", "second pool done", "second pool short", "moves an hour")
+	t := newTable("bursts", "way", "live p99 s", "live short", "first pool done", "first pool short", "second pool done", "second pool short", "moves an hour", "live recovers s")
 	for _, height := range []float64{2, 4} {
 		for _, c := range cases {
-			runs := each(seeds, func(seed uint64) [7]float64 { return rolesOnce(c, height, seed) })
-			var s [7]tally.Series
+			runs := each(seeds, func(seed uint64) [8]float64 { return rolesOnce(c, height, seed) })
+			var s [8]tally.Series
 			for _, r := range runs {
 				for i, v := range r {
 					s[i].Add(v)
@@ -46,13 +46,13 @@
 			if height > 2 {
 				bursts = "live x4"
 			}
-			t.add([]string{bursts, c.name}, &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6])
+			t.add([]string{bursts, c.name}, &s[0], &s[1], &s[2], &s[3], &s[4], &s[5], &s[6], &s[7])
 		}
 	}
 	t.print()
 }
 
-func rolesOnce(c rolesCase, height float64, seed uint64) [7]float64 {
+func rolesOnce(c rolesCase, height float64, seed uint64) [8]float64 {
 	play := &surge.Play{Long: 2 * time.Hour, Move: 10 * time.Second}
 	quotas := []quota.Quota{
 		{Name: "live", Priority: 3, Minimum: 15, Guarantee: 60, Workers: 40},
@@ -81,7 +81,8 @@
 	}
 	r := play.Run(seed)
 	hours := play.Long.Hours()
-	return [7]float64{
+	return [8]float64{
 		r.P99[0], r.Short[0], r.Done[1], r.Short[1], r.Done[2], r.Short[2], float64(r.Moves) / hours,
+		r.Recover[0],
 	}
 }
--- a/cmd/measure/rollouts.go
+++ b/cmd/measure/rollouts.go
@@ -32,6 +32,7 @@
 // of that name.
 func (c *rolloutsCommand) Run() error {
 	plays := map[string]func(seeds int){
+		"mixed":    playMixed,
 		"roles":    playRoles,
 		"starts":   playStarts,
 		"trainers": playTrainers,
--- a/cmd/measure/trainers.go
+++ b/cmd/measure/trainers.go
@@ -143,3 +143,43 @@
 		return 0, false
 	}
 }
+
+// playMixed plays two pairs of equal trainers; of each pair one weighs idle time
+// alone and the other staleness four times as much.
+func playMixed(seeds int) {
+	t := newTable("workers", "weights", "idle share: first, idle time", "first, staleness", "second, idle time", "second, staleness", "age mean")
+	for _, workers := range []int{40, 20, 10} {
+		for _, mixed := range []bool{false, true} {
+			name, weights := "even", [2]float64{0.5, 0.5}
+			if mixed {
+				name, weights = "mixed", [2]float64{1, 0.2}
+			}
+			runs := each(seeds, func(seed uint64) [5]float64 { return mixedOnce(workers, weights, seed) })
+			var s [5]tally.Series
+			for _, r := range runs {
+				for i, v := range r {
+					s[i].Add(v)
+				}
+			}
+			t.add([]string{fmt.Sprint(workers), name}, &s[0], &s[1], &s[2], &s[3], &s[4])
+		}
+	}
+	t.print()
+}
+
+func mixedOnce(workers int, weights [2]float64, seed uint64) [5]float64 {
+	p := &steps.Play{
+		Workers: workers, Slots: 8, Speed: 40, Slow: 0.03, Still: 0.1,
+		Long: 3 * time.Hour, Noise: 0.4, Choose: scheduled(),
+		Next: func() nextFunc { return strag.New().Next },
+	}
+	for _, w := range weights {
+		p.Trainer(512, 8, 2, 5*time.Minute, 1600, w, 1-w)
+	}
+	for _, w := range weights {
+		p.Trainer(128, 4, 2, 2*time.Minute, 800, w, 1-w)
+	}
+	r := p.Run(seed)
+	idle := r.Idle.Values
+	return [5]float64{idle[0], idle[1], idle[2], idle[3], r.Age.Mean()}
+}
--- a/surge/surge.go
+++ b/surge/surge.go
@@ -44,6 +44,9 @@
 		done    float64
 		wanted  float64
 		short   float64
+		burst   bool
+		over    time.Time
+		recover tally.Series
 	}
 
 	arrival struct {
@@ -60,6 +63,9 @@
 		// Short is for each side the share of time in which it had fewer workers
 		// than both its need and its guarantee.
 		Short []float64
+		// Recover is for each side the mean time in seconds from a burst's end until
+		// work waits less than a second again.
+		Recover []float64
 		// Moves is how many workers were moved, each count once.
 		Moves int
 	}
@@ -78,8 +84,9 @@
 func (p *Play) Run(seed uint64) *result {
 	now := time.Unix(0, 0)
 	loads := make([][]float64, len(p.sides))
+	bursts := make([][]bool, len(p.sides))
 	for i, s := range p.sides {
-		loads[i] = s.draw(rand.New(rand.NewPCG(seed, uint64(i))), int(p.Long/tick))
+		loads[i], bursts[i] = s.draw(rand.New(rand.NewPCG(seed, uint64(i))), int(p.Long/tick))
 		s.ready = s.quota.Workers
 		s.quota.Need = s.load
 	}
@@ -88,6 +95,7 @@
 		now = now.Add(tick)
 		for i, s := range p.sides {
 			s.serve(loads[i][t], now)
+			s.note(bursts[i][t], now)
 		}
 		if p.Plan != nil {
 			p.shift(r, now)
@@ -97,13 +105,16 @@
 		r.P99 = append(r.P99, s.waits.Quantile(0.99))
 		r.Done = append(r.Done, s.done/s.wanted)
 		r.Short = append(r.Short, s.short/p.Long.Seconds())
+		r.Recover = append(r.Recover, s.recover.Mean())
 	}
 	return r
 }
 
-// draw returns the load of each tick: a slow wave, noise and bursts.
-func (s *side) draw(rng *rand.Rand, ticks int) []float64 {
-	loads := make([]float64, ticks)
+// draw returns the load of each tick, a slow wave, noise and bursts, and whether
+// it is in a burst.
+func (s *side) draw(rng *rand.Rand, ticks int) (loads []float64, bursts []bool) {
+	loads = make([]float64, ticks)
+	bursts = make([]bool, ticks)
 	phase := rng.Float64() * 2 * math.Pi
 	until := -1
 	for t := range loads {
@@ -114,10 +125,11 @@
 		loads[t] = s.load * wave * (1 + 0.15*rng.NormFloat64())
 		if t <= until {
 			loads[t] *= s.height
+			bursts[t] = true
 		}
 		loads[t] = max(0, loads[t])
 	}
-	return loads
+	return loads, bursts
 }
 
 // serve does one tick's work; waits are weighted by the work that comes, in tenths
@@ -143,6 +155,21 @@
 	}
 }
 
+// note takes the time from a burst's end until nothing waits any more.
+func (s *side) note(burst bool, now time.Time) {
+	if s.burst && !burst {
+		s.over = now
+	}
+	s.burst = burst
+	if burst {
+		s.over = time.Time{}
+	}
+	if !s.over.IsZero() && s.backlog < max(1, float64(s.ready)) {
+		s.recover.Add(now.Sub(s.over).Seconds())
+		s.over = time.Time{}
+	}
+}
+
 func (p *Play) shift(r *result, now time.Time) {
 	quotas := make([]quota.Quota, len(p.sides))
 	for i, s := range p.sides {
