--- a/pace/pace.go
+++ b/pace/pace.go
@@ -7,6 +7,15 @@
 // requests wait behind the loading, and a version that does not load is found
 // out on all workers together; one would notice refusals at the store, a late
 // switch and a pool that failed as a whole.
+//
+// Its end states are Complete, Halted and Partial, and in each every worker is
+// known to use the old version, the new one, or to be asked. A worker that has
+// not staged when the others switch is set aside (see Roll.Aside): it goes on
+// with live requests, stages at the same pace and switches by itself. Measured on
+// 700 workers against no limit, the store refuses none in place of 16,400
+// fetches, and a version that does not load fails on 3 in place of all; the whole
+// pool has it 302 s after the start in place of 266 s. The figures are in
+// docs/measured/rollouts.md.
 package pace
 
 import (
@@ -34,11 +43,19 @@
 	// the new one, the others the old one, and each says which.
 	Partial = "partial"
 
-	defaultRate     = 2.0
-	defaultHolders  = 1
+	defaultRate    = 2.0
+	defaultHolders = 1
+	// defaultPatience is half of the ten minutes between two versions.
 	defaultPatience = 5 * time.Minute
-	defaultQuorum   = 0.98
-	defaultGrowth   = 8
+	// defaultQuorum leaves two workers in a hundred behind. With 0.9 the other
+	// tenth switched one by one over 19 s; with 1 a silent worker held the
+	// version back for good.
+	defaultQuorum = 0.98
+	// defaultGrowth is how many orders may be under way for each worker on which
+	// one has succeeded. When a switch takes 1 s, 700 workers have switched after
+	// 9.1 s with 2, 5.6 s with 8 and 4.1 s with 32; of a version that fails on
+	// half of the workers 6.7, 12.7 and 20.7 loads fail before it is halted.
+	defaultGrowth = 8
 
 	// A worker fails for its own reasons with the chance soundFault, and on a
 	// version that is at fault with at least badFault; doubt is the chance that a
@@ -52,7 +69,9 @@
 	// for a worker that is itself at fault.
 	tries = 3
 	// restore is the share of the rate that comes back each second after a
-	// refusal has halved it.
+	// refusal has halved it. While others take a third of the store's rate, 0.02
+	// has the pool staged after 442 s with 20 refusals, 0.05 after 413 s with 39
+	// and 0.2 after 410 s with 118.
 	restore = 0.05
 )
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -6,6 +6,13 @@
 // prompts takes the engines while the others idle, and samples begin that are
 // older than their trainer's bound when they end; one would notice tokens thrown
 // away at the delivery and trainers idle beside busy engines.
+//
+// Its thresholds are the trainers' own: the bound, and the weights of idle time
+// and staleness, which say how far ahead of its need a step is begun. Measured
+// against round robin at twice the capacity, the worst trainer idles 0.54 of the
+// time in place of 0.75 and samples are 0.6 versions old in place of 1.3; the
+// mean of all trainers is higher, 0.41 in place of 0.31, since round robin starves
+// the one with the largest step. The figures are in docs/measured/rollouts.md.
 package sched
 
 import (
@@ -15,7 +22,8 @@
 )
 
 // leastShare is the weight of a trainer whose operators do not mind idle time at
-// all: it still gets its turn when it is late.
+// all. With 0 it would never get its turn among late ones; a tenth lets it wait
+// for ten times as long as one whose operators mind nothing else.
 const leastShare = 0.1
 
 // Chooser chooses between trainers. See New.
--- a/strag/strag.go
+++ b/strag/strag.go
@@ -6,7 +6,12 @@
 // sample is, lengths differ by more than ten times, and some workers are slow or
 // stand still. Without it a long sample that begins last, or one on a slow
 // worker, runs alone while the trainer and nearly all slots are idle; one would
-// notice a step's p99 at several times its median.
+// notice a step's p99 at several times its median. Measured on steps of 4,096
+// samples with 5% slow workers, p99 is 255 s against 643 s first come, first
+// served; the figures and sweeps are in docs/measured/rollouts.md.
+//
+// There are no spare attempts beside a straggler that runs on: measured against
+// moving it, they threw tokens away and a step was whole no sooner.
 package strag
 
 import (
@@ -19,13 +24,21 @@
 )
 
 const (
+	// defaultMoves is how often one sample may be moved: with 5% slow workers and
+	// 20% that stand still once, a step's p99 was 490 s with one move, 442 s with
+	// two and 277 s with four.
 	defaultMoves  = 4
 	defaultResume = 2 * time.Second
-	defaultGain   = 2.0
-	defaultStill  = 10 * time.Second
+	// defaultGain, from 1.2 to 2, changed no figure beyond the spread; 2 moves the
+	// fewest.
+	defaultGain = 2.0
+	// defaultStill is longer than the prefill of a long prompt; 5 s measured the
+	// same.
+	defaultStill = 10 * time.Second
 	// residual is the expected rest of a sample that has outgrown its estimate,
 	// as a share of what it has made: of lengths with a heavy tail, the rest
-	// grows with the age.
+	// grows with the age. A quarter measured the same; with 1 the p99 with workers
+	// that stand still rose from 272 to 304 s.
 	residual = 0.5
 	// guess is how many finished siblings the sender's own estimate is worth.
 	guess = 1
