--- a/slot/slot.go
+++ b/slot/slot.go
@@ -9,7 +9,7 @@
 	// delivered.
 	Slot struct {
 		// Group counts from 0 within the step; siblings share it and stand side by
-	// side in what the decision is given.
+		// side in what the decision is given.
 		Group int
 		// Expected is the whole length in tokens as the sender guesses it; 0 when
 		// it has no guess.
