--- /dev/null
+++ b/cmd/lavendermux/entry.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/ecfg"
+	"github.com/lavendermux/lavendermux/entry"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/netset"
+	"github.com/lavendermux/lavendermux/tokens"
+)
+
+type entryCommand struct {
+	Settings string `required:"" type:"existingfile" help:"JSON file with the entry's settings."`
+}
+
+// Run serves until a signal, and then stops gracefully.
+func (c *entryCommand) Run(ctx context.Context) error {
+	raw, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return errors.Wrap(err, "reading the settings")
+	}
+	cfg, err := ecfg.Parse(raw)
+	if err != nil {
+		return errors.Wrapf(err, "settings %s", c.Settings)
+	}
+	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
+		logs.WithField(logs.FieldInstance, cfg.Instance))
+	opts := []entry.Option{entry.WithLog(logger)}
+	door, err := cfg.TLS.Config()
+	if err != nil {
+		return errors.Wrap(err, "settings: tls")
+	}
+	peers, err := cfg.PeerTLS.Config()
+	if err != nil {
+		return errors.Wrap(err, "settings: peerTLS")
+	}
+	opts = append(opts, entry.WithTLS(door), entry.WithNet(netset.New(netset.WithPeerTLS(peers))))
+	if cfg.TokenFile != "" {
+		keys, err := loadKeys(cfg.TokenFile)
+		if err != nil {
+			return err
+		}
+		opts = append(opts, entry.WithKeys(keys))
+	}
+	return entry.New(cfg, opts...).Run(ctx)
+}
+
+func loadKeys(name string) (*tokens.Keys, error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the token file")
+	}
+	keys, err := tokens.Load(raw)
+	return keys, errors.Wrapf(err, "token file %s", name)
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -1,14 +1,20 @@
-// Command measure plays load to the decisions and prints what callers and
-// trainers get.
+// Command measure plays load against the decisions and prints what callers and
+// trainers get, as tables in markdown.
 package main
 
-import "github.com/alecthomas/kong"
+import (
+	"github.com/alecthomas/kong"
+)
 
-var cli struct {
-	Rollouts rolloutsCommand `cmd:"" help:"Plays rollouts to the decisions about them."`
+// cli is the command line; each subcommand stands in a file of its own.
+type cli struct {
+	Load     loadCommand     `cmd:"" help:"Measure the decisions about live and mixed work."`
+	Rollouts rolloutsCommand `cmd:"" help:"Measure the decisions about rollouts."`
+	Path     pathCommand     `cmd:"" help:"Measure what the path adds to a direct call. See scripts/path.sh."`
 }
 
 func main() {
-	ctx := kong.Parse(&cli)
+	var c cli
+	ctx := kong.Parse(&c, kong.Description("Plays load against the decisions and prints tables."))
 	ctx.FatalIfErrorf(ctx.Run())
 }
--- a/cmd/measure/roles.go
+++ b/cmd/measure/roles.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/lavendermux/lavendermux/claim"
 	"github.com/lavendermux/lavendermux/move"
-	"github.com/lavendermux/lavendermux/quota"
 	"github.com/lavendermux/lavendermux/shift"
 	"github.com/lavendermux/lavendermux/surge"
 	"github.com/lavendermux/lavendermux/tally"
@@ -12,7 +12,7 @@
 
 type rolesCase struct {
 	name string
-	// minimum and guarantee keep the quotas' own; without them a side may be
+	// minimum and guarantee keep the claims' own; without them a side may be
 	// taken down to one worker, or may take back as many as it wants.
 	minimum, guarantee, static bool
 	opts                       []shift.Option
@@ -54,7 +54,7 @@
 
 func rolesOnce(c rolesCase, height float64, seed uint64) [8]float64 {
 	play := &surge.Play{Long: 2 * time.Hour, Move: 10 * time.Second}
-	quotas := []quota.Quota{
+	claims := []claim.Claim{
 		{Name: "live", Priority: 3, Minimum: 15, Guarantee: 60, Workers: 40},
 		{Name: "first", Priority: 2, Minimum: 10, Guarantee: 30, Workers: 30},
 		{Name: "second", Priority: 1, Minimum: 10, Guarantee: 30, Workers: 30},
@@ -62,21 +62,21 @@
 	loads := []float64{25, 25, 25}
 	bursts := []float64{4, 4, 2}
 	heights := []float64{height, 2, 2}
-	for i := range quotas {
-		play.Add(quotas[i], loads[i], bursts[i], heights[i])
+	for i := range claims {
+		play.Add(claims[i], loads[i], bursts[i], heights[i])
 	}
 	if !c.static {
 		p := shift.New(c.opts...)
-		play.Plan = func(quotas []quota.Quota, now time.Time) []move.Move {
-			for i := range quotas {
+		play.Plan = func(claims []claim.Claim, now time.Time) []move.Move {
+			for i := range claims {
 				if !c.minimum {
-					quotas[i].Minimum = 1
+					claims[i].Minimum = 1
 				}
 				if !c.guarantee {
-					quotas[i].Guarantee = 100
+					claims[i].Guarantee = 100
 				}
 			}
-			return p.Plan(quotas, now)
+			return p.Plan(claims, now)
 		}
 	}
 	r := play.Run(seed)
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/bulk"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+// peerHandler serves the protocol between entries: heartbeats by the hub, and
+// what is passed to the holder of a job.
+type peerHandler struct {
+	*hub.Hub
+	entry *Entry
+}
+
+// Relay implements wireconnect.PeerServiceHandler.
+func (h *peerHandler) Relay(
+	ctx context.Context, req *connect.Request[wire.RelayRequest],
+) (*connect.Response[wire.RelayResponse], error) {
+	status, answer, held := h.entry.Answer(ctx, req.Msg.GetJob(), req.Msg.GetAction(), req.Msg.GetBody())
+	return connect.NewResponse(&wire.RelayResponse{
+		Status:    int32(status),
+		Body:      answer,
+		NotHolder: !held,
+	}), nil
+}
+
+// Keep implements wireconnect.PeerServiceHandler.
+func (h *peerHandler) Keep(
+	_ context.Context, req *connect.Request[wire.KeepRequest],
+) (*connect.Response[wire.KeepResponse], error) {
+	disk := h.entry.disk
+	if disk == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	}
+	var err error
+	if req.Msg.GetDrop() {
+		err = disk.Drop(req.Msg.GetKey(), req.Msg.GetFence())
+	} else {
+		err = disk.Keep(req.Msg.GetKey(), req.Msg.GetValue(), req.Msg.GetFence())
+	}
+	var (
+		old  *fault.OldFenceError
+		full *bulk.FullError
+	)
+	switch {
+	case errors.As(err, &old):
+		return connect.NewResponse(&wire.KeepResponse{OldFence: true}), nil
+	case errors.As(err, &full):
+		return nil, connect.NewError(connect.CodeResourceExhausted, full)
+	case err != nil:
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&wire.KeepResponse{}), nil
+}
+
+// Kept implements wireconnect.PeerServiceHandler.
+func (h *peerHandler) Kept(
+	_ context.Context, req *connect.Request[wire.KeptRequest],
+) (*connect.Response[wire.KeptResponse], error) {
+	disk := h.entry.disk
+	if disk == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNoDisk)
+	}
+	found, more, err := disk.Kept(req.Msg.GetPrefix(), req.Msg.GetAfterKey())
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&wire.KeptResponse{Blobs: found, More: more}), nil
+}
--- /dev/null
+++ b/opapi/status.go
@@ -0,0 +1,83 @@
+package opapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/lavendermux/lavendermux/condit"
+	"github.com/lavendermux/lavendermux/kinds"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/reply"
+	"github.com/lavendermux/lavendermux/status"
+)
+
+// statusTimeout bounds asking a hub, which is a few milliseconds away.
+const statusTimeout = 2 * time.Second
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	kind, name := mux.Vars(r)["kind"], mux.Vars(r)["name"]
+	o, source, err := a.read(r.Context(), kind, name)
+	a.mark(w, source)
+	if err != nil {
+		reply.Fail(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	inForce, unheard := a.inForce(ctx, o.Revision)
+	s := status.Status{
+		Kind:             kind,
+		Name:             name,
+		AcceptedRevision: o.Revision,
+		Operation:        o.Operation,
+		Deleted:          o.Deleted,
+		Source:           source,
+		InForce:          inForce,
+		Conditions:       a.against(o, source),
+	}
+	if s.InForce.Lagging == nil {
+		s.InForce.Lagging = []string{}
+	}
+	if unheard != nil {
+		s.Conditions = append(s.Conditions, condit.Condition{
+			Cause:  "membershipSilent",
+			Reason: "no hub of this data centre says who has which revision: " + unheard.Error(),
+		})
+	}
+	reply.JSON(w, http.StatusOK, s)
+}
+
+// against collects what stands against o.
+func (a *API) against(o object.Object, source string) []condit.Condition {
+	all := []condit.Condition{}
+	if source == SourceLocal {
+		all = append(all, condit.Condition{
+			Cause:  "keyValueDown",
+			Reason: fmt.Sprintf("the key-value service gives no answer; this is what was in force here at revision %d", a.cache.Revision()),
+		})
+	}
+	if err := a.cache.Problem(o.Kind, o.Name); err != nil {
+		all = append(all, condit.Condition{
+			Cause:  "unreadable",
+			Reason: "the stored resource cannot be read, an earlier revision stays in force; apply it again: " + err.Error(),
+		})
+	}
+	if o.Deleted {
+		return all
+	}
+	if err := a.dangling(o); err != nil {
+		all = append(all, condit.Condition{Cause: "dangling", Reason: err.Error()})
+	}
+	return append(all, a.conditions(o.Kind, o.Name)...)
+}
+
+func (a *API) dangling(o object.Object) error {
+	spec, err := kinds.Read(o.Kind, o.Spec)
+	if err != nil {
+		return err
+	}
+	return kinds.Refer(spec, a.cache.Spec)
+}
--- a/shift/options.go
+++ b/shift/options.go
@@ -6,12 +6,12 @@
 type Option func(*Planner)
 
 // WithCost sets how long a worker is lost to both sides when it moves; a
-// quota gets workers when it has been short for so long. The default is 10 s.
+// claim gets workers when it has been short for so long. The default is 10 s.
 func WithCost(d time.Duration) Option {
 	return func(p *Planner) { p.cost = d }
 }
 
-// WithRoom sets how many times its need a quota is given; the default is 1.2.
+// WithRoom sets how many times its need a claim is given; the default is 1.2.
 func WithRoom(factor float64) Option {
 	return func(p *Planner) { p.room = factor }
 }
--- a/surge/surge.go
+++ b/surge/surge.go
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/lavendermux/lavendermux/claim"
 	"github.com/lavendermux/lavendermux/move"
-	"github.com/lavendermux/lavendermux/quota"
 	"github.com/lavendermux/lavendermux/tally"
 )
 
@@ -26,14 +26,14 @@
 		// it moves.
 		Long, Move time.Duration
 		// Plan decides the moves; nil for a static split.
-		Plan func(quotas []quota.Quota, now time.Time) []move.Move
+		Plan func(claims []claim.Claim, now time.Time) []move.Move
 
 		sides []*side
 	}
 
 	// side is one role that shares the workers.
 	side struct {
-		quota   quota.Quota
+		claim   claim.Claim
 		load    float64
 		bursts  float64
 		height  float64
@@ -71,10 +71,10 @@
 	}
 )
 
-// Add adds a side with its quota: load is its usual need in workers; bursts an
+// Add adds a side with its claim: load is its usual need in workers; bursts an
 // hour, of one to six minutes, multiply it by height.
-func (p *Play) Add(q quota.Quota, load, bursts, height float64) {
-	p.sides = append(p.sides, &side{quota: q, load: load, bursts: bursts, height: height})
+func (p *Play) Add(q claim.Claim, load, bursts, height float64) {
+	p.sides = append(p.sides, &side{claim: q, load: load, bursts: bursts, height: height})
 }
 
 // Run plays the load with a seed.
@@ -87,8 +87,8 @@
 	bursts := make([][]bool, len(p.sides))
 	for i, s := range p.sides {
 		loads[i], bursts[i] = s.draw(rand.New(rand.NewPCG(seed, uint64(i))), int(p.Long/tick))
-		s.ready = s.quota.Workers
-		s.quota.Need = s.load
+		s.ready = s.claim.Workers
+		s.claim.Need = s.load
 	}
 	r := &result{}
 	for t := range loads[0] {
@@ -149,8 +149,8 @@
 		s.waits.Add(wait)
 	}
 	need := load + s.backlog/60
-	s.quota.Need += smooth * (need - s.quota.Need)
-	if float64(s.ready) < min(load, float64(s.quota.Guarantee)) {
+	s.claim.Need += smooth * (need - s.claim.Need)
+	if float64(s.ready) < min(load, float64(s.claim.Guarantee)) {
 		s.short++
 	}
 }
@@ -171,19 +171,19 @@
 }
 
 func (p *Play) shift(r *result, now time.Time) {
-	quotas := make([]quota.Quota, len(p.sides))
+	claims := make([]claim.Claim, len(p.sides))
 	for i, s := range p.sides {
-		quotas[i] = s.quota
+		claims[i] = s.claim
 	}
-	for _, m := range p.Plan(quotas, now) {
+	for _, m := range p.Plan(claims, now) {
 		r.Moves += m.Count
 		for _, s := range p.sides {
-			switch s.quota.Name {
+			switch s.claim.Name {
 			case m.From:
-				s.quota.Workers -= m.Count
+				s.claim.Workers -= m.Count
 				s.ready -= m.Count
 			case m.To:
-				s.quota.Workers += m.Count
+				s.claim.Workers += m.Count
 				s.coming = append(s.coming, arrival{at: now.Add(p.Move), count: m.Count})
 			}
 		}
