Mend how the live path uses the decisions about rollouts

Found by reading against the packages: failures of one step of a roll-out counted for the next, a weight store's refusal counted as a fault of the version, a holder that took over began a half-done switch from its start, rollouts went to workers that had not switched yet, several models together exceeded the store's rate, stragglers were never moved at a step's end, and a speed over the whole attempt found a standing worker late. The door's queue also got a guess of maxTokens for each live request; it now learns the length.

--- a/door/door.go
+++ b/door/door.go
@@ -42,6 +42,8 @@
 	CauseCount = "count"
 	// CauseDeadline says that the deadline passed.
 	CauseDeadline = "deadline"
+	// CauseStore says that the engine could not fetch weights from the store.
+	CauseStore = "weightStore"
 	// CauseFailed says that the engine failed to carry out an order.
 	CauseFailed = "failed"
 
--- a/door/order.go
+++ b/door/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -101,6 +102,9 @@
 		return nil
 	}
 	var status *rest.StatusError
+	if errors.As(err, &status) && o.Kind == order.Stage && status.Status == http.StatusBadGateway {
+		return &fault.NotRunError{Cause: CauseStore, Reason: status.Error(), RetryAfter: notReadyRetry}
+	}
 	if errors.As(err, &status) && o.Kind != order.Switch {
 		return &fault.NotRunError{Cause: CauseFailed, Reason: status.Error(), RetryAfter: notReadyRetry}
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -73,7 +73,8 @@
 	s := swaps.New(name, fence, h.Pool, h.Want, e.view, e.dial,
 		swaps.WithLog(e.log), swaps.WithReasons(e.seen.Deed))
 	m := maker.New(name, h.Pool, h.Feeds, e.relay, e.view, s.Loaded,
-		maker.WithScorer(e.scorer), maker.WithBulk(kept), maker.WithLog(e.log))
+		maker.WithScorer(e.scorer), maker.WithBulk(kept), maker.WithAside(s.Aside),
+		maker.WithLog(e.log))
 	e.seen.Deed(object.KindPool, name, deed.Deed{
 		Verb:  deed.VerbTakeOver,
 		What:  "the job of pool " + name + " taken over",
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -151,6 +151,13 @@
 		worker string
 		since  time.Time
 		made   int64
+		// before and last are points between which the speed is measured.
+		before, last point
+	}
+
+	point struct {
+		at   time.Time
+		made int64
 	}
 
 	// stats is what a subscription's status shows.
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -16,6 +16,9 @@
 	// each further one up to 2^maxDoublings.
 	retryAfter   = 200 * time.Millisecond
 	maxDoublings = 6
+	// speedWindow is the least time over which a speed is measured: tokens of a
+	// rollout come about once a second.
+	speedWindow = 5 * time.Second
 )
 
 // Demand describes the subscription to the choice between trainers. Loaded is
@@ -67,6 +70,19 @@
 
 // Next returns up to free attempts to begin now, and counts them as under way.
 func (f *Feed) Next(free int, now time.Time) []trial.Trial {
+	return f.next(free, now, func(s *slotState) bool { return true })
+}
+
+// Moves returns up to free attempts that go on from ones under way which make no
+// way where they are, and counts them as under way.
+func (f *Feed) Moves(free int, now time.Time) []trial.Trial {
+	return f.next(free, now, func(s *slotState) bool {
+		return s.delivered || s.ready != nil || len(s.runs) > 0
+	})
+}
+
+// next plans over the slots that consider returns true for.
+func (f *Feed) next(free int, now time.Time, consider func(*slotState) bool) []trial.Trial {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []trial.Trial
@@ -74,7 +90,7 @@
 		if free <= 0 {
 			break
 		}
-		slots, states := f.describe(st, now)
+		slots, states := f.describe(st, now, consider)
 		for _, s := range f.planner.Next(slots, free, now) {
 			out = append(out, f.begin(states[s.Slot], s, now))
 			free--
@@ -84,14 +100,15 @@
 }
 
 // describe lists a step's slots as the planner sees them.
-func (f *Feed) describe(st *step, now time.Time) ([]slot.Slot, []*slotState) {
+func (f *Feed) describe(st *step, now time.Time, consider func(*slotState) bool) ([]slot.Slot, []*slotState) {
 	var (
 		slots  []slot.Slot
 		states []*slotState
 	)
 	for i, g := range st.groups {
 		for _, s := range g.slots {
-			if !s.delivered && s.ready == nil && len(s.runs) == 0 && now.Before(s.notBefore) {
+			held := !s.delivered && s.ready == nil && len(s.runs) == 0 && now.Before(s.notBefore)
+			if held || !consider(s) {
 				continue
 			}
 			d := slot.Slot{
@@ -111,18 +128,30 @@
 	return slots, states
 }
 
-// speed is tokens a second of an attempt so far.
+// speed is tokens a second over the last seconds. Over the whole attempt a worker
+// that has come to a stand would look slower only little by little, and be found
+// late.
 func speed(t *try, now time.Time) float64 {
-	ran := now.Sub(t.since).Seconds()
+	t.look(now)
+	ran := now.Sub(t.before.at).Seconds()
 	if ran <= 0 {
 		return 0
 	}
-	return float64(t.made) / ran
+	return float64(t.made-t.before.made) / ran
+}
+
+// look moves the window over which speed is measured: it is between one and two
+// windows long.
+func (t *try) look(now time.Time) {
+	if now.Sub(t.last.at) >= speedWindow {
+		t.before, t.last = t.last, point{at: now, made: t.made}
+	}
 }
 
 func (f *Feed) begin(s *slotState, how start.Start, now time.Time) trial.Trial {
 	f.serial++
 	t := &try{id: s.id + "@" + strconv.FormatInt(f.serial, 10), slot: s, since: now}
+	t.before, t.last = point{at: now}, point{at: now}
 	out := trial.Trial{
 		ID:        t.id,
 		Slot:      s.id,
@@ -147,9 +176,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if t := f.trials[id]; t != nil {
+		now := time.Now()
 		t.worker = worker
-		t.since = time.Now()
+		t.since = now
 		t.made = 0
+		t.before, t.last = point{at: now}, point{at: now}
 	}
 }
 
@@ -159,6 +190,7 @@
 	defer f.mu.Unlock()
 	if t := f.trials[id]; t != nil {
 		t.made += tokens
+		t.look(time.Now())
 	}
 }
 
--- a/front/generate.go
+++ b/front/generate.go
@@ -72,15 +72,14 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(in.Timeout))
 	defer cancel()
 	req := &wire.RunRequest{
-		RequestId:      id,
-		Caller:         caller,
-		Pool:           name,
-		Model:          model,
-		Prompt:         in.Prompt,
-		MaxTokens:      in.MaxTokens,
-		Priority:       in.Priority,
-		Kind:           wire.WorkKind_WORK_KIND_LIVE,
-		ExpectedTokens: in.MaxTokens,
+		RequestId: id,
+		Caller:    caller,
+		Pool:      name,
+		Model:     model,
+		Prompt:    in.Prompt,
+		MaxTokens: in.MaxTokens,
+		Priority:  in.Priority,
+		Kind:      wire.WorkKind_WORK_KIND_LIVE,
 	}
 	begin := time.Now()
 	err = f.answer(ctx, w, p.Service, req, in.Stream)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -123,11 +123,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	item := describe(ctx, req)
-	if err := g.admit.Admit(item, g.slots.Total(), now); err != nil {
-		return err
-	}
-	ticket, err := g.queue.Push(w, item, now)
+	ticket, err := g.queue.Push(w, describe(ctx, req), now)
 	w.ticket = ticket
 	g.turn(now)
 	return err
@@ -195,8 +191,5 @@
 	if deadline, set := ctx.Deadline(); set {
 		w.Deadline = deadline
 	}
-	if w.Tokens == 0 && w.Live() {
-		w.Tokens = req.GetMaxTokens()
-	}
 	return w
 }
--- a/maker/attempt.go
+++ b/maker/attempt.go
@@ -101,11 +101,12 @@
 }
 
 // avoid names the workers that must not get the attempt: the one that the
-// decision named, those in the live role, which take no rollouts, and those whose
+// decision named, those that have not switched yet while the others do, those in the
+// live role, which take no rollouts, and those whose
 // weights are unknown or already too old, as after an engine's restart: a sample
 // from them would be thrown away.
 func (m *Maker) avoid(p pool.Pool, r *run) []string {
-	var out []string
+	out := m.aside(r.model)
 	if r.trial.Avoid != "" {
 		out = append(out, r.trial.Avoid)
 	}
--- a/maker/maker.go
+++ b/maker/maker.go
@@ -45,6 +45,7 @@
 		log    *log.Logger
 		choose *sched.Chooser
 		bulk   bulk
+		aside  func(model string) []string
 
 		mu      sync.Mutex
 		running map[string]*run
@@ -113,6 +114,7 @@
 		log:     log.New(io.Discard),
 		choose:  sched.New(),
 		bulk:    none{},
+		aside:   func(string) []string { return nil },
 		running: map[string]*run{},
 		wake:    make(chan struct{}, 1),
 	}
@@ -134,6 +136,12 @@
 	return func(m *Maker) { m.bulk = b }
 }
 
+// WithAside sets who names the workers that are to get no new rollouts of a
+// model. By default there are none.
+func WithAside(aside func(model string) []string) Option {
+	return func(m *Maker) { m.aside = aside }
+}
+
 // WithLog sets where the maker writes what it does. The default is nowhere.
 func WithLog(l *log.Logger) Option {
 	return func(m *Maker) { m.log = l }
@@ -194,6 +202,22 @@
 		}
 		for _, t := range feeds[i].Next(n, now) {
 			m.begin(ctx, p, feeds[i], t)
+			free--
+		}
+	}
+	m.moveStragglers(ctx, p, feeds, free, now)
+}
+
+// moveStragglers uses the slots that no subscription has work for, near the end
+// of a step: attempts that make no way where they are go on elsewhere.
+func (m *Maker) moveStragglers(ctx context.Context, p pool.Pool, feeds []*feed.Feed, free int, now time.Time) {
+	for _, f := range feeds {
+		if free <= 0 {
+			return
+		}
+		for _, t := range f.Moves(free, now) {
+			m.begin(ctx, p, f, t)
+			free--
 		}
 	}
 }
--- a/side/side.go
+++ b/side/side.go
@@ -229,15 +229,7 @@
 	defer tick.Stop()
 	for {
 		changed := s.conf.Changed()
-		for _, p := range s.conf.Pools() {
-			switch {
-			case p.Service != s.cfg.Service:
-			case s.engine.Role() == order.RoleLive:
-				s.gate.Divide(slots.WithLiveReserve(1))
-			default:
-				s.gate.Divide(slots.WithLiveReserve(p.LiveReserve))
-			}
-		}
+		s.gate.Divide(slots.WithLiveReserve(s.reserve()))
 		for _, p := range s.conf.Policies() {
 			for _, q := range p.Callers {
 				q = q.Filled()
@@ -253,6 +245,21 @@
 	}
 }
 
+// reserve is the share of the slots that is kept for live work: the greatest that
+// a pool of this service asks for, and all of them in the live role.
+func (s *Side) reserve() float64 {
+	if s.engine.Role() == order.RoleLive {
+		return 1
+	}
+	reserve := 0.0
+	for _, p := range s.conf.Pools() {
+		if p.Service == s.cfg.Service {
+			reserve = max(reserve, p.LiveReserve)
+		}
+	}
+	return reserve
+}
+
 // followHomes notes each list of homes when it comes, so that the time since when
 // this endpoint is the home of a key is known before a request asks.
 func (s *Side) followHomes(ctx context.Context) {
--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -60,6 +60,9 @@
 		known  map[string]*knowledge
 		lost   error
 		orders sync.WaitGroup
+		// credit is how many workers may begin to stage now, as of filled.
+		credit float64
+		filled time.Time
 	}
 
 	// Option changes a Swaps as New makes it.
@@ -82,11 +85,17 @@
 		pace    *pace.Roll
 		state   string
 		busy    map[string]string
-		failed  map[string]int
+		failed  map[string]failures
 		after   map[string]time.Time
 		unknown map[string]bool
 	}
 
+	// failures counts the orders of one kind that an engine failed.
+	failures struct {
+		kind  string
+		count int
+	}
+
 	// knowledge is what a worker itself said in answer to an order.
 	knowledge struct {
 		state *wire.EndpointState
@@ -204,12 +213,13 @@
 func (s *Swaps) stepModel(ctx context.Context, p pool.Pool, model, version string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	endpoints := s.fleet.Endpoints(p.Service)
 	r := s.rolls[model]
 	if r == nil || r.version != version {
-		r = s.fresh(p, model, version, now)
+		r = s.fresh(p, model, version, endpoints, now)
 		s.rolls[model] = r
 	}
-	endpoints := s.fleet.Endpoints(p.Service)
+	s.refill(p, now)
 	tasks := r.pace.Next(s.workers(r, endpoints, now), now)
 	s.note(p, r, now)
 	for _, t := range tasks {
@@ -219,14 +229,23 @@
 	}
 }
 
-func (s *Swaps) fresh(p pool.Pool, model, version string, now time.Time) *roll {
+// fresh begins a roll-out. A holder that takes over one whose switch has begun
+// goes on with the switch: it may be all that is left.
+func (s *Swaps) fresh(p pool.Pool, model, version string, endpoints []*wire.EndpointState, now time.Time) *roll {
+	opts := []pace.Option{pace.WithRate(p.StagePerSecond)}
+	for _, ep := range endpoints {
+		if s.model(s.latest(ep, now), model).GetVersion() == version {
+			opts = append(opts, pace.WithTurning())
+			break
+		}
+	}
 	return &roll{
 		model:   model,
 		version: version,
 		began:   now,
-		pace:    pace.New(pace.WithRate(p.StagePerSecond), pace.WithHolders(1)),
+		pace:    pace.New(opts...),
 		busy:    map[string]string{},
-		failed:  map[string]int{},
+		failed:  map[string]failures{},
 		after:   map[string]time.Time{},
 		unknown: map[string]bool{},
 	}
@@ -261,17 +280,64 @@
 	out := make([]worker.Worker, 0, len(endpoints))
 	for _, ep := range endpoints {
 		id := ep.GetInstance()
-		w := worker.Worker{Name: id, Failures: r.failed[id], NotBefore: r.after[id]}
+		w := worker.Worker{Name: id, NotBefore: r.after[id]}
 		if slots := ep.GetLoad().GetSlots(); slots > 0 {
-			w.Live = float64(ep.GetLoad().GetRunning()) / float64(slots)
+			w.Live = float64(ep.GetLoad().GetLiveWork()) / float64(slots)
 		}
 		w.State = s.state(r, ep, now)
 		w.Empty = s.model(s.latest(ep, now), r.model).GetVersion() == ""
+		if next := nextOrder(w.State); next != "" && r.failed[id].kind == next {
+			w.Failures = r.failed[id].count
+		}
+		w.Empty = s.model(s.latest(ep, now), r.model).GetVersion() == ""
 		out = append(out, w)
 	}
 	return out
 }
 
+// nextOrder is the kind of order that a worker in a state gets next.
+func nextOrder(state string) string {
+	switch state {
+	case worker.Bare:
+		return order.Stage
+	case worker.Staged:
+		return order.Switch
+	}
+	return ""
+}
+
+// refill counts up what the weight store's rate allows to all models of the
+// pool together. What is not used is kept for a second only.
+func (s *Swaps) refill(p pool.Pool, now time.Time) {
+	if !s.filled.IsZero() {
+		s.credit += p.StagePerSecond * now.Sub(s.filled).Seconds()
+	}
+	s.credit = min(s.credit, max(1, p.StagePerSecond))
+	s.filled = now
+}
+
+// Aside names the workers that must get no new rollouts of a model, since the
+// pool has begun to switch and they have not.
+func (s *Swaps) Aside(model string) []string {
+	p, found := s.pool()
+	if !found {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.rolls[model]
+	if r == nil {
+		return nil
+	}
+	var out []string
+	for _, w := range s.workers(r, s.fleet.Endpoints(p.Service), time.Now()) {
+		if r.pace.Aside(&w) {
+			out = append(out, w.Name)
+		}
+	}
+	return out
+}
+
 func (s *Swaps) state(r *roll, ep *wire.EndpointState, now time.Time) string {
 	id := ep.GetInstance()
 	st := s.latest(ep, now)
@@ -326,6 +392,12 @@
 		Version: r.version,
 	}
 	timeout := time.Duration(p.SwitchWithin)
+	if kind == order.Stage {
+		if s.credit < 1 {
+			return
+		}
+		s.credit--
+	}
 	switch kind {
 	case order.Stage:
 		r.busy[id] = worker.Staging
@@ -347,12 +419,12 @@
 		ctx, cancel := context.WithTimeout(ctx, timeout+askAgain)
 		defer cancel()
 		resp, err := s.dial.Door(ep.GetAddress()).Order(ctx, connect.NewRequest(req))
-		s.heard(r, id, resp, err)
+		s.heard(r, id, kind, resp, err)
 	}()
 }
 
 // heard takes in what came of an order.
-func (s *Swaps) heard(r *roll, id string, resp *connect.Response[wire.OrderResponse], err error) {
+func (s *Swaps) heard(r *roll, id, kind string, resp *connect.Response[wire.OrderResponse], err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -368,10 +440,10 @@
 	if resp.Msg.GetDone() {
 		return
 	}
-	s.refused(r, id, refuse.Error(resp.Msg.GetRefusal()), now)
+	s.refused(r, id, kind, refuse.Error(resp.Msg.GetRefusal()), now)
 }
 
-func (s *Swaps) refused(r *roll, id string, err error, now time.Time) {
+func (s *Swaps) refused(r *roll, id, kind string, err error, now time.Time) {
 	var (
 		old    *fault.OldFenceError
 		notRun *fault.NotRunError
@@ -382,11 +454,15 @@
 		r.after[id] = now.Add(failAgain)
 	case errors.As(err, &notRun) && notRun.Cause == causeNotReady:
 		r.after[id] = now.Add(max(notRun.RetryAfter, askAgain))
+	case errors.As(err, &notRun) && notRun.Cause == causeStore:
+		// The store's refusal says nothing against the version.
+		r.pace.Refused()
+		r.after[id] = now.Add(askAgain)
 	case errors.As(err, &notRun):
-		r.failed[id]++
+		r.fail(id, kind)
 		r.after[id] = now.Add(failAgain)
 	default:
-		r.failed[id]++
+		r.fail(id, kind)
 		r.unknown[id] = s.unsettled(id)
 		r.after[id] = now.Add(askAgain)
 	}
@@ -398,8 +474,22 @@
 	})
 }
 
-// causeNotReady is a door's refusal before it knows its engine.
-const causeNotReady = "notReady"
+// fail counts a failed order; those of another step do not count with it.
+func (r *roll) fail(id, kind string) {
+	f := r.failed[id]
+	if f.kind != kind {
+		f = failures{kind: kind}
+	}
+	f.count++
+	r.failed[id] = f
+}
+
+const (
+	// causeNotReady is a door's refusal before it knows its engine.
+	causeNotReady = "notReady"
+	// causeStore is a door's refusal when its engine could not fetch the weights.
+	causeStore = "weightStore"
+)
 
 // unsettled says whether the engine has not said yet what it runs. One that says
 // it runs no version is settled: the switch went wrong, and is ordered again.
