--- a/beats/beats.go
+++ b/beats/beats.go
@@ -31,6 +31,8 @@
 	// adds up to as much again, by its own share, so that they do not all do so
 	// at once.
 	lonely = 8 * time.Second
+	// candidatesKeep is how long the candidates are kept.
+	candidatesKeep = time.Second
 )
 
 type (
@@ -67,7 +69,10 @@
 		last      *wire.BeatRequest
 		digests   []*wire.DataCentreDigest
 		digestsAt time.Time
-		inForce   inforc.Tracker
+
+		candidates      []insts.Instance
+		candidatesUntil time.Time
+		inForce         inforc.Tracker
 	}
 
 	// configuration is the instance's copy of the resources; confs.Cache has it.
@@ -180,27 +185,45 @@
 	return now.Sub(heard) >= patience
 }
 
-// Candidates returns the entries that the instance list and the members name.
-// Members count over the list, which lags. An entry that says it is leaving is no
-// candidate, so that others act as hub before it ends.
+// Candidates returns the entries that the instance list and the members name,
+// each once. Members count over the list, which lags. An entry that says it is
+// leaving is no candidate, so that others act as hub before it ends. The answer
+// is kept for a second, since in an outage each job of the fleet asks; it must
+// not be changed.
 func (c *Client) Candidates() []insts.Instance {
+	now := time.Now()
 	c.mu.Lock()
 	listed := c.listed
+	kept, fresh := c.candidates, now.Before(c.candidatesUntil)
 	c.mu.Unlock()
+	if fresh {
+		return kept
+	}
+	kept = c.joined(listed)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.candidates, c.candidatesUntil = kept, now.Add(candidatesKeep)
+	return kept
+}
+
+func (c *Client) joined(listed []insts.Instance) []insts.Instance {
 	if c.view == nil {
 		return listed
 	}
 	members := c.view.Entries()
-	leaving := map[string]bool{}
-	for _, e := range members {
-		leaving[e.GetInstance()] = e.GetLeaving()
-	}
-	out := slices.DeleteFunc(slices.Clone(listed), func(i insts.Instance) bool { return leaving[i.ID] })
+	known := make(map[string]bool, len(members))
+	out := make([]insts.Instance, 0, len(members)+1)
 	for _, e := range members {
+		known[e.GetInstance()] = true
 		if !e.GetLeaving() {
 			out = append(out, entry(e))
 		}
 	}
+	for _, i := range listed {
+		if !known[i.ID] {
+			out = append(out, i)
+		}
+	}
 	return out
 }
 
--- a/beats/round.go
+++ b/beats/round.go
@@ -270,6 +270,7 @@
 		c.listed = slices.DeleteFunc(listed, func(i insts.Instance) bool {
 			return i.Role != insts.RoleEntry || i.State == insts.StateLeaving
 		})
+		c.candidatesUntil = time.Time{}
 	}
 }
 
@@ -278,7 +279,7 @@
 // entry, even if the list does not know it yet.
 func (c *Client) refresh() {
 	_, own := identity(c.self())
-	candidates := append(c.Candidates(), own)
+	candidates := append(slices.Clone(c.Candidates()), own)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.rotas) == 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -322,10 +322,12 @@
 // entries of a fleet that restarts would take themselves for the first candidate
 // of every job and ask the key-value service at once.
 func (e *Entry) candidates() []string {
-	out := []string{e.cfg.Instance}
+	var out []string
 	for _, c := range e.beats.Candidates() {
 		out = append(out, c.ID)
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	if !slices.Contains(out, e.cfg.Instance) {
+		out = append(out, e.cfg.Instance)
+	}
+	return out
 }
--- a/hub/measure_test.go
+++ b/hub/measure_test.go
@@ -97,12 +97,14 @@
 				lease.WithChange(func() { e.note(keepers) }),
 				lease.WithHolder(e.view.SureHolder),
 				lease.WithCandidates(func() []string {
-					out := []string{id}
+					var out []string
 					for _, c := range e.client.Candidates() {
 						out = append(out, c.ID)
 					}
-					slices.Sort(out)
-					return slices.Compact(out)
+					if !slices.Contains(out, id) {
+						out = append(out, id)
+					}
+					return out
 				})))
 		}
 		for _, k := range keepers {
