gate: set no timer for the moment that has already come

Cause: queue.Next names the last moment at which work could still end in time, at which Expire does not hand it out yet. The gate set its timer for that very moment, found nothing to hand out and set it again, until the clock moved on: a core busy and the lock taken, and in virtual time no end. Ruled out: changing queue.Next, whose test states the moment itself. Change: the timer is set one nanosecond later.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -177,7 +177,10 @@
 	if !found {
 		return
 	}
-	g.timer = time.AfterFunc(max(0, at.Sub(now)), func() {
+	// At the moment itself the work could still just end in time and stays. A
+	// timer for that very moment would be set again and again until the clock has
+	// moved on, with a core busy and the lock taken all the while.
+	g.timer = time.AfterFunc(max(0, at.Sub(now))+time.Nanosecond, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.turn(time.Now())
