pace: give workers without any weights the new version again

Cause: a switch that fails halfway leaves a worker without weights. When it failed on every worker of a pool in the same roll-out, the roll-out was halted for good, no worker ran anything, the trainer waited for samples and so never published the next version that would have ended the halt. Weighed: going back to the old version, which the order of a switch cannot promise either; trying workers that still run the old version, which have something to lose. Change: one empty worker at a time, each 15 s, is given the version again; a success that outweighs the failures ends the halt.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -28,7 +28,8 @@
 	// Complete says that every worker there uses the version.
 	Complete = "complete"
 	// Halted says that the version failed on too many workers before any
-	// switched: all of them still use the old one.
+	// switched: the others still use the old one, and those that a switch has
+	// left without any are given the new one again now and then.
 	Halted = "halted"
 	// Partial says that the version failed after some had switched: those use
 	// the new one, the others the old one, and each says which.
@@ -54,6 +55,9 @@
 	// restore is the share of the rate that comes back each second after a
 	// refusal has halved it.
 	restore = 0.05
+	// probeAgain is the wait between two probes of a pool. A probe costs a
+	// transfer at most, and its worker serves nobody anyway.
+	probeAgain = 15 * time.Second
 )
 
 // Roll is one roll-out of one version over one pool, as its holder runs it. It
@@ -71,6 +75,9 @@
 	turning bool
 	state   string
 	queue   []int
+	probed  time.Time
+	// before is how many workers had switched when the roll-out was halted.
+	before int
 }
 
 // New returns a roll-out that has not begun.
@@ -117,14 +124,15 @@
 func (r *Roll) Next(workers []worker.Worker, now time.Time) []task.Task {
 	r.refill(now)
 	staged, switched, there := count(workers)
-	if r.state == Halted || r.state == Partial {
-		return ask(workers, now)
+	if r.halted() && switched <= r.before {
+		return append(ask(workers, now), r.probe(workers, now)...)
 	}
 	if suspect(workers, worker.Bare, worker.Staged) || suspect(workers, worker.Staged, worker.Switched) {
 		r.state = Halted
 		if switched > 0 {
 			r.state = Partial
 		}
+		r.before = switched
 		return ask(workers, now)
 	}
 	r.turning = r.turning || r.ready(staged+switched, there, now)
@@ -140,9 +148,50 @@
 	if r.turning {
 		tasks = append(tasks, r.turn(workers, switched, now)...)
 	}
+	tasks = append(tasks, r.probe(workers, now)...)
 	return append(tasks, r.stage(workers, staged+switched, now)...)
 }
 
+func (r *Roll) halted() bool {
+	return r.state == Halted || r.state == Partial
+}
+
+// probe gives one worker that runs no version at all the new one again, now and
+// then. A switch that fails halfway leaves a worker empty; were a halted
+// roll-out never tried again, a fault that struck several workers at once and
+// has passed would leave the pool without service until the next version, and a
+// trainer that waits for samples publishes none. A worker that still runs the
+// old version is never probed: it has something to lose.
+func (r *Roll) probe(workers []worker.Worker, now time.Time) []task.Task {
+	if now.Sub(r.probed) < probeAgain {
+		return nil
+	}
+	var least *worker.Worker
+	for i := range workers {
+		w := &workers[i]
+		if w.State == worker.Staging || w.State == worker.Switching {
+			return nil
+		}
+		spent := r.halted() || w.Failures >= tries
+		idle := w.State == worker.Bare || w.State == worker.Staged
+		if !w.Empty || !spent || !idle || now.Before(w.NotBefore) {
+			continue
+		}
+		if least == nil || w.Failures < least.Failures {
+			least = w
+		}
+	}
+	if least == nil {
+		return nil
+	}
+	r.probed = now
+	kind := order.Stage
+	if least.State == worker.Staged {
+		kind = order.Switch
+	}
+	return []task.Task{{Worker: least.Name, Kind: kind}}
+}
+
 // Aside says whether a worker must get no new rollouts: the pool has begun to
 // switch and this worker does not use the new version yet. Without it samples go
 // on to begin on weights that the trainer has replaced.
--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -266,6 +266,7 @@
 			w.Live = float64(ep.GetLoad().GetRunning()) / float64(slots)
 		}
 		w.State = s.state(r, ep, now)
+		w.Empty = s.model(s.latest(ep, now), r.model).GetVersion() == ""
 		out = append(out, w)
 	}
 	return out
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -31,6 +31,9 @@
 	// It begins at 0 anew when the worker is staged. Refusals of the weight store
 	// are not among them.
 	Failures int
+	// Empty says that the worker runs no version of the model, as after a switch
+	// that failed halfway.
+	Empty bool
 	// NotBefore is when the worker may be given the next order; zero for now.
 	NotBefore time.Time
 	// Live is the share of the worker's slots that live requests take, 0 to 1.
