feed: let no offer out without its record, and know the version after a take-over

An offer of a trainer without a cursor whose record failed stayed outstanding and left at the next pull as a repeated one, though no record of it existed: a successor would have made and delivered its samples again. Such an offer is now recorded before it is repeated.

A version published in the outage was known to the holder alone. The entry that won the lease after the outage took the last recorded version for the newest, ordered engines back to it and delivered samples 3 and 4 versions old at a bound of 2. Weighed: the version in the cursor, which is one publication behind; asking engines, which lag too. Change: a pull repeats the trainer's newest version (published, optional); a trainer without a cursor gets "not run" for a version that cannot be recorded. Left: a trainer with a cursor that does not send published is not protected until it publishes again.

--- a/action/action.go
+++ b/action/action.go
@@ -64,6 +64,9 @@
 		Cursor string `json:"cursor"`
 		Max    int    `json:"max"`
 		WaitMs int64  `json:"waitMs"`
+		// Published is the newest version that the trainer has published, empty
+		// when it does not say.
+		Published string `json:"published"`
 	}
 
 	ackRequest struct {
@@ -186,9 +189,27 @@
 	case in.WaitMs < 0 || in.WaitMs > mostWaitMs:
 		return nil, &fault.FieldError{Field: "waitMs", Problem: fmt.Sprintf("is %d, not 0 to %d", in.WaitMs, mostWaitMs)}
 	}
+	if err := repeatVersion(ctx, f, in.Published); err != nil {
+		return nil, err
+	}
 	return f.Pull(ctx, in.Cursor, in.Max, time.Duration(in.WaitMs)*time.Millisecond)
 }
 
+// repeatVersion takes the published version from a pull too. A version that was
+// published while the key-value service was down is known to the holder alone;
+// a successor that has never heard of it would take samples for fresh that are
+// beyond the bound, and order engines back to the version that it knows.
+func repeatVersion(ctx context.Context, f *feed.Feed, text string) error {
+	if text == "" {
+		return nil
+	}
+	version, err := sample.ParseVersion(text)
+	if err != nil {
+		return err
+	}
+	return f.Publish(ctx, version)
+}
+
 func ack(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
 	var in ackRequest
 	if err := strict.Decode(body, &in); err != nil {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -86,6 +86,10 @@
 		targets string
 		// downUntil is guarded by mu: until then the service is not asked again.
 		downUntil time.Time
+		// stored is guarded by mu: the last offer that is in the key-value service.
+		stored int64
+		// storedVersion is guarded by mu: the newest version there.
+		storedVersion int64
 	}
 
 	// Option changes a Feed as Open makes it.
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -42,16 +42,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if again := f.repeat(); again != nil {
-		return f.send(c, again), f.Overtaken()
-	}
-	picked := f.await(ctx, most, wait)
-	if len(picked) == 0 {
-		return f.nothing(c), f.Overtaken()
+	picked := f.repeat()
+	if picked != nil && f.isRecorded() {
+		return f.send(c, picked), f.Overtaken()
+	}
+	if picked == nil {
+		picked = f.await(ctx, most, wait)
+		if len(picked) == 0 {
+			return f.nothing(c), f.Overtaken()
+		}
+		f.mu.Lock()
+		f.book.Make(ids(picked))
+		f.mu.Unlock()
 	}
-	f.mu.Lock()
-	f.book.Make(ids(picked))
-	f.mu.Unlock()
 	if err := f.recordOffer(ctx); err != nil {
 		return nil, err
 	}
@@ -80,6 +83,16 @@
 	return out
 }
 
+// isRecorded reports whether the outstanding offer is in the key-value service.
+// An offer whose record failed stays outstanding and is repeated at the next
+// pull; sent without a record, it would be made and delivered a second time by a
+// successor that has never heard of it.
+func (f *Feed) isRecorded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stored == f.book.Cursor().Offer
+}
+
 // Ack acknowledges an offer, for a trainer that carries no cursor.
 func (f *Feed) Ack(ctx context.Context, number int64) error {
 	f.mu.Lock()
--- a/feed/record.go
+++ b/feed/record.go
@@ -116,6 +116,7 @@
 	operation := rand.Text()
 	f.mu.Lock()
 	raw, mark, err := f.book.Store(operation)
+	offered, published := f.book.Cursor().Offer, f.book.Published
 	f.mu.Unlock()
 	if err != nil {
 		return err
@@ -129,6 +130,8 @@
 	f.pending = nil
 	f.mu.Lock()
 	f.book.Recorded(mark)
+	f.stored = offered
+	f.storedVersion = published
 	f.mu.Unlock()
 	return nil
 }
--- a/feed/submit.go
+++ b/feed/submit.go
@@ -94,18 +94,34 @@
 // Publish notes a new weight version of the trainer. Versions only grow; an old
 // one is passed over.
 func (f *Feed) Publish(ctx context.Context, version int64) error {
-	if !f.publish(version, time.Now()) {
+	if !f.publish(version, time.Now()) && f.versionRecorded() {
 		return f.Overtaken()
 	}
 	err := f.save(ctx)
 	var down *fault.UnavailableError
 	if errors.As(err, &down) {
+		if !f.config().Cursor {
+			// This trainer gets nothing before the record can be made, and its pulls
+			// need not repeat the version: were it told that the version is known,
+			// this holder's loss would make it get samples that are too old.
+			return &fault.NotRunError{
+				Cause:      CauseService,
+				Reason:     "the version could not be recorded, and this trainer carries no cursor",
+				RetryAfter: 2 * restAfterFailure,
+			}
+		}
 		f.log.Warn("version noted without a record", "subscription", f.name, "version", version)
 		return nil
 	}
 	return err
 }
 
+func (f *Feed) versionRecorded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config().Cursor || f.storedVersion == f.book.Published
+}
+
 func (f *Feed) publish(version int64, now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/simtrn/check.go
+++ b/simtrn/check.go
@@ -33,6 +33,8 @@
 		Cursor string `json:"cursor"`
 		Max    int    `json:"max"`
 		WaitMs int64  `json:"waitMs"`
+		// Published is the newest version that the trainer has published.
+		Published string `json:"published"`
 	}
 
 	pullResponse struct {
--- a/simtrn/simtrn.go
+++ b/simtrn/simtrn.go
@@ -202,7 +202,8 @@
 	for t.missing[step] > 0 {
 		var resp pullResponse
 		wait := t.config.pullWait
-		in := pullRequest{Cursor: t.cursor, Max: t.config.pullSize, WaitMs: wait.Milliseconds()}
+		in := pullRequest{Cursor: t.cursor, Max: t.config.pullSize, WaitMs: wait.Milliseconds(),
+			Published: strconv.FormatInt(t.published, 10)}
 		if err := t.call(ctx, "/pull", wait+callTimeout, in, &resp); err != nil {
 			return err
 		}
@@ -267,7 +268,7 @@
 // offer.
 func (t *Trainer) acknowledge(ctx context.Context) error {
 	var resp pullResponse
-	in := pullRequest{Cursor: t.cursor, Max: t.config.pullSize}
+	in := pullRequest{Cursor: t.cursor, Max: t.config.pullSize, Published: strconv.FormatInt(t.published, 10)}
 	if err := t.call(ctx, "/pull", callTimeout, in, &resp); err != nil {
 		return err
 	}
