--- a/matrix/path_test.go
+++ b/matrix/path_test.go
@@ -15,17 +15,21 @@
 
 // trainer returns a trainer that checks every sample it gets.
 func (w *world) trainer(steps int, opts ...simtrn.Option) *simtrn.Trainer {
-	return simtrn.New(drafts, w.urls(), append([]simtrn.Option{
+	return simtrn.New(drafts, w.urls(), append(w.trainerOptions(steps), opts...)...)
+}
+
+func (w *world) trainerOptions(steps int) []simtrn.Option {
+	return []simtrn.Option{
 		simtrn.WithHTTP(w.net.Client(clientIP)),
 		simtrn.WithModel(model),
 		simtrn.WithStore("http://"+weightsIP+":80", 1<<20),
 		simtrn.WithSteps(steps),
-		simtrn.WithGroups(4, 4),
+		simtrn.WithGroups(groups, groupSize),
 		simtrn.WithBound(2),
 		simtrn.WithFirstVersion(2),
 		simtrn.WithScores(simscr.Score),
 		simtrn.WithSeed(1),
-	}, opts...)...)
+	}
 }
 
 // A deployment without faults: the trainer's steps are whole and each of its
--- a/matrix/stop_test.go
+++ b/matrix/stop_test.go
@@ -12,6 +12,7 @@
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/record"
 )
 
 // The entry that holds the pool's job is killed in the middle of a step, as by a
@@ -37,12 +38,18 @@
 	})
 }
 
-// holder returns the entry that holds the pool's job, as the record says.
-func (w *world) holder() *process {
-	rec, err := keyval.New("http://"+kvIP+":80", keyval.WithHTTP(w.client)).Get(context.Background(), lease.Prefix+jobs.Pool(pool))
+// record reads one key of the key-value service.
+func (w *world) record(key string) record.Record {
+	rec, err := keyval.New("http://"+kvIP+":80", keyval.WithHTTP(w.client)).Get(context.Background(), key)
 	if err != nil {
-		w.t.Fatalf("reading who holds the job: %v", err)
+		w.t.Fatalf("reading %s: %v", key, err)
 	}
+	return rec
+}
+
+// holder returns the entry that holds the pool's job, as the record says.
+func (w *world) holder() *process {
+	rec := w.record(lease.Prefix + jobs.Pool(pool))
 	for _, p := range w.entries {
 		if strings.Contains(string(rec.Value), `"`+p.name+`"`) {
 			return p
--- /dev/null
+++ b/matrix/store_test.go
@@ -0,0 +1,114 @@
+package matrix
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/simtrn"
+)
+
+// The platform's key-value service is down for ten minutes. A trainer whose
+// cursor stands in for the ledger goes on through all of it; one without waits
+// for its end and then gets what it lacks. Callers and families notice nothing.
+func TestKeyValueDownLong(t *testing.T) {
+	g := NewWithT(t)
+	const outage = 10 * time.Minute
+	s := play{size: full, steps: 30, load: 30 * time.Second, at: 5 * time.Second, careful: true,
+		trainer: []simtrn.Option{simtrn.WithTrainTime(20 * time.Second)}, fault: keyValueDown(outage)}.run(t)
+	g.Expect(s.live).To(beServed())
+	g.Expect(s.booked).To(beServed())
+	g.Expect(s.trainers[drafts].stepMax).To(BeNumerically("<", 30), "the trainer with a cursor went on")
+	g.Expect(s.trainers[careful].stepMax).To(BeNumerically(">", 60), "the trainer without a cursor waited")
+	g.Expect(s.trainers[careful].stepMax).To(BeNumerically("<", outage.Seconds()+60), "and was served soon after")
+}
+
+// The key-value service goes down at various moments of a step, for a minute.
+func TestKeyValueDown(t *testing.T) {
+	p := play{size: full, steps: 6, load: 30 * time.Second, at: 3 * time.Second, careful: true, fault: keyValueDown(time.Minute)}
+	for _, s := range p.sweep(t, 6, 900*time.Millisecond) {
+		NewWithT(t).Expect(s.live).To(beServed())
+		NewWithT(t).Expect(s.booked).To(beServed())
+	}
+}
+
+// Each call of the key-value service takes a second and a half, near its
+// timeout, for two minutes. Trainers are slower and callers notice nothing.
+func TestKeyValueSlow(t *testing.T) {
+	s := play{size: full, steps: 10, load: 30 * time.Second, at: 5 * time.Second, careful: true,
+		fault: keyValueSlow(1500*time.Millisecond, 2*time.Minute)}.run(t)
+	NewWithT(t).Expect(s.live).To(beServed())
+	NewWithT(t).Expect(s.booked).To(beServed())
+}
+
+// Writes take effect and their answers are lost, several at a time, for half a
+// minute, while trainers lose answers to their pulls too. The holder cannot tell
+// whether an offer was recorded; delivering it twice would train on a sample
+// twice, dropping it would leave a step incomplete.
+func TestWriteAnswersLost(t *testing.T) {
+	play{size: full, steps: 10, load: 30 * time.Second, at: 3 * time.Second, careful: true, loss: 0.2,
+		fault: answersLost(30, 3)}.run(t)
+}
+
+// The key-value service forgets its history, so that each watch must start
+// again, once a second. Configuration and membership stay whole.
+func TestWatchGaps(t *testing.T) {
+	s := play{size: full, steps: 6, load: 30 * time.Second, at: 3 * time.Second, careful: true, fault: watchGaps(30)}.run(t)
+	NewWithT(t).Expect(s.live).To(beServed())
+	NewWithT(t).Expect(s.booked).To(beServed())
+}
+
+// All leases lapse while their holders go on: a holder that does not know it
+// yet meets its successor. Were the old one's offers still taken, trainers would
+// get samples twice.
+func TestLeasesLapse(t *testing.T) {
+	p := play{size: full, steps: 5, load: 20 * time.Second, at: 3 * time.Second, careful: true, fault: leasesLapse(1, 0)}
+	p.sweep(t, 6, 700*time.Millisecond)
+	p.fault, p.loss = leasesLapse(5, 4*time.Second), 0.2
+	p.run(t)
+}
+
+// The holder of the pool's job is cut off from the key-value service and not
+// from trainers, for longer than its lease: another entry takes over while the
+// old one still answers pulls. When the cut heals the old one steps back. No
+// sample is delivered by both.
+func TestHolderCutOff(t *testing.T) {
+	p := play{size: full, steps: 8, load: 20 * time.Second, at: 3 * time.Second, careful: true, fault: cutHolder(time.Minute)}
+	for _, s := range p.sweep(t, 6, 700*time.Millisecond) {
+		NewWithT(t).Expect(s.live).To(beServed())
+	}
+	p.fault, p.loss = twice(cutHolder(40*time.Second)), 0.2
+	p.run(t)
+}
+
+// The holder is paused past its lease's term and wakes up while another entry
+// holds the job, as after SIGSTOP and SIGCONT.
+func TestHolderPaused(t *testing.T) {
+	p := play{size: full, steps: 8, load: 20 * time.Second, at: 3 * time.Second, careful: true, fault: freezeHolder(time.Minute)}
+	p.sweep(t, 4, time.Second)
+	p.fault = twice(freezeHolder(40 * time.Second))
+	p.run(t)
+}
+
+// The key-value service goes down and an engine crashes in the same moment; then
+// the key-value service goes down and the holder is killed in the outage, so
+// that nobody can take the job over before its end.
+func TestKeyValueDownWithAnother(t *testing.T) {
+	p := play{size: full, steps: 6, load: 20 * time.Second, at: 4 * time.Second, careful: true,
+		fault: both(crashEngine(0, 5*time.Second), keyValueDown(time.Minute))}
+	p.run(t)
+	p.fault = func(w *world) {
+		old := w.holder()
+		w.kv.SetDown(true)
+		time.Sleep(5 * time.Second)
+		for i := range w.entries {
+			if w.entries[i] == old {
+				w.restart(w.entries, i, w.startEntry)
+			}
+		}
+		time.Sleep(time.Minute)
+		w.kv.SetDown(false)
+	}
+	p.run(t)
+}
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -59,6 +59,7 @@
 		desks    []*process
 		client   *http.Client
 		log      *bytes.Buffer
+		regions  bool
 		folders  []string
 	}
 
@@ -73,6 +74,10 @@
 	size struct {
 		entries, engines, desks int
 		engine                  []simeng.Option
+		// store makes engines fetch staged weights from the weight store.
+		store bool
+		// regions makes the data centre maardu a region of its own.
+		regions bool
 		// disks is how many of the entries have one.
 		disks int
 	}
@@ -88,6 +93,7 @@
 		weights: simwts.New(),
 		scorer:  simscr.New(),
 		log:     &bytes.Buffer{},
+		regions: n.regions,
 	}
 	w.client = w.net.Client(clientIP)
 	w.serve(kvIP, w.kv)
@@ -95,9 +101,11 @@
 	w.serve(weightsIP, w.weights)
 	w.serve(scorerIP, w.scorer)
 	for i := range n.engines {
-		w.engines = append(w.engines, simeng.New(append([]simeng.Option{
-			simeng.WithModel(model, "1"), simeng.WithSeed(uint64(i + 1)), simeng.WithSlots(8, 64),
-		}, n.engine...)...))
+		opts := []simeng.Option{simeng.WithModel(model, "1"), simeng.WithSeed(uint64(i + 1)), simeng.WithSlots(8, 64)}
+		if n.store {
+			opts = append(opts, simeng.WithWeights("http://"+weightsIP+":80"), simeng.WithHTTP(w.net.Client(engineIP(i))))
+		}
+		w.engines = append(w.engines, simeng.New(append(opts, n.engine...)...))
 		w.serve(engineIP(i), w.engines[i])
 	}
 	for i := range n.desks {
@@ -105,16 +113,16 @@
 		w.serve(serviceIP(i), w.services[i])
 	}
 	for i := range n.entries {
-		w.list.Put(insts.Instance{ID: entryName(i), Role: insts.RoleEntry, DataCentre: dataCentre(i), Region: "ee-north",
+		w.list.Put(insts.Instance{ID: entryName(i), Role: insts.RoleEntry, DataCentre: dataCentre(i), Region: w.region(i),
 			Address: entryIP(i) + ":81", State: insts.StateLive})
 	}
 	for i := range n.engines {
 		w.list.Put(insts.Instance{ID: sideName(i), Role: insts.RoleEndpoint, Service: lmService, DataCentre: dataCentre(i),
-			Region: "ee-north", Address: sideIP(i) + ":80", State: insts.StateLive})
+			Region: w.region(i), Address: sideIP(i) + ":80", State: insts.StateLive})
 	}
 	for i := range n.desks {
 		w.list.Put(insts.Instance{ID: deskName(i), Role: insts.RoleEndpoint, Service: deskService, DataCentre: dataCentre(i),
-			Region: "ee-north", Address: deskIP(i) + ":80", State: insts.StateLive})
+			Region: w.region(i), Address: deskIP(i) + ":80", State: insts.StateLive})
 	}
 	for range n.disks {
 		w.folders = append(w.folders, t.TempDir())
@@ -132,6 +140,13 @@
 	return w
 }
 
+func (w *world) region(i int) string {
+	if w.regions && dataCentre(i) == "maardu" {
+		return "ee-south"
+	}
+	return "ee-north"
+}
+
 func dataCentre(i int) string     { return []string{"tln-a", "tln-b", "maardu"}[i%3] }
 func entryName(i int) string      { return fmt.Sprintf("entry-%d", i+1) }
 func sideName(i int) string       { return fmt.Sprintf("%s-%d", lmService, i+1) }
@@ -167,7 +182,7 @@
 
 func (w *world) startEntry(i int) *process {
 	cfg := ecfg.Default()
-	cfg.Instance, cfg.DataCentre, cfg.Region = entryName(i), dataCentre(i), "ee-north"
+	cfg.Instance, cfg.DataCentre, cfg.Region = entryName(i), dataCentre(i), w.region(i)
 	cfg.Listen, cfg.PeerListen = entryIP(i)+":80", entryIP(i)+":81"
 	cfg.KeyValue, cfg.InstanceList, cfg.WeightStore = "http://"+kvIP+":80", "http://"+listIP+":80", "http://"+weightsIP+":80"
 	cfg.ReadyGrace = span.Duration(time.Second)
@@ -180,7 +195,7 @@
 
 func (w *world) startSide(i int) *process {
 	cfg := scfg.Default()
-	cfg.Instance, cfg.Service, cfg.DataCentre, cfg.Region = sideName(i), lmService, dataCentre(i), "ee-north"
+	cfg.Instance, cfg.Service, cfg.DataCentre, cfg.Region = sideName(i), lmService, dataCentre(i), w.region(i)
 	cfg.Listen, cfg.Engine, cfg.Slots = sideIP(i)+":80", "http://"+engineIP(i)+":80", 8
 	cfg.KeyValue, cfg.InstanceList = "http://"+kvIP+":80", "http://"+listIP+":80"
 	s := side.New(cfg, side.WithNet(w.netOf(sideIP(i))), side.WithLog(w.logger(cfg.Instance)))
@@ -189,7 +204,7 @@
 
 func (w *world) startDesk(i int) *process {
 	cfg := scfg.Default()
-	cfg.Instance, cfg.Service, cfg.DataCentre, cfg.Region = deskName(i), deskService, dataCentre(i), "ee-north"
+	cfg.Instance, cfg.Service, cfg.DataCentre, cfg.Region = deskName(i), deskService, dataCentre(i), w.region(i)
 	cfg.Listen, cfg.PlainService = deskIP(i)+":80", "http://"+serviceIP(i)+":80"
 	cfg.KeyValue, cfg.InstanceList = "http://"+kvIP+":80", "http://"+listIP+":80"
 	s := side.New(cfg, side.WithNet(w.netOf(deskIP(i))), side.WithLog(w.logger(cfg.Instance)))
@@ -218,6 +233,12 @@
 	return err
 }
 
+// restart kills a process and starts it again at the same place.
+func (w *world) restart(group []*process, i int, start func(int) *process) {
+	w.kill(group[i])
+	group[i] = start(i)
+}
+
 // close ends everything, so that the bubble of virtual time can end.
 func (w *world) close() {
 	if w.t.Failed() {
