--- a/feed/feed.go
+++ b/feed/feed.go
@@ -86,6 +86,8 @@
 		targets string
 		// downUntil is guarded by mu: until then the service is not asked again.
 		downUntil time.Time
+		// storedVersion is guarded by mu: the newest version there.
+		storedVersion int64
 	}
 
 	// Option changes a Feed as Open makes it.
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -70,7 +70,7 @@
 
 // Next returns up to free attempts to begin now, and counts them as under way.
 func (f *Feed) Next(free int, now time.Time) []trial.Trial {
-	return f.next(free, now, func(s *slotState) bool { return true })
+	return f.next(free, now, func(*slotState) bool { return true })
 }
 
 // Moves returns up to free attempts that go on from ones under way which make no
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -42,7 +42,10 @@
 	defer f.pulls.Give()
 	f.waits(time.Now())
 	defer f.waited()
-	f.publish(published, time.Now())
+	// A version that was published in an outage may be known to the trainer alone.
+	if err := f.Publish(ctx, published); err != nil {
+		return nil, err
+	}
 	c, err := f.settle(text)
 	if err != nil {
 		return nil, err
--- a/feed/record.go
+++ b/feed/record.go
@@ -116,6 +116,7 @@
 	operation := rand.Text()
 	f.mu.Lock()
 	raw, mark, err := f.book.Store(operation)
+	published := f.book.Published
 	f.mu.Unlock()
 	if err != nil {
 		return err
@@ -129,6 +130,7 @@
 	f.pending = nil
 	f.mu.Lock()
 	f.book.Recorded(mark)
+	f.storedVersion = published
 	f.mu.Unlock()
 	return nil
 }
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -59,8 +59,8 @@
 		desks    []*process
 		client   *http.Client
 		log      *bytes.Buffer
-		folders  []string
 		regions  bool
+		folders  []string
 	}
 
 	// process is one of the system's processes.
@@ -74,12 +74,12 @@
 	size struct {
 		entries, engines, desks int
 		engine                  []simeng.Option
-		// disks is how many of the entries have one.
-		disks int
 		// store makes engines fetch staged weights from the weight store.
 		store bool
 		// regions makes the data centre maardu a region of its own.
 		regions bool
+		// disks is how many of the entries have one.
+		disks int
 	}
 )
 
--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -289,7 +289,6 @@
 		if next := nextOrder(w.State); next != "" && r.failed[id].kind == next {
 			w.Failures = r.failed[id].count
 		}
-		w.Empty = s.model(s.latest(ep, now), r.model).GetVersion() == ""
 		out = append(out, w)
 	}
 	return out
