route: trust a door's word that it drains for six seconds only

Cause: a refusal that says draining was kept until the endpoint left the membership. A door that stopped as planned and was back under its name before a heartbeat told of it was passed over by that entry for ever; after a rolling release an entry found no endpoint at all, and the pool's holder there made no samples. Ruled out: connections of the old process (other entries were served), the membership (it showed the doors ready). Weighed: clearing it at a new boot, which a late refusal of the old one undoes.

--- a/route/route.go
+++ b/route/route.go
@@ -34,6 +34,10 @@
 
 	// full is the load at which every slot of an endpoint is taken.
 	full = 1.0
+
+	// trustRefusal is how long an endpoint's word that it drains counts. Each hub
+	// hears a door every 6 seconds, so by then heartbeats tell the same.
+	trustRefusal = 6 * time.Second
 )
 
 type (
@@ -57,6 +61,8 @@
 		slots    float64
 		pending  float64
 		draining bool
+		// refusedAt is when Pick first met draining; zero before.
+		refusedAt time.Time
 	}
 
 	// option is one candidate of a Pick.
@@ -95,6 +101,7 @@
 	s.known = true
 	s.pending = 0
 	s.draining = load.Draining
+	s.refusedAt = time.Time{}
 	s.slots = float64(max(load.Slots, 1))
 	s.load = float64(load.Running+load.Waiting) / s.slots
 }
--- a/route/tiers.go
+++ b/route/tiers.go
@@ -26,7 +26,7 @@
 	mean := r.mean(candidates)
 	for _, c := range candidates {
 		s := r.get(c.Instance)
-		if c.Draining || c.Gone || !c.Ready || s.draining {
+		if c.Draining || c.Gone || !c.Ready || s.drains(now) {
 			continue
 		}
 		t := r.tier(c)
@@ -160,3 +160,22 @@
 	x ^= x >> 33
 	return x
 }
+
+// drains reports whether the endpoint said lately that it is leaving. That word
+// counts until heartbeats carry it, and no longer: a door that stops and is back
+// under the same name before a heartbeat told of it would else be passed over
+// for ever, and after a rolling release this entry would find no endpoint at
+// all. One that does leave refuses at worst one more request, which then goes
+// elsewhere.
+func (s *state) drains(now time.Time) bool {
+	if !s.draining {
+		return false
+	}
+	if s.refusedAt.IsZero() {
+		s.refusedAt = now
+	}
+	if now.Sub(s.refusedAt) >= trustRefusal {
+		s.draining = false
+	}
+	return s.draining
+}
