hub: read the instance list and show who is leaving as draining

Cause: the state "leaving" of an endpoint in the platform's instance list was read by nobody but for finding hubs, so an endpoint that the platform was about to take away got work until it was gone. Weighed: each process reads the list (350 requests a second at 700 endpoints); hubs tell the door in their answers to its heartbeats, which needs a field in the protocol and can follow. The door itself still takes work that reaches it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,7 +146,7 @@
 		hub.WithHTTP(e.net.Control()),
 		hub.WithLeading(func() bool { return e.beats.Leading() }),
 		hub.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
-		hub.WithView(e.view), hub.WithSeed(seed), hub.WithLogger(e.log))
+		hub.WithList(e.list.List), hub.WithView(e.view), hub.WithSeed(seed), hub.WithLogger(e.log))
 	e.beats = beats.New(func() *wire.BeatRequest { return &wire.BeatRequest{Entry: e.describe()} },
 		e.list.List, e.conf,
 		beats.WithHTTP(e.net.Control()), beats.WithView(e.view), beats.WithLocal(e.hub),
--- a/hub/hub.go
+++ b/hub/hub.go
@@ -64,6 +64,9 @@
 		stop   context.CancelFunc
 		done   sync.WaitGroup
 		peers  map[string]peer
+		// leaving are the instances that the list says are leaving.
+		leaving   map[string]bool
+		instances func(ctx context.Context) ([]insts.Instance, error)
 	}
 
 	// configuration is the instance's copy of the resources; confs.Cache has it.
@@ -161,6 +164,7 @@
 		resp.Digest = h.table.Digest(time.Now())
 		return connect.NewResponse(resp), nil
 	}
+	h.mark(req.Msg.GetEndpoint())
 	h.table.Beat(time.Now(), req.Msg)
 	resp.TableVersion = h.table.Version()
 	return connect.NewResponse(resp), nil
@@ -220,6 +224,7 @@
 	ctx, h.stop = context.WithCancel(ctx)
 	h.done.Go(func() { h.follow(ctx) })
 	h.done.Go(func() { h.exchangeLoop(ctx) })
+	h.done.Go(func() { h.followLeaving(ctx) })
 }
 
 // tableBoot returns a number that no other table has, neither of this entry nor
