--- a/matrix/cut_test.go
+++ b/matrix/cut_test.go
@@ -12,6 +12,7 @@
 // endpoint, an entry and the key-value service, two entries. Connections stay
 // open and nothing comes. Callers get whole answers or explicit errors.
 func TestCuts(t *testing.T) {
+	t.Parallel()
 	for name, pair := range map[string][2]string{
 		"entrySide":     {entryIP(0), sideIP(0)},
 		"sideEngine":    {sideIP(0), engineIP(0)},
@@ -24,6 +25,7 @@
 		"entryScorer":   {entryIP(0), scorerIP},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			s := play{size: full, steps: 6, load: 30 * time.Second, at: 4 * time.Second, careful: true,
 				fault: cutPair(pair[0], pair[1], 30*time.Second)}.run(t)
 			NewWithT(t).Expect(s.live).NotTo(HaveKey("noAnswer"))
@@ -37,8 +39,10 @@
 // an engine, that beside a plain service. What was on its way arrives late; no
 // late answer may be taken for another request's.
 func TestFreezes(t *testing.T) {
+	t.Parallel()
 	for name, ip := range map[string]string{"entry": entryIP(0), "side": sideIP(0), "desk": deskIP(0)} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			play{size: full, steps: 6, load: 30 * time.Second, at: 4 * time.Second, careful: true,
 				fault: freeze(ip, 30*time.Second)}.run(t)
 		})
@@ -49,6 +53,7 @@
 // with the greater one. Each region goes on with its own callers; after the heal
 // both are one again.
 func TestRegionsCut(t *testing.T) {
+	t.Parallel()
 	n := full
 	n.regions = true
 	s := play{size: n, steps: 6, load: 60 * time.Second, at: 4 * time.Second, careful: true, fault: func(w *world) {
--- a/matrix/disk_test.go
+++ b/matrix/disk_test.go
@@ -14,6 +14,7 @@
 // anything again; without the copies it would have to, and finished samples would
 // be made anew.
 func TestHolderKilledWithDisks(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 3, disks: 3})
--- a/matrix/input_test.go
+++ b/matrix/input_test.go
@@ -14,6 +14,7 @@
 // Each is told which field is wrong, nothing runs, and the next request is served
 // as ever.
 func TestBadInput(t *testing.T) {
+	t.Parallel()
 	generate := "/v1/models/" + model + "/generate"
 	subscription := "/v1/subscriptions/" + drafts
 	cases := []struct {
--- a/matrix/order_test.go
+++ b/matrix/order_test.go
@@ -27,8 +27,10 @@
 // weights that the present holder ordered; else samples would name weights that
 // the trainer had replaced.
 func TestOldFence(t *testing.T) {
+	t.Parallel()
 	for name, opts := range map[string][]simeng.Option{"refusing": nil, "ignoring": {simeng.WithoutFence()}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			n := full
 			n.engine = opts
 			play{size: n, steps: 6, load: 20 * time.Second, at: 12 * time.Second, careful: true, fault: func(w *world) {
@@ -56,6 +58,7 @@
 // round and the others get a conflict; no accepted change is overwritten by
 // someone who had not seen it.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 1})
@@ -127,6 +130,7 @@
 // last change is healed just as another entry starts. Neither may bring the old
 // configuration back: an operator would see an accepted change undone.
 func TestConfigurationNeverBack(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 4, engines: 1})
@@ -179,6 +183,7 @@
 // A trainer loses a third of the answers to its pulls and asks again with the
 // same cursor, while writes lose their answers and leases lapse.
 func TestPullsRepeated(t *testing.T) {
+	t.Parallel()
 	play{size: full, steps: 8, at: 3 * time.Second, careful: true, loss: 0.3,
 		fault: both(answersLost(10, 2), leasesLapse(3, 5*time.Second))}.run(t)
 }
@@ -187,6 +192,7 @@
 // answers, and after a restart sends a cursor that is long settled. Whichever
 // answer it goes on from, each sample comes once and none is lost.
 func TestPullsOutOfOrder(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 3})
--- a/matrix/path_test.go
+++ b/matrix/path_test.go
@@ -36,6 +36,7 @@
 // samples is unique, fresh and rightly attributed, while callers get whole
 // answers from the same engines.
 func TestPath(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 3, desks: 3})
--- a/matrix/random_test.go
+++ b/matrix/random_test.go
@@ -84,8 +84,10 @@
 // may break in them, and in the calm after them all steps must become whole and
 // all requests be served.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(randomSeeds) {
 		t.Run(fmt.Sprintf("seed%d", seed), func(t *testing.T) {
+			t.Parallel()
 			var told []string
 			defer func() {
 				if t.Failed() {
--- a/matrix/shift_test.go
+++ b/matrix/shift_test.go
@@ -20,6 +20,7 @@
 // burst as rollouts need them; a caller notices refusals with a time to come back in the first seconds,
 // and a trainer slower steps, but both get all they were promised.
 func TestLiveBurst(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 4})
--- a/matrix/stop_test.go
+++ b/matrix/stop_test.go
@@ -19,6 +19,7 @@
 // fault of its machine. Another entry takes the job over; the trainer notices at
 // most a pause, gets every sample once, and none that names wrong weights.
 func TestHolderKilled(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 3})
