--- a/action/action.go
+++ b/action/action.go
@@ -50,6 +50,10 @@
 	groupsResponse struct {
 		Accepted int `json:"accepted"`
 		Known    int `json:"known"`
+		// Recorded is false while the key-value service is silent: should the
+		// holder be lost before it answers, and no disk have a copy, the groups are
+		// lost too, and later answers owe fewer samples than the trainer lacks.
+		Recorded bool `json:"recorded"`
 	}
 
 	weightsRequest struct {
@@ -62,11 +66,10 @@
 
 	pullRequest struct {
 		Cursor string `json:"cursor"`
-		Max    int    `json:"max"`
-		WaitMs int64  `json:"waitMs"`
-		// Published is the newest version that the trainer has published, empty
-		// when it does not say.
+		// Published is the trainer's newest version, a decimal number; optional.
 		Published string `json:"published"`
+		Max       int    `json:"max"`
+		WaitMs    int64  `json:"waitMs"`
 	}
 
 	ackRequest struct {
@@ -159,8 +162,8 @@
 	if err := bad.Err(); err != nil {
 		return nil, err
 	}
-	n, err := f.Submit(ctx, in.Groups)
-	return groupsResponse{Accepted: n, Known: len(in.Groups) - n}, err
+	n, recorded, err := f.Submit(ctx, in.Groups)
+	return groupsResponse{Accepted: n, Known: len(in.Groups) - n, Recorded: recorded}, err
 }
 
 func weights(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
@@ -189,25 +192,14 @@
 	case in.WaitMs < 0 || in.WaitMs > mostWaitMs:
 		return nil, &fault.FieldError{Field: "waitMs", Problem: fmt.Sprintf("is %d, not 0 to %d", in.WaitMs, mostWaitMs)}
 	}
-	if err := repeatVersion(ctx, f, in.Published); err != nil {
-		return nil, err
-	}
-	return f.Pull(ctx, in.Cursor, in.Max, time.Duration(in.WaitMs)*time.Millisecond)
-}
-
-// repeatVersion takes the published version from a pull too. A version that was
-// published while the key-value service was down is known to the holder alone;
-// a successor that has never heard of it would take samples for fresh that are
-// beyond the bound, and order engines back to the version that it knows.
-func repeatVersion(ctx context.Context, f *feed.Feed, text string) error {
-	if text == "" {
-		return nil
-	}
-	version, err := sample.ParseVersion(text)
-	if err != nil {
-		return err
+	published := int64(0)
+	if in.Published != "" {
+		var err error
+		if published, err = sample.ParseVersion(in.Published); err != nil {
+			return nil, &fault.FieldError{Field: "published", Problem: "is not a decimal number"}
+		}
 	}
-	return f.Publish(ctx, version)
+	return f.Pull(ctx, in.Cursor, published, in.Max, time.Duration(in.WaitMs)*time.Millisecond)
 }
 
 func ack(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -86,8 +86,6 @@
 		targets string
 		// downUntil is guarded by mu: until then the service is not asked again.
 		downUntil time.Time
-		// stored is guarded by mu: the last offer that is in the key-value service.
-		stored int64
 		// storedVersion is guarded by mu: the newest version there.
 		storedVersion int64
 	}
@@ -155,6 +153,13 @@
 		worker string
 		since  time.Time
 		made   int64
+		// before and last are points between which the speed is measured.
+		before, last point
+	}
+
+	point struct {
+		at   time.Time
+		made int64
 	}
 
 	// stats is what a subscription's status shows.
@@ -288,7 +293,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range groups {
-		if f.book.Groups[g.ID] == nil {
+		// A group that the ledger lacks was taken in during an outage of the
+		// key-value service, by a holder that was lost before it could record it.
+		// The ledger refuses it if it may have been delivered and forgotten.
+		if _, err := f.book.Add(g.ID, g.Step, g.Samples); err != nil {
 			go f.bulk.DropGroup(context.WithoutCancel(ctx), f.name, g.ID)
 			continue
 		}
--- a/simtrn/check.go
+++ b/simtrn/check.go
@@ -33,7 +33,7 @@
 		Cursor string `json:"cursor"`
 		Max    int    `json:"max"`
 		WaitMs int64  `json:"waitMs"`
-		// Published is the newest version that the trainer has published.
+		// Published is the newest version that this trainer has published.
 		Published string `json:"published"`
 	}
 
