--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,7 +27,7 @@
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/front"
 	"github.com/lavendermux/lavendermux/holder"
-	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/jobrun"
 	"github.com/lavendermux/lavendermux/jobs"
@@ -65,7 +65,7 @@
 		store *keyval.Client
 		list  *roster.Client
 		beats *beats.Client
-		hub   *hub.Hub
+		hub   *hubs.Hub
 		relay *relay.Relay
 		front *front.Front
 		train *train.Train
@@ -144,11 +144,11 @@
 
 func (e *Entry) membership() {
 	seed := uint64(e.boot)
-	e.hub = hub.New(e.describe, e.conf, e.store,
-		hub.WithHTTP(e.net.Control()),
-		hub.WithLeading(func() bool { return e.beats.Leading() }),
-		hub.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
-		hub.WithView(e.view), hub.WithList(e.list.List), hub.WithSeed(seed), hub.WithLogger(e.log))
+	e.hub = hubs.New(e.describe, e.conf, e.store,
+		hubs.WithHTTP(e.net.Control()),
+		hubs.WithLeading(func() bool { return e.beats.Leading() }),
+		hubs.WithCandidates(func() []insts.Instance { return e.beats.Candidates() }),
+		hubs.WithView(e.view), hubs.WithList(e.list.List), hubs.WithSeed(seed), hubs.WithLogger(e.log))
 	e.beats = beats.New(func() *wire.BeatRequest { return &wire.BeatRequest{Entry: e.describe()} },
 		e.list.List, e.conf,
 		beats.WithHTTP(e.net.Control()), beats.WithView(e.view), beats.WithLocal(e.hub),
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,14 +7,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/bulk"
 	"github.com/lavendermux/lavendermux/fault"
-	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
 // peerHandler serves the protocol between entries: heartbeats by the hub, and
 // what is passed to the holder of a job.
 type peerHandler struct {
-	*hub.Hub
+	*hubs.Hub
 	entry *Entry
 }
 
--- a/hub/follow.go
+++ b/hubs/follow.go
@@ -1,4 +1,4 @@
-package hub
+package hubs
 
 import (
 	"context"
--- a/hub/hub.go
+++ b/hubs/hub.go
@@ -1,11 +1,11 @@
-// Package hub is the part of an entry that serves heartbeats. Any two entries of
+// Package hubs is the part of an entry that serves heartbeats. Any two entries of
 // a data centre act as its hubs: they keep the membership of those who beat to
 // them, read the configuration from the key-value service, and tell the hubs of
 // the other data centres.
 //
 // Nobody else reads or watches the service, so that its load is a few calls for
 // each data centre however many instances there are.
-package hub
+package hubs
 
 import (
 	"context"
--- a/hub/hub_test.go
+++ b/hubs/hub_test.go
@@ -1,4 +1,4 @@
-package hub_test
+package hubs_test
 
 import (
 	"fmt"
--- a/hub/measure_test.go
+++ b/hubs/measure_test.go
@@ -1,6 +1,6 @@
 //go:build measure
 
-package hub_test
+package hubs_test
 
 import (
 	"context"
@@ -49,7 +49,7 @@
 // TestMeasureSpread prints, for growing fleets in virtual time, what control
 // costs. Run it by
 //
-//	go test -tags measure -run TestMeasureSpread -v -timeout 30m ./hub
+//	go test -tags measure -run TestMeasureSpread -v -timeout 30m ./hubs
 func TestMeasureSpread(t *testing.T) {
 	sizes := []fleetSize{{2, 3, 7}, {2, 7, 13}, {2, 13, 27}, {2, 27, 53}, {3, 13, 27}, {5, 13, 27}, {7, 50, 100}}
 	for _, s := range sizes {
--- a/hub/wire_test.go
+++ b/hubs/wire_test.go
@@ -1,4 +1,4 @@
-package hub_test
+package hubs_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/lavendermux/lavendermux/confs"
-	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -86,7 +86,7 @@
 	self := func() *wire.EntryState { return &wire.EntryState{Instance: "entry-1", DataCentre: "dc-0"} }
 	cache := confs.New()
 	cache.Apply(&wire.FetchResponse{Revision: 70000, Whole: true})
-	h := hub.New(self, cache, keyval.New("http://127.0.0.1:1"), hub.WithLogger(log.New(io.Discard)))
+	h := hubs.New(self, cache, keyval.New("http://127.0.0.1:1"), hubs.WithLogger(log.New(io.Discard)))
 	ctx, cancel := context.WithCancel(context.Background())
 	tb.Cleanup(cancel)
 	go h.Run(ctx)
--- a/hub/world_test.go
+++ b/hubs/world_test.go
@@ -1,4 +1,4 @@
-package hub_test
+package hubs_test
 
 import (
 	"context"
@@ -18,7 +18,7 @@
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/fleet"
-	"github.com/lavendermux/lavendermux/hub"
+	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/simkv"
@@ -63,7 +63,7 @@
 		world  *world
 		cache  *confs.Cache
 		view   *fleet.View
-		hub    *hub.Hub
+		hub    *hubs.Hub
 		client *beats.Client
 		cancel context.CancelFunc
 		done   sync.WaitGroup
@@ -89,7 +89,7 @@
 	// is not called here.
 	peerHandler struct {
 		wireconnect.UnimplementedPeerServiceHandler
-		hub *hub.Hub
+		hub *hubs.Hub
 	}
 )
 
@@ -206,11 +206,11 @@
 	httpClient := &http.Client{Transport: transport{world: w, from: id}}
 	opts := []beats.Option{beats.WithHTTP(httpClient), beats.WithSeed(seed), beats.WithLogger(quiet)}
 	if self.Role == insts.RoleEntry {
-		n.hub = hub.New(func() *wire.EntryState { return n.beat().GetEntry() }, n.cache,
+		n.hub = hubs.New(func() *wire.EntryState { return n.beat().GetEntry() }, n.cache,
 			keyval.New("http://"+kvHost, keyval.WithHTTP(httpClient)),
-			hub.WithHTTP(httpClient), hub.WithSeed(seed), hub.WithView(n.view), hub.WithLogger(quiet),
-			hub.WithLeading(func() bool { return n.client.Leading() }),
-			hub.WithCandidates(func() []insts.Instance { return n.client.Candidates() }))
+			hubs.WithHTTP(httpClient), hubs.WithSeed(seed), hubs.WithView(n.view), hubs.WithLogger(quiet),
+			hubs.WithLeading(func() bool { return n.client.Leading() }),
+			hubs.WithCandidates(func() []insts.Instance { return n.client.Candidates() }))
 		opts = append(opts, beats.WithView(n.view), beats.WithLocal(n.hub))
 	}
 	n.client = beats.New(n.beat, w.list, n.cache, opts...)
