Let a trainer without a cursor ask where it stands; measure a holder's samples

Cause: a trainer that starts anew without its cursor was refused for ever. Change: the position is answered on asking; what was sent and not acknowledged comes again.

--- a/action/action.go
+++ b/action/action.go
@@ -72,6 +72,10 @@
 		WaitMs    int64  `json:"waitMs"`
 	}
 
+	positionResponse struct {
+		Cursor string `json:"cursor"`
+	}
+
 	ackRequest struct {
 		Offer int64 `json:"offer"`
 	}
@@ -132,6 +136,8 @@
 		return pull(ctx, f, body)
 	case "ack":
 		return ack(ctx, f, body)
+	case "position":
+		return positionResponse{Cursor: f.Position()}, nil
 	case "status":
 		return f.Stats(), nil
 	}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -11,6 +11,7 @@
 	Load     loadCommand     `cmd:"" help:"Measure the decisions about live and mixed work."`
 	Rollouts rolloutsCommand `cmd:"" help:"Measure the decisions about rollouts."`
 	Path     pathCommand     `cmd:"" help:"Measure what the path adds to a direct call. See scripts/path.sh."`
+	Making   makingCommand   `cmd:"" help:"Measure what the holder of a pool takes for its samples. See scripts/making.sh."`
 }
 
 func main() {
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -88,6 +88,15 @@
 	return out
 }
 
+// Position returns the cursor of the last offer that was acknowledged, for a
+// trainer that starts without one. An offer that was sent and not acknowledged
+// counts as not taken and comes again.
+func (f *Feed) Position() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Position().Encode()
+}
+
 // Ack acknowledges an offer, for a trainer that carries no cursor.
 func (f *Feed) Ack(ctx context.Context, number int64) error {
 	f.mu.Lock()
--- a/hubs/hub.go
+++ b/hubs/hub.go
@@ -99,7 +99,7 @@
 
 // New returns the hub part of the entry that self describes.
 //
-//	h := hub.New(self, cache, keyval.New(base), hub.WithLeading(client.Leading))
+//	h := hubs.New(self, cache, keyval.New(base), hubs.WithLeading(client.Leading))
 //	go h.Run(ctx)
 func New(self func() *wire.EntryState, config configuration, store store, opts ...Option) *Hub {
 	h := &Hub{
--- a/simtrn/check.go
+++ b/simtrn/check.go
@@ -29,6 +29,10 @@
 		Bytes int64 `json:"bytes"`
 	}
 
+	positionMessage struct {
+		Cursor string `json:"cursor"`
+	}
+
 	pullRequest struct {
 		Cursor string `json:"cursor"`
 		Max    int    `json:"max"`
--- a/simtrn/options.go
+++ b/simtrn/options.go
@@ -99,6 +99,12 @@
 	}
 }
 
+// WithRun sets what the ids of groups begin with, so that several runs for one
+// subscription differ. The default is empty.
+func WithRun(prefix string) Option {
+	return func(c *config) { c.run = prefix }
+}
+
 // WithSeed sets what the trainer draws from. The default is 0.
 func WithSeed(seed uint64) Option {
 	return func(c *config) { c.seed = seed }
--- a/train/train.go
+++ b/train/train.go
@@ -84,7 +84,7 @@
 
 // Register adds the routes of trainers to r.
 func (t *Train) Register(r *mux.Router) {
-	r.HandleFunc("/v1/subscriptions/{subscription}/{action:groups|weights|pull|ack}", t.serve).Methods(http.MethodPost)
+	r.HandleFunc("/v1/subscriptions/{subscription}/{action:groups|weights|pull|ack|position}", t.serve).Methods(http.MethodPost)
 	r.HandleFunc("/v1/subscriptions/{subscription}/{action:status}", t.serve).Methods(http.MethodGet)
 }
 
