--- a/queue/queue.go
+++ b/queue/queue.go
@@ -177,9 +177,7 @@
 		if e.work.Deadline.IsZero() || e.probe {
 			continue
 		}
-		// At this moment itself the work could still end in time. Naming it would
-		// have the caller ask again and again until the clock moves on.
-		t := e.work.Deadline.Add(-q.pace.service(e.work)).Add(time.Nanosecond)
+		t := e.work.Deadline.Add(-q.pace.service(e.work))
 		if !ok || t.Before(at) {
 			at, ok = t, true
 		}
