--- a/hub/hub.go
+++ b/hubs/hub.go
@@ -1,11 +1,11 @@
-// Package hub is the part of an entry that serves heartbeats. Any two entries of
+// Package hubs is the part of an entry that serves heartbeats. Any two entries of
 // a data centre act as its hubs: they keep the membership of those who beat to
 // them, read the configuration from the key-value service, and tell the hubs of
 // the other data centres.
 //
 // Nobody else reads or watches the service, so that its load is a few calls for
 // each data centre however many instances there are.
-package hub
+package hubs
 
 import (
 	"context"
@@ -50,6 +50,7 @@
 		http       connect.HTTPClient
 		leading    func() bool
 		candidates func() []insts.Instance
+		listed     func(ctx context.Context) ([]insts.Instance, error)
 		view       *fleet.View
 		seed       uint64
 		interval   time.Duration
@@ -57,16 +58,15 @@
 		watchWait  time.Duration
 		log        *log.Logger
 
-		mu     sync.Mutex
-		rand   *rand.Rand
-		table  *member.Table
-		wanted time.Time
-		stop   context.CancelFunc
-		done   sync.WaitGroup
-		peers  map[string]peer
-		// leaving are the instances that the list says are leaving.
-		leaving   map[string]bool
-		instances func(ctx context.Context) ([]insts.Instance, error)
+		mu    sync.Mutex
+		rand  *rand.Rand
+		table *member.Table
+		// leaving are the instances that the list says are about to go.
+		leaving map[string]bool
+		wanted  time.Time
+		stop    context.CancelFunc
+		done    sync.WaitGroup
+		peers   map[string]peer
 	}
 
 	// configuration is the instance's copy of the resources; confs.Cache has it.
@@ -164,9 +164,9 @@
 		resp.Digest = h.table.Digest(time.Now())
 		return connect.NewResponse(resp), nil
 	}
-	h.mark(req.Msg.GetEndpoint())
 	h.table.Beat(time.Now(), req.Msg)
 	resp.TableVersion = h.table.Version()
+	resp.Leaving = h.isLeaving(req.Msg)
 	return connect.NewResponse(resp), nil
 }
 
@@ -224,7 +224,7 @@
 	ctx, h.stop = context.WithCancel(ctx)
 	h.done.Go(func() { h.follow(ctx) })
 	h.done.Go(func() { h.exchangeLoop(ctx) })
-	h.done.Go(func() { h.followLeaving(ctx) })
+	h.done.Go(func() { h.watchList(ctx) })
 }
 
 // tableBoot returns a number that no other table has, neither of this entry nor
