matrix: prove that finished samples age, and say which guards were taken out

Guards taken out one at a time on a scratch copy, with what the tests said: - door/order.go, fence < d.fence: TestOldFence/ignoring fails (the refusing engine refuses by itself). - feed/record.go, the overtaken check in reread: TestHolderCutOff fails, samples s1-g3/2, s1-g3/0, s1-g3/3 were delivered before. - feed/pull.go, the staleness bound in fresh: TestFinishedSamplesAge fails, samples 3 versions old at a bound of 2.

--- a/matrix/engine_test.go
+++ b/matrix/engine_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/simtrn"
 )
 
 // full is a deployment of each kind of endpoint.
@@ -102,3 +104,13 @@
 	NewWithT(t).Expect(s.live).NotTo(HaveKey("noAnswer"))
 	NewWithT(t).Expect(s.booked).To(beServed())
 }
+
+// A trainer asks for steps ahead and takes a sample or two a pull, so that
+// finished samples wait while it publishes version after version. One that has
+// become too old while it waited is made anew; the trainer would else train on
+// weights that it left behind.
+func TestFinishedSamplesAge(t *testing.T) {
+	t.Parallel()
+	play{size: full, steps: 10, load: 10 * time.Second, at: time.Second, careful: true, fault: crashEngine(0, 5*time.Second),
+		trainer: []simtrn.Option{simtrn.WithAhead(6), simtrn.WithPulls(10*time.Second, 2), simtrn.WithTrainTime(100 * time.Millisecond)}}.run(t)
+}
--- a/matrix/rows.go
+++ b/matrix/rows.go
@@ -84,6 +84,8 @@
 		map[string][]string{noTrainer: slices.Concat(live, weights, configuration, stopping)}},
 	{"lagging instance list", map[string][]string{"TestListStale": {"send", "stream", "generate"}},
 		map[string][]string{noList: {"score", "keep", "offer", "acknowledge", "write configuration"}}},
+	{"new versions while finished samples wait", map[string][]string{"TestFinishedSamplesAge": {"generate", "offer"}},
+		map[string][]string{noTrainer: live}},
 	{"disk instance lost", map[string][]string{"TestHolderKilledWithDisks": {"keep"}}, nil},
 	{"two at once: key-value service down and an engine or the holder lost", map[string][]string{"TestKeyValueDownWithAnother": {
 		"stream", "generate", "offer", "take over a job"}}, nil},
