--- /dev/null
+++ b/procs/fleet_test.go
@@ -0,0 +1,379 @@
+package procs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/rest"
+)
+
+const (
+	engines = 3
+	entries = 3
+	// groups and size make a step of 32 samples.
+	groups = 8
+	size   = 4
+	// fleets is how many deployments of 18 processes run at a time.
+	fleets = 3
+)
+
+type (
+	// fleet is one deployment of processes: the platform's stand-ins, three
+	// entries, and a process beside each of three engines and a plain service.
+	fleet struct {
+		kv, list, weights, scorer, service string
+		engine                             []string
+		// entryURL and entry are in the same order, as are engine and side.
+		entryURL []string
+		entry    []*process
+		side     []*process
+		// desk is the process beside the plain service.
+		desk       *process
+		deskConfig string
+		dir        string
+	}
+
+	object map[string]any
+
+	// trained is what these tests read of a trainer's summary.
+	trained struct {
+		Steps      int      `json:"steps"`
+		Samples    int64    `json:"samples"`
+		Duplicates int64    `json:"duplicates"`
+		Stale      int64    `json:"stale"`
+		Mismatched int64    `json:"mismatched"`
+		Unknown    int64    `json:"unknown"`
+		Misscored  int64    `json:"misscored"`
+		Problems   []string `json:"problems"`
+	}
+
+	// called is what these tests read of a caller's summary.
+	called struct {
+		Outcomes map[string]int64 `json:"outcomes"`
+		Problems []string         `json:"problems"`
+	}
+
+	ran struct {
+		Bookings []struct {
+			Slot   string `json:"slot"`
+			Family string `json:"family"`
+			Key    string `json:"key"`
+			Runs   int    `json:"runs"`
+		} `json:"bookings"`
+	}
+)
+
+// turns bounds the fleets that run at a time.
+var turns = make(chan struct{}, fleets)
+
+// addresses returns n addresses on loopback where nothing listens.
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var c net.ListenConfig
+	var addrs []string
+	for range n {
+		l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Kept until all are chosen, or one might be chosen twice.
+		defer func() { _ = l.Close() }()
+		addrs = append(addrs, l.Addr().String())
+	}
+	return addrs
+}
+
+// newFleet starts a deployment and waits until it serves.
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	turns <- struct{}{}
+	t.Cleanup(func() { <-turns })
+	f := &fleet{dir: t.TempDir()}
+	f.startPlatform(t)
+	f.startInstances(t)
+	f.tool(t, "standin", "await", "--entry", strings.Join(f.entryURL, ","), "--within", "40s")
+	for _, r := range f.resources() {
+		file := f.write(t, fmt.Sprint("resource-", r["kind"]), r)
+		f.tool(t, "lavendermux", "apply", "--entry", f.entryURL[0], "--file", file)
+	}
+	f.tool(t, "standin", "await", "--entry", strings.Join(f.entryURL, ","), "--within", "60s",
+		"--model", "reply", "--subscription", "replies")
+	return f
+}
+
+func (f *fleet) startPlatform(t *testing.T) {
+	t.Helper()
+	addrs := addresses(t, 5+engines)
+	f.kv, f.list, f.weights = "http://"+addrs[0], "http://"+addrs[1], "http://"+addrs[2]
+	f.scorer, f.service = "http://"+addrs[3], "http://"+addrs[4]
+	start(t, "kv", "standin", "kv", "--listen", addrs[0])
+	start(t, "instances", "standin", "instances", "--listen", addrs[1], "--lag", "200ms")
+	start(t, "weights", "standin", "weights", "--listen", addrs[2])
+	start(t, "scorer", "standin", "scorer", "--listen", addrs[3])
+	start(t, "service", "standin", "service", "--listen", addrs[4], "--delay", "200ms")
+	for i := range engines {
+		addr := addrs[5+i]
+		f.engine = append(f.engine, "http://"+addr)
+		start(t, "engine "+strconv.Itoa(i), "standin", "engine", "--listen", addr, "--seed", strconv.Itoa(i),
+			"--model", "reply=1", "--weights", f.weights, "--total-rate", "600", "--stream-rate", "60")
+	}
+}
+
+func (f *fleet) startInstances(t *testing.T) {
+	t.Helper()
+	addrs := addresses(t, 2*entries+engines+1)
+	var entryFiles, sideFiles []string
+	for i := range entries {
+		own := f.instance(fmt.Sprintf("entry-%d", i), addrs[2*i])
+		own["peerListen"], own["weightStore"], own["readyGrace"] = addrs[2*i+1], f.weights, "500ms"
+		entryFiles = append(entryFiles, f.write(t, own["instance"].(string), own))
+		f.entryURL = append(f.entryURL, "http://"+addrs[2*i])
+	}
+	for i, engine := range f.engine {
+		own := f.instance(fmt.Sprintf("tutor-lm-%d", i), addrs[2*entries+i])
+		own["service"], own["engine"], own["slots"] = "tutor-lm", engine, 16
+		sideFiles = append(sideFiles, f.write(t, own["instance"].(string), own))
+	}
+	own := f.instance("booking-api-0", addrs[2*entries+engines])
+	own["service"], own["plainService"] = "booking-api", f.service
+	f.deskConfig = f.write(t, "booking-api-0", own)
+	f.tool(t, "standin", append(append([]string{"register", "--list", f.list, f.deskConfig}, entryFiles...), sideFiles...)...)
+	for i, file := range entryFiles {
+		f.entry = append(f.entry, start(t, fmt.Sprint("entry ", i), "lavendermux", "entry", "--settings", file))
+	}
+	for i, file := range sideFiles {
+		f.side = append(f.side, start(t, fmt.Sprint("side ", i), "lavendermux", "side", "--settings", file))
+	}
+	f.startDesk(t)
+}
+
+// startDesk starts the process beside the plain service, also once more.
+func (f *fleet) startDesk(t *testing.T) {
+	t.Helper()
+	f.desk = start(t, "desk", "lavendermux", "side", "--settings", f.deskConfig)
+}
+
+func (f *fleet) instance(name, listen string) object {
+	return object{
+		"instance": name, "dataCentre": "tln-a", "region": "ee-north", "listen": listen,
+		"keyValue": f.kv, "instanceList": f.list,
+	}
+}
+
+func (f *fleet) resources() []object {
+	resource := func(kind, name string, spec object) object {
+		return object{"apiVersion": "lavendermux/v1", "kind": kind, "name": name, "spec": spec}
+	}
+	return []object{
+		resource("pool", "tutor-lm", object{
+			"service": "tutor-lm", "models": []string{"reply"}, "scorer": f.scorer, "liveReserve": 0.2, "maxOutput": 2048,
+		}),
+		resource("service", "booking-api", object{
+			"service": "booking-api", "idempotentMethods": []string{"GET"}, "timeout": "5s", "slotsPerEndpoint": 32,
+		}),
+		resource("subscription", "replies", object{
+			"pool": "tutor-lm", "model": "reply", "stalenessBound": 2, "groupSize": size, "cursor": true,
+		}),
+	}
+}
+
+// write stores v as a JSON file and returns its path.
+func (f *fleet) write(t *testing.T, name string, v any) string {
+	t.Helper()
+	raw, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(f.dir, name+".json")
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// tool runs a program that ends by itself and has to succeed.
+func (f *fleet) tool(t *testing.T, prog string, args ...string) {
+	t.Helper()
+	p := start(t, args[0], prog, args...)
+	if code := p.code(t); code != 0 {
+		t.Fatalf("%s %v: exit code %d: %s", prog, args, code, p.log.Bytes())
+	}
+}
+
+// trainer starts a trainer that calls the entry first before the others.
+func (f *fleet) trainer(t *testing.T, first, steps int) *process {
+	t.Helper()
+	urls := append(append([]string{}, f.entryURL[first:]...), f.entryURL[:first]...)
+	return start(t, "trainer", "standin", "trainer", "--entry", strings.Join(urls, ","), "--subscription", "replies",
+		"--model", "reply", "--bound", "2", "--store", f.weights, "--bytes", "1000000", "--steps", strconv.Itoa(steps),
+		"--groups", strconv.Itoa(groups), "--size", strconv.Itoa(size), "--max-tokens", "128", "--first-version", "2",
+		"--train-time", "200ms", "--seed", "7", "--within", "55s")
+}
+
+// caller starts callers of the model, or of the plain service.
+func (f *fleet) caller(t *testing.T, kind, duration string, urls []string, more ...string) *process {
+	t.Helper()
+	args := []string{"caller", "--entry", strings.Join(urls, ","), "--caller", kind, "--duration", duration, "--attempts", "3", "--seed", "11"}
+	return start(t, "caller "+kind, "standin", append(args, more...)...)
+}
+
+func (f *fleet) live(t *testing.T, duration string, urls []string) *process {
+	t.Helper()
+	return f.caller(t, "live", duration, urls, "--model", "reply", "--rate", "4", "--concurrency", "16", "--timeout", "15s")
+}
+
+func (f *fleet) booking(t *testing.T, duration string, urls []string) *process {
+	t.Helper()
+	return f.caller(t, "booking", duration, urls, "--service", "booking-api", "--rate", "40", "--concurrency", "24")
+}
+
+// holder returns which entry holds the pool's job, by its place, and the
+// fencing number.
+func (f *fleet) holder(ctx context.Context) (int, int64, error) {
+	rec, err := keyval.New(f.kv).Get(ctx, "jobs/pool/tutor-lm")
+	if err != nil {
+		return 0, 0, err
+	}
+	name, _, fence, err := lease.Holder(rec)
+	if err != nil {
+		return 0, 0, err
+	}
+	place, err := strconv.Atoi(strings.TrimPrefix(name, "entry-"))
+	return place, fence, err
+}
+
+func (f *fleet) awaitHolder(t *testing.T) (int, int64) {
+	t.Helper()
+	var place int
+	var fence int64
+	NewWithT(t).Eventually(func() (err error) {
+		place, fence, err = f.holder(t.Context())
+		return err
+	}, patience, every).Should(Succeed())
+	return place, fence
+}
+
+// awaitLaterHolder waits until another entry holds the job by a greater fencing
+// number.
+func (f *fleet) awaitLaterHolder(t *testing.T, place int, fence int64) {
+	t.Helper()
+	NewWithT(t).Eventually(func(g Gomega) {
+		now, later, err := f.holder(t.Context())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(now).NotTo(Equal(place))
+		g.Expect(later).To(BeNumerically(">", fence))
+	}, patience, every).Should(Succeed())
+}
+
+// running returns how many streams run on an engine that has not crashed.
+func (f *fleet) running(ctx context.Context, engine int) (int64, error) {
+	var out struct {
+		Streams, Whole, Cancelled int64
+	}
+	err := rest.New("engine", f.engine[engine]).Do(ctx, http.MethodGet, "/counts", nil, &out)
+	return out.Streams - out.Whole - out.Cancelled, err
+}
+
+// awaitMidStep waits until some samples of a step are delivered, others not, and
+// engines work.
+func (f *fleet) awaitMidStep(t *testing.T, trainer *process) {
+	t.Helper()
+	NewWithT(t).Eventually(func(g Gomega) {
+		var out struct {
+			Delivered int64 `json:"delivered"`
+		}
+		err := rest.New("entry", f.entryURL[0]).Do(t.Context(), http.MethodGet, "/v1/subscriptions/replies/status", nil, &out)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(out.Delivered % (groups * size)).To(BeNumerically(">", 0))
+		var sum int64
+		for i := range f.engine {
+			n, err := f.running(t.Context(), i)
+			g.Expect(err).NotTo(HaveOccurred())
+			sum += n
+		}
+		g.Expect(sum).To(BeNumerically(">", 0))
+		g.Expect(trainer.running()).To(BeTrue())
+	}, patience, every).Should(Succeed())
+}
+
+// expectTrained waits for the trainer's end and checks its summary.
+func expectTrained(t *testing.T, p *process, steps int) {
+	t.Helper()
+	g := NewWithT(t)
+	code := p.code(t)
+	var sum trained
+	g.Expect(json.Unmarshal(p.out.Bytes(), &sum)).To(Succeed())
+	g.Expect(sum).To(Equal(trained{Steps: steps, Samples: int64(steps * groups * size)}))
+	g.Expect(code).To(BeZero())
+}
+
+// expectCalled waits for the callers' end, checks that no answer was wrong and
+// some were whole, and returns the outcomes.
+func expectCalled(t *testing.T, p *process) called {
+	t.Helper()
+	g := NewWithT(t)
+	code := p.code(t)
+	var sum called
+	g.Expect(json.Unmarshal(p.out.Bytes(), &sum)).To(Succeed())
+	g.Expect(code).To(BeZero(), "%v", sum)
+	g.Expect(sum.Outcomes["ok"]).To(BeNumerically(">", 0))
+	return sum
+}
+
+// expectAllCalled checks that every request that was sent got its whole answer.
+func expectAllCalled(t *testing.T, p *process) {
+	t.Helper()
+	sum := expectCalled(t, p)
+	for outcome, n := range sum.Outcomes {
+		if outcome != "ok" && outcome != "skipped" {
+			t.Errorf("%s: %d requests ended %s: %v", p.name, n, outcome, sum.Problems)
+		}
+	}
+}
+
+// bookings returns how often each booking ran, by slot and family: a key of its
+// own does not make a second run another booking.
+func (f *fleet) bookings(t *testing.T) map[string]int {
+	t.Helper()
+	var out ran
+	NewWithT(t).Expect(rest.New("service", f.service).Do(t.Context(), http.MethodGet, "/ran", nil, &out)).To(Succeed())
+	runs := make(map[string]int)
+	for _, b := range out.Bookings {
+		runs[b.Slot+" "+b.Family] += b.Runs
+	}
+	return runs
+}
+
+// setFaults switches faults of a stand-in.
+func setFaults(t *testing.T, base string, faults object) {
+	t.Helper()
+	raw, err := json.Marshal(faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, base+"/faults", bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("faults of %s: %s", base, resp.Status)
+	}
+}
