--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -111,9 +112,23 @@
 	}
 	f.tool(t, "standin", "await", "--entry", strings.Join(f.entryURL, ","), "--within", "60s",
 		"--model", "reply", "--subscription", "replies")
+	f.awaitHome(t)
 	return f
 }
 
+// awaitHome waits until the system has written down which endpoint remembers
+// idempotency keys; before that it refuses keyed bookings as not run.
+func (f *fleet) awaitHome(t *testing.T) {
+	t.Helper()
+	for _, url := range f.entryURL {
+		NewWithT(t).Eventually(func(g Gomega) {
+			status, err := book(t.Context(), url, "set-up", "family-"+url)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusCreated))
+		}, patience, every).Should(Succeed())
+	}
+}
+
 func (f *fleet) startPlatform(t *testing.T) {
 	t.Helper()
 	addrs := addresses(t, 5+engines)
@@ -357,6 +372,27 @@
 	return runs
 }
 
+// book books a slot with an idempotency key and returns the answer's status.
+func book(ctx context.Context, url, slot, family string) (int, error) {
+	raw, err := json.Marshal(object{"slot": slot, "family": family})
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/services/booking-api/bookings", bytes.NewReader(raw))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", slot+"-"+family)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
 // setFaults switches faults of a stand-in.
 func setFaults(t *testing.T, base string, faults object) {
 	t.Helper()
