--- a/route/route.go
+++ b/route/route.go
@@ -92,12 +92,16 @@
 }
 
 // Learn takes in the load that a door reported, as when it accepted work or in a
-// heartbeat.
+// heartbeat. Nil ends a request that Sent counted and that brought no load.
 func (r *Route) Learn(id string, load *wire.DoorLoad) {
+	s := r.get(id)
 	if load == nil {
+		// A request that ends without a reply is no longer on its way. If it were
+		// counted on, a door that brought none, as when its caller hung up, would
+		// look busier than all others and get no work that could correct this.
+		s.pending = max(0, s.pending-1)
 		return
 	}
-	s := r.get(id)
 	s.known = true
 	s.pending = 0
 	s.draining = load.Draining
