refuse: say "unknown" for an error that joins "not run" and "unknown"

Found while writing the test that nothing turns into "not run": Wire looked for "not run" first, so an error that joins both went out as "not run", though one of the attempts may have run. No present caller joins them; unknown now goes first. Before, the joined error came out as *NotRunError; after, as *UnknownOutcomeError.

--- a/refuse/refuse.go
+++ b/refuse/refuse.go
@@ -30,6 +30,15 @@
 		fence   *fault.OldFenceError
 	)
 	switch {
+	// First, since an error that joins several attempts may hold a "not run" too,
+	// which is true of one of them only.
+	case errors.As(err, &unknown):
+		return &wire.Refusal{
+			Outcome: wire.Outcome_OUTCOME_UNKNOWN,
+			Cause:   unknown.Cause,
+			Reason:  unknown.Reason,
+			Load:    load,
+		}
 	case errors.As(err, &notRun):
 		return &wire.Refusal{
 			Outcome:      wire.Outcome_OUTCOME_NOT_RUN,
@@ -54,13 +63,6 @@
 			Fence:   fence.Current,
 			Load:    load,
 		}
-	case errors.As(err, &unknown):
-		return &wire.Refusal{
-			Outcome: wire.Outcome_OUTCOME_UNKNOWN,
-			Cause:   unknown.Cause,
-			Reason:  unknown.Reason,
-			Load:    load,
-		}
 	}
 	return &wire.Refusal{
 		Outcome: wire.Outcome_OUTCOME_UNKNOWN,
