--- a/matrix/rows.go
+++ b/matrix/rows.go
@@ -56,7 +56,7 @@
 		map[string][]string{noEngine: {"stream", "submit group", "generate", "score", "keep", "offer", "acknowledge", "stage", "switch"}}},
 	{"planned stop", map[string][]string{"TestPlannedStop": {"stream", "end", "drain", "stop"},
 		"TestRollingRelease": {"admit", "send", "generate", "drain", "stop"}}, nil},
-	{"endpoint marked leaving", nil,
+	{"endpoint marked leaving", map[string][]string{"TestLeaving": {"admit", "send", "stream", "end", "generate"}},
 		map[string][]string{noEngine: {"score", "keep", "offer", "acknowledge", "write configuration"}}},
 	{"cut between two processes", map[string][]string{"TestCuts": slices.Concat(swept, []string{"spread"})}, nil},
 	{"freeze of a process", map[string][]string{"TestFreezes": swept}, nil},
