--- a/feed/pull.go
+++ b/feed/pull.go
@@ -60,10 +60,16 @@
 		f.book.Make(ids(picked))
 		f.mu.Unlock()
 	}
-	if err := f.recordOffer(ctx, published); err != nil {
-		return nil, err
+	for len(picked) > 0 {
+		if err := f.recordOffer(ctx, published); err != nil {
+			return nil, err
+		}
+		var out *offer.Offer
+		if out, picked = f.send(c, picked); out != nil {
+			return out, f.Overtaken()
+		}
 	}
-	return f.send(c, picked), f.Overtaken()
+	return f.nothing(c), f.Overtaken()
 }
 
 // repeat returns the outstanding offer of a trainer that carries no cursor, if it
@@ -315,29 +321,50 @@
 	}
 }
 
-// send looks at the age of each sample once more, since recording took time.
-func (f *Feed) send(c cursor.Cursor, picked []*sample.Sample) *offer.Offer {
+// send looks at the age of each sample once more, since recording took time. It
+// returns no offer, but what is left of it, when that must be recorded first or
+// is nothing.
+//
+// A trainer without a cursor acknowledges a number. If what is left went out
+// under a new number that no record holds, a successor would refuse that number
+// and deliver the same samples a second time.
+func (f *Feed) send(c cursor.Cursor, picked []*sample.Sample) (*offer.Offer, []*sample.Sample) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := f.answer(c)
-	var left []string
-	for _, s := range picked {
-		slot := f.slot(s.ID)
-		if slot == nil || slot.ready != s || !f.fresh(slot) {
-			continue
-		}
-		left = append(left, s.ID)
-		out.Samples = append(out.Samples, *s)
-		f.countSample(slot)
-	}
+	left := f.stillFresh(picked)
 	if len(left) < len(picked) && !f.config().Cursor {
 		// Nothing has been sent under this number yet.
 		f.book.Withdraw()
+		if len(left) > 0 {
+			f.book.Make(ids(left))
+		}
+		return nil, left
+	}
+	if len(left) == 0 {
+		return nil, nil
 	}
-	f.book.Make(left)
+	out := f.answer(c)
+	for _, s := range left {
+		out.Samples = append(out.Samples, *s)
+		f.countSample(f.slot(s.ID))
+	}
+	f.book.Make(ids(left))
 	out.Offer = f.book.Offer
 	out.Cursor = f.book.Cursor().Encode()
-	return out
+	return out, nil
+}
+
+// stillFresh returns those of the samples that may be delivered now. The caller
+// holds mu.
+func (f *Feed) stillFresh(picked []*sample.Sample) []*sample.Sample {
+	var left []*sample.Sample
+	for _, s := range picked {
+		slot := f.slot(s.ID)
+		if slot != nil && slot.ready == s && f.fresh(slot) {
+			left = append(left, s)
+		}
+	}
+	return left
 }
 
 // countSample notes the age at which a sample leaves.
