front: golden answers for each error; name all wrong fields

The golden file showed that an error with several wrong fields was answered with the first alone ("spec.pool: is empty"), since the single field is found inside it; it now says "spec.pool: is empty; spec.model: is empty". An error that joins "not run" and "outcome unknown" was answered with 503 notRun; it is now 502 outcomeUnknown, as in package refuse.

--- a/front/errors.go
+++ b/front/errors.go
@@ -75,6 +75,12 @@
 		missing *fault.NotFoundError
 	)
 	switch {
+	// First, since an error that joins several attempts may hold a "not run" too,
+	// which is true of one of them only.
+	case errors.As(err, &unknown) && unknown.Cause == causeDeadline:
+		return problem{Kind: kindUnknown, Cause: unknown.Cause, Reason: unknown.Reason}, http.StatusGatewayTimeout
+	case errors.As(err, &unknown):
+		return problem{Kind: kindUnknown, Cause: unknown.Cause, Reason: unknown.Reason}, http.StatusBadGateway
 	case errors.As(err, &notRun):
 		return problem{
 			Kind:         kindNotRun,
@@ -82,14 +88,12 @@
 			Reason:       notRun.Reason,
 			RetryAfterMs: notRun.RetryAfter.Milliseconds(),
 		}, http.StatusServiceUnavailable
-	case errors.As(err, &unknown) && unknown.Cause == causeDeadline:
-		return problem{Kind: kindUnknown, Cause: unknown.Cause, Reason: unknown.Reason}, http.StatusGatewayTimeout
-	case errors.As(err, &unknown):
-		return problem{Kind: kindUnknown, Cause: unknown.Cause, Reason: unknown.Reason}, http.StatusBadGateway
-	case errors.As(err, &field):
-		return problem{Kind: kindBad, Reason: field.Error(), Field: field.Field}, http.StatusBadRequest
+	// Before the single field, which is found in these as well: the caller would
+	// learn of one wrong field at a time.
 	case errors.As(err, &fields):
 		return problem{Kind: kindBad, Reason: fields.Error(), Field: firstField(fields)}, http.StatusBadRequest
+	case errors.As(err, &field):
+		return problem{Kind: kindBad, Reason: field.Error(), Field: field.Field}, http.StatusBadRequest
 	case errors.As(err, &missing):
 		return problem{Kind: kindNotFound, Reason: missing.Error()}, http.StatusNotFound
 	}
