--- a/plain/plain.go
+++ b/plain/plain.go
@@ -61,6 +61,11 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	// A redirect is the caller's to follow. Followed here, the caller would get the
+	// answer to another request than its own, from wherever it points.
+	own := *c.http
+	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	c.http = &own
 	return c
 }
 
