Keep a pool's minimum of slots for rollouts at the doors too

Cause: minimumSlots was met by whole workers only, so a flood of live requests took every slot of the workers that had the rollout role. Change: hubs tell an endpoint how many siblings it has, and its door keeps its part of the minimum, leaving what is kept for live work.

--- a/beats/beats.go
+++ b/beats/beats.go
@@ -39,18 +39,19 @@
 	// Client beats for one instance. It is safe for concurrent use. See New and
 	// Run.
 	Client struct {
-		self      func() *wire.BeatRequest
-		list      func(ctx context.Context) ([]insts.Instance, error)
-		config    configuration
-		http      connect.HTTPClient
-		view      *fleet.View
-		local     peer
-		seed      uint64
-		interval  time.Duration
-		relist    time.Duration
-		log       *log.Logger
-		wake      chan struct{}
-		onLeaving func(bool)
+		self       func() *wire.BeatRequest
+		list       func(ctx context.Context) ([]insts.Instance, error)
+		config     configuration
+		http       connect.HTTPClient
+		view       *fleet.View
+		local      peer
+		seed       uint64
+		interval   time.Duration
+		relist     time.Duration
+		log        *log.Logger
+		wake       chan struct{}
+		onLeaving  func(bool)
+		onSiblings func(int64)
 		// leaving is what was told last; only Run's goroutine uses it.
 		leaving bool
 
--- a/beats/options.go
+++ b/beats/options.go
@@ -43,6 +43,12 @@
 	return func(c *Client) { c.onLeaving = leaving }
 }
 
+// WithSiblings sets who is told how many live endpoints the instance's service
+// has, whenever a hub says so. By default nobody is.
+func WithSiblings(siblings func(int64)) Option {
+	return func(c *Client) { c.onSiblings = siblings }
+}
+
 // WithLocal sets the hub part of the same process, which is called without the
 // network. The default has none.
 func WithLocal(local peer) Option {
--- a/beats/round.go
+++ b/beats/round.go
@@ -111,6 +111,9 @@
 	}
 	c.heard(target)
 	c.tellLeaving(resp.Msg.GetLeaving())
+	if n := resp.Msg.GetSiblings(); c.onSiblings != nil && n > 0 {
+		c.onSiblings(n)
+	}
 	c.fetch(callCtx, target, resp.Msg)
 	c.readMembers(callCtx, target, resp.Msg)
 	return true
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -183,10 +183,19 @@
 	})
 }
 
+// Part names the part of a pool's slots that work of a kind counts to, as in
+// slots.WithMinimum: live work and rollouts of a pool each have their own.
+func Part(pool string, kind wire.WorkKind) string {
+	if kind == wire.WorkKind_WORK_KIND_ROLLOUT {
+		return pool + "/rollouts"
+	}
+	return pool
+}
+
 func describe(ctx context.Context, req *wire.RunRequest) work.Work {
 	w := work.Work{
 		Caller:   req.GetCaller(),
-		Pool:     req.GetPool(),
+		Pool:     Part(req.GetPool(), req.GetKind()),
 		Kind:     req.GetKind(),
 		Priority: req.GetPriority(),
 		Tokens:   req.GetExpectedTokens(),
--- a/hubs/hub.go
+++ b/hubs/hub.go
@@ -61,6 +61,8 @@
 		mu    sync.Mutex
 		rand  *rand.Rand
 		table *member.Table
+		// services counts the endpoints of each service, as of the last turn.
+		services map[string]int64
 		// leaving are the instances that the list says are about to go.
 		leaving map[string]bool
 		wanted  time.Time
@@ -167,6 +169,7 @@
 	h.table.Beat(time.Now(), req.Msg)
 	resp.TableVersion = h.table.Version()
 	resp.Leaving = h.isLeaving(req.Msg)
+	resp.Siblings = h.services[req.Msg.GetEndpoint().GetService()]
 	return connect.NewResponse(resp), nil
 }
 
@@ -213,6 +216,7 @@
 	case h.table != nil:
 		h.table.Expire(now)
 		h.table.Digest(now)
+		h.services = h.table.Services()
 	}
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -276,6 +276,17 @@
 	return proto.CloneOf(d)
 }
 
+// Services counts the live endpoints of each service.
+func (t *Table) Services() map[string]int64 {
+	out := map[string]int64{}
+	for _, r := range t.all.rows {
+		if ep := r.state.endpoint; ep != nil && r.goneAt.IsZero() {
+			out[ep.GetService()]++
+		}
+	}
+	return out
+}
+
 // Live returns how many members are known and not gone.
 func (t *Table) Live() int {
 	return t.all.count()
--- a/side/side.go
+++ b/side/side.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -26,6 +28,7 @@
 	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/plain"
+	"github.com/lavendermux/lavendermux/pool"
 	"github.com/lavendermux/lavendermux/roster"
 	"github.com/lavendermux/lavendermux/scfg"
 	"github.com/lavendermux/lavendermux/serve"
@@ -57,6 +60,10 @@
 		tenure *tenure.Tenure
 		boot   int64
 		meter  *meter.Meter
+		// siblings is how many live endpoints the service has; 0 when unknown.
+		siblings atomic.Int64
+		// minima are the parts of pools' minima in force; only follow uses it.
+		minima map[string]int
 	}
 
 	// Option changes a Side as New makes it.
@@ -78,12 +85,13 @@
 //	err := s.Run(ctx)
 func New(cfg scfg.Settings, opts ...Option) *Side {
 	s := &Side{
-		cfg:   cfg,
-		net:   netset.New(),
-		log:   log.New(io.Discard),
-		conf:  confs.New(),
-		boot:  time.Now().UnixNano(),
-		meter: meter.New(),
+		cfg:    cfg,
+		net:    netset.New(),
+		log:    log.New(io.Discard),
+		conf:   confs.New(),
+		boot:   time.Now().UnixNano(),
+		meter:  meter.New(),
+		minima: map[string]int{},
 	}
 	s.tenure = tenure.New(cfg.Instance)
 	for _, opt := range opts {
@@ -94,7 +102,8 @@
 	s.list = roster.New(cfg.InstanceList, roster.WithHTTP(s.net.Client()))
 	s.beats = beats.New(s.describe, s.list.List, s.conf,
 		beats.WithHTTP(s.net.Control()), beats.WithSeed(uint64(s.boot)), beats.WithLogger(s.log),
-		beats.WithLeaving(func(leaving bool) { s.drainer().Leave(leaving) }))
+		beats.WithLeaving(func(leaving bool) { s.drainer().Leave(leaving) }),
+		beats.WithSiblings(s.siblings.Store))
 	s.doors()
 	return s
 }
@@ -231,7 +240,7 @@
 	defer tick.Stop()
 	for {
 		changed := s.conf.Changed()
-		s.gate.Divide(slots.WithLiveReserve(s.reserve()))
+		s.gate.Divide(s.division()...)
 		for _, p := range s.conf.Policies() {
 			for _, q := range p.Callers {
 				q = q.Filled()
@@ -247,19 +256,42 @@
 	}
 }
 
-// reserve is the share of the slots that is kept for live work: the greatest that
-// a pool of this service asks for, and all of them in the live role.
-func (s *Side) reserve() float64 {
-	if s.engine.Role() == order.RoleLive {
-		return 1
+// division is how the slots are divided now: the greatest reserve for live work
+// that a pool of this service asks for, and this endpoint's part of each pool's
+// minimum for rollouts. In the live role all slots are for live work; the pool's
+// holder sees to it that the others meet the minimum.
+func (s *Side) division() []slots.Option {
+	out := make([]slots.Option, 0, len(s.minima)+1)
+	for name := range s.minima {
+		s.minima[name] = 0
 	}
 	reserve := 0.0
-	for _, p := range s.conf.Pools() {
+	for name, p := range s.conf.Pools() {
 		if p.Service == s.cfg.Service {
 			reserve = max(reserve, p.LiveReserve)
+			s.minima[name] = s.minimum(p)
 		}
 	}
-	return reserve
+	if s.engine.Role() == order.RoleLive {
+		reserve = 1
+	}
+	for name, n := range s.minima {
+		out = append(out, slots.WithMinimum(gate.Part(name, wire.WorkKind_WORK_KIND_ROLLOUT), n))
+	}
+	return append(out, slots.WithLiveReserve(reserve))
+}
+
+// minimum is this endpoint's part of a pool's minimum for rollouts. It leaves the
+// slots that are kept for live work: a minimum beyond what there is would
+// otherwise shut live work out for good.
+func (s *Side) minimum(p pool.Pool) int {
+	siblings := s.siblings.Load()
+	if siblings == 0 || s.engine.Role() == order.RoleLive {
+		return 0
+	}
+	part := math.Ceil(float64(p.MinimumSlots) / float64(siblings))
+	room := math.Floor(float64(s.cfg.Slots) * (1 - p.LiveReserve))
+	return int(min(part, room))
 }
 
 // followHomes notes each list of homes when it comes, so that the time since when
