procs: faults against the real processes

The trainer of the pause test pulls for 40 s, so that the pull which the paused holder had in hand is answered by that holder after another has taken over; with 10 s the trainer was gone before.

--- a/procs/faults_test.go
+++ b/procs/faults_test.go
@@ -46,7 +46,9 @@
 	const steps = 3
 	f := newFleet(t)
 	place, fence := f.awaitHolder(t)
-	trainer := f.trainer(t, place, steps)
+	// The trainer is patient enough to hear what its pull at the paused entry comes
+	// to: an answer of a holder that has been overtaken.
+	trainer := f.trainer(t, place, steps, "--pull-wait", "40s")
 	f.awaitMidStep(t, trainer)
 	f.entry[place].signal(t, syscall.SIGSTOP)
 	f.awaitLaterHolder(t, place, fence)
@@ -59,8 +61,9 @@
 }
 
 // The platform's key-value service is down for ten seconds in the middle of a
-// training step. Callers notice nothing, and the trainer goes on: what it gets
-// meanwhile it gets once.
+// training step, which with an unlucky renewal is long enough for the pool's job
+// to change hands. Callers notice nothing; the trainer may wait for some seconds,
+// and each sample that it gets it gets once.
 func TestKeyValueDown(t *testing.T) {
 	t.Parallel()
 	const steps = 6
--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -229,13 +229,16 @@
 }
 
 // trainer starts a trainer that calls the entry first before the others.
-func (f *fleet) trainer(t *testing.T, first, steps int) *process {
+func (f *fleet) trainer(t *testing.T, first, steps int, more ...string) *process {
 	t.Helper()
 	urls := append(append([]string{}, f.entryURL[first:]...), f.entryURL[:first]...)
-	return start(t, "trainer", "standin", "trainer", "--entry", strings.Join(urls, ","), "--subscription", "replies",
+	args := []string{
+		"trainer", "--entry", strings.Join(urls, ","), "--subscription", "replies",
 		"--model", "reply", "--bound", "2", "--store", f.weights, "--bytes", "1000000", "--steps", strconv.Itoa(steps),
 		"--groups", strconv.Itoa(groups), "--size", strconv.Itoa(size), "--max-tokens", "128", "--first-version", "2",
-		"--train-time", "200ms", "--seed", "7", "--within", "55s")
+		"--train-time", "200ms", "--seed", "7", "--within", "55s",
+	}
+	return start(t, "trainer", "standin", append(args, more...)...)
 }
 
 // caller starts callers of the model, or of the plain service.
