--- a/roles/roles.go
+++ b/roles/roles.go
@@ -22,6 +22,7 @@
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/pool"
+	"github.com/lavendermux/lavendermux/refuse"
 	"github.com/lavendermux/lavendermux/shift"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -285,7 +286,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		_, err := r.dial.Door(ep.GetAddress()).Order(ctx, connect.NewRequest(&wire.OrderRequest{
+		resp, err := r.dial.Door(ep.GetAddress()).Order(ctx, connect.NewRequest(&wire.OrderRequest{
 			OrderId:   "role/" + role + "/" + ep.GetInstance(),
 			Pool:      r.name,
 			Fence:     r.fence,
@@ -293,6 +294,9 @@
 			Role:      role,
 			TimeoutMs: orderTimeout.Milliseconds(),
 		}))
+		if err == nil {
+			err = refuse.Error(resp.Msg.GetRefusal())
+		}
 		if err != nil {
 			r.log.Warn("a worker was not moved", "pool", r.name, "endpoint", ep.GetInstance(), "role", role, "err", err)
 		}
--- a/swaps/orders.go
+++ b/swaps/orders.go
@@ -79,7 +79,11 @@
 	if resp.Msg.GetDone() {
 		return
 	}
-	s.refused(r, id, kind, refuse.Error(resp.Msg.GetRefusal()), now)
+	refusal := refuse.Error(resp.Msg.GetRefusal())
+	if refusal == nil {
+		refusal = &fault.UnknownOutcomeError{Cause: refuse.CauseInternal, Reason: "the door neither confirmed nor refused"}
+	}
+	s.refused(r, id, kind, refusal, now)
 }
 
 func (s *Swaps) refused(r *roll, id, kind string, err error, now time.Time) {
