--- a/feed/pull.go
+++ b/feed/pull.go
@@ -28,8 +28,11 @@
 // Pull settles the trainer's cursor and returns the next samples, at most most,
 // waiting up to wait for the first. Published is the newest version that the
 // trainer itself knows to have published, 0 when it does not say: a holder that
-// was cut off may not have heard of it. A pull that comes twice with the same cursor
-// gets the same samples, less those that have become too old meanwhile.
+// was cut off may not have heard of it.
+//
+// A pull that comes twice with the same cursor gets an offer of the same number,
+// which may name other samples. It does no harm that the trainer takes the first
+// one after all: its cursor says what it took.
 //
 // A trainer that carries no cursor gets the outstanding offer again until it
 // acknowledges it by Ack, and no offer leaves without a record.
