--- a/matrix/page_test.go
+++ b/matrix/page_test.go
@@ -80,7 +80,13 @@
 		len(rows), len(Steps()), count[Proved], count[Cannot], count[Open])
 	b.WriteString("The tests run the real entries and processes beside endpoints in virtual time on a network in memory, with stand-ins\n" +
 		"for the platform. Trainers check for duplicates, staleness, attribution and whole steps; callers for whole answers; bookings for\n" +
-		"runs at most once. A cell counts as proved when its test plays the fault while the step is under way.\n")
+		"runs at most once. A cell counts as proved when its test plays the fault while requests and samples at that step are on\n" +
+		"their way, or at several moments of a training step; which step each single one was at is not traced, so rows whose\n" +
+		"steps reach from accept to acknowledge say less of each than narrow ones.\n\n" +
+		"Package procs plays four faults with real processes over loopback: `TestKills` (SIGKILL of a pool's holder and of the\n" +
+		"process beside a plain service, which restarts), `TestPauseLongerThanLease` (SIGSTOP of a holder past its lease, SIGCONT\n" +
+		"after another has taken over), `TestPlannedStops` (SIGTERM with streams and bookings in flight) and `TestKeyValueDown`.\n" +
+		"Not played anywhere: the loss of a disk instance other than the holder's, and engines killed as processes.\n")
 	for _, r := range rows {
 		fmt.Fprintf(&b, "\n## %s\n\n", strings.ToUpper(r.fault[:1])+r.fault[1:])
 		writeRow(&b, r)
--- a/relay/call.go
+++ b/relay/call.go
@@ -16,6 +16,9 @@
 	// CauseHomeAway says that the endpoint which remembers a request's
 	// idempotency key cannot be reached now.
 	CauseHomeAway = "homeAway"
+	// CauseNoHomes says that the service is so new that no endpoint remembers keys
+	// yet.
+	CauseNoHomes = "noHomes"
 	// homeAwayRetry is the time in which a restarted door is back.
 	homeAwayRetry = 2 * time.Second
 )
@@ -70,6 +73,13 @@
 // callHome sends a keyed request to the one endpoint that remembers its key.
 // Two copies that came through different entries meet there.
 func (r *Relay) callHome(ctx context.Context, req *wire.CallRequest, homes []string) (*wire.CallResponse, error) {
+	if len(homes) == 0 {
+		return nil, &fault.NotRunError{
+			Cause:      CauseNoHomes,
+			Reason:     "the service's list of endpoints that remember idempotency keys is not written yet",
+			RetryAfter: homeAwayRetry,
+		}
+	}
 	id := tenure.HomeOf(req.GetIdempotencyKey(), homes)
 	door := r.view.Endpoint(id)
 	if door == nil || door.GetGone() {
