Give every setting its effect, or take it out

Found by looking for fields that nothing reads: liveTimeout, queueLimit, a caller's priority and the weight store's address now do what they say; stepWithin counts late steps; spareAttempts was the number of moves and is named stragglerMoves; drainWithin said what stopWithin does and is gone. A version that the weight store does not have is refused when it is published; TestPullsOutOfOrder published one that was not in the store and now puts it there first.

--- a/action/action.go
+++ b/action/action.go
@@ -30,15 +30,28 @@
 	mostMax    = 4096
 	mostWaitMs = int64(5 * time.Minute / time.Millisecond)
 	maxBody    = 64 << 20
+	// storeTimeout bounds the question whether a version is in the weight store.
+	storeTimeout = 2 * time.Second
 )
 
 type (
 	// Action answers for the subscriptions that a holder has. See New.
 	Action struct {
-		find feeds
-		conf *confs.Cache
+		find  feeds
+		conf  *confs.Cache
+		store store
 	}
 
+	// Option changes an Action as New makes it.
+	Option func(*Action)
+
+	// store is the weight store. Its zero, anything, has every version.
+	store interface {
+		Size(ctx context.Context, model, version string) (int64, error)
+	}
+
+	anything struct{}
+
 	feeds interface {
 		Feed(name string) (*feed.Feed, error)
 	}
@@ -85,10 +98,22 @@
 //
 //	a := action.New(holder, conf)
 //	status, body := a.Answer(ctx, "drafts/pull", raw)
-func New(find feeds, conf *confs.Cache) *Action {
-	return &Action{find: find, conf: conf}
+func New(find feeds, conf *confs.Cache, opts ...Option) *Action {
+	a := &Action{find: find, conf: conf, store: anything{}}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// WithStore sets the weight store, in which a version must be before a trainer
+// publishes it. By default it is not looked for.
+func WithStore(s store) Option {
+	return func(a *Action) { a.store = s }
 }
 
+func (anything) Size(context.Context, string, string) (int64, error) { return 0, nil }
+
 // Answer does what action, "<subscription>/<verb>", asks for and returns an HTTP
 // status and body.
 func (a *Action) Answer(ctx context.Context, action string, body []byte) (int, []byte) {
@@ -131,7 +156,7 @@
 	case "groups":
 		return a.groups(ctx, f, body)
 	case "weights":
-		return weights(ctx, f, body)
+		return a.weights(ctx, f, body)
 	case "pull":
 		return pull(ctx, f, body)
 	case "ack":
@@ -172,7 +197,7 @@
 	return groupsResponse{Accepted: n, Known: len(in.Groups) - n, Recorded: recorded}, err
 }
 
-func weights(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
+func (a *Action) weights(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
 	var in weightsRequest
 	if err := strict.Decode(body, &in); err != nil {
 		return nil, err
@@ -181,12 +206,29 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := a.stored(ctx, f.Model(), in.Version); err != nil {
+		return nil, err
+	}
 	if err := f.Publish(ctx, version); err != nil {
 		return nil, err
 	}
 	return weightsResponse{Published: fmt.Sprint(f.Published())}, nil
 }
 
+// stored refuses a version that the weight store does not have: every worker
+// would fail to load it, while the trainer's samples already counted as older. A
+// store that gives no answer says nothing against the version.
+func (a *Action) stored(ctx context.Context, model, version string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := a.store.Size(ctx, model, version)
+	var missing *fault.NotFoundError
+	if errors.As(err, &missing) {
+		return &fault.FieldError{Field: "version", Problem: "the weight store has no version " + version + " of " + model}
+	}
+	return nil
+}
+
 func pull(ctx context.Context, f *feed.Feed, body []byte) (any, error) {
 	in := pullRequest{Max: defaultMax}
 	if err := strict.Decode(body, &in, strict.WithMaxBytes(maxBody)); err != nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/tokens"
 	"github.com/lavendermux/lavendermux/train"
+	"github.com/lavendermux/lavendermux/weight"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
@@ -64,14 +65,16 @@
 		dial  *dial.Dialer
 		store *keyval.Client
 		list  *roster.Client
-		beats *beats.Client
-		hub   *hubs.Hub
-		relay *relay.Relay
-		front *front.Front
-		train *train.Train
-		ops   *opapi.API
-		jobs  *jobrun.Runner
-		seen  *observ.Observer
+		// weights is the weight store.
+		weights *weight.Client
+		beats   *beats.Client
+		hub     *hubs.Hub
+		relay   *relay.Relay
+		front   *front.Front
+		train   *train.Train
+		ops     *opapi.API
+		jobs    *jobrun.Runner
+		seen    *observ.Observer
 		// disk is nil without a data folder.
 		disk *bulk.Store
 		keys *tokens.Keys
@@ -140,6 +143,7 @@
 	e.dial = dial.New(e.net.Peers())
 	e.store = keyval.New(e.cfg.KeyValue, keyval.WithHTTP(e.net.Client()), keyval.WithTimeout(timeout))
 	e.list = roster.New(e.cfg.InstanceList, roster.WithHTTP(e.net.Client()))
+	e.weights = weight.New(e.cfg.WeightStore, weight.WithHTTP(e.net.Client()))
 }
 
 func (e *Entry) membership() {
@@ -160,7 +164,8 @@
 	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
 		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare))
 	e.front = front.New(e.relay, e.conf,
-		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)))
+		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)),
+		front.WithTimeout(time.Duration(e.cfg.LiveTimeout)))
 	e.train = train.New(e.conf, e, e.view, e.dial, train.WithLog(e.log))
 	e.ops = opapi.New(change.New(e.store), e.conf, opapi.WithLog(e.log), opapi.WithConditions(e.conditions),
 		opapi.WithInForce(func(_ context.Context, revision int64) (spread.Report, error) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -122,6 +122,7 @@
 	// step is the groups of one step that are not whole.
 	step struct {
 		number int64
+		begun  time.Time
 		groups []*group
 	}
 
@@ -175,6 +176,8 @@
 		Wasted int64 `json:"wastedTokens"`
 		// IdleSeconds is how long the trainer has waited for samples.
 		IdleSeconds float64 `json:"idleSeconds"`
+		// LateSteps took longer than the subscription's stepWithin.
+		LateSteps int64 `json:"lateSteps"`
 		// Unrecorded offers went out while the key-value service was down.
 		Unrecorded int64 `json:"unrecordedOffers"`
 	}
@@ -209,7 +212,7 @@
 	for _, opt := range opts {
 		opt(f)
 	}
-	f.planner = strag.New(strag.WithMoves(config().SpareAttempts))
+	f.planner = strag.New(strag.WithMoves(config().StragglerMoves))
 	if err := f.adopt(ctx); err != nil {
 		return nil, err
 	}
@@ -282,6 +285,7 @@
 	named("attempts_failed_total", f.stats.Failed)
 	named("tokens_wasted_total", f.stats.Wasted)
 	named("offers_unrecorded_total", f.stats.Unrecorded)
+	named("steps_late_total", f.stats.LateSteps)
 }
 
 // restore brings back what an earlier holder kept in bulk.
@@ -334,7 +338,7 @@
 		return int(s.number - n)
 	})
 	if !found {
-		f.steps = slices.Insert(f.steps, at, &step{number: number})
+		f.steps = slices.Insert(f.steps, at, &step{number: number, begun: time.Now()})
 	}
 	return f.steps[at]
 }
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -173,6 +173,11 @@
 		st.groups = groups
 		if len(groups) > 0 {
 			steps = append(steps, st)
+			continue
+		}
+		if took := time.Since(st.begun); took > time.Duration(f.config().StepWithin) {
+			f.stats.LateSteps++
+			f.log.Warn("a step took long", "subscription", f.name, "step", st.number, "took", took)
 		}
 	}
 	f.steps = steps
--- a/front/front.go
+++ b/front/front.go
@@ -47,6 +47,7 @@
 		count   counter
 		log     *log.Logger
 		maxBody int64
+		timeout time.Duration
 	}
 
 	// Option changes a Front as New makes it.
@@ -80,6 +81,7 @@
 		count:   uncounted{},
 		log:     log.New(io.Discard),
 		maxBody: defaultMaxBody,
+		timeout: defaultTimeout,
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -102,6 +104,12 @@
 	return func(f *Front) { f.maxBody = n }
 }
 
+// WithTimeout bounds a live generation that states no timeout. The default is one
+// minute.
+func WithTimeout(d time.Duration) Option {
+	return func(f *Front) { f.timeout = d }
+}
+
 // Register adds the routes of callers to r.
 func (f *Front) Register(r *mux.Router) {
 	r.HandleFunc("/v1/models/{model}/generate", f.generate).Methods(http.MethodPost)
--- a/front/generate.go
+++ b/front/generate.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -78,7 +79,7 @@
 		Model:     model,
 		Prompt:    in.Prompt,
 		MaxTokens: in.MaxTokens,
-		Priority:  in.Priority,
+		Priority:  cmp.Or(in.Priority, f.priority(caller)),
 		Kind:      wire.WorkKind_WORK_KIND_LIVE,
 	}
 	begin := time.Now()
@@ -86,6 +87,18 @@
 	f.count.Live(caller, p.Service, time.Since(begin), err)
 }
 
+// priority is what the policies give a caller whose request states none.
+func (f *Front) priority(caller string) int32 {
+	for _, p := range f.conf.Policies() {
+		for _, q := range p.Callers {
+			if q.Caller == caller {
+				return int32(q.Priority)
+			}
+		}
+	}
+	return 0
+}
+
 // poolOf finds the pool whose engines serve model.
 func (f *Front) poolOf(model string) (string, pool.Pool, bool) {
 	for name, p := range f.conf.Pools() {
@@ -101,7 +114,7 @@
 func (f *Front) readGenerate(w http.ResponseWriter, r *http.Request, p pool.Pool) (generateRequest, error) {
 	in := generateRequest{
 		MaxTokens: min(defaultMaxTokens, int64(p.MaxOutput)),
-		Timeout:   span.Duration(defaultTimeout),
+		Timeout:   span.Duration(f.timeout),
 	}
 	raw, err := f.body(w, r)
 	if err != nil {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -83,6 +83,13 @@
 	g.turn(time.Now())
 }
 
+// Limit bounds how many requests wait, from now on.
+func (g *Gate) Limit(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Limit(n)
+}
+
 // Share changes the callers' shares, from now on.
 func (g *Gate) Share(opts ...admit.Option) {
 	g.mu.Lock()
--- a/matrix/input_test.go
+++ b/matrix/input_test.go
@@ -36,6 +36,7 @@
 		{"a pull of nothing", http.MethodPost, subscription + "/pull", `{"max":0}`, 400, "max"},
 		{"a group without a prompt", http.MethodPost, subscription + "/groups", `{"groups":[{"id":"a","step":1}]}`, 400, "groups[0].prompt"},
 		{"a group's wrong id", http.MethodPost, subscription + "/groups", `{"groups":[{"id":"a/b","step":1,"prompt":"p"}]}`, 400, "groups[0].id"},
+		{"a version that is not in the weight store", http.MethodPost, subscription + "/weights", `{"version":"77"}`, 400, "version"},
 		{"a version that is no number", http.MethodPost, subscription + "/weights", `{"version":"latest"}`, 400, "version"},
 	}
 	synctest.Test(t, func(t *testing.T) {
--- a/matrix/order_test.go
+++ b/matrix/order_test.go
@@ -197,6 +197,7 @@
 		g := NewWithT(t)
 		w := newWorld(t, size{entries: 3, engines: 3})
 		defer w.close()
+		w.weights.Put(model, "2", 1<<20)
 		g.Expect(w.trainerCall("weights", map[string]any{"version": "2"}, nil) / 100).To(Equal(2))
 		g.Expect(w.trainerCall("groups", map[string]any{"groups": []any{map[string]any{"id": "g", "step": 1, "prompt": "draft",
 			"samples": 8, "maxTokens": 40}}}, nil)).To(Equal(http.StatusOK))
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,17 +4,14 @@
 
 import (
 	"fmt"
-	"time"
 
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/goal"
 	"github.com/lavendermux/lavendermux/quota"
-	"github.com/lavendermux/lavendermux/span"
 )
 
 const (
 	defaultRetryBudget = 0.1
-	defaultDrainWithin = span.Duration(10 * time.Second)
 )
 
 // Policy is the spec of a resource of kind "policy".
@@ -27,9 +24,6 @@
 	// RetryBudget is the greatest share of requests, 0 to 1, that are sent a
 	// second time. 0 turns retries off. The default is 0.1.
 	RetryBudget float64 `json:"retryBudget"`
-	// DrainWithin is how long a leaving instance finishes what is in flight
-	// before it reports what is left. The default is 10s.
-	DrainWithin span.Duration `json:"drainWithin"`
 }
 
 // Default returns a Policy with every default set.
@@ -37,7 +31,7 @@
 //	p := policy.Default()
 //	err := strict.Decode(raw, &p)
 func Default() Policy {
-	return Policy{RetryBudget: defaultRetryBudget, DrainWithin: defaultDrainWithin}
+	return Policy{RetryBudget: defaultRetryBudget}
 }
 
 // Validate returns a *fault.FieldsError that names all fields which break their
@@ -59,7 +53,6 @@
 		names[o.Name] = true
 	}
 	bad.Check(p.RetryBudget >= 0 && p.RetryBudget <= 1, "retryBudget", "is a share and lies between 0 and 1")
-	bad.Check(p.DrainWithin > 0, "drainWithin", "is not above zero")
 	return bad.Err()
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// Limit bounds how many pieces of work wait, from now on; what waits already
+// stays.
+func (q *Queue[T]) Limit(n int) {
+	q.settings.limit = n
+}
+
 // Push lets work in to wait, or refuses it at once with a *fault.NotRunError.
 // The ticket names the work in Done and Cancel. After a Push, Expire may have
 // work to hand out that the new work displaced.
--- a/side/side.go
+++ b/side/side.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return err
 	}
-	s.log.Info("listening", "address", server.Address(), "service", s.cfg.Service)
+	s.log.Info("listening", "address", server.Address(), "service", s.cfg.Service, "fencing", s.cfg.Fencing)
 	// The background outlives ctx: while the door drains, it goes on beating, so
 	// that entries learn of it.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -270,6 +270,7 @@
 		if p.Service == s.cfg.Service {
 			reserve = max(reserve, p.LiveReserve)
 			s.minima[name] = s.minimum(p)
+			s.gate.Limit(p.QueueLimit)
 		}
 	}
 	if s.engine.Role() == order.RoleLive {
--- a/subscr/subscr.go
+++ b/subscr/subscr.go
@@ -15,6 +15,8 @@
 	defaultStepWithin = span.Duration(4 * time.Minute)
 	defaultGroupSize  = 8
 	groupBound        = 1024
+	defaultMoves      = 4
+	moveBound         = 64
 )
 
 // Subscription is the spec of a resource of kind "subscription".
@@ -39,10 +41,9 @@
 	// GroupSize is how many samples are made for one prompt, 1 to 1024. The
 	// default is 8.
 	GroupSize int `json:"groupSize"`
-	// SpareAttempts is how many more attempts than samples may run for one group
-	// near the end of a step, so that a straggler does not hold it up. The
-	// default is 0.
-	SpareAttempts int `json:"spareAttempts"`
+	// StragglerMoves is how often a sample that makes no way where it runs may be
+	// moved to another worker, near the end of a step, 0 to 64. The default is 4.
+	StragglerMoves int `json:"stragglerMoves"`
 	// Cursor says that the trainer carries its cursor on each pull, so that
 	// delivery goes on through an outage of the key-value service. The default
 	// is false, which every trainer can keep.
@@ -60,6 +61,7 @@
 		StalenessWeight: defaultWeight,
 		StepWithin:      defaultStepWithin,
 		GroupSize:       defaultGroupSize,
+		StragglerMoves:  defaultMoves,
 	}
 }
 
@@ -75,6 +77,6 @@
 	bad.Check(s.IdleWeight != 0 || s.StalenessWeight != 0, "idleWeight", "and stalenessWeight are both 0; one must count")
 	bad.Check(s.StepWithin > 0, "stepWithin", "is not above zero")
 	bad.Check(s.GroupSize >= 1 && s.GroupSize <= groupBound, "groupSize", "lies between 1 and 1024")
-	bad.Check(s.SpareAttempts >= 0 && s.SpareAttempts <= groupBound, "spareAttempts", "lies between 0 and 1024")
+	bad.Check(s.StragglerMoves >= 0 && s.StragglerMoves <= moveBound, "stragglerMoves", "lies between 0 and 64")
 	return bad.Err()
 }
