--- a/cmd/standin/setup.go
+++ b/cmd/standin/setup.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -27,6 +28,7 @@
 		Within       time.Duration `default:"30s" help:"Time after which to give up."`
 		Model        string        `help:"Model that has to answer a request."`
 		Subscription []string      `help:"Subscriptions that have to be held."`
+		Service      string        `help:"Plain service that has to take a booking with an idempotency key."`
 	}
 
 	// settings is what the platform has to know of an instance.
@@ -87,7 +89,7 @@
 	defer cancel()
 	for _, url := range c.Entry {
 		entry := rest.New("entry "+url, url)
-		err := until(ctx, func() error { return c.look(ctx, entry) })
+		err := until(ctx, func() error { return c.look(ctx, url, entry) })
 		if err != nil {
 			return errors.Wrapf(err, "waiting for %s", url)
 		}
@@ -95,7 +97,7 @@
 	return nil
 }
 
-func (c *awaitCommand) look(ctx context.Context, entry *rest.Client) error {
+func (c *awaitCommand) look(ctx context.Context, url string, entry *rest.Client) error {
 	resp, err := entry.Open(ctx, http.MethodGet, "/readyz", nil)
 	if err != nil {
 		return err
@@ -106,6 +108,11 @@
 			return err
 		}
 	}
+	if c.Service != "" {
+		if err := c.book(ctx, url); err != nil {
+			return err
+		}
+	}
 	if c.Model == "" {
 		return nil
 	}
@@ -113,6 +120,25 @@
 	return entry.Do(ctx, http.MethodPost, "/v1/models/"+c.Model+"/generate", in, nil)
 }
 
+// book books a slot that nobody else asks for, under a key of its own.
+func (c *awaitCommand) book(ctx context.Context, url string) error {
+	body := strings.NewReader(`{"slot":"ready","family":"` + url + `"}`)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/services/"+c.Service+"/bookings", body)
+	if err != nil {
+		return errors.Wrap(err, "making a booking")
+	}
+	req.Header.Set("Idempotency-Key", "ready-"+url)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "booking")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return errors.Newf("booking was answered %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // until tries again until try succeeds or ctx ends.
 func until(ctx context.Context, try func() error) error {
 	for {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,7 +81,8 @@
 for file in "$dir"/resources/3*.json; do
   subscriptions=${subscriptions:+$subscriptions,}$(value "$file" name)
 done
-bin/standin await --entry "$entries" --within 60s --model "$model" --subscription "$subscriptions"
+bin/standin await --entry "$entries" --within 60s --model "$model" --subscription "$subscriptions" \
+  --service "$(value "$dir/resources/20-service.json" name)"
 
 echo "== trainers and callers are running; their logs are in $run"
 clients=()
