Finish a roll-out before a newer version gets its turn

Ruled out: the pulls' wait of 10 s. Change: a roll-out that moves is finished, for at most ten minutes. TestVersionsFasterThanRollOuts: no worker switched before, version 5 or later after.

--- a/swaps/swaps.go
+++ b/swaps/swaps.go
@@ -27,6 +27,9 @@
 	// defaultTick is how often the roll-outs are looked at. The switch has 6 s,
 	// of which a tenth of a second is a sixtieth.
 	defaultTick = 100 * time.Millisecond
+	// longestRoll is how long a roll-out may take before a newer version replaces
+	// it: 700 workers take 302 s in play, and new versions come every ten minutes.
+	longestRoll = 10 * time.Minute
 	// stageTimeout bounds one fetch of weights.
 	stageTimeout = 2 * time.Minute
 	// askAgain is the wait before a worker that gave no answer is asked.
@@ -210,7 +213,7 @@
 	defer s.mu.Unlock()
 	endpoints := s.fleet.Endpoints(p.Service)
 	r := s.rolls[model]
-	if r == nil || r.version != version {
+	if r == nil || (r.version != version && !r.underWay(now)) {
 		r = s.fresh(p, model, version, endpoints, now)
 		s.rolls[model] = r
 	}
@@ -224,6 +227,16 @@
 	}
 }
 
+// underWay says whether a roll-out is to be finished before a newer version gets
+// its turn. Were each new version to replace the one on its way, versions that
+// come faster than a roll-out takes would leave the workers on the first for good,
+// and the trainer without a sample within its bound. One that does not come to an
+// end gives way at last.
+func (r *roll) underWay(now time.Time) bool {
+	moving := r.state == pace.Fetching || r.state == pace.Turning
+	return moving && now.Sub(r.began) < longestRoll
+}
+
 // fresh begins a roll-out. A holder that takes over one whose switch has begun
 // goes on with the switch: it may be all that is left.
 func (s *Swaps) fresh(p pool.Pool, model, version string, endpoints []*wire.EndpointState, now time.Time) *roll {
--- a/swaps/swaps_test.go
+++ b/swaps/swaps_test.go
@@ -221,3 +221,27 @@
 		g.Expect(w.versions()).To(Equal("1 1"))
 	})
 }
+
+// A trainer publishes faster than a roll-out takes. The roll-out under way is
+// finished before the newest version gets its turn; if each version replaced the
+// last, no worker would ever switch, and the trainer would get nothing within its
+// staleness bound.
+func TestVersionsFasterThanRollOuts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorkers(6, "m")
+		begin := time.Now()
+		s := New("drafts", 7, func() (pool.Pool, bool) {
+			p := pool.Default()
+			p.Service, p.Models, p.StagePerSecond = "lm", []string{"m"}, 2
+			return p, true
+		}, func() map[string]int64 {
+			// A new version each second; six workers stage in three.
+			return map[string]int64{"m": 2 + int64(time.Since(begin)/time.Second)}
+		}, w, w)
+		ctx, stop := context.WithTimeout(t.Context(), 12*time.Second)
+		defer stop()
+		s.Run(ctx)
+		g.Expect(s.Loaded("m")).To(BeNumerically(">=", 5))
+	})
+}
