--- a/calls/calls.go
+++ b/calls/calls.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/drain"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/keymem"
 	"github.com/lavendermux/lavendermux/plain"
@@ -21,7 +22,7 @@
 
 const (
 	// CauseDraining refuses new calls on an endpoint that is leaving.
-	CauseDraining = "draining"
+	CauseDraining = drain.CauseDraining
 	// CauseSaturated refuses a call when every slot is taken.
 	CauseSaturated = "saturated"
 	// CauseDeadline says that the deadline passed.
@@ -53,16 +54,13 @@
 type (
 	// Door stands before one endpoint of a plain service. See New.
 	Door struct {
+		*drain.Drainer
 		service caller
 		keys    *keymem.Memory
 		home    func(key string) (bool, time.Time)
 
-		mu       sync.Mutex
-		draining bool
-		// leaving is like draining, while the platform says so.
-		leaving bool
-		active  int
-		running sync.WaitGroup
+		mu     sync.Mutex
+		active int
 	}
 
 	// Option changes a Door as New makes it.
@@ -79,6 +77,7 @@
 //	resp, err := d.Call(ctx, req)
 func New(service caller, keys *keymem.Memory, opts ...Option) *Door {
 	d := &Door{
+		Drainer: drain.New(),
 		service: service,
 		keys:    keys,
 		home:    func(string) (bool, time.Time) { return true, time.Time{} },
@@ -96,41 +95,11 @@
 	return func(d *Door) { d.home = home }
 }
 
-// Drain makes the door refuse all new calls, from now on.
-func (d *Door) Drain() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.draining = true
-}
-
-// Leave makes the door refuse all new calls for as long as the platform says that the
-// endpoint is about to go.
-func (d *Door) Leave(leaving bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leaving = leaving
-}
-
-// Idle returns when no call is left at the door, or when ctx ends.
-func (d *Door) Idle(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		d.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // Describe fills in what the door knows of its endpoint.
 func (d *Door) Describe(st *wire.EndpointState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	st.Draining = d.draining || d.leaving
+	st.Draining = d.Draining()
 	st.Ready = true
 	st.Load = d.load()
 }
@@ -143,7 +112,7 @@
 }
 
 func (d *Door) load() *wire.DoorLoad {
-	return &wire.DoorLoad{Running: int64(d.active), Draining: d.draining || d.leaving}
+	return &wire.DoorLoad{Running: int64(d.active), Draining: d.Draining()}
 }
 
 // Call runs req on the endpoint, unless an earlier copy with the same
@@ -165,15 +134,15 @@
 	return d.keyed(ctx, req)
 }
 
-// enter takes a slot. It counts the call in under the same lock that Drain
-// takes, so that Idle cannot miss one.
+// enter takes a slot. After nil the caller must call leave.
 func (d *Door) enter(req *wire.CallRequest) error {
+	if err := d.Enter(); err != nil {
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.draining || d.leaving {
-		return &fault.NotRunError{Cause: CauseDraining, Reason: "the endpoint is leaving"}
-	}
 	if limit := req.GetSlotLimit(); limit > 0 && int64(d.active) >= limit {
+		d.Exit()
 		return &fault.NotRunError{
 			Cause:      CauseSaturated,
 			Reason:     "every slot of the endpoint is taken",
@@ -181,7 +150,6 @@
 		}
 	}
 	d.active++
-	d.running.Add(1)
 	return nil
 }
 
@@ -189,7 +157,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.active--
-	d.running.Done()
+	d.Exit()
 }
 
 // keyed runs a request that may not be repeated and carries a key.
--- a/door/door.go
+++ b/door/door.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/lavendermux/lavendermux/attrib"
+	"github.com/lavendermux/lavendermux/drain"
 	"github.com/lavendermux/lavendermux/engst"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/genreq"
@@ -23,7 +24,7 @@
 
 const (
 	// CauseDraining refuses new work on an endpoint that is leaving.
-	CauseDraining = "draining"
+	CauseDraining = drain.CauseDraining
 	// CauseNotReady refuses work before the door has asked its engine what it
 	// holds.
 	CauseNotReady = "notReady"
@@ -59,6 +60,7 @@
 type (
 	// Door stands before one engine. See New.
 	Door struct {
+		*drain.Drainer
 		engine model
 		gate   entrance
 		log    *log.Logger
@@ -71,18 +73,14 @@
 		mu sync.Mutex
 		// fence is the greatest fencing number seen. A door that restarts has
 		// forgotten it, so it takes no order until fenced is true.
-		fence    int64
-		fenced   bool
-		draining bool
-		// leaving is like draining, while the platform says so.
-		leaving bool
+		fence  int64
+		fenced bool
 		// asked is true once the engine has said what it holds, and false again
 		// when it gives no answer.
 		asked bool
 		state engst.State
 		// settled is closed and replaced whenever a switch has ended.
 		settled chan struct{}
-		running sync.WaitGroup
 	}
 
 	// Option changes a Door as New makes it.
@@ -112,6 +110,7 @@
 //	go d.Watch(ctx)
 func New(engine model, gate entrance, opts ...Option) *Door {
 	d := &Door{
+		Drainer: drain.New(),
 		engine:  engine,
 		gate:    gate,
 		log:     log.New(io.Discard),
@@ -226,41 +225,11 @@
 	d.fenced = true
 }
 
-// Drain makes the door refuse all new work, from now on.
-func (d *Door) Drain() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.draining = true
-}
-
-// Leave makes the door refuse all new work for as long as the platform says that the
-// endpoint is about to go.
-func (d *Door) Leave(leaving bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.leaving = leaving
-}
-
-// Idle returns when no work is left at the door, or when ctx ends.
-func (d *Door) Idle(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		d.running.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // Describe fills in what the door knows of its endpoint.
 func (d *Door) Describe(st *wire.EndpointState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	st.Draining = d.draining || d.leaving
+	st.Draining = d.Draining()
 	st.Ready = d.asked
 	st.Role = d.state.Role
 	st.Load = d.load()
@@ -290,20 +259,27 @@
 
 func (d *Door) load() *wire.DoorLoad {
 	load := d.gate.Load()
-	load.Draining = d.draining || d.leaving
+	load.Draining = d.Draining()
 	return load
 }
 
-// open says whether the door takes new work, and counts it in if so. Both
-// happen under one lock, so that Idle cannot miss work that came in while Drain
-// was called.
+// open counts work in if the door takes it. After nil the caller must call Exit.
 func (d *Door) open(kind wire.WorkKind) error {
+	if err := d.Enter(); err != nil {
+		return err
+	}
+	if err := d.fits(kind); err != nil {
+		d.Exit()
+		return err
+	}
+	return nil
+}
+
+// fits says whether the engine can take work of a kind now.
+func (d *Door) fits(kind wire.WorkKind) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	switch {
-	case d.draining || d.leaving:
-		return &fault.NotRunError{Cause: CauseDraining, Reason: "the endpoint is leaving"}
-	case !d.asked:
+	if !d.asked {
 		return &fault.NotRunError{
 			Cause:      CauseNotReady,
 			Reason:     "the engine has not said what it holds",
@@ -313,6 +289,5 @@
 	if kind == wire.WorkKind_WORK_KIND_ROLLOUT && d.state.Role == order.RoleLive {
 		return &fault.NotRunError{Cause: CauseRole, Reason: "the engine takes live work only"}
 	}
-	d.running.Add(1)
 	return nil
 }
--- a/door/run.go
+++ b/door/run.go
@@ -59,7 +59,7 @@
 	if err := d.open(req.GetKind()); err != nil {
 		return err
 	}
-	defer d.running.Done()
+	defer d.Exit()
 	if ms := req.GetTimeoutMs(); ms > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
