Keep a door's newest answer; make the test of a start in an outage sure

Answers of one door to orders for two models could be heard out of turn, and the older state kept for 25 s; they are numbered now (TestAnswersHeardOutOfTurn).

--- a/hubs/hub_test.go
+++ b/hubs/hub_test.go
@@ -142,8 +142,14 @@
 		time.Sleep(outage)
 		w.add("entry-new", insts.RoleEntry, place{"dc-0", "region-0"})
 		w.add("worker-new", insts.RoleEndpoint, place{"dc-1", "region-0"})
+		// As long as they reach nobody they hold nothing to serve by.
+		w.setCut(func(from, to string) bool { return from == "entry-new" || to == "entry-new" || from == "worker-new" })
 		entry, worker := w.start("entry-new", 99), w.start("worker-new", 98)
+		time.Sleep(inForce)
+		synctest.Wait()
 		g.Expect(entry.client.Ready()).To(BeFalse())
+		g.Expect(worker.client.Ready()).To(BeFalse())
+		w.setCut(func(string, string) bool { return false })
 		time.Sleep(inForce)
 		synctest.Wait()
 		for _, n := range []*node{entry, worker} {
--- a/side/handler.go
+++ b/side/handler.go
@@ -63,7 +63,7 @@
 	if s.engine != nil {
 		err = s.engine.Order(ctx, req.Msg)
 	}
-	out := &wire.OrderResponse{Done: err == nil, State: s.describe().GetEndpoint()}
+	out := &wire.OrderResponse{Done: err == nil, State: s.answer()}
 	if err != nil {
 		s.log.Warn("order not carried out", "kind", req.Msg.GetKind(), "model", req.Msg.GetModel(),
 			"version", req.Msg.GetVersion(), "fence", req.Msg.GetFence(), "err", err)
@@ -79,3 +79,14 @@
 	s.meter.Count("refusals_total", 1, "outcome", r.GetOutcome().String(), "cause", r.GetCause())
 	return r
 }
+
+// answer is the endpoint's state in answer to an order. Number and state are
+// taken under one lock, so a greater number never comes with an older state.
+func (s *Side) answer() *wire.EndpointState {
+	s.answering.Lock()
+	defer s.answering.Unlock()
+	s.answers++
+	st := s.describe().GetEndpoint()
+	st.Answer = s.answers
+	return st
+}
--- a/side/side.go
+++ b/side/side.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +63,9 @@
 		meter  *meter.Meter
 		// siblings is how many live endpoints the service has; 0 when unknown.
 		siblings atomic.Int64
+		// answers counts answers to orders; answering guards it.
+		answering sync.Mutex
+		answers   int64
 		// minima are the parts of pools' minima in force; only follow uses it.
 		minima map[string]int
 	}
--- a/swaps/orders.go
+++ b/swaps/orders.go
@@ -62,6 +62,17 @@
 	}()
 }
 
+// learn keeps the newest state that a door answered with. Orders for two models
+// may be heard in another order than the door answered them; the older state would
+// have an order given twice.
+func (s *Swaps) learn(id string, st *wire.EndpointState, now time.Time) {
+	own := s.known[id]
+	if own != nil && own.state.GetBoot() == st.GetBoot() && own.state.GetAnswer() > st.GetAnswer() {
+		return
+	}
+	s.known[id] = &knowledge{state: st, at: now}
+}
+
 // heard takes in what came of an order.
 func (s *Swaps) heard(r *roll, id, kind string, resp *connect.Response[wire.OrderResponse], err error) {
 	s.mu.Lock()
@@ -75,7 +86,7 @@
 		s.log.Warn("an order got no answer", "pool", s.name, "worker", id, "err", err)
 		return
 	}
-	s.known[id] = &knowledge{state: resp.Msg.GetState(), at: now}
+	s.learn(id, resp.Msg.GetState(), now)
 	if resp.Msg.GetDone() {
 		return
 	}
--- a/swaps/swaps_test.go
+++ b/swaps/swaps_test.go
@@ -245,3 +245,24 @@
 		g.Expect(s.Loaded("m")).To(BeNumerically(">=", 5))
 	})
 }
+
+// A worker answers two orders, for two models, one right after the other, and the
+// answers are heard in turn about. The earlier answer must not take the place of
+// the later one: the worker would be ordered again to stage what it has.
+func TestAnswersHeardOutOfTurn(t *testing.T) {
+	g := NewWithT(t)
+	w := newWorkers(1, "m")
+	s := New("drafts", 7, func() (pool.Pool, bool) { return pool.Pool{Service: "lm"}, true },
+		func() map[string]int64 { return nil }, w, w)
+	ep := w.Endpoints("")[0]
+	now := time.Unix(1000, 0)
+	later := &wire.EndpointState{Instance: "w0", Boot: 1, Answer: 2, Models: []*wire.ModelState{{Model: "m", Version: "3"}}}
+	earlier := &wire.EndpointState{Instance: "w0", Boot: 1, Answer: 1, Models: []*wire.ModelState{{Model: "m", Version: "2"}}}
+	s.learn("w0", later, now)
+	s.learn("w0", earlier, now)
+	g.Expect(s.latest(ep, now).GetModels()[0].GetVersion()).To(Equal("3"))
+	restarted := &wire.EndpointState{Instance: "w0", Boot: 2, Answer: 1, Models: []*wire.ModelState{{Model: "m", Version: "1"}}}
+	s.learn("w0", restarted, now)
+	ep.Boot = 2
+	g.Expect(s.latest(ep, now).GetModels()[0].GetVersion()).To(Equal("1"))
+}
