Name attempts so that engines can tell them apart

Cause: an attempt was named by its slot and a number that each subscription and each holder counted for itself, so two trainers with the same group ids, or an overtaken holder and its successor, gave one engine two pieces of work under one id. Ruled out: the ledger and the cursor, the sample's slot was right. Change: the name holds subscription and fencing number. TestTrialsAreToldApart fails before and passes.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -302,3 +302,26 @@
 		g.Expect(f.slot("g/0").ready).To(Equal(none))
 	})
 }
+
+// Two trainers use the same group ids, and a holder is replaced while attempts of
+// it still run. An engine that got two pieces of work under one id would answer
+// one with the text of the other, or end both for a cancel of one: a trainer once
+// got a sample for another one's prompt.
+func TestTrialsAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	seen := map[string]bool{}
+	for _, name := range []string{"drafts", "checks"} {
+		for _, fence := range []int64{7, 8} {
+			f, err := Open(t.Context(), name, fence, subscr.Default, &fakeStore{})
+			g.Expect(err).NotTo(HaveOccurred())
+			_, _, err = f.Submit(t.Context(), []grpreq.Group{{ID: "s1-g2", Step: 1, Prompt: "p", Samples: 2, MaxTokens: 8}})
+			g.Expect(err).NotTo(HaveOccurred())
+			trials := f.Next(2, time.Now())
+			g.Expect(trials).To(HaveLen(2))
+			for _, tr := range trials {
+				g.Expect(seen).NotTo(HaveKey(tr.ID))
+				seen[tr.ID] = true
+			}
+		}
+	}
+}
--- a/feed/plan.go
+++ b/feed/plan.go
@@ -1,7 +1,7 @@
 package feed
 
 import (
-	"strconv"
+	"fmt"
 	"time"
 
 	"github.com/lavendermux/lavendermux/demand"
@@ -148,9 +148,16 @@
 	}
 }
 
+// trialID names an attempt. Engines and the maker tell work apart by it, so it
+// differs between subscriptions, whose trainers may use the same group ids, and
+// between holders, since an attempt of the last one may still run.
+func (f *Feed) trialID(slot string) string {
+	return fmt.Sprintf("%s/%d/%s@%d", f.name, f.fence, slot, f.serial)
+}
+
 func (f *Feed) begin(s *slotState, how start.Start, now time.Time) trial.Trial {
 	f.serial++
-	t := &try{id: s.id + "@" + strconv.FormatInt(f.serial, 10), slot: s, since: now}
+	t := &try{id: f.trialID(s.id), slot: s, since: now}
 	t.before, t.last = point{at: now}, point{at: now}
 	out := trial.Trial{
 		ID:        t.id,
--- a/trial/trial.go
+++ b/trial/trial.go
@@ -6,7 +6,7 @@
 // Trial is one attempt to fill a slot. A slot may have several; the first that
 // succeeds fills it.
 type Trial struct {
-	// ID is unique in its subscription.
+	// ID is unique among all subscriptions and all their holders.
 	ID string
 	// Slot is the id of the sample that the attempt is for.
 	Slot string
