--- a/matrix/path_test.go
+++ b/matrix/path_test.go
@@ -51,6 +51,7 @@
 		defer cancel()
 		sum, err := w.trainer(3).Run(ctx)
 		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
 		g.Expect(sum.Samples).To(BeEquivalentTo(3 * 16))
 		<-load
 	})
--- a/matrix/shift_test.go
+++ b/matrix/shift_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/engst"
@@ -29,7 +30,10 @@
 		defer cancel()
 		trained := make(chan error, 1)
 		go func() {
-			_, err := w.trainer(6, simtrn.WithGroups(24, 4)).Run(ctx)
+			sum, err := w.trainer(6, simtrn.WithGroups(24, 4)).Run(ctx)
+			if err == nil && sum.Broken() > 0 {
+				err = errors.Newf("broken promises: %v", sum.Problems)
+			}
 			trained <- err
 		}()
 		burst := make(chan map[string]int64, 1)
--- a/matrix/stop_test.go
+++ b/matrix/stop_test.go
@@ -20,9 +20,16 @@
 // most a pause, gets every sample once, and none that names wrong weights.
 func TestHolderKilled(t *testing.T) {
 	t.Parallel()
+	trainThroughKill(t, size{entries: 3, engines: 3})
+}
+
+// trainThroughKill trains three steps, kills the holder in the first of them,
+// checks all samples, and returns how many groups were submitted again.
+func trainThroughKill(t *testing.T, n size) (resubmitted int64) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		w := newWorld(t, size{entries: 3, engines: 3})
+		w := newWorld(t, n)
 		defer w.close()
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Minute)
 		defer cancel()
@@ -35,8 +42,11 @@
 		sum, err := w.trainer(3).Run(ctx)
 		<-killed
 		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(sum.Broken()).To(BeZero(), "%v", sum.Problems)
 		g.Expect(sum.Samples).To(BeEquivalentTo(3 * 16))
+		resubmitted = sum.Resubmitted
 	})
+	return resubmitted
 }
 
 // record reads one key of the key-value service.
