--- /dev/null
+++ b/batch/batch.go
@@ -0,0 +1,90 @@
+// Package batch holds batch submissions, their items and results, as they are
+// kept in the metadata store.
+package batch
+
+import (
+	"time"
+)
+
+const (
+	// Completed items have their whole text.
+	Completed State = "completed"
+	// Errored items were given up.
+	Errored State = "errored"
+)
+
+type (
+	// State says how an item ended.
+	State string
+
+	// Submission is many requests that were handed in at once.
+	Submission struct {
+		ID string `json:"id"`
+		// Host and Target select the route, at each send anew.
+		Host   string `json:"host"`
+		Target string `json:"target"`
+		// Model and MinVersion bound which weights may generate tokens.
+		Model      string `json:"model"`
+		MinVersion int64  `json:"minVersion"`
+		Step       int    `json:"step"`
+		// Desired is the number of groups that the trainer waits for.
+		Desired int    `json:"desired"`
+		Items   []Item `json:"items"`
+		// Submitted is the Unix millisecond at which it was first accepted.
+		Submitted int64 `json:"submitted"`
+	}
+
+	// Item is one request of a submission.
+	Item struct {
+		ID      string            `json:"id"`
+		Target  string            `json:"target"`
+		Headers map[string]string `json:"headers,omitempty"`
+		Body    []byte            `json:"body,omitempty"`
+		// Tokens is the most that the item can take; Hint is the estimate of
+		// its output, right at the median only, 0 if there is none.
+		Tokens int    `json:"tokens,omitempty"`
+		Hint   int    `json:"hint,omitempty"`
+		Group  string `json:"group,omitempty"`
+	}
+
+	// Result is a finished item. Its position in the list of results and its
+	// content never change once it has been read.
+	Result struct {
+		ID    string `json:"id"`
+		State State  `json:"state"`
+		Text  string `json:"text"`
+		// Versions are those under which the text was generated, ascending.
+		Versions []int64 `json:"versions,omitempty"`
+	}
+
+	// Head is the record whose revision fences all writes about a submission.
+	Head struct {
+		// Holder is the instance that runs the items; Epoch grows with each
+		// change of it.
+		Holder string `json:"holder"`
+		Epoch  int64  `json:"epoch"`
+		// Writes counts the writes of this epoch. Together with Epoch and
+		// Holder it tells a writer whose answer was lost whether its write is
+		// the one that the store has.
+		Writes int64 `json:"writes"`
+		// Parts, Chunks, Results and Total are the counts of the keys with the
+		// submission, of those with results, of results, and of items.
+		Parts   int  `json:"parts"`
+		Chunks  int  `json:"chunks"`
+		Results int  `json:"results"`
+		Total   int  `json:"total"`
+		Ended   bool `json:"ended,omitempty"`
+		// Submitted is the Unix millisecond of acceptance.
+		Submitted int64 `json:"submitted"`
+	}
+)
+
+// Age returns how long ago the submission was accepted.
+func (h Head) Age(now time.Time) time.Duration {
+	return now.Sub(time.UnixMilli(h.Submitted))
+}
+
+// SameWrite reports whether h and o are one write of one holder.
+func (h Head) SameWrite(o Head) bool {
+	return h.Holder == o.Holder && h.Epoch == o.Epoch && h.Writes == o.Writes
+}
--- /dev/null
+++ b/bdesk/bdesk.go
@@ -0,0 +1,410 @@
+// Package bdesk answers for batch submissions at any instance: it finds who holds
+// a submission, asks there, and takes submissions over whose holder is lost.
+package bdesk
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/brun"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/rendez"
+)
+
+const (
+	// AskPath is where peers ask about submissions that are held here.
+	AskPath = "/lavendermux.Batches/Ask"
+
+	opRead  = "read"
+	opBody  = "body"
+	opEnd   = "end"
+	opOffer = "offer"
+
+	// askTimeout bounds a question to a peer, beyond the time that it may wait.
+	askTimeout = 1200 * time.Millisecond
+	// adoptPause is the wait before a take-over that failed is tried again.
+	adoptPause = 300 * time.Millisecond
+)
+
+type (
+	// Desk answers for submissions. See New.
+	Desk struct {
+		self   string
+		store  *bstore.Store
+		runner *brun.Runner
+		mesh   *mesh.Mesh
+		logger *log.Logger
+		// run is the life of the process: work that was accepted goes on when
+		// the request that brought it has ended.
+		run context.Context
+
+		mu sync.Mutex
+		// known are the heads that were read, so that a submission's holder
+		// needn't be looked up for each read.
+		known map[string]bstore.Kept
+		// adopting has the submissions that are just being taken over.
+		adopting map[string]chan struct{}
+	}
+
+	// NoBatchError says that no such submission is kept.
+	NoBatchError struct {
+		ID string
+	}
+
+	askRequest struct {
+		Op    string   `json:"op"`
+		ID    string   `json:"id"`
+		IDs   []string `json:"ids,omitempty"`
+		Item  string   `json:"item,omitempty"`
+		// From is the holder that offers submissions.
+		From string `json:"from,omitempty"`
+		After int      `json:"after,omitempty"`
+		Limit int      `json:"limit,omitempty"`
+		Wait  int64    `json:"waitMs,omitempty"`
+	}
+
+	askResponse struct {
+		Held   bool      `json:"held"`
+		NoItem bool      `json:"noItem,omitempty"`
+		Page   brun.Page `json:"page"`
+		Body   []byte    `json:"body,omitempty"`
+	}
+)
+
+// Error names the submission.
+func (e *NoBatchError) Error() string { return "no batch " + e.ID }
+
+// New returns a desk. run is the life of the process.
+//
+//	d := bdesk.New(run, store, runner, m, logger)
+//	err := d.Submit(ctx, sub)
+func New(run context.Context, store *bstore.Store, runner *brun.Runner, m *mesh.Mesh, logger *log.Logger) *Desk {
+	return &Desk{
+		self:     m.Self().Holder(),
+		store:    store,
+		runner:   runner,
+		mesh:     m,
+		logger:   logger,
+		run:      run,
+		known:    make(map[string]bstore.Kept),
+		adopting: make(map[string]chan struct{}),
+	}
+}
+
+// Submit accepts a submission. When it returns nil the submission is kept; on a
+// *kvst.RefusedError it surely isn't; on any other error that is unknown.
+func (d *Desk) Submit(ctx context.Context, sub *batch.Submission) error {
+	if d.runner.Holds(sub.ID) {
+		return nil
+	}
+	kept, created, err := d.store.Create(ctx, sub, d.self)
+	if err != nil {
+		return err
+	}
+	d.remember(kept)
+	if created {
+		d.runner.Add(d.run, kept, sub, nil)
+		return nil
+	}
+	go d.ensureHeld(sub.ID)
+	return nil
+}
+
+// ensureHeld sees to it that a submission that came again has a live holder: the
+// first one may have died after it was kept.
+func (d *Desk) ensureHeld(id string) {
+	ctx, cancel := context.WithTimeout(d.run, askTimeout)
+	defer cancel()
+	if _, err := d.ask(ctx, askRequest{Op: opRead, ID: id}); err != nil {
+		d.logger.Warn("Holder not found.", "batch", id, "error", err)
+	}
+}
+
+// HandOver offers the submissions that are open here to peers, for a planned stop.
+func (d *Desk) HandOver(ctx context.Context) {
+	peers := d.mesh.Alive()
+	names := make([]string, 0, len(peers))
+	for _, p := range peers {
+		names = append(names, p.Name)
+	}
+	offers := make(map[int][]string)
+	for _, id := range d.runner.Holding() {
+		for i := range peers {
+			if rendez.Rank(id, names, peers[i].Name) == 0 {
+				offers[i] = append(offers[i], id)
+			}
+		}
+	}
+	for i, ids := range offers {
+		_, err := d.askPeer(ctx, peers[i], askRequest{Op: opOffer, IDs: ids, From: d.self})
+		d.logger.Info("Batches offered.", "peer", peers[i].Name, "batches", ids, "error", err)
+	}
+}
+
+// Read returns results from position after on.
+func (d *Desk) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (brun.Page, error) {
+	res, err := d.ask(ctx, askRequest{Op: opRead, ID: id, After: after, Limit: limit, Wait: wait.Milliseconds()})
+	if err != nil {
+		return brun.Page{}, err
+	}
+	return res.Page, nil
+}
+
+// Body returns the body of an item.
+func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
+	res, err := d.ask(ctx, askRequest{Op: opBody, ID: id, Item: item})
+	if err != nil {
+		return nil, err
+	}
+	if res.NoItem {
+		return nil, &brun.NoItemError{ID: id, Item: item}
+	}
+	return res.Body, nil
+}
+
+// End ends a submission.
+func (d *Desk) End(ctx context.Context, id string) error {
+	_, err := d.ask(ctx, askRequest{Op: opEnd, ID: id})
+	return err
+}
+
+// ask answers here if the submission is held here, and otherwise asks its holder,
+// which is looked up, or becomes this instance if it is lost.
+func (d *Desk) ask(ctx context.Context, in askRequest) (*askResponse, error) {
+	const rounds = 3
+	var last error
+	for range rounds {
+		res, err := d.local(ctx, in)
+		if err != nil || res.Held {
+			return res, err
+		}
+		if n, ok := d.mesh.HolderOf(in.ID); ok {
+			if res, err = d.askPeer(ctx, n, in); err == nil && res.Held {
+				return res, nil
+			}
+		}
+		kept, err := d.lookUp(ctx, in.ID)
+		if err != nil {
+			return nil, err
+		}
+		if n, ok := d.mesh.Find(kept.Holder); ok {
+			if res, last = d.askPeer(ctx, n, in); last == nil && res.Held {
+				return res, nil
+			}
+			d.forget(in.ID)
+			continue
+		}
+		if last = d.adopt(ctx, kept); last != nil {
+			d.forget(in.ID)
+			var taken *bstore.OvertakenError
+			if !errors.As(last, &taken) {
+				return nil, last
+			}
+		}
+	}
+	if last == nil {
+		last = &brun.NotHeldError{ID: in.ID}
+	}
+	return nil, last
+}
+
+func (d *Desk) local(ctx context.Context, in askRequest) (*askResponse, error) {
+	res := &askResponse{Held: true}
+	var err error
+	switch in.Op {
+	case opRead:
+		res.Page, err = d.runner.Read(ctx, in.ID, in.After, in.Limit, time.Duration(in.Wait)*time.Millisecond)
+	case opBody:
+		res.Body, err = d.runner.Body(in.ID, in.Item)
+	case opEnd:
+		err = d.runner.End(ctx, in.ID)
+	}
+	var notHeld *brun.NotHeldError
+	var noItem *brun.NoItemError
+	switch {
+	case errors.As(err, &notHeld):
+		return &askResponse{}, nil
+	case errors.As(err, &noItem):
+		return &askResponse{Held: true, NoItem: true}, nil
+	}
+	return res, err
+}
+
+// Answer serves a peer's question; it never asks on.
+func (d *Desk) Answer(ctx context.Context, in *askRequest) (*askResponse, error) {
+	if in.Op == opOffer {
+		for _, id := range in.IDs {
+			go d.adoptLost(id, in.From)
+		}
+		return &askResponse{Held: true}, nil
+	}
+	res, err := d.local(ctx, *in)
+	if err == nil && !res.Held {
+		// The asker's record names this instance, but what it accepted got lost
+		// on the way: its creation took effect after its answer was given up.
+		if kept, loadErr := d.store.Load(ctx, in.ID); loadErr == nil && kept.Holder == d.self && d.adopt(ctx, kept) == nil {
+			res, err = d.local(ctx, *in)
+		}
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return res, nil
+}
+
+func (d *Desk) askPeer(ctx context.Context, n mesh.Node, in askRequest) (*askResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout+time.Duration(in.Wait)*time.Millisecond)
+	defer cancel()
+	return mesh.Call[askRequest, askResponse](ctx, d.mesh.Client(), n.Addr, AskPath, &in)
+}
+
+// lookUp returns a submission's head, from memory if it was read before.
+func (d *Desk) lookUp(ctx context.Context, id string) (bstore.Kept, error) {
+	d.mu.Lock()
+	kept, ok := d.known[id]
+	d.mu.Unlock()
+	if ok {
+		return kept, nil
+	}
+	kept, err := d.store.Load(ctx, id)
+	if err != nil {
+		return kept, err
+	}
+	if kept.Revision == 0 {
+		return kept, &NoBatchError{ID: id}
+	}
+	d.remember(kept)
+	return kept, nil
+}
+
+func (d *Desk) remember(kept bstore.Kept) {
+	const most = 4000
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.known) > most {
+		clear(d.known)
+	}
+	d.known[kept.ID] = kept
+}
+
+func (d *Desk) forget(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.known, id)
+}
+
+// adopt makes this instance the holder of a submission whose holder is lost. An
+// ended submission is only loaded, to be read.
+func (d *Desk) adopt(ctx context.Context, kept bstore.Kept) error {
+	d.mu.Lock()
+	busy, ok := d.adopting[kept.ID]
+	if !ok {
+		busy = make(chan struct{})
+		d.adopting[kept.ID] = busy
+	}
+	d.mu.Unlock()
+	if ok {
+		select {
+		case <-busy:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	defer func() {
+		d.mu.Lock()
+		delete(d.adopting, kept.ID)
+		d.mu.Unlock()
+		close(busy)
+	}()
+	return d.takeOver(ctx, kept)
+}
+
+func (d *Desk) takeOver(ctx context.Context, kept bstore.Kept) error {
+	if d.runner.Holds(kept.ID) {
+		return nil
+	}
+	now, err := d.store.Load(ctx, kept.ID)
+	if err != nil {
+		return err
+	}
+	if now.Revision == 0 {
+		return &NoBatchError{ID: kept.ID}
+	}
+	from := now.Holder
+	if _, alive := d.mesh.Find(from); alive && from != kept.Holder {
+		d.remember(now)
+		return &bstore.OvertakenError{ID: kept.ID, Now: now.Head}
+	}
+	if !now.Ended {
+		if err := d.store.TakeOver(ctx, &now, d.self); err != nil {
+			return err
+		}
+	}
+	sub, err := d.store.Submission(ctx, now)
+	if err != nil {
+		return err
+	}
+	results, err := d.store.Results(ctx, now)
+	if err != nil {
+		return err
+	}
+	d.remember(now)
+	d.runner.Add(d.run, now, sub, results)
+	d.logger.Warn("Batch taken over.", "batch", now.ID, "from", from, "epoch", now.Epoch, "results", len(results), "ended", now.Ended)
+	return nil
+}
+
+// Lost takes over those submissions of a lost peer that fall to this instance.
+func (d *Desk) Lost(n mesh.Node, holding []string) {
+	alive := []string{d.mesh.Self().Name}
+	for _, p := range d.mesh.Alive() {
+		if p.Name != n.Name {
+			alive = append(alive, p.Name)
+		}
+	}
+	for _, id := range holding {
+		d.forget(id)
+		if rendez.Rank(id, alive, d.mesh.Self().Name) == 0 {
+			go d.adoptLost(id, n.Holder())
+		}
+	}
+}
+
+func (d *Desk) adoptLost(id, holder string) {
+	for d.run.Err() == nil {
+		err := d.adopt(d.run, bstore.Kept{ID: id, Head: batch.Head{Holder: holder}})
+		var taken *bstore.OvertakenError
+		var none *NoBatchError
+		if err == nil || errors.As(err, &taken) || errors.As(err, &none) {
+			return
+		}
+		d.logger.Warn("Batch not taken over yet.", "batch", id, "error", err)
+		time.Sleep(adoptPause)
+	}
+}
+
+// Recover takes over what was left behind when all instances stopped at once.
+func (d *Desk) Recover(ctx context.Context) {
+	heads, err := d.store.Heads(ctx)
+	for err != nil && ctx.Err() == nil {
+		d.logger.Warn("Batches not listed yet.", "error", err)
+		time.Sleep(adoptPause)
+		heads, err = d.store.Heads(ctx)
+	}
+	for _, k := range heads {
+		if k.Ended || d.runner.Holds(k.ID) {
+			continue
+		}
+		if _, alive := d.mesh.Find(k.Holder); !alive {
+			d.Lost(mesh.Node{Name: "", Boot: ""}, []string{k.ID})
+		}
+	}
+}
--- /dev/null
+++ b/brun/brun.go
@@ -0,0 +1,525 @@
+// Package brun runs the items of the batch submissions that this instance holds.
+//
+// An item may run more than once, so nothing here needs to be sure that another
+// holder has stopped: the record of each submission fences its results (package
+// bstore), and a holder that was overtaken drops the submission at its next write.
+package brun
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/place"
+	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+const (
+	// sweepEvery is how often silent runs and overdue items are looked for.
+	sweepEvery = 100 * time.Millisecond
+	// retryPause keeps an item that was turned away from asking again at once.
+	retryPause = 60 * time.Millisecond
+	// partialMost bounds the unfinished texts of ended submissions that are
+	// kept for a submission that asks for the same items again.
+	partialMost = 2000
+)
+
+type (
+	// Runner runs submissions; safe for concurrent use. See New.
+	Runner struct {
+		store    *bstore.Store
+		set      *wset.Set
+		sender   upstr.Sender
+		manifest func() *manif.Manifest
+		picker   *place.Picker
+		logger   *log.Logger
+		version  string
+		centre   string
+
+		mu       sync.Mutex
+		held     map[string]*held
+		partials map[string]*item
+		wake     chan struct{}
+		stopping bool
+	}
+
+	// Option changes a Runner as New makes it.
+	Option func(*Runner)
+
+	// Page is a part of a submission's results.
+	Page struct {
+		Total   int            `json:"total"`
+		Next    int            `json:"next"`
+		Results []batch.Result `json:"results"`
+	}
+
+	// NotHeldError says that this instance does not hold a submission.
+	NotHeldError struct {
+		ID string
+	}
+
+	// NoItemError says that a submission has no such item.
+	NoItemError struct {
+		ID   string
+		Item string
+	}
+)
+
+// Error names the submission.
+func (e *NotHeldError) Error() string { return "batch " + e.ID + " is not held here" }
+
+// Error names the submission and the item.
+func (e *NoItemError) Error() string { return "batch " + e.ID + " has no item " + e.Item }
+
+// New returns a runner; Run makes it work.
+//
+//	r := brun.New(store, set, sender, manifest, logger)
+//	go r.Run(ctx)
+func New(store *bstore.Store, set *wset.Set, sender upstr.Sender, manifest func() *manif.Manifest, logger *log.Logger, opts ...Option) *Runner {
+	r := &Runner{
+		store:    store,
+		set:      set,
+		sender:   sender,
+		manifest: manifest,
+		picker:   place.New(),
+		logger:   logger,
+		held:     make(map[string]*held),
+		partials: make(map[string]*item),
+		wake:     make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// WithVersionLine names the line of a stream that tells the weight version. The
+// default reads none.
+func WithVersionLine(name string) Option {
+	return func(r *Runner) { r.version = name }
+}
+
+// WithDataCentre prefers endpoints of the data centre. The default prefers none.
+func WithDataCentre(name string) Option {
+	return func(r *Runner) { r.centre = name }
+}
+
+// Wake makes the runner look for work that can start.
+func (r *Runner) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run starts items until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.sweep(now)
+		case <-r.wake:
+		}
+		r.schedule(ctx, time.Now())
+	}
+}
+
+// Add begins to hold a submission with the results that it has so far.
+func (r *Runner) Add(ctx context.Context, kept bstore.Kept, sub *batch.Submission, results []batch.Result) {
+	h := newHeld(kept, sub, results)
+	r.mu.Lock()
+	if _, ok := r.held[sub.ID]; ok || r.stopping {
+		r.mu.Unlock()
+		return
+	}
+	r.held[sub.ID] = h
+	resumed := r.takePartials(h)
+	r.mu.Unlock()
+	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items),
+		"results", len(results), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model)
+	go r.flush(ctx, h)
+	r.Wake()
+}
+
+// takePartials hands texts that an earlier submission left unfinished to the
+// items that come again, and returns how many fit.
+func (r *Runner) takePartials(h *held) int {
+	route, ok := r.route(h.sub)
+	n := 0
+	for _, it := range h.items {
+		old, found := r.partials[it.ID]
+		if !found || it.done {
+			continue
+		}
+		delete(r.partials, it.ID)
+		if !ok || !fits(old, h.sub, route) || !slices.Equal(old.Body, it.Body) {
+			continue
+		}
+		it.texts, it.last, it.versions = old.texts, old.last, old.versions
+		n++
+		if old.whole {
+			h.finish(it, batch.Completed)
+		}
+	}
+	return n
+}
+
+// fits reports whether a stored text may be used for a submission.
+func fits(it *item, sub *batch.Submission, route *manif.Route) bool {
+	if len(it.versions) > 0 && it.versions[0] < sub.MinVersion {
+		return false
+	}
+	return !route.SingleVersion || len(it.versions) <= 1
+}
+
+func (r *Runner) route(sub *batch.Submission) (*manif.Route, bool) {
+	m := r.manifest()
+	if m == nil {
+		return nil, false
+	}
+	return m.Match(sub.Host, sub.Target)
+}
+
+// Stop starts no more items; those that run go on until another instance has
+// taken their submissions over.
+func (r *Runner) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// Holding returns the ids of the submissions that are open here.
+func (r *Runner) Holding() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ids []string
+	for id, h := range r.held {
+		if !h.ended {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Holds reports whether the submission is held here, open or ended.
+func (r *Runner) Holds(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, ok := r.held[id]
+	return ok
+}
+
+// Read returns the results from position after on, at most limit bytes but one
+// result at least. It waits up to wait for the first.
+func (r *Runner) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		h, ok := r.held[id]
+		if !ok {
+			r.mu.Unlock()
+			return Page{}, &NotHeldError{ID: id}
+		}
+		page, changed := h.page(after, limit), h.changed
+		over := h.ended || len(h.results) == len(h.items)
+		r.mu.Unlock()
+		if len(page.Results) > 0 || over {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return page, nil
+		}
+	}
+}
+
+// Body returns the body of an item.
+func (r *Runner) Body(id, itemID string) ([]byte, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.held[id]
+	if !ok {
+		return nil, &NotHeldError{ID: id}
+	}
+	it, ok := h.byID[itemID]
+	if !ok {
+		return nil, &NoItemError{ID: id, Item: itemID}
+	}
+	return it.Body, nil
+}
+
+// End stops the items of a submission at once and returns when its end is kept.
+func (r *Runner) End(ctx context.Context, id string) error {
+	r.mu.Lock()
+	h, ok := r.held[id]
+	if !ok {
+		r.mu.Unlock()
+		return &NotHeldError{ID: id}
+	}
+	if !h.ended {
+		h.ended = true
+		r.stopItems(h)
+		r.keepPartials(h)
+		h.poke()
+	}
+	kept := h.endKept
+	r.mu.Unlock()
+	r.Wake()
+	select {
+	case <-kept:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Runner) stopItems(h *held) {
+	for _, it := range h.items {
+		if it.cancel != nil {
+			it.cancel(errEnded)
+		}
+	}
+}
+
+// keepPartials remembers what unfinished items have, since their groups may come
+// again in a later submission.
+func (r *Runner) keepPartials(h *held) {
+	if len(r.partials) > partialMost {
+		clear(r.partials)
+	}
+	for _, it := range h.items {
+		if len(it.texts) > 0 {
+			r.partials[it.ID] = it.copyTexts()
+		}
+	}
+}
+
+// Drop stops holding a submission, because another instance has it now.
+func (r *Runner) Drop(id, reason string) {
+	r.mu.Lock()
+	h, ok := r.held[id]
+	if ok {
+		delete(r.held, id)
+		h.dropped = true
+		r.stopItems(h)
+		h.poke()
+		h.announce()
+	}
+	r.mu.Unlock()
+	if ok {
+		r.logger.Warn("Batch dropped.", "batch", id, "epoch", h.kept.Epoch, "cause", reason)
+	}
+}
+
+// sweep ends runs that went silent and items that are overdue.
+func (r *Runner) sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range r.held {
+		if h.ended {
+			continue
+		}
+		route, ok := r.route(h.sub)
+		age := h.kept.Age(now)
+		for _, it := range h.items {
+			switch {
+			case it.done:
+			case r.manifest() != nil && !ok:
+				r.giveUp(h, it, "route removed")
+			case ok && route.MaxQueue > 0 && age > route.MaxQueue:
+				r.giveUp(h, it, "queue time over")
+			case it.cancel != nil && now.Sub(it.heard) > silenceMost:
+				it.cancel(errSilent)
+			}
+		}
+	}
+}
+
+func (r *Runner) giveUp(h *held, it *item, cause string) {
+	if it.cancel != nil {
+		it.cancel(errEnded)
+	}
+	h.finish(it, batch.Errored)
+	r.logger.Warn("Item given up.", "batch", h.sub.ID, "item", it.ID, "cause", cause, "attempts", it.attempts, "events", len(it.texts))
+}
+
+// schedule starts as many waiting items as endpoints have room for, the oldest
+// submission first.
+func (r *Runner) schedule(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return
+	}
+	open := make([]*held, 0, len(r.held))
+	for _, h := range r.held {
+		if !h.ended {
+			open = append(open, h)
+		}
+	}
+	slices.SortFunc(open, func(a, b *held) int { return int(a.kept.Submitted - b.kept.Submitted) })
+	for _, h := range open {
+		route, ok := r.route(h.sub)
+		if !ok {
+			continue
+		}
+		r.startItems(ctx, h, route, now)
+	}
+}
+
+func (r *Runner) startItems(ctx context.Context, h *held, route *manif.Route, now time.Time) {
+	for _, it := range h.order {
+		if it.done || it.cancel != nil || now.Before(it.notBefore) {
+			continue
+		}
+		views := r.candidates(route.Service(it.ID), h.sub, it, route)
+		i, ok := r.picker.Pick(candidates(views, r.centre, now))
+		if !ok {
+			return
+		}
+		r.start(ctx, h, it, route, views[i])
+	}
+}
+
+// candidates returns the endpoints whose weights fit.
+func (r *Runner) candidates(service string, sub *batch.Submission, it *item, route *manif.Route) []wset.View {
+	return slices.DeleteFunc(r.set.Service(service), func(v wset.View) bool {
+		version := v.Versions[sub.Model]
+		if v.Loading[sub.Model] || version < sub.MinVersion {
+			return true
+		}
+		return route.SingleVersion && len(it.versions) > 0 && it.versions[0] != version
+	})
+}
+
+func candidates(views []wset.View, centre string, now time.Time) []place.Candidate {
+	out := make([]place.Candidate, len(views))
+	for i, v := range views {
+		out[i] = place.Candidate{
+			Slots:   v.Slots,
+			Running: v.Running,
+			Pace:    pace(v),
+			Remote:  v.DataCentre != centre,
+			Avoid:   now.Before(v.AvoidUntil),
+		}
+	}
+	return out
+}
+
+func pace(v wset.View) float64 {
+	if v.Pace == 0 {
+		return unknownPace.Seconds()
+	}
+	return v.Pace.Seconds()
+}
+
+// start sends an item to an endpoint. The runner's lock is held.
+func (r *Runner) start(ctx context.Context, h *held, it *item, route *manif.Route, v wset.View) {
+	runCtx, cancel := context.WithCancelCause(ctx)
+	it.cancel = cancel
+	it.heard = time.Now()
+	it.attempts++
+	r.set.Begin(v.Endpoint)
+	call := upstr.Call{
+		Endpoint:  v.Endpoint,
+		ID:        it.ID,
+		Method:    "POST",
+		Target:    it.Target,
+		Host:      h.sub.Host,
+		Header:    it.header(),
+		Body:      it.Body,
+		LastEvent: it.last,
+	}
+	if route.MaxQueue > 0 {
+		call.Budget = route.MaxQueue - h.kept.Age(time.Now())
+	}
+	go r.run(runCtx, h, it, route, call)
+}
+
+func (r *Runner) run(ctx context.Context, h *held, it *item, route *manif.Route, call upstr.Call) {
+	start, had := time.Now(), call.LastEvent
+	err := r.stream(ctx, h, it, call)
+	if cause := context.Cause(ctx); cause != nil && err != nil {
+		err = cause
+	}
+	r.set.End(call.Endpoint)
+	r.mu.Lock()
+	it.cancel(nil)
+	it.cancel = nil
+	outcome := r.settle(h, it, route, call, err)
+	r.mu.Unlock()
+	r.logger.Info("Item run.", "batch", h.sub.ID, "item", it.ID, "endpoint", call.Endpoint.ID, "from", had,
+		"to", it.last, "outcome", outcome, "attempt", it.attempts, "versions", it.versions, "took", time.Since(start).Round(time.Millisecond))
+	r.Wake()
+}
+
+// settle takes the end of a run and names its outcome.
+func (r *Runner) settle(h *held, it *item, route *manif.Route, call upstr.Call, err error) string {
+	now := time.Now()
+	var notRun *upstr.NotRunError
+	var status *statusError
+	switch {
+	case it.done || h.ended || h.dropped:
+		return "ended"
+	case err == nil:
+		it.whole = true
+		h.finish(it, batch.Completed)
+		return "completed"
+	case errors.As(err, &notRun):
+		it.notBefore = now.Add(retryPause)
+		if notRun.Gone {
+			r.set.Gone(call.Endpoint)
+			return "endpoint gone"
+		}
+		r.set.Failed(call.Endpoint, now)
+		return "not run"
+	case errors.As(err, &status):
+		return r.settleStatus(h, it, route, status)
+	default:
+		r.set.Failed(call.Endpoint, now)
+		return "broken: " + err.Error()
+	}
+}
+
+func (r *Runner) settleStatus(h *held, it *item, route *manif.Route, e *statusError) string {
+	it.notBefore = time.Now().Add(retryPause)
+	if e.Status == statusFailed {
+		it.failures++
+	}
+	if e.Status == statusNever || it.failures >= route.MaxAttempts {
+		h.finish(it, batch.Errored)
+		return "errored"
+	}
+	return e.Error()
+}
+
+// stream reads the events of one run into the item.
+func (r *Runner) stream(ctx context.Context, h *held, it *item, call upstr.Call) error {
+	a, err := r.sender.Send(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.Status != statusOK {
+		_, _ = io.CopyN(io.Discard, a.Body, refusalBytes) // keeps the connection
+		return &statusError{Status: a.Status}
+	}
+	return r.events(h, it, call, a)
+}
--- /dev/null
+++ b/brun/flush.go
@@ -0,0 +1,113 @@
+package brun
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/bstore"
+)
+
+const (
+	// flushEvery is the least time between two writes of results of one
+	// submission. Each write costs the store a call; a trainer reads about twice
+	// a second, so that waiting a quarter of a second delays a step by an eighth.
+	flushEvery = 250 * time.Millisecond
+	// flushRetry is the pause after a write that the store refused.
+	flushRetry = 150 * time.Millisecond
+	// flushTimeout bounds one write with all its repeats.
+	flushTimeout = 5 * time.Second
+)
+
+// flush writes finished items to the store until the submission has ended or is
+// dropped. Results become readable only when the store has them.
+func (r *Runner) flush(ctx context.Context, h *held) {
+	var last time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.poked:
+		}
+		if wait := flushEvery - time.Since(last); wait > 0 && !r.urgent(h) {
+			if !sleep(ctx, wait) {
+				return
+			}
+		}
+		last = time.Now()
+		if !r.writePending(ctx, h) {
+			return
+		}
+	}
+}
+
+// urgent reports whether nothing more is to be expected.
+func (r *Runner) urgent(h *held) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return h.ended || h.dropped || len(h.results)+len(h.pending) == len(h.items)
+}
+
+// writePending writes what is pending and reports whether to go on. A write that
+// got no answer must be repeated as it was, since it may have taken effect.
+func (r *Runner) writePending(ctx context.Context, h *held) bool {
+	r.mu.Lock()
+	if h.dropped || ctx.Err() != nil {
+		r.mu.Unlock()
+		return false
+	}
+	kept := h.kept
+	change := bstore.Change{Kept: &kept, Results: h.pending, End: h.ended && !kept.Ended}
+	h.pending = nil
+	r.mu.Unlock()
+	if len(change.Results) == 0 && !change.End {
+		return !kept.Ended
+	}
+	if !r.apply(ctx, h, change) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.kept = kept
+	h.results = append(h.results, change.Results...)
+	h.announce()
+	if change.End {
+		close(h.endKept)
+	}
+	return !kept.Ended
+}
+
+func (r *Runner) apply(ctx context.Context, h *held, change bstore.Change) bool {
+	start := time.Now()
+	for {
+		tryCtx, cancel := context.WithTimeout(ctx, flushTimeout)
+		err := r.store.Apply(tryCtx, change)
+		cancel()
+		var taken *bstore.OvertakenError
+		switch {
+		case err == nil:
+			r.logger.Info("Results kept.", "batch", h.sub.ID, "results", len(change.Results), "all", change.Kept.Results,
+				"end", change.End, "revision", change.Kept.Revision, "took", time.Since(start).Round(time.Millisecond))
+			return true
+		case errors.As(err, &taken):
+			r.Drop(h.sub.ID, err.Error())
+			return false
+		}
+		r.logger.Warn("Results not kept yet.", "batch", h.sub.ID, "error", err)
+		if h.dropped || !sleep(ctx, flushRetry) {
+			return false
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/brun/held.go
@@ -0,0 +1,212 @@
+package brun
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/upstr"
+)
+
+type (
+	// held is a submission that this instance runs. The runner's lock guards it.
+	held struct {
+		kept  bstore.Kept
+		sub   *batch.Submission
+		items []*item
+		byID  map[string]*item
+		// order has the items as they should start.
+		order []*item
+		// results are kept in the store; pending are not yet.
+		results []batch.Result
+		pending []batch.Result
+		ended   bool
+		dropped bool
+		// endKept is closed once the store has the end.
+		endKept chan struct{}
+		// changed is closed and replaced when readers have something new.
+		changed chan struct{}
+		poked   chan struct{}
+	}
+
+	item struct {
+		*batch.Item
+		texts []string
+		// last is the last event that is there, or upstr.NoEvent.
+		last int64
+		// versions are those of texts, ascending.
+		versions []int64
+		whole    bool
+		done     bool
+		// cancel is set while the item runs; heard is its last sign of life.
+		cancel    context.CancelCauseFunc
+		heard     time.Time
+		notBefore time.Time
+		attempts  int
+		failures  int
+	}
+)
+
+func newHeld(kept bstore.Kept, sub *batch.Submission, results []batch.Result) *held {
+	h := &held{
+		kept:    kept,
+		sub:     sub,
+		byID:    make(map[string]*item, len(sub.Items)),
+		results: results,
+		ended:   kept.Ended,
+		endKept: make(chan struct{}),
+		changed: make(chan struct{}),
+		poked:   make(chan struct{}, 1),
+	}
+	for i := range sub.Items {
+		it := &item{Item: &sub.Items[i], last: upstr.NoEvent}
+		h.items = append(h.items, it)
+		h.byID[it.ID] = it
+	}
+	for _, res := range results {
+		if it, ok := h.byID[res.ID]; ok {
+			it.done = true
+		}
+	}
+	h.order = startOrder(h.items, sub.Desired)
+	if kept.Ended {
+		close(h.endKept)
+	}
+	return h
+}
+
+// startOrder puts the groups that are expected to end soonest first, as many as
+// the trainer waits for, and within those the longest item first; the rest
+// follows. The trainer needs only part of the groups: the longest ones are the
+// ones that it can do without, and of the others the longest item ends the step.
+func startOrder(items []*item, desired int) []*item {
+	longest := make(map[string]int)
+	for _, it := range items {
+		longest[it.Group] = max(longest[it.Group], it.Hint)
+	}
+	groups := make([]string, 0, len(longest))
+	for g := range longest {
+		groups = append(groups, g)
+	}
+	slices.SortFunc(groups, func(a, b string) int {
+		return cmp.Or(cmp.Compare(longest[a], longest[b]), cmp.Compare(a, b))
+	})
+	needed := make(map[string]bool)
+	for _, g := range groups[:min(desired, len(groups))] {
+		needed[g] = true
+	}
+	order := slices.Clone(items)
+	slices.SortStableFunc(order, func(a, b *item) int {
+		if needed[a.Group] != needed[b.Group] {
+			if needed[a.Group] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Hint, a.Hint)
+	})
+	return order
+}
+
+// finish lists an item, once.
+func (h *held) finish(it *item, state batch.State) {
+	if it.done {
+		return
+	}
+	it.done = true
+	res := batch.Result{ID: it.ID, State: state}
+	if state == batch.Completed {
+		res.Text = it.text()
+		res.Versions = it.versions
+	}
+	h.pending = append(h.pending, res)
+	h.poke()
+}
+
+// poke wakes the goroutine that writes results.
+func (h *held) poke() {
+	select {
+	case h.poked <- struct{}{}:
+	default:
+	}
+}
+
+// announce wakes the readers.
+func (h *held) announce() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *held) page(after, limit int) Page {
+	p := Page{Total: len(h.items), Next: after, Results: []batch.Result{}}
+	size := 0
+	for i := after; i < len(h.results); i++ {
+		size += resultSize(h.results[i])
+		if size > limit && len(p.Results) > 0 {
+			break
+		}
+		p.Results = append(p.Results, h.results[i])
+	}
+	p.Next = after + len(p.Results)
+	return p
+}
+
+// resultSize bounds the bytes of a result in an answer: a byte of text may be
+// escaped.
+func resultSize(r batch.Result) int {
+	const frame = 200
+	return frame + len(r.ID) + len(r.Text)*5/4
+}
+
+func (it *item) text() string {
+	n := 0
+	for _, t := range it.texts {
+		n += len(t) + 1
+	}
+	out := make([]byte, 0, n)
+	for i, t := range it.texts {
+		if i > 0 {
+			out = append(out, '\n')
+		}
+		out = append(out, t...)
+	}
+	return string(out)
+}
+
+func (it *item) copyTexts() *item {
+	return &item{
+		Item:     it.Item,
+		texts:    slices.Clone(it.texts),
+		last:     it.last,
+		versions: slices.Clone(it.versions),
+		whole:    it.whole,
+	}
+}
+
+func (it *item) addVersion(v int64) {
+	i, ok := slices.BinarySearch(it.versions, v)
+	if !ok {
+		it.versions = slices.Insert(slices.Clone(it.versions), i, v)
+	}
+}
+
+func (it *item) header() http.Header {
+	h := make(http.Header, len(it.Headers))
+	for k, v := range it.Headers {
+		h.Set(k, v)
+	}
+	return h
+}
+
+// oldest returns the oldest version of the text, or the greatest number.
+func (it *item) oldest() int64 {
+	if len(it.versions) == 0 {
+		return math.MaxInt64
+	}
+	return it.versions[0]
+}
--- /dev/null
+++ b/brun/stream.go
@@ -0,0 +1,103 @@
+package brun
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/sse"
+	"github.com/lavendermux/lavendermux/upstr"
+)
+
+const (
+	// silenceMost is how long a run may make no event: engines make one each
+	// 30 to 60 ms, and pause for a change of weights about a second, longer when
+	// several engines load.
+	silenceMost = 2500 * time.Millisecond
+	// unknownPace is taken for an engine that has made nothing yet.
+	unknownPace = 40 * time.Millisecond
+	// refusalBytes is the most that is read of an answer that isn't a stream.
+	refusalBytes = 4 << 10
+
+	statusOK     = http.StatusOK
+	statusFailed = http.StatusInternalServerError
+	statusNever  = http.StatusUnprocessableEntity
+)
+
+var (
+	errEnded  = errors.New("the submission has ended")
+	errSilent = errors.New("the endpoint went silent")
+	errOld    = errors.New("the weights are older than the submission allows")
+	errMixed  = errors.New("the weights changed where one version is asked for")
+)
+
+type (
+	statusError struct {
+		Status int
+	}
+
+	orderError struct {
+		Want, Got int64
+	}
+)
+
+// Error names the status.
+func (e *statusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
+
+// Error names both events.
+func (e *orderError) Error() string {
+	return fmt.Sprintf("event %d came where %d was due", e.Got, e.Want)
+}
+
+// events appends the events of an answer to the item. An event counts under the
+// weight version that was in force when it was made.
+func (r *Runner) events(h *held, it *item, call upstr.Call, a *upstr.Answer) error {
+	reader := sse.New(a.Body, r.version)
+	version := a.Version
+	r.set.Version(call.Endpoint, h.sub.Model, version)
+	before := time.Now()
+	for {
+		ev, err := reader.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if ev.Version > 0 {
+			version = ev.Version
+			r.set.Version(call.Endpoint, h.sub.Model, version)
+		}
+		if err := r.addEvent(h, it, ev, version); err != nil {
+			return err
+		}
+		now := time.Now()
+		r.set.Worked(call.Endpoint, now.Sub(before))
+		before = now
+	}
+}
+
+func (r *Runner) addEvent(h *held, it *item, ev sse.Event, version int64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	it.heard = time.Now()
+	switch {
+	case it.done:
+		return errEnded
+	case it.last != upstr.NoEvent && ev.ID != it.last+1:
+		return &orderError{Want: it.last + 1, Got: ev.ID}
+	case version < h.sub.MinVersion:
+		return errOld
+	}
+	if route, ok := r.route(h.sub); ok && route.SingleVersion && len(it.versions) > 0 && it.oldest() != version {
+		it.texts, it.last, it.versions = nil, upstr.NoEvent, nil
+		return errMixed
+	}
+	it.texts = append(it.texts, ev.Data)
+	it.last = ev.ID
+	it.addVersion(version)
+	return nil
+}
--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -22,6 +22,7 @@
 	Report   reportCommand   `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
 	Entry    entryCommand    `cmd:"" group:"Programs" help:"Run an entry instance."`
 	Side     sideCommand     `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
+	Node     nodeCommand     `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
 	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
 	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
 }
--- /dev/null
+++ b/fwd/fwd.go
@@ -0,0 +1,236 @@
+// Package fwd forwards single requests to endpoints and decides what the caller
+// is told when one fails.
+package fwd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/place"
+	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+const (
+	// bodyMost bounds an answer that is read whole before it is passed on.
+	bodyMost = 16 << 20
+	// hedgeAfter is when a request that may be repeated goes to a second
+	// endpoint, as a multiple of its latency objective. Nearly all work is done
+	// by then; what isn't usually sits at an endpoint that has gone silent.
+	hedgeAfter = 1.3
+	// hedgeDefault is the wait where a route has no objective.
+	hedgeDefault = 200 * time.Millisecond
+	// fullPause is the wait before endpoints that were all full are asked again.
+	fullPause = 20 * time.Millisecond
+	// queueShare: as many requests may wait at an endpoint as it has slots.
+	queueShare = 2
+	// margin is kept of the time that a caller has, for the answer's way back.
+	margin = 15 * time.Millisecond
+	// comeBack is how long a caller that was refused should wait: a few times
+	// the work of one request.
+	comeBack = 100 * time.Millisecond
+	// notRunMost bounds the endpoints that are asked in vain.
+	notRunMost = 6
+)
+
+var errTooLong = errors.New("the answer is too long")
+
+type (
+	// Forwarder forwards requests. See New.
+	Forwarder struct {
+		set    *wset.Set
+		sender upstr.Sender
+		picker *place.Picker
+		logger *log.Logger
+		centre string
+	}
+
+	// Request is a caller's request.
+	Request struct {
+		ID     string
+		Method string
+		Target string
+		Host   string
+		Header http.Header
+		Body   []byte
+		Route  *manif.Route
+		// Deadline is when the caller stops waiting; zero is never.
+		Deadline time.Time
+	}
+
+	// Answer is what the caller gets.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   []byte
+	}
+
+	// RefusedError says that the request has not run and never will.
+	RefusedError struct {
+		Cause string
+		// RetryAfter is when to come back; 0 is unknown.
+		RetryAfter time.Duration
+	}
+
+	// FailedError says that the request may have run.
+	FailedError struct {
+		// Late says that the time was up.
+		Late  bool
+		Cause error
+	}
+
+	// try is one send and what came of it.
+	try struct {
+		endpoint endpt.Endpoint
+		answer   *Answer
+		err      error
+	}
+)
+
+// Error names the cause.
+func (e *RefusedError) Error() string { return "refused: " + e.Cause }
+
+// Error names the cause.
+func (e *FailedError) Error() string { return fmt.Sprintf("failed: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *FailedError) Unwrap() error { return e.Cause }
+
+// New returns a forwarder that prefers endpoints of the data centre.
+//
+//	f := fwd.New(set, sender, "cyberjaya-a", logger)
+//	answer, err := f.Forward(ctx, request)
+func New(set *wset.Set, sender upstr.Sender, centre string, logger *log.Logger) *Forwarder {
+	return &Forwarder{set: set, sender: sender, picker: place.New(), centre: centre, logger: logger}
+}
+
+// Until returns when a request must have its answer.
+func Until(start time.Time, route *manif.Route, deadline time.Time) time.Time {
+	until := start.Add(time.Hour)
+	if route.Timeout > 0 {
+		until = start.Add(route.Timeout)
+	}
+	if !deadline.IsZero() && deadline.Before(until) {
+		until = deadline
+	}
+	return until.Add(-margin)
+}
+
+// Forward returns an endpoint's whole answer. Its errors are *RefusedError and
+// *FailedError.
+func (f *Forwarder) Forward(ctx context.Context, r Request) (*Answer, error) {
+	start := time.Now()
+	until := Until(start, r.Route, r.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	t := &tries{f: f, r: r, ctx: ctx, results: make(chan try, r.Route.MaxAttempts+notRunMost)}
+	answer, err := t.run()
+	outcome := "answered"
+	if err != nil {
+		outcome = err.Error()
+	}
+	status := 0
+	if answer != nil {
+		status = answer.Status
+	}
+	f.logger.Info("Request done.", "request", r.ID, "route", r.Route.Name, "outcome", outcome, "status", status,
+		"sent", t.sent, "notRun", t.notRun, "endpoints", t.used, "left", time.Until(until).Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
+	return answer, err
+}
+
+// send asks one endpoint and reads its whole answer.
+func (f *Forwarder) send(ctx context.Context, r Request, e endpt.Endpoint) try {
+	f.set.Begin(e)
+	defer f.set.End(e)
+	call := upstr.Call{
+		Endpoint:  e,
+		ID:        r.ID,
+		Method:    r.Method,
+		Target:    r.Target,
+		Host:      r.Host,
+		Header:    r.Header,
+		Body:      r.Body,
+		LastEvent: upstr.NoEvent,
+	}
+	if until, ok := ctx.Deadline(); ok {
+		call.Budget = time.Until(until)
+	}
+	start := time.Now()
+	a, err := f.sender.Send(ctx, call)
+	if err != nil {
+		f.judge(ctx, e, err)
+		return try{endpoint: e, err: err}
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, bodyMost+1))
+	if err == nil && len(body) > bodyMost {
+		err = errTooLong
+	}
+	if err != nil {
+		err = &upstr.UnknownError{Endpoint: e.ID, Cause: err}
+		f.judge(ctx, e, err)
+		return try{endpoint: e, err: err}
+	}
+	f.set.Worked(e, time.Since(start))
+	return try{endpoint: e, answer: &Answer{Status: a.Status, Header: a.Header, Body: body}}
+}
+
+// judge takes what a failure says about the endpoint. Nothing is concluded from a
+// send that this side broke off.
+func (f *Forwarder) judge(ctx context.Context, e endpt.Endpoint, err error) {
+	var notRun *upstr.NotRunError
+	switch {
+	case errors.As(err, &notRun) && notRun.Gone:
+		f.set.Gone(e)
+	case errors.As(err, &notRun) && notRun.Status != 0:
+		// Full for the moment.
+	case ctx.Err() == nil:
+		f.set.Failed(e, time.Now())
+	}
+}
+
+// pick returns the endpoint for the next send, not one that was used already if
+// there is another.
+func (f *Forwarder) pick(service string, used []string) (endpt.Endpoint, bool) {
+	now := time.Now()
+	var fresh, all []wset.View
+	for _, v := range f.set.Service(service) {
+		all = append(all, v)
+		if !contains(used, v.ID) {
+			fresh = append(fresh, v)
+		}
+	}
+	for _, views := range [][]wset.View{fresh, all} {
+		cands := make([]place.Candidate, len(views))
+		for i, v := range views {
+			cands[i] = place.Candidate{
+				Slots:   v.Slots * queueShare,
+				Running: v.Running,
+				Pace:    1,
+				Remote:  v.DataCentre != f.centre,
+				Avoid:   now.Before(v.AvoidUntil),
+			}
+		}
+		if i, ok := f.picker.Pick(cands); ok {
+			return views[i].Endpoint, true
+		}
+	}
+	return endpt.Endpoint{}, false
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/fwd/tries.go
@@ -0,0 +1,142 @@
+package fwd
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/upstr"
+)
+
+// tries are the sends of one request.
+type tries struct {
+	f       *Forwarder
+	r       Request
+	ctx     context.Context
+	results chan try
+	// used are the endpoints that were asked, in order.
+	used []string
+	// sent counts sends that may have run, open those without a result, notRun
+	// those that surely haven't run.
+	sent, open, notRun int
+	// failure is the last failure that may have run; kept is an endpoint's own
+	// failure, which is passed on if nothing better comes.
+	failure error
+	kept    *Answer
+}
+
+func (t *tries) run() (*Answer, error) {
+	if !t.next() {
+		return nil, &RefusedError{Cause: "no endpoint takes work", RetryAfter: comeBack}
+	}
+	for {
+		hedge := time.NewTimer(t.hedgeWait())
+		select {
+		case res := <-t.results:
+			hedge.Stop()
+			if answer, err, over := t.take(res); over {
+				return answer, err
+			}
+		case <-hedge.C:
+			if t.mayHedge() {
+				t.next()
+			}
+		case <-t.ctx.Done():
+			hedge.Stop()
+			return t.timeUp()
+		}
+	}
+}
+
+func (t *tries) hedgeWait() time.Duration {
+	if !t.mayHedge() {
+		return time.Hour
+	}
+	if t.r.Route.Target <= 0 {
+		return hedgeDefault
+	}
+	return time.Duration(hedgeAfter * float64(t.r.Route.Target))
+}
+
+func (t *tries) mayHedge() bool {
+	return t.r.Route.MayRepeat() && t.open == 1 && t.sent < t.r.Route.MaxAttempts
+}
+
+// next sends the request to one more endpoint.
+func (t *tries) next() bool {
+	e, ok := t.f.pick(t.r.Route.Service(t.r.ID), t.used)
+	if !ok {
+		return false
+	}
+	t.used = append(t.used, e.ID)
+	t.sent++
+	t.open++
+	go func() { t.results <- t.f.send(t.ctx, t.r, e) }()
+	return true
+}
+
+// take takes a result and reports whether it settles the request.
+func (t *tries) take(res try) (answer *Answer, err error, over bool) {
+	t.open--
+	var notRun *upstr.NotRunError
+	switch {
+	case res.err == nil && (res.answer.Status < http.StatusInternalServerError || !t.r.Route.MayRepeat()):
+		return res.answer, nil, true
+	case res.err == nil:
+		t.kept = res.answer
+	case errors.As(res.err, &notRun):
+		t.sent--
+		t.notRun++
+	default:
+		t.failure = res.err
+	}
+	if t.open > 0 {
+		return nil, nil, false
+	}
+	return t.again()
+}
+
+// again sends the request once more if it may, or ends it.
+func (t *tries) again() (answer *Answer, err error, over bool) {
+	ran := t.failure != nil || t.kept != nil
+	may := t.sent < t.r.Route.MaxAttempts && (!ran || t.r.Route.MayRepeat())
+	if may && t.notRun < notRunMost {
+		if t.notRun > 0 && t.notRun%2 == 0 && !t.pause(fullPause) {
+			answer, err = t.timeUp()
+			return answer, err, true
+		}
+		if t.next() {
+			return nil, nil, false
+		}
+	}
+	switch {
+	case t.kept != nil:
+		return t.kept, nil, true
+	case t.failure != nil:
+		return nil, &FailedError{Cause: t.failure}, true
+	}
+	return nil, &RefusedError{Cause: "all endpoints are full", RetryAfter: comeBack}, true
+}
+
+func (t *tries) timeUp() (*Answer, error) {
+	if t.kept != nil {
+		return t.kept, nil
+	}
+	if t.open == 0 && t.failure == nil {
+		return nil, &RefusedError{Cause: "no endpoint in time", RetryAfter: comeBack}
+	}
+	return nil, &FailedError{Late: true, Cause: t.ctx.Err()}
+}
+
+func (t *tries) pause(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-t.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/mesh/mesh.go
@@ -0,0 +1,329 @@
+// Package mesh keeps the instances of a deployment in touch with each other.
+//
+// Each instance announces itself once in the metadata store and then asks its
+// peers for a sign of life directly. Whoever answered a moment ago is alive; no
+// lease has to be kept, and an outage of the store changes nothing. Being wrong
+// about a peer is safe: what has to be exclusive is fenced in the store.
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/kvst"
+)
+
+const (
+	// prefix holds one key for each instance.
+	prefix = "lavendermux/nodes/"
+
+	// pingEvery and aliveFor: an instance counts as lost after three missed
+	// signs of life. A result that a trainer waits for is then about a second
+	// late, a twelfth of its patience.
+	pingEvery = 350 * time.Millisecond
+	aliveFor  = 1200 * time.Millisecond
+	// pingTimeout bounds one question; a peer answers within milliseconds.
+	pingTimeout = 800 * time.Millisecond
+	// forgetAfter drops a peer that was replaced.
+	forgetAfter = 30 * time.Second
+	// listRetry is the pause after a failed registration.
+	listRetry = 400 * time.Millisecond
+
+	pingPath = "/lavendermux.Mesh/Ping"
+)
+
+type (
+	// Mesh is the peers of one instance. See New.
+	Mesh struct {
+		self   Node
+		client *http.Client
+		logger *log.Logger
+		status func() (holding []string, stopping bool)
+
+		mu    sync.Mutex
+		peers map[string]*peer
+		lost  func(Node, []string)
+	}
+
+	// Option changes a Mesh as New makes it.
+	Option func(*Mesh)
+
+	// Node is one boot of an instance.
+	Node struct {
+		Name string `json:"name"`
+		Addr string `json:"addr"`
+		// Boot is another one after each start.
+		Boot string `json:"boot"`
+		// Plans marks instances that plan which engine loads what.
+		Plans bool `json:"plans"`
+	}
+
+	peer struct {
+		Node
+		heard    time.Time
+		alive    bool
+		stopping bool
+		// holding are the submissions that it had open when it last answered.
+		holding []string
+		cancel  context.CancelFunc
+	}
+
+	pingRequest struct {
+		From Node `json:"from"`
+	}
+
+	pingResponse struct {
+		Node     Node     `json:"node"`
+		Holding  []string `json:"holding"`
+		Stopping bool     `json:"stopping"`
+		Peers    []Node   `json:"peers"`
+	}
+)
+
+// Holder is how the node is named in records: by name and boot.
+func (n Node) Holder() string { return n.Name + "/" + n.Boot }
+
+// New returns a mesh; Run keeps it in touch.
+//
+//	m := mesh.New(self, client, logger, mesh.WithLost(takeOver))
+//	go m.Run(ctx, store)
+func New(self Node, client *http.Client, logger *log.Logger, opts ...Option) *Mesh {
+	m := &Mesh{
+		self:   self,
+		client: client,
+		logger: logger,
+		peers:  make(map[string]*peer),
+		status: func() ([]string, bool) { return nil, false },
+		lost:   func(Node, []string) {},
+	}
+	for _, opt := range opts {
+		opt(m)
+	}
+	return m
+}
+
+// WithStatus tells peers which submissions are open here and whether this
+// instance is stopping. The default says none and no.
+func WithStatus(f func() (holding []string, stopping bool)) Option {
+	return func(m *Mesh) { m.status = f }
+}
+
+// WithLost is called when a peer is lost or has started again, with the
+// submissions that it had open. The default does nothing.
+func WithLost(f func(n Node, holding []string)) Option {
+	return func(m *Mesh) { m.lost = f }
+}
+
+// Self is this instance.
+func (m *Mesh) Self() Node { return m.self }
+
+// Handler serves the questions of peers.
+func (m *Mesh) Handler() (path string, h http.Handler) {
+	return pingPath, Handle(pingPath, m.ping)
+}
+
+// Handle makes a handler of a typed call between instances.
+func Handle[Req, Res any](path string, f func(context.Context, *Req) (*Res, error)) http.Handler {
+	return connect.NewUnaryHandler(path, func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+		out, err := f(ctx, r.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(out), nil
+	}, connect.WithCodec(codec{}))
+}
+
+// Call asks the instance at addr.
+func Call[Req, Res any](ctx context.Context, client *http.Client, addr, path string, in *Req) (*Res, error) {
+	c := connect.NewClient[Req, Res](client, "http://"+addr+path, connect.WithCodec(codec{}))
+	res, err := c.CallUnary(ctx, connect.NewRequest(in))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// Client is the HTTP client for calls to peers.
+func (m *Mesh) Client() *http.Client { return m.client }
+
+// Alive returns the peers that answered a moment ago and aren't stopping, by
+// name.
+func (m *Mesh) Alive() []Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Node
+	for _, p := range m.peers {
+		if p.alive && !p.stopping {
+			out = append(out, p.Node)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Find returns the peer that a record names as holder, if it is alive.
+func (m *Mesh) Find(holder string) (Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.Holder() == holder {
+			return p.Node, p.alive
+		}
+	}
+	return Node{}, false
+}
+
+// HolderOf returns the live peer that has the submission open.
+func (m *Mesh) HolderOf(id string) (Node, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.alive && slices.Contains(p.holding, id) {
+			return p.Node, true
+		}
+	}
+	return Node{}, false
+}
+
+// Run announces this instance and stays in touch until ctx ends.
+func (m *Mesh) Run(ctx context.Context, store kvst.Store) {
+	for ctx.Err() == nil {
+		err := m.register(ctx, store)
+		if err == nil {
+			break
+		}
+		m.logger.Warn("Not registered yet.", "error", err)
+		pause(ctx, listRetry)
+	}
+	<-ctx.Done()
+}
+
+func (m *Mesh) register(ctx context.Context, store kvst.Store) error {
+	raw, err := json.Marshal(m.self)
+	if err != nil {
+		return errors.Wrap(err, "encoding this instance")
+	}
+	if _, err := store.Commit(ctx, kvst.Txn{Puts: []kvst.Put{{Key: prefix + m.self.Name, Value: raw}}}); err != nil {
+		return err
+	}
+	items, _, err := store.List(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	for _, it := range items {
+		var n Node
+		if err := json.Unmarshal(it.Value, &n); err != nil {
+			m.logger.Error("Peer's record unreadable.", "key", it.Key, "error", err)
+			continue
+		}
+		m.meet(ctx, n)
+	}
+	return nil
+}
+
+// meet begins to stay in touch with n.
+func (m *Mesh) meet(ctx context.Context, n Node) {
+	if n.Name == m.self.Name || n.Addr == "" {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[n.Name]; ok {
+		if p.Addr == n.Addr {
+			return
+		}
+		p.cancel()
+	}
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	p := &peer{Node: n, cancel: cancel, heard: time.Now()}
+	m.peers[n.Name] = p
+	go m.keepInTouch(ctx, p)
+}
+
+func (m *Mesh) keepInTouch(ctx context.Context, p *peer) {
+	for ctx.Err() == nil {
+		askCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+		res, err := Call[pingRequest, pingResponse](askCtx, m.client, p.Addr, pingPath, &pingRequest{From: m.self})
+		cancel()
+		if err == nil {
+			m.heard(ctx, p, res)
+		} else if m.missed(p) {
+			return
+		}
+		pause(ctx, pingEvery)
+	}
+}
+
+func (m *Mesh) heard(ctx context.Context, p *peer, res *pingResponse) {
+	m.mu.Lock()
+	old := *p
+	p.Node = res.Node
+	p.heard = time.Now()
+	p.alive = true
+	p.stopping = res.Stopping
+	p.holding = res.Holding
+	m.mu.Unlock()
+	if !old.alive {
+		m.logger.Info("Peer in touch.", "peer", res.Node.Name, "boot", res.Node.Boot)
+	}
+	if old.Boot != "" && old.Boot != res.Node.Boot && len(old.holding) > 0 {
+		m.lost(old.Node, old.holding)
+	}
+	for _, n := range res.Peers {
+		m.meet(ctx, n)
+	}
+}
+
+// missed takes an unanswered question and reports whether to give the peer up.
+func (m *Mesh) missed(p *peer) bool {
+	m.mu.Lock()
+	silent := time.Since(p.heard)
+	lost := p.alive && silent > aliveFor
+	if lost {
+		p.alive = false
+	}
+	gone := silent > forgetAfter
+	if gone {
+		delete(m.peers, p.Name)
+		p.cancel()
+	}
+	old := *p
+	m.mu.Unlock()
+	if lost {
+		m.logger.Warn("Peer lost.", "peer", old.Name, "boot", old.Boot, "silent", silent.Round(time.Millisecond), "holding", len(old.holding))
+		m.lost(old.Node, old.holding)
+	}
+	return gone
+}
+
+func (m *Mesh) ping(ctx context.Context, in *pingRequest) (*pingResponse, error) {
+	m.meet(ctx, in.From)
+	holding, stopping := m.status()
+	out := &pingResponse{Node: m.self, Holding: holding, Stopping: stopping}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.alive {
+			out.Peers = append(out.Peers, p.Node)
+		}
+	}
+	return out, nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,307 @@
+// Package node is one process of a deployment: an entry before the callers, a
+// holder of batch submissions, or the process beside an engine.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lavendermux/lavendermux/bdesk"
+	"github.com/lavendermux/lavendermux/brun"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/conns"
+	"github.com/lavendermux/lavendermux/fwd"
+	"github.com/lavendermux/lavendermux/giver"
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/setup"
+	"github.com/lavendermux/lavendermux/steer"
+	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+const (
+	// serveOn is how long an instance that stops still takes new connections:
+	// the balancer takes it out after two missed questions, a second each.
+	serveOn = 2500 * time.Millisecond
+	// drainShare of the grace is left for requests in flight after that.
+	drainShare = 0.75
+	// headerTime and headerBytes bound what a caller may take and send before
+	// its request is known; idleTime keeps idle connections longer than any
+	// caller uses them.
+	headerTime  = 10 * time.Second
+	headerBytes = 64 << 10
+	idleTime    = 2 * time.Minute
+	// settleTime is the wait before submissions without a holder are looked for:
+	// by then all live peers have been heard.
+	settleTime = 1500 * time.Millisecond
+	// sweepEvery is how often endpoints whose grace is over are dropped.
+	sweepEvery = 250 * time.Millisecond
+	// bootBytes name a boot.
+	bootBytes = 4
+)
+
+type (
+	// Outside is what a deployment brings: how its store, its endpoints and its
+	// callers are spoken to.
+	Outside struct {
+		Store  kvst.Store
+		Sender upstr.Sender
+		// Engine is the engine beside this process, or nil.
+		Engine giver.Engine
+		// Follow keeps what the store says about the outside up to date.
+		Follow func(ctx context.Context, b *Beliefs)
+		// Callers makes the handler of callers' requests.
+		Callers func(manifest func() *manif.Manifest, f *fwd.Forwarder, d *bdesk.Desk) http.Handler
+		// VersionLine names the line of a stream that tells the weight version.
+		VersionLine string
+	}
+
+	// Node is the process. See New.
+	Node struct {
+		cfg     setup.Setup
+		out     Outside
+		logger  *log.Logger
+		beliefs *Beliefs
+		mesh    *mesh.Mesh
+		runner  *brun.Runner
+		desk    *bdesk.Desk
+		pilot   *steer.Pilot
+		giver   *giver.Giver
+		client  *http.Client
+		// stopping is set when the process has been told to stop.
+		stopping atomic.Bool
+	}
+
+	// Beliefs are what the process takes for true about the outside.
+	Beliefs struct {
+		Set      *wset.Set
+		Pilot    *steer.Pilot
+		manifest atomic.Pointer[manif.Manifest]
+		listed   atomic.Bool
+	}
+)
+
+// Manifest returns the manifest in force, or nil.
+func (b *Beliefs) Manifest() *manif.Manifest { return b.manifest.Load() }
+
+// Take puts a manifest in force unless a newer one is, and reports whether it did.
+func (b *Beliefs) Take(m *manif.Manifest) bool {
+	for {
+		old := b.manifest.Load()
+		if old != nil && old.Version >= m.Version {
+			return false
+		}
+		if b.manifest.CompareAndSwap(old, m) {
+			return true
+		}
+	}
+}
+
+// Listed says that the endpoints have been listed once.
+func (b *Beliefs) Listed() { b.listed.Store(true) }
+
+// New returns the process that cfg describes.
+//
+//	n := node.New(cfg, outside, logger)
+//	err := n.Run(ctx)
+func New(cfg setup.Setup, out Outside, logger *log.Logger) *Node {
+	return &Node{cfg: cfg, out: out, logger: logger, client: &http.Client{Transport: conns.New(conns.WithIdle(idleTime))}}
+}
+
+// Run serves until ctx ends, and then stops in order.
+func (n *Node) Run(ctx context.Context) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	n.logger.Info("Started.", "addr", n.cfg.PeerAddr, "front", n.cfg.Front, "engine", n.cfg.Endpoint, "store", n.cfg.Store)
+	g, gctx := errgroup.WithContext(life)
+	if n.cfg.Endpoint != "" {
+		n.startSide(gctx, g)
+	} else {
+		n.startHolder(gctx, g)
+	}
+	g.Go(func() error {
+		select {
+		case <-gctx.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		n.stop(life)
+		end()
+		return nil
+	})
+	err := g.Wait()
+	n.logger.Info("Stopped.", "error", err)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// startSide runs the process beside an engine.
+func (n *Node) startSide(ctx context.Context, g *errgroup.Group) {
+	n.giver = giver.New(n.cfg.Instance, n.out.Engine, n.logger)
+	mux := http.NewServeMux()
+	mux.Handle(steer.Handler(n.giver))
+	n.serve(ctx, g, n.cfg.PeerAddr, mux)
+	g.Go(func() error { n.giver.Run(ctx); return nil })
+}
+
+// startHolder runs an instance that holds submissions, and serves callers if it
+// has an address for them.
+func (n *Node) startHolder(ctx context.Context, g *errgroup.Group) {
+	n.build(ctx)
+	peers := http.NewServeMux()
+	peers.Handle(n.mesh.Handler())
+	peers.Handle(bdesk.AskPath, mesh.Handle(bdesk.AskPath, n.desk.Answer))
+	n.serve(ctx, g, n.cfg.PeerAddr, peers)
+	g.Go(func() error { n.mesh.Run(ctx, n.out.Store); return nil })
+	g.Go(func() error { n.runner.Run(ctx); return nil })
+	g.Go(func() error { n.out.Follow(ctx, n.beliefs); return nil })
+	g.Go(func() error { n.sweep(ctx); return nil })
+	if n.cfg.Front == "" {
+		return
+	}
+	g.Go(func() error { n.pilot.Run(ctx); return nil })
+	forward := fwd.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger)
+	n.serve(ctx, g, n.cfg.Front, n.out.Callers(n.beliefs.Manifest, forward, n.desk))
+	n.serve(ctx, g, n.cfg.Ready, http.HandlerFunc(n.ready))
+	g.Go(func() error { n.recover(ctx); return nil })
+}
+
+func (n *Node) build(ctx context.Context) {
+	n.beliefs = &Beliefs{}
+	n.beliefs.Set = wset.New(func() { n.runner.Wake() })
+	store := bstore.New(n.out.Store, bstore.WithValueBytes(n.cfg.ValueBytes))
+	n.runner = brun.New(store, n.beliefs.Set, n.out.Sender, n.beliefs.Manifest, n.logger,
+		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre))
+	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != ""}
+	n.mesh = mesh.New(self, n.client, n.logger,
+		mesh.WithStatus(func() ([]string, bool) { return n.runner.Holding(), n.stopping.Load() }),
+		mesh.WithLost(func(p mesh.Node, holding []string) { n.desk.Lost(p, holding) }))
+	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger)
+	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure)
+	n.beliefs.Pilot = n.pilot
+}
+
+// pure reports whether samples must come from one version of the weights.
+func (n *Node) pure(string) bool {
+	m := n.beliefs.Manifest()
+	if m == nil {
+		return true
+	}
+	for _, r := range m.Routes {
+		if r.SingleVersion {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
+	if n.stopping.Load() || n.beliefs.Manifest() == nil || !n.beliefs.listed.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serve listens at addr until ctx ends.
+func (n *Node) serve(ctx context.Context, g *errgroup.Group, addr string, h http.Handler) {
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    headerBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	g.Go(func() error {
+		var lc net.ListenConfig
+		l, err := lc.Listen(ctx, "tcp", addr)
+		if err != nil {
+			return errors.Wrapf(err, "listening at %s", addr)
+		}
+		stop := context.AfterFunc(ctx, func() { srv.Close() })
+		defer stop()
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	if addr == n.cfg.Front {
+		g.Go(func() error { n.drain(ctx, srv); return nil })
+	}
+}
+
+// drain closes callers' connections in order once the process stops.
+func (n *Node) drain(ctx context.Context, srv *http.Server) {
+	const look = 50 * time.Millisecond
+	for !n.stopping.Load() {
+		if !sleep(ctx, look) {
+			return
+		}
+	}
+	if !sleep(ctx, serveOn) {
+		return
+	}
+	srv.SetKeepAlivesEnabled(false)
+	drainCtx, cancel := context.WithTimeout(ctx, n.cfg.Grace)
+	defer cancel()
+	if err := srv.Shutdown(drainCtx); err != nil && ctx.Err() == nil {
+		n.logger.Warn("Requests cut at the end of the grace.", "error", err)
+	}
+}
+
+// stop hands over what this instance holds and lets requests in flight end.
+func (n *Node) stop(ctx context.Context) {
+	n.stopping.Store(true)
+	n.logger.Info("Stopping.", "grace", n.cfg.Grace)
+	if n.desk == nil {
+		return
+	}
+	n.runner.Stop()
+	n.desk.HandOver(ctx)
+	if n.cfg.Front != "" {
+		sleep(ctx, time.Duration(drainShare*float64(n.cfg.Grace)))
+	}
+}
+
+// recover takes over what no live instance holds, once the peers are known.
+func (n *Node) recover(ctx context.Context) {
+	if sleep(ctx, settleTime) {
+		n.desk.Recover(ctx)
+	}
+}
+
+func (n *Node) sweep(ctx context.Context) {
+	for sleep(ctx, sweepEvery) {
+		n.beliefs.Set.Sweep(time.Now())
+	}
+}
+
+func boot() string {
+	raw := make([]byte, bootBytes)
+	_, _ = rand.Read(raw) // never fails, as its documentation says
+	return hex.EncodeToString(raw)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/steer/steer.go
@@ -0,0 +1,295 @@
+// Package steer keeps an entry in touch with the processes beside the engines: it
+// tells them which weights to load and learns at once which they have.
+package steer
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lavendermux/lavendermux/giver"
+	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/wplan"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+const (
+	// path is where the process beside an engine is asked.
+	path = "/lavendermux.Steer/Steer"
+
+	// waitMost is how long an unchanged state is waited for, and askTimeout the
+	// bound of a question beyond that.
+	waitMost   = 1500 * time.Millisecond
+	askTimeout = 800 * time.Millisecond
+	// retryPause is the wait after a question without an answer.
+	retryPause = 300 * time.Millisecond
+	// planEvery is how often the plan is made anew without a change.
+	planEvery = 250 * time.Millisecond
+	// defaultLag: samples may be one version old.
+	defaultLag = 1
+)
+
+type (
+	// Pilot steers the engines from an entry. See New.
+	Pilot struct {
+		set    *wset.Set
+		mesh   *mesh.Mesh
+		client *http.Client
+		port   string
+		logger *log.Logger
+		pure   func(model string) bool
+
+		mu      sync.Mutex
+		named   map[string]named
+		links   map[string]*link
+		changed chan struct{}
+	}
+
+	named struct {
+		version  int64
+		revision int64
+	}
+
+	// link is the connection to the process beside one engine.
+	link struct {
+		view   wset.View
+		cancel context.CancelFunc
+		wants  map[string]giver.Want
+		dirty  chan struct{}
+	}
+
+	request struct {
+		Wants []giver.Want `json:"wants"`
+		Seen  int64        `json:"seen"`
+		Wait  int64        `json:"waitMs"`
+	}
+)
+
+// New returns a pilot. port is where the processes beside engines listen; pure
+// says whether a model's samples must come from one version.
+//
+//	p := steer.New(set, m, client, 7720, logger, pure)
+//	go p.Run(ctx)
+func New(set *wset.Set, m *mesh.Mesh, client *http.Client, port int, logger *log.Logger, pure func(model string) bool) *Pilot {
+	return &Pilot{
+		set:     set,
+		mesh:    m,
+		client:  client,
+		port:    strconv.Itoa(port),
+		logger:  logger,
+		pure:    pure,
+		named:   make(map[string]named),
+		links:   make(map[string]*link),
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// Handler answers for the engine beside this process.
+func Handler(g *giver.Giver) (string, http.Handler) {
+	return path, mesh.Handle(path, func(ctx context.Context, in *request) (*giver.State, error) {
+		for _, w := range in.Wants {
+			g.Want(w)
+		}
+		ctx, cancel := context.WithTimeout(ctx, min(waitMost, time.Duration(in.Wait)*time.Millisecond))
+		defer cancel()
+		state := g.State(ctx, in.Seen)
+		return &state, nil
+	})
+}
+
+// Name takes a version that a trainer has named.
+func (p *Pilot) Name(model string, version, revision int64) {
+	p.mu.Lock()
+	old := p.named[model]
+	newer := version > old.version
+	if newer {
+		p.named[model] = named{version: version, revision: revision}
+	}
+	p.mu.Unlock()
+	if newer {
+		p.logger.Info("Version named.", "model", model, "version", version, "revision", revision)
+		select {
+		case p.changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Run steers until ctx ends.
+func (p *Pilot) Run(ctx context.Context) {
+	t := time.NewTicker(planEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-p.changed:
+		}
+		p.connect(ctx)
+		p.plan()
+	}
+}
+
+// connect keeps one link to each engine.
+func (p *Pilot) connect(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[string]bool)
+	for _, v := range p.set.All() {
+		if len(v.Versions) == 0 {
+			continue
+		}
+		known[v.ID] = true
+		if l, ok := p.links[v.ID]; ok && l.view.SameBoot(v.Endpoint) {
+			l.view = v
+			continue
+		} else if ok {
+			l.cancel()
+		}
+		linkCtx, cancel := context.WithCancel(ctx)
+		l := &link{view: v, cancel: cancel, wants: make(map[string]giver.Want), dirty: make(chan struct{}, 1)}
+		p.links[v.ID] = l
+		go p.follow(linkCtx, l, v)
+	}
+	for id, l := range p.links {
+		if !known[id] {
+			l.cancel()
+			delete(p.links, id)
+		}
+	}
+}
+
+// plan says which engine loads what. Only one entry plans, the first by name:
+// two that see different engines would have more of them load than needed.
+func (p *Pilot) plan() {
+	for _, n := range p.mesh.Alive() {
+		if n.Plans && n.Name < p.mesh.Self().Name {
+			return
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for model, n := range p.named {
+		engines := make([]wplan.Engine, 0, len(p.links))
+		for id, l := range p.links {
+			version, ok := l.view.Versions[model]
+			if !ok || l.view.Draining {
+				continue
+			}
+			if w, ok := l.wants[model]; ok {
+				version = max(version, w.Version)
+			}
+			engines = append(engines, wplan.Engine{ID: id, Version: version, Running: l.view.Running})
+		}
+		for _, id := range wplan.New(n.version, defaultLag, engines) {
+			p.want(p.links[id], model, n)
+		}
+	}
+}
+
+func (p *Pilot) want(l *link, model string, n named) {
+	if l.wants[model].Version >= n.version {
+		return
+	}
+	l.wants[model] = giver.Want{
+		Model:    model,
+		Version:  n.version,
+		Endpoint: l.view.ID,
+		Keep:     !p.pure(model),
+		Fence:    n.revision,
+	}
+	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running)
+	select {
+	case l.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// follow asks the process beside one engine for its state, again and again; new
+// wants cut the wait short.
+func (p *Pilot) follow(ctx context.Context, l *link, v wset.View) {
+	host, _, err := net.SplitHostPort(v.Addr)
+	if err != nil {
+		p.logger.Error("Endpoint's address unreadable.", "endpoint", v.ID, "error", err)
+		return
+	}
+	addr := net.JoinHostPort(host, p.port)
+	seen, lost := int64(-1), false
+	for ctx.Err() == nil {
+		state, err := p.ask(ctx, l, addr, seen)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !lost {
+				p.logger.Warn("Engine's process lost.", "endpoint", v.ID, "addr", addr, "error", err)
+			}
+			lost = true
+			pause(ctx, retryPause)
+			continue
+		}
+		if lost {
+			p.logger.Info("Engine's process regained.", "endpoint", v.ID, "addr", addr)
+		}
+		lost = false
+		if state == nil || !state.Known {
+			continue
+		}
+		seen = state.Serial
+		p.take(v, state)
+	}
+}
+
+// ask returns nil if it was cut short by a new want.
+func (p *Pilot) ask(ctx context.Context, l *link, addr string, seen int64) (*giver.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, waitMost+askTimeout)
+	defer cancel()
+	p.mu.Lock()
+	select {
+	case <-l.dirty:
+	default:
+	}
+	in := &request{Seen: seen, Wait: waitMost.Milliseconds()}
+	for w := range maps.Values(l.wants) {
+		in.Wants = append(in.Wants, w)
+	}
+	p.mu.Unlock()
+	type answer struct {
+		state *giver.State
+		err   error
+	}
+	done := make(chan answer, 1)
+	go func() {
+		state, err := mesh.Call[request, giver.State](ctx, p.client, addr, path, in)
+		done <- answer{state: state, err: err}
+	}()
+	select {
+	case a := <-done:
+		return a.state, a.err
+	case <-l.dirty:
+		return nil, nil
+	}
+}
+
+func (p *Pilot) take(v wset.View, state *giver.State) {
+	for model, version := range state.Versions {
+		p.set.Version(v.Endpoint, model, version)
+	}
+	p.set.Loading(v.Endpoint, state.Loading)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
