--- a/cmd/lavendermux/node.go
+++ b/cmd/lavendermux/node.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/node"
 	"github.com/lavendermux/lavendermux/platform/conf"
 	"github.com/lavendermux/lavendermux/platform/world"
+	"github.com/lavendermux/lavendermux/setup"
 	"github.com/lavendermux/lavendermux/spool"
 )
 
@@ -32,5 +36,29 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Memory)))
 	}
 	logger := logs.New(spool.New(os.Stdout), logs.WithLevel(c.LogLevel), logs.WithField(logs.FieldInstance, cfg.Instance))
+	go followSettings(ctx, cfg, logger)
 	return node.New(cfg, world.New(cfg, logger), logger).Run(ctx)
 }
+
+// followSettings looks at the settings file again at each SIGHUP. What a process
+// uses of it is fixed for as long as it runs; a change of that is logged, so that
+// an operator sees that a restart is due, and takes effect with it. Without a
+// handler the signal would end the process.
+func followSettings(ctx context.Context, old setup.Setup, logger *log.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		cfg, err := conf.Load()
+		if err != nil {
+			logger.Error("Settings not reloaded.", "error", err)
+			continue
+		}
+		logger.Info("Settings reloaded.", "changed", cfg != old, "needsRestart", cfg != old)
+		old = cfg
+	}
+}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// defaultWait is how long a watch waits. A store that swallows a watch is
-	// noticed when the wait is over, within the three seconds after which an
-	// instance must be up to date again.
-	defaultWait = 4 * time.Second
+	// defaultWait is how long a watch waits. A store that swallows a watch, or
+	// drops its history beneath it, is noticed when the wait is over; what it
+	// says must be in force two seconds after it can be read again.
+	defaultWait = 1800 * time.Millisecond
 	// probeWait is the wait while the store is away: a probe that was swallowed
 	// at the end of an outage must not hide that the store is back.
 	probeWait = 100 * time.Millisecond
