--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -59,15 +59,15 @@
 	}
 
 	askRequest struct {
-		Op    string   `json:"op"`
-		ID    string   `json:"id"`
-		IDs   []string `json:"ids,omitempty"`
-		Item  string   `json:"item,omitempty"`
+		Op   string   `json:"op"`
+		ID   string   `json:"id"`
+		IDs  []string `json:"ids,omitempty"`
+		Item string   `json:"item,omitempty"`
 		// From is the holder that offers submissions.
-		From string `json:"from,omitempty"`
-		After int      `json:"after,omitempty"`
-		Limit int      `json:"limit,omitempty"`
-		Wait  int64    `json:"waitMs,omitempty"`
+		From  string `json:"from,omitempty"`
+		After int    `json:"after,omitempty"`
+		Limit int    `json:"limit,omitempty"`
+		Wait  int64  `json:"waitMs,omitempty"`
 	}
 
 	askResponse struct {
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,8 @@
 		mu       sync.Mutex
 		held     map[string]*held
 		partials map[string]*item
+		// demand is the expected tokens of the newest submission of each model.
+		demand   map[string]float64
 		wake     chan struct{}
 		stopping bool
 	}
@@ -94,6 +97,7 @@
 		logger:   logger,
 		held:     make(map[string]*held),
 		partials: make(map[string]*item),
+		demand:   make(map[string]float64),
 		wake:     make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -146,6 +150,9 @@
 		return
 	}
 	r.held[sub.ID] = h
+	if !kept.Ended {
+		r.demand[sub.Model] = h.tokens()
+	}
 	resumed := r.takePartials(h)
 	r.mu.Unlock()
 	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items),
@@ -214,6 +221,14 @@
 	return ids
 }
 
+// Demand returns the expected tokens of the newest submission of each model that
+// was held here.
+func (r *Runner) Demand() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.demand)
+}
+
 // Holds reports whether the submission is held here, open or ended.
 func (r *Runner) Holds(id string) bool {
 	r.mu.Lock()
--- a/brun/held.go
+++ b/brun/held.go
@@ -128,6 +128,15 @@
 	h.poke()
 }
 
+// tokens is the expected output of all items.
+func (h *held) tokens() float64 {
+	n := 0
+	for _, it := range h.items {
+		n += it.Hint
+	}
+	return float64(n)
+}
+
 // poke wakes the goroutine that writes results.
 func (h *held) poke() {
 	select {
--- a/giver/giver.go
+++ b/giver/giver.go
@@ -237,6 +237,7 @@
 	if g.state.Known && maps.Equal(g.state.Versions, rep.Versions) && maps.Equal(g.state.Loading, loading) {
 		return
 	}
+	g.logger.Info("Engine changed.", "versions", rep.Versions, "loading", loading, "busy", rep.Busy, "orders", rep.Orders)
 	g.state = State{Serial: g.state.Serial + 1, Versions: rep.Versions, Loading: loading, Known: true}
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -47,7 +47,7 @@
 		self   Node
 		client *http.Client
 		logger *log.Logger
-		status func() (holding []string, stopping bool)
+		status func() Status
 
 		mu    sync.Mutex
 		peers map[string]*peer
@@ -69,23 +69,30 @@
 
 	peer struct {
 		Node
-		heard    time.Time
-		alive    bool
-		stopping bool
-		// holding are the submissions that it had open when it last answered.
-		holding []string
-		cancel  context.CancelFunc
+		heard time.Time
+		alive bool
+		Status
+		cancel context.CancelFunc
 	}
 
 	pingRequest struct {
 		From Node `json:"from"`
 	}
 
+	// Status is what an instance tells its peers about itself.
+	Status struct {
+		// Holding are the submissions that are open here.
+		Holding []string `json:"holding"`
+		// Demand is the work of the newest submission of each model, in tokens.
+		Demand map[string]float64 `json:"demand,omitempty"`
+		// Stopping instances take no new work.
+		Stopping bool `json:"stopping"`
+	}
+
 	pingResponse struct {
-		Node     Node     `json:"node"`
-		Holding  []string `json:"holding"`
-		Stopping bool     `json:"stopping"`
-		Peers    []Node   `json:"peers"`
+		Node   Node   `json:"node"`
+		Status Status `json:"status"`
+		Peers  []Node `json:"peers"`
 	}
 )
 
@@ -102,7 +109,7 @@
 		client: client,
 		logger: logger,
 		peers:  make(map[string]*peer),
-		status: func() ([]string, bool) { return nil, false },
+		status: func() Status { return Status{} },
 		lost:   func(Node, []string) {},
 	}
 	for _, opt := range opts {
@@ -111,9 +118,8 @@
 	return m
 }
 
-// WithStatus tells peers which submissions are open here and whether this
-// instance is stopping. The default says none and no.
-func WithStatus(f func() (holding []string, stopping bool)) Option {
+// WithStatus has f asked for what peers are told. The default tells nothing.
+func WithStatus(f func() Status) Option {
 	return func(m *Mesh) { m.status = f }
 }
 
@@ -162,7 +168,7 @@
 	defer m.mu.Unlock()
 	var out []Node
 	for _, p := range m.peers {
-		if p.alive && !p.stopping {
+		if p.alive && !p.Stopping {
 			out = append(out, p.Node)
 		}
 	}
@@ -187,13 +193,33 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if p.alive && slices.Contains(p.holding, id) {
+		if p.alive && slices.Contains(p.Holding, id) {
 			return p.Node, true
 		}
 	}
 	return Node{}, false
 }
 
+// Demand returns the work of each model at this instance and its live peers, by
+// the newest submission that any of them has.
+func (m *Mesh) Demand() map[string]float64 {
+	out := make(map[string]float64)
+	add := func(s Status) {
+		for model, tokens := range s.Demand {
+			out[model] = max(out[model], tokens)
+		}
+	}
+	add(m.status())
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.alive {
+			add(p.Status)
+		}
+	}
+	return out
+}
+
 // Run announces this instance and stays in touch until ctx ends.
 func (m *Mesh) Run(ctx context.Context, store kvst.Store) {
 	for ctx.Err() == nil {
@@ -269,14 +295,13 @@
 	p.Node = res.Node
 	p.heard = time.Now()
 	p.alive = true
-	p.stopping = res.Stopping
-	p.holding = res.Holding
+	p.Status = res.Status
 	m.mu.Unlock()
 	if !old.alive {
 		m.logger.Info("Peer in touch.", "peer", res.Node.Name, "boot", res.Node.Boot)
 	}
-	if old.Boot != "" && old.Boot != res.Node.Boot && len(old.holding) > 0 {
-		m.lost(old.Node, old.holding)
+	if old.Boot != "" && old.Boot != res.Node.Boot && len(old.Holding) > 0 {
+		m.lost(old.Node, old.Holding)
 	}
 	for _, n := range res.Peers {
 		m.meet(ctx, n)
@@ -299,16 +324,15 @@
 	old := *p
 	m.mu.Unlock()
 	if lost {
-		m.logger.Warn("Peer lost.", "peer", old.Name, "boot", old.Boot, "silent", silent.Round(time.Millisecond), "holding", len(old.holding))
-		m.lost(old.Node, old.holding)
+		m.logger.Warn("Peer lost.", "peer", old.Name, "boot", old.Boot, "silent", silent.Round(time.Millisecond), "holding", len(old.Holding))
+		m.lost(old.Node, old.Holding)
 	}
 	return gone
 }
 
 func (m *Mesh) ping(ctx context.Context, in *pingRequest) (*pingResponse, error) {
 	m.meet(ctx, in.From)
-	holding, stopping := m.status()
-	out := &pingResponse{Node: m.self, Holding: holding, Stopping: stopping}
+	out := &pingResponse{Node: m.self, Status: m.status()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
--- a/node/node.go
+++ b/node/node.go
@@ -187,7 +187,9 @@
 		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre))
 	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != ""}
 	n.mesh = mesh.New(self, n.client, n.logger,
-		mesh.WithStatus(func() ([]string, bool) { return n.runner.Holding(), n.stopping.Load() }),
+		mesh.WithStatus(func() mesh.Status {
+			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Stopping: n.stopping.Load()}
+		}),
 		mesh.WithLost(func(p mesh.Node, holding []string) { n.desk.Lost(p, holding) }))
 	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger)
 	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure)
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	retryPause = 300 * time.Millisecond
 	// planEvery is how often the plan is made anew without a change.
 	planEvery = 250 * time.Millisecond
+	// firstVersion is what engines have before any version was named.
+	firstVersion = 1
 	// defaultLag: samples may be one version old.
 	defaultLag = 1
 )
@@ -60,8 +63,10 @@
 	link struct {
 		view   wset.View
 		cancel context.CancelFunc
-		wants  map[string]giver.Want
-		dirty  chan struct{}
+		// home is the model that the engine is meant for.
+		home  string
+		wants map[string]giver.Want
+		dirty chan struct{}
 	}
 
 	request struct {
@@ -176,28 +181,43 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Lag: defaultLag}
 	for model, n := range p.named {
-		engines := make([]wplan.Engine, 0, len(p.links))
-		for id, l := range p.links {
-			version, ok := l.view.Versions[model]
-			if !ok || l.view.Draining {
-				continue
-			}
-			if w, ok := l.wants[model]; ok {
-				version = max(version, w.Version)
-			}
-			engines = append(engines, wplan.Engine{ID: id, Version: version, Running: l.view.Running})
+		state.Named[model] = n.version
+	}
+	for model := range state.Demand {
+		state.Named[model] = max(state.Named[model], firstVersion)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.links)) {
+		if l := p.links[id]; !l.view.Draining {
+			state.Engines = append(state.Engines, l.engine())
 		}
-		for _, id := range wplan.New(n.version, defaultLag, engines) {
-			p.want(p.links[id], model, n)
+	}
+	plan := wplan.New(state)
+	for id, model := range plan.Home {
+		p.links[id].home = model
+	}
+	for _, load := range plan.Loads {
+		p.want(p.links[load.Engine], load.Model, p.named[load.Model])
+	}
+}
+
+// engine is what a plan needs to know; versions that were asked for and aren't
+// there yet count as being loaded.
+func (l *link) engine() wplan.Engine {
+	e := wplan.Engine{ID: l.view.ID, Versions: l.view.Versions, Running: l.view.Running, Home: l.home}
+	for model := range l.view.Loading {
+		e.Loading = model
+	}
+	for model, w := range l.wants {
+		if l.view.Versions[model] < w.Version {
+			e.Loading = model
 		}
 	}
+	return e
 }
 
 func (p *Pilot) want(l *link, model string, n named) {
-	if l.wants[model].Version >= n.version {
-		return
-	}
 	l.wants[model] = giver.Want{
 		Model:    model,
 		Version:  n.version,
@@ -283,6 +303,10 @@
 		p.set.Version(v.Endpoint, model, version)
 	}
 	p.set.Loading(v.Endpoint, state.Loading)
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
