--- a/giver/giver.go
+++ b/giver/giver.go
@@ -19,6 +19,11 @@
 	// busyEvery while it loads. Asking costs nothing from its own machine.
 	reportEvery = 500 * time.Millisecond
 	busyEvery   = 60 * time.Millisecond
+	// onlyFence is the fencing number of all orders. An engine has one giver for
+	// as long as it lives, the process on its machine, so the number never has to
+	// grow; and a process that starts again and remembers nothing cannot send a
+	// smaller one than before, which an engine must never see.
+	onlyFence = 1
 	// settle is how long an order without an effect is left alone: an engine
 	// shows an accepted order at once, but an order whose answer was lost may
 	// have been accepted.
@@ -51,8 +56,7 @@
 		Version  int64
 		// Keep lets running requests go on under the new version.
 		Keep bool
-		// Holder and Fence name the giver; a later order never has a smaller
-		// Fence.
+		// Holder and Fence name the giver.
 		Holder string
 		Fence  int64
 		// Expected is the count of orders before this one. The engine refuses
@@ -66,8 +70,6 @@
 		Version  int64  `json:"version"`
 		Endpoint string `json:"endpoint"`
 		Keep     bool   `json:"keep"`
-		// Fence is the metadata store's revision at which the version was named.
-		Fence int64 `json:"fence"`
 	}
 
 	// State is what others should know about the engine.
@@ -91,7 +93,6 @@
 		state   State
 		changed chan struct{}
 		wake    chan struct{}
-		fence   int64
 		// ordered and orderedAt tell the last order and when it was sent.
 		ordered   Order
 		orderedAt time.Time
@@ -201,14 +202,13 @@
 		if have, ok := rep.Versions[w.Model]; !ok || have >= w.Version {
 			continue
 		}
-		g.fence = max(g.fence, w.Fence)
 		return Order{
 			Endpoint: w.Endpoint,
 			Model:    w.Model,
 			Version:  w.Version,
 			Keep:     w.Keep,
 			Holder:   g.name,
-			Fence:    g.fence,
+			Fence:    onlyFence,
 			Expected: rep.Orders,
 		}, true
 	}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -223,7 +223,6 @@
 		Version:  n.version,
 		Endpoint: l.view.ID,
 		Keep:     !p.pure(model),
-		Fence:    n.revision,
 	}
 	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running)
 	select {
