--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -75,6 +77,8 @@
 		NoItem bool      `json:"noItem,omitempty"`
 		Page   brun.Page `json:"page"`
 		Body   []byte    `json:"body,omitempty"`
+		// Taken are the offered submissions that were taken over.
+		Taken map[string]int64 `json:"taken,omitempty"`
 	}
 )
 
@@ -135,7 +139,7 @@
 		names = append(names, p.Name)
 	}
 	offers := make(map[int][]string)
-	for _, id := range d.runner.Holding() {
+	for id := range d.runner.Holding() {
 		for i := range peers {
 			if rendez.Rank(id, names, peers[i].Name) == 0 {
 				offers[i] = append(offers[i], id)
@@ -143,8 +147,11 @@
 		}
 	}
 	for i, ids := range offers {
-		_, err := d.askPeer(ctx, peers[i], askRequest{Op: opOffer, IDs: ids, From: d.self})
+		res, err := d.askPeer(ctx, peers[i], askRequest{Op: opOffer, IDs: ids, From: d.self})
 		d.logger.Info("Batches offered.", "peer", peers[i].Name, "batches", ids, "error", err)
+		if err == nil {
+			d.runner.Overtaken(peers[i].Name, res.Taken)
+		}
 	}
 }
 
@@ -240,10 +247,7 @@
 // Answer serves a peer's question; it never asks on.
 func (d *Desk) Answer(ctx context.Context, in *askRequest) (*askResponse, error) {
 	if in.Op == opOffer {
-		for _, id := range in.IDs {
-			go d.adoptLost(id, in.From)
-		}
-		return &askResponse{Held: true}, nil
+		return &askResponse{Held: true, Taken: d.takeOffered(ctx, in)}, nil
 	}
 	res, err := d.local(ctx, *in)
 	if err == nil && !res.Held {
@@ -259,6 +263,22 @@
 	return res, nil
 }
 
+// takeOffered takes over what a peer offers, all at once.
+func (d *Desk) takeOffered(ctx context.Context, in *askRequest) map[string]int64 {
+	var wg sync.WaitGroup
+	for _, id := range in.IDs {
+		wg.Go(func() {
+			if err := d.adopt(ctx, bstore.Kept{ID: id, Head: batch.Head{Holder: in.From}}); err != nil {
+				d.logger.Warn("Offer not taken.", "batch", id, "from", in.From, "error", err)
+			}
+		})
+	}
+	wg.Wait()
+	holding := d.runner.Holding()
+	maps.DeleteFunc(holding, func(id string, _ int64) bool { return !slices.Contains(in.IDs, id) })
+	return holding
+}
+
 func (d *Desk) askPeer(ctx context.Context, n mesh.Node, in askRequest) (*askResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout+time.Duration(in.Wait)*time.Millisecond)
 	defer cancel()
@@ -363,14 +383,14 @@
 }
 
 // Lost takes over those submissions of a lost peer that fall to this instance.
-func (d *Desk) Lost(n mesh.Node, holding []string) {
+func (d *Desk) Lost(n mesh.Node, holding map[string]int64) {
 	alive := []string{d.mesh.Self().Name}
 	for _, p := range d.mesh.Alive() {
 		if p.Name != n.Name {
 			alive = append(alive, p.Name)
 		}
 	}
-	for _, id := range holding {
+	for id := range holding {
 		d.forget(id)
 		if rendez.Rank(id, alive, d.mesh.Self().Name) == 0 {
 			go d.adoptLost(id, n.Holder())
@@ -404,7 +424,7 @@
 			continue
 		}
 		if _, alive := d.mesh.Find(k.Holder); !alive {
-			d.Lost(mesh.Node{Name: "", Boot: ""}, []string{k.ID})
+			d.Lost(mesh.Node{}, map[string]int64{k.ID: k.Epoch})
 		}
 	}
 }
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -208,17 +208,34 @@
 	r.stopping = true
 }
 
-// Holding returns the ids of the submissions that are open here.
-func (r *Runner) Holding() []string {
+// Holding returns the submissions that are open here, each with its epoch.
+func (r *Runner) Holding() map[string]int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var ids []string
+	open := make(map[string]int64)
 	for id, h := range r.held {
 		if !h.ended {
-			ids = append(ids, id)
+			open[id] = h.kept.Epoch
 		}
 	}
-	return ids
+	return open
+}
+
+// Overtaken drops the submissions that another instance holds at a later epoch.
+// An instance that has nothing to write would otherwise not notice, and go on to
+// answer with the results of its own time.
+func (r *Runner) Overtaken(by string, holding map[string]int64) {
+	var lost []string
+	r.mu.Lock()
+	for id, epoch := range holding {
+		if h, ok := r.held[id]; ok && h.kept.Epoch < epoch {
+			lost = append(lost, id)
+		}
+	}
+	r.mu.Unlock()
+	for _, id := range lost {
+		r.Drop(id, "held by "+by)
+	}
 }
 
 // Demand returns the expected tokens of the newest submission of each model that
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -51,7 +51,8 @@
 
 		mu    sync.Mutex
 		peers map[string]*peer
-		lost  func(Node, []string)
+		lost  func(Node, Status)
+		told  func(Node, Status)
 	}
 
 	// Option changes a Mesh as New makes it.
@@ -81,8 +82,9 @@
 
 	// Status is what an instance tells its peers about itself.
 	Status struct {
-		// Holding are the submissions that are open here.
-		Holding []string `json:"holding"`
+		// Holding are the submissions that are open here, each with the epoch
+		// of its record.
+		Holding map[string]int64 `json:"holding"`
 		// Demand is the work of the newest submission of each model, in tokens.
 		Demand map[string]float64 `json:"demand,omitempty"`
 		// Stopping instances take no new work.
@@ -110,7 +112,8 @@
 		logger: logger,
 		peers:  make(map[string]*peer),
 		status: func() Status { return Status{} },
-		lost:   func(Node, []string) {},
+		lost:   func(Node, Status) {},
+		told:   func(Node, Status) {},
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -123,12 +126,17 @@
 	return func(m *Mesh) { m.status = f }
 }
 
-// WithLost is called when a peer is lost or has started again, with the
-// submissions that it had open. The default does nothing.
-func WithLost(f func(n Node, holding []string)) Option {
+// WithLost is called when a peer is lost or has started again, with what it told
+// last. The default does nothing.
+func WithLost(f func(n Node, last Status)) Option {
 	return func(m *Mesh) { m.lost = f }
 }
 
+// WithTold is called with all that peers tell. The default does nothing.
+func WithTold(f func(n Node, s Status)) Option {
+	return func(m *Mesh) { m.told = f }
+}
+
 // Self is this instance.
 func (m *Mesh) Self() Node { return m.self }
 
@@ -188,16 +196,18 @@
 	return Node{}, false
 }
 
-// HolderOf returns the live peer that has the submission open.
-func (m *Mesh) HolderOf(id string) (Node, bool) {
+// HolderOf returns the live peer that has the submission open, the latest one if
+// an earlier holder hasn't noticed yet that it was overtaken.
+func (m *Mesh) HolderOf(id string) (n Node, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	latest := int64(0)
 	for _, p := range m.peers {
-		if p.alive && slices.Contains(p.Holding, id) {
-			return p.Node, true
+		if epoch, holds := p.Holding[id]; holds && p.alive && epoch > latest {
+			n, ok, latest = p.Node, true, epoch
 		}
 	}
-	return Node{}, false
+	return n, ok
 }
 
 // Demand returns the work of each model at this instance and its live peers, by
@@ -301,8 +311,9 @@
 		m.logger.Info("Peer in touch.", "peer", res.Node.Name, "boot", res.Node.Boot)
 	}
 	if old.Boot != "" && old.Boot != res.Node.Boot && len(old.Holding) > 0 {
-		m.lost(old.Node, old.Holding)
+		m.lost(old.Node, old.Status)
 	}
+	m.told(res.Node, res.Status)
 	for _, n := range res.Peers {
 		m.meet(ctx, n)
 	}
@@ -325,7 +336,7 @@
 	m.mu.Unlock()
 	if lost {
 		m.logger.Warn("Peer lost.", "peer", old.Name, "boot", old.Boot, "silent", silent.Round(time.Millisecond), "holding", len(old.Holding))
-		m.lost(old.Node, old.Holding)
+		m.lost(old.Node, old.Status)
 	}
 	return gone
 }
--- a/node/node.go
+++ b/node/node.go
@@ -190,7 +190,8 @@
 		mesh.WithStatus(func() mesh.Status {
 			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Stopping: n.stopping.Load()}
 		}),
-		mesh.WithLost(func(p mesh.Node, holding []string) { n.desk.Lost(p, holding) }))
+		mesh.WithLost(func(p mesh.Node, last mesh.Status) { n.desk.Lost(p, last.Holding) }),
+		mesh.WithTold(func(p mesh.Node, s mesh.Status) { n.runner.Overtaken(p.Name, s.Holding) }))
 	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger)
 	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure)
 	n.beliefs.Pilot = n.pilot
