--- a/brun/brun.go
+++ b/brun/brun.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/place"
+	"github.com/lavendermux/lavendermux/strays"
 	"github.com/lavendermux/lavendermux/upstr"
 	"github.com/lavendermux/lavendermux/wset"
 )
@@ -377,13 +378,54 @@
 				r.giveUp(h, it, "route removed")
 			case ok && route.MaxQueue > 0 && age > route.MaxQueue:
 				r.giveUp(h, it, "queue time over")
-			case it.cancel != nil && now.Sub(it.heard) > silenceMost:
+			case it.cancel != nil && now.Sub(it.heard) > r.silence(h, it):
 				it.cancel(errSilent)
+			case it.cancel != nil && ok && !r.stopping:
+				r.moveSlow(h, it, route, now)
 			}
 		}
 	}
 }
 
+// silence is how long a run may make no event.
+func (r *Runner) silence(h *held, it *item) time.Duration {
+	if v, ok := r.set.View(it.at); ok && v.Loading[h.sub.Model] {
+		return silenceLoading
+	}
+	return silenceMost
+}
+
+// moveSlow breaks a run off if it is expected to end sooner elsewhere; it then
+// starts again from its last event.
+func (r *Runner) moveSlow(h *held, it *item, route *manif.Route, now time.Time) {
+	here, ok := r.set.View(it.at)
+	if !ok || now.Sub(it.started) < moveAfter {
+		return
+	}
+	views := r.candidates(it.at.Service, h.sub, it, route)
+	views = slices.DeleteFunc(views, func(v wset.View) bool { return v.ID == it.at.ID || now.Before(v.AvoidUntil) })
+	cands := candidates(views, r.centre, now)
+	i, ok := r.picker.Pick(cands)
+	if !ok {
+		return
+	}
+	run := strays.Run{Made: len(it.texts), Expected: r.expected(it, it.at.Service), Here: here.Pace, There: views[i].Pace}
+	if run.Move() {
+		r.logger.Info("Item moved.", "batch", h.sub.ID, "item", it.ID, "from", it.at.ID, "to", views[i].ID,
+			"made", run.Made, "expected", run.Expected, "here", run.Here, "there", run.There)
+		it.cancel(errMoved)
+	}
+}
+
+// expected is the number of events that an item is expected to make.
+func (r *Runner) expected(it *item, service string) int {
+	m := r.manifest()
+	if m == nil || m.Services[service].Stride == 0 {
+		return 0
+	}
+	return it.Hint / m.Services[service].Stride
+}
+
 func (r *Runner) giveUp(h *held, it *item, cause string) {
 	if it.cancel != nil {
 		it.cancel(errEnded)
@@ -466,7 +508,9 @@
 func (r *Runner) start(ctx context.Context, h *held, it *item, route *manif.Route, v wset.View) {
 	runCtx, cancel := context.WithCancelCause(ctx)
 	it.cancel = cancel
-	it.heard = time.Now()
+	it.at = v.Endpoint
+	it.started = time.Now()
+	it.heard = it.started
 	it.attempts++
 	r.set.Begin(v.Endpoint)
 	call := upstr.Call{
@@ -524,6 +568,8 @@
 		return "not run"
 	case errors.As(err, &status):
 		return r.settleStatus(h, it, route, status)
+	case errors.Is(err, errMoved):
+		return "moved"
 	default:
 		r.set.Failed(call.Endpoint, now)
 		return "broken: " + err.Error()
--- a/brun/held.go
+++ b/brun/held.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -43,8 +44,11 @@
 		versions []int64
 		whole    bool
 		done     bool
-		// cancel is set while the item runs; heard is its last sign of life.
+		// cancel is set while the item runs, at an endpoint, since started; heard
+		// is its last sign of life.
 		cancel    context.CancelCauseFunc
+		at        endpt.Endpoint
+		started   time.Time
 		heard     time.Time
 		notBefore time.Time
 		attempts  int
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -14,9 +14,14 @@
 
 const (
 	// silenceMost is how long a run may make no event: engines make one each
-	// 30 to 60 ms, and pause for a change of weights about a second, longer when
-	// several engines load.
-	silenceMost = 2500 * time.Millisecond
+	// 30 to 60 ms, slow ones each 200 ms.
+	silenceMost = 1200 * time.Millisecond
+	// silenceLoading holds while the engine loads weights of the model: about a
+	// second, and longer when several engines load.
+	silenceLoading = 5 * time.Second
+	// moveAfter is how long a run stays before it may move: enough events to
+	// know its pace.
+	moveAfter = 400 * time.Millisecond
 	// unknownPace is taken for an engine that has made nothing yet.
 	unknownPace = 40 * time.Millisecond
 	// refusalBytes is the most that is read of an answer that isn't a stream.
@@ -30,6 +35,7 @@
 var (
 	errEnded  = errors.New("the submission has ended")
 	errSilent = errors.New("the endpoint went silent")
+	errMoved  = errors.New("the run goes on elsewhere")
 	errOld    = errors.New("the weights are older than the submission allows")
 	errMixed  = errors.New("the weights changed where one version is asked for")
 )
--- a/manif/manif.go
+++ b/manif/manif.go
@@ -73,6 +73,8 @@
 		MaxConns int
 		Models   []string
 		Slots    int
+		// Stride is the tokens of one event of a stream; 0 is unknown.
+		Stride int
 	}
 
 	// Limits bounds what a caller may send.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -87,6 +87,8 @@
 		Holding map[string]int64 `json:"holding"`
 		// Demand is the work of the newest submission of each model, in tokens.
 		Demand map[string]float64 `json:"demand,omitempty"`
+		// Reaches says that the metadata store can be reached from here.
+		Reaches bool `json:"reaches"`
 		// Stopping instances take no new work.
 		Stopping bool `json:"stopping"`
 	}
@@ -184,6 +186,20 @@
 	return out
 }
 
+// Reaching returns the live peers that reach the metadata store.
+func (m *Mesh) Reaching() []Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Node
+	for _, p := range m.peers {
+		if p.alive && p.Reaches {
+			out = append(out, p.Node)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Find returns the peer that a record names as holder, if it is alive.
 func (m *Mesh) Find(holder string) (Node, bool) {
 	m.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/brun"
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/conns"
+	"github.com/lavendermux/lavendermux/detour"
 	"github.com/lavendermux/lavendermux/fwd"
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/kvst"
@@ -60,7 +61,7 @@
 		// Engine is the engine beside this process, or nil.
 		Engine giver.Engine
 		// Follow keeps what the store says about the outside up to date.
-		Follow func(ctx context.Context, b *Beliefs)
+		Follow func(ctx context.Context, store kvst.Store, b *Beliefs)
 		// Callers makes the handler of callers' requests.
 		Callers func(manifest func() *manif.Manifest, f *fwd.Forwarder, d *bdesk.Desk) http.Handler
 		// VersionLine names the line of a stream that tells the weight version.
@@ -74,6 +75,7 @@
 		logger  *log.Logger
 		beliefs *Beliefs
 		mesh    *mesh.Mesh
+		store   *detour.Store
 		runner  *brun.Runner
 		desk    *bdesk.Desk
 		pilot   *steer.Pilot
@@ -163,11 +165,12 @@
 	n.build(ctx)
 	peers := http.NewServeMux()
 	peers.Handle(n.mesh.Handler())
+	peers.Handle(n.store.Handler())
 	peers.Handle(bdesk.AskPath, mesh.Handle(bdesk.AskPath, n.desk.Answer))
 	n.serve(ctx, g, n.cfg.PeerAddr, peers)
-	g.Go(func() error { n.mesh.Run(ctx, n.out.Store); return nil })
+	g.Go(func() error { n.mesh.Run(ctx, n.store); return nil })
 	g.Go(func() error { n.runner.Run(ctx); return nil })
-	g.Go(func() error { n.out.Follow(ctx, n.beliefs); return nil })
+	g.Go(func() error { n.out.Follow(ctx, n.store, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
 	if n.cfg.Front == "" {
 		return
@@ -182,13 +185,14 @@
 func (n *Node) build(ctx context.Context) {
 	n.beliefs = &Beliefs{}
 	n.beliefs.Set = wset.New(func() { n.runner.Wake() })
-	store := bstore.New(n.out.Store, bstore.WithValueBytes(n.cfg.ValueBytes))
+	n.store = detour.New(n.out.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.Reaching() })
+	store := bstore.New(n.store, bstore.WithValueBytes(n.cfg.ValueBytes))
 	n.runner = brun.New(store, n.beliefs.Set, n.out.Sender, n.beliefs.Manifest, n.logger,
 		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre))
 	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != ""}
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
-			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Stopping: n.stopping.Load()}
+			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Reaches: n.store.Reaches(), Stopping: n.stopping.Load()}
 		}),
 		mesh.WithLost(func(p mesh.Node, last mesh.Status) { n.desk.Lost(p, last.Holding) }),
 		mesh.WithTold(func(p mesh.Node, s mesh.Status) { n.runner.Overtaken(p.Name, s.Holding) }))
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -167,6 +167,17 @@
 	return out
 }
 
+// View returns what is known about e.
+func (s *Set) View(e endpt.Endpoint) (View, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st, ok := s.known[e.ID]
+	if !ok || !st.SameBoot(e) {
+		return View{}, false
+	}
+	return st.View, true
+}
+
 // Takes reports whether an endpoint is still known and takes new work.
 func (s *Set) Takes(e endpt.Endpoint) bool {
 	s.mu.Lock()
