--- a/batch/batch.go
+++ b/batch/batch.go
@@ -57,6 +57,18 @@
 		Versions []int64 `json:"versions,omitempty"`
 	}
 
+	// Progress is text of an item that still runs.
+	Progress struct {
+		ID string `json:"id"`
+		// From is the number of events before Texts; 0 starts the item anew.
+		From  int      `json:"from"`
+		Texts []string `json:"texts"`
+		// Last is the id of the last event of Texts, Versions those of all text
+		// so far.
+		Last     int64   `json:"last"`
+		Versions []int64 `json:"versions,omitempty"`
+	}
+
 	// Head is the record whose revision fences all writes about a submission.
 	Head struct {
 		// Holder is the instance that runs the items; Epoch grows with each
@@ -67,13 +79,15 @@
 		// Holder it tells a writer whose answer was lost whether its write is
 		// the one that the store has.
 		Writes int64 `json:"writes"`
-		// Parts, Chunks, Results and Total are the counts of the keys with the
-		// submission, of those with results, of results, and of items.
-		Parts   int  `json:"parts"`
-		Chunks  int  `json:"chunks"`
-		Results int  `json:"results"`
-		Total   int  `json:"total"`
-		Ended   bool `json:"ended,omitempty"`
+		// Parts, Chunks and Progress count the keys with the submission, with
+		// results, and with text of items that ran at the time; Results and Total
+		// count results and items.
+		Parts    int  `json:"parts"`
+		Chunks   int  `json:"chunks"`
+		Progress int  `json:"progress,omitempty"`
+		Results  int  `json:"results"`
+		Total    int  `json:"total"`
+		Ended    bool `json:"ended,omitempty"`
 		// Submitted is the Unix millisecond of acceptance.
 		Submitted int64 `json:"submitted"`
 	}
--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -31,6 +32,8 @@
 
 	// askTimeout bounds a question to a peer, beyond the time that it may wait.
 	askTimeout = 1200 * time.Millisecond
+	// offerTime bounds how long a peer may take to take submissions over.
+	offerTime = 2 * time.Second
 	// adoptPause is the wait before a take-over that failed is tried again.
 	adoptPause = 300 * time.Millisecond
 )
@@ -46,6 +49,8 @@
 		// run is the life of the process: work that was accepted goes on when
 		// the request that brought it has ended.
 		run context.Context
+		// stopping is set once this instance takes no new work.
+		stopping atomic.Bool
 
 		mu sync.Mutex
 		// known are the heads that were read, so that a submission's holder
@@ -108,19 +113,35 @@
 	if d.runner.Holds(sub.ID) {
 		return nil
 	}
-	kept, created, err := d.store.Create(ctx, sub, d.self)
+	holder, elsewhere := d.holderFor(sub.ID)
+	kept, created, err := d.store.Create(ctx, sub, holder.Holder())
 	if err != nil {
 		return err
 	}
 	d.remember(kept)
+	if created && elsewhere {
+		go d.offer(d.run, holder, []string{sub.ID}, holder.Holder())
+		return nil
+	}
 	if created {
-		d.runner.Add(d.run, kept, sub, nil)
+		d.runner.Add(d.run, kept, sub, nil, nil)
 		return nil
 	}
 	go d.ensureHeld(sub.ID)
 	return nil
 }
 
+// holderFor returns who should hold a new submission: this instance, or a peer if
+// this one is about to stop.
+func (d *Desk) holderFor(id string) (n mesh.Node, elsewhere bool) {
+	if d.stopping.Load() {
+		if heirs := rendez.First(id, d.mesh.Alive(), 1, func(n mesh.Node) string { return n.Name }); len(heirs) == 1 {
+			return heirs[0], true
+		}
+	}
+	return d.mesh.Self(), false
+}
+
 // ensureHeld sees to it that a submission that came again has a live holder: the
 // first one may have died after it was kept.
 func (d *Desk) ensureHeld(id string) {
@@ -131,30 +152,32 @@
 	}
 }
 
-// HandOver offers the submissions that are open here to peers, for a planned stop.
+// HandOver offers the submissions that are open here to peers, for a planned stop,
+// and has new ones go there from now on.
 func (d *Desk) HandOver(ctx context.Context) {
-	peers := d.mesh.Alive()
-	names := make([]string, 0, len(peers))
-	for _, p := range peers {
-		names = append(names, p.Name)
-	}
-	offers := make(map[int][]string)
+	d.stopping.Store(true)
+	offers := make(map[mesh.Node][]string)
 	for id := range d.runner.Holding() {
-		for i := range peers {
-			if rendez.Rank(id, names, peers[i].Name) == 0 {
-				offers[i] = append(offers[i], id)
-			}
+		if heir, ok := d.holderFor(id); ok {
+			offers[heir] = append(offers[heir], id)
 		}
 	}
-	for i, ids := range offers {
-		res, err := d.askPeer(ctx, peers[i], askRequest{Op: opOffer, IDs: ids, From: d.self})
-		d.logger.Info("Batches offered.", "peer", peers[i].Name, "batches", ids, "error", err)
-		if err == nil {
-			d.runner.Overtaken(peers[i].Name, res.Taken)
-		}
+	for heir, ids := range offers {
+		d.offer(ctx, heir, ids, d.self)
 	}
 }
 
+// offer has a peer take submissions over from the holder that is named.
+func (d *Desk) offer(ctx context.Context, heir mesh.Node, ids []string, from string) {
+	res, err := d.askPeer(ctx, heir, askRequest{Op: opOffer, IDs: ids, From: from, Wait: offerTime.Milliseconds()})
+	if err != nil {
+		d.logger.Warn("Batches not handed over.", "peer", heir.Name, "batches", ids, "error", err)
+		return
+	}
+	d.logger.Info("Batches handed over.", "peer", heir.Name, "batches", ids, "taken", len(res.Taken))
+	d.runner.Overtaken(heir.Name, res.Taken)
+}
+
 // Read returns results from position after on.
 func (d *Desk) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (brun.Page, error) {
 	res, err := d.ask(ctx, askRequest{Op: opRead, ID: id, After: after, Limit: limit, Wait: wait.Milliseconds()})
@@ -351,6 +374,11 @@
 	if d.runner.Holds(kept.ID) {
 		return nil
 	}
+	if heir, ok := d.holderFor(kept.ID); ok {
+		d.offer(ctx, heir, []string{kept.ID}, kept.Holder)
+		d.forget(kept.ID)
+		return nil
+	}
 	now, err := d.store.Load(ctx, kept.ID)
 	if err != nil {
 		return err
@@ -376,8 +404,12 @@
 	if err != nil {
 		return err
 	}
+	progress, err := d.store.Progress(ctx, now)
+	if err != nil {
+		return err
+	}
 	d.remember(now)
-	d.runner.Add(d.run, now, sub, results)
+	d.runner.Add(d.run, now, sub, results, progress)
 	d.logger.Warn("Batch taken over.", "batch", now.ID, "from", from, "epoch", now.Epoch, "results", len(results), "ended", now.Ended)
 	return nil
 }
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -142,9 +142,13 @@
 	}
 }
 
-// Add begins to hold a submission with the results that it has so far.
-func (r *Runner) Add(ctx context.Context, kept bstore.Kept, sub *batch.Submission, results []batch.Result) {
+// Add begins to hold a submission with the results that it has so far and the
+// text of items that ran under an earlier holder.
+func (r *Runner) Add(ctx context.Context, kept bstore.Kept, sub *batch.Submission, results []batch.Result, progress []batch.Progress) {
 	h := newHeld(kept, sub, results)
+	for _, p := range progress {
+		h.resume(p)
+	}
 	r.mu.Lock()
 	if _, ok := r.held[sub.ID]; ok || r.stopping {
 		r.mu.Unlock()
@@ -157,7 +161,7 @@
 	resumed := r.takePartials(h)
 	r.mu.Unlock()
 	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items),
-		"results", len(results), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model)
+		"results", len(results), "progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model)
 	go r.flush(ctx, h)
 	r.Wake()
 }
@@ -201,12 +205,27 @@
 	return m.Match(sub.Host, sub.Target)
 }
 
-// Stop starts no more items; those that run go on until another instance has
-// taken their submissions over.
-func (r *Runner) Stop() {
+// Stop starts no more items and keeps what the running ones have so far; they go
+// on until another instance has taken their submissions over.
+func (r *Runner) Stop(ctx context.Context) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.stopping = true
+	var saves []chan struct{}
+	for _, h := range r.held {
+		if !h.ended {
+			saves = append(saves, h.saveAll())
+		}
+	}
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, stopSave)
+	defer cancel()
+	for _, saved := range saves {
+		select {
+		case <-saved:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Holding returns the submissions that are open here, each with its epoch.
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -14,6 +14,14 @@
 	// submission. Each write costs the store a call; a trainer reads about twice
 	// a second, so that waiting a quarter of a second delays a step by an eighth.
 	flushEvery = 250 * time.Millisecond
+	// progressEvery is how often the text of long items is kept while nothing
+	// else is written, and progressLeast the events that make it worth a write:
+	// about a second of work. When all instances lose power at once, only what
+	// the store has is left of a step, and its longest items decide when it ends.
+	progressEvery = 1200 * time.Millisecond
+	progressLeast = 25
+	// stopSave bounds how long a stop waits for the text of running items.
+	stopSave = 600 * time.Millisecond
 	// flushRetry is the pause after a write that the store refused.
 	flushRetry = 150 * time.Millisecond
 	// flushTimeout bounds one write with all its repeats.
@@ -24,11 +32,17 @@
 // dropped. Results become readable only when the store has them.
 func (r *Runner) flush(ctx context.Context, h *held) {
 	var last time.Time
+	ticker := time.NewTicker(progressEvery)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-h.poked:
+		case <-ticker.C:
+			if time.Since(last) < progressEvery {
+				continue
+			}
 		}
 		if wait := flushEvery - time.Since(last); wait > 0 && !r.urgent(h) {
 			if !sleep(ctx, wait) {
@@ -46,7 +60,7 @@
 func (r *Runner) urgent(h *held) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return h.ended || h.dropped || len(h.results)+len(h.pending) == len(h.items)
+	return h.ended || h.dropped || h.saving != nil || len(h.results)+len(h.pending) == len(h.items)
 }
 
 // writePending writes what is pending and reports whether to go on. A write that
@@ -60,8 +74,20 @@
 	kept := h.kept
 	change := bstore.Change{Kept: &kept, Results: h.pending, End: h.ended && !kept.Ended}
 	h.pending = nil
+	saving := h.saving
+	h.saving = nil
+	switch {
+	case h.ended:
+	case saving != nil:
+		change.Progress = h.progress(1)
+	default:
+		change.Progress = h.progress(progressLeast)
+	}
 	r.mu.Unlock()
-	if len(change.Results) == 0 && !change.End {
+	if saving != nil {
+		defer close(saving)
+	}
+	if len(change.Results)+len(change.Progress) == 0 && !change.End {
 		return !kept.Ended
 	}
 	if !r.apply(ctx, h, change) {
@@ -87,7 +113,7 @@
 		var taken *bstore.OvertakenError
 		switch {
 		case err == nil:
-			r.logger.Info("Results kept.", "batch", h.sub.ID, "results", len(change.Results), "all", change.Kept.Results,
+			r.logger.Info("Results kept.", "batch", h.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Kept.Results,
 				"end", change.End, "revision", change.Kept.Revision, "took", time.Since(start).Round(time.Millisecond))
 			return true
 		case errors.As(err, &taken):
@@ -95,12 +121,18 @@
 			return false
 		}
 		r.logger.Warn("Results not kept yet.", "batch", h.sub.ID, "error", err)
-		if h.dropped || !sleep(ctx, flushRetry) {
+		if r.isDropped(h) || !sleep(ctx, flushRetry) {
 			return false
 		}
 	}
 }
 
+func (r *Runner) isDropped(h *held) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return h.dropped
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/brun/held.go
+++ b/brun/held.go
@@ -33,11 +33,16 @@
 		// changed is closed and replaced when readers have something new.
 		changed chan struct{}
 		poked   chan struct{}
+		// saving is set while all text of running items is to be kept, and
+		// closed when that is done.
+		saving chan struct{}
 	}
 
 	item struct {
 		*batch.Item
 		texts []string
+		// saved is how many of texts the store has.
+		saved int
 		// last is the last event that is there, or upstr.NoEvent.
 		last int64
 		// versions are those of texts, ascending.
@@ -117,6 +122,45 @@
 	return order
 }
 
+// resume takes what an earlier holder kept of an item.
+func (h *held) resume(p batch.Progress) {
+	it, ok := h.byID[p.ID]
+	if !ok || it.done || p.From > len(it.texts) {
+		return
+	}
+	it.texts = append(it.texts[:p.From:p.From], p.Texts...)
+	it.saved = len(it.texts)
+	it.last = p.Last
+	it.versions = p.Versions
+}
+
+// saveAll asks for all text of running items to be kept.
+func (h *held) saveAll() chan struct{} {
+	h.saving = make(chan struct{})
+	h.poke()
+	return h.saving
+}
+
+// progress returns the text to keep of items that have at least some events that
+// the store doesn't have.
+func (h *held) progress(least int) []batch.Progress {
+	var out []batch.Progress
+	for _, it := range h.items {
+		if it.done || len(it.texts)-it.saved < least {
+			continue
+		}
+		out = append(out, batch.Progress{
+			ID:       it.ID,
+			From:     it.saved,
+			Texts:    slices.Clone(it.texts[it.saved:]),
+			Last:     it.last,
+			Versions: slices.Clone(it.versions),
+		})
+		it.saved = len(it.texts)
+	}
+	return out
+}
+
 // finish lists an item, once.
 func (h *held) finish(it *item, state batch.State) {
 	if it.done {
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -99,7 +99,7 @@
 		return errOld
 	}
 	if route, ok := r.route(h.sub); ok && route.SingleVersion && len(it.versions) > 0 && it.oldest() != version {
-		it.texts, it.last, it.versions = nil, upstr.NoEvent, nil
+		it.texts, it.saved, it.last, it.versions = nil, 0, upstr.NoEvent, nil
 		return errMixed
 	}
 	it.texts = append(it.texts, ev.Data)
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -27,6 +27,8 @@
 
 	bodyPrefix   = "lavendermux/bodies/"
 	resultPrefix = "lavendermux/results/"
+	// progressPrefix holds text of items that aren't finished.
+	progressPrefix = "lavendermux/progress/"
 
 	// defaultValue bounds the bytes of one value.
 	defaultValue = 1 << 20
@@ -53,12 +55,13 @@
 		Revision int64
 	}
 
-	// Change is one write about one submission: results to append, its end, or
-	// both. Kept is replaced by the state after the write.
+	// Change is one write about one submission: results to append, text of items
+	// that still run, its end. Kept is replaced by the state after the write.
 	Change struct {
-		Kept    *Kept
-		Results []batch.Result
-		End     bool
+		Kept     *Kept
+		Results  []batch.Result
+		Progress []batch.Progress
+		End      bool
 	}
 
 	// OvertakenError says that another instance has become the holder.
@@ -181,27 +184,36 @@
 
 // Results returns all results that k counts, in their order.
 func (s *Store) Results(ctx context.Context, k Kept) ([]batch.Result, error) {
-	if k.Chunks == 0 {
+	all, err := unpack[batch.Result](ctx, s, resultPrefix+url.PathEscape(k.ID)+"/", k.Chunks)
+	if err == nil && len(all) != k.Results {
+		return nil, errors.Newf("batch %s: %d results are kept, the head says %d", k.ID, len(all), k.Results)
+	}
+	return all, err
+}
+
+// Progress returns what is kept of items that were running, in the order in which
+// it was written.
+func (s *Store) Progress(ctx context.Context, k Kept) ([]batch.Progress, error) {
+	return unpack[batch.Progress](ctx, s, progressPrefix+url.PathEscape(k.ID)+"/", k.Progress)
+}
+
+// unpack decodes the first n values below prefix.
+func unpack[T any](ctx context.Context, s *Store, prefix string, n int) ([]T, error) {
+	if n == 0 {
 		return nil, nil
 	}
-	items, _, err := s.kv.List(ctx, resultPrefix+url.PathEscape(k.ID)+"/")
+	items, _, err := s.kv.List(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
-	var all []batch.Result
-	for i, it := range items {
-		if i == k.Chunks {
-			break
-		}
-		var chunk []batch.Result
+	var all []T
+	for _, it := range items[:min(n, len(items))] {
+		var chunk []T
 		if err := json.Unmarshal(it.Value, &chunk); err != nil {
-			return nil, errors.Wrapf(err, "results at %s", it.Key)
+			return nil, errors.Wrapf(err, "chunk at %s", it.Key)
 		}
 		all = append(all, chunk...)
 	}
-	if len(all) != k.Results {
-		return nil, errors.Newf("batch %s: %d results are kept, the head says %d", k.ID, len(all), k.Results)
-	}
 	return all, nil
 }
 
@@ -226,7 +238,7 @@
 	next.Writes++
 	next.Ended = next.Ended || c.End
 	t := kvst.Txn{Expect: map[string]int64{headKey(c.Kept.ID): c.Kept.Revision}}
-	chunks, err := s.chunks(c.Results)
+	chunks, err := pack(s, c.Results)
 	if err != nil {
 		return err
 	}
@@ -234,6 +246,14 @@
 		t.Puts = append(t.Puts, kvst.Put{Key: resultKey(next.ID, next.Chunks), Value: raw})
 		next.Chunks++
 	}
+	progress, err := pack(s, c.Progress)
+	if err != nil {
+		return err
+	}
+	for _, raw := range progress {
+		t.Puts = append(t.Puts, kvst.Put{Key: progressKey(next.ID, next.Progress), Value: raw})
+		next.Progress++
+	}
 	next.Results += len(c.Results)
 	if err := s.write(ctx, &next, t); err != nil {
 		return err
@@ -242,24 +262,24 @@
 	return nil
 }
 
-// chunks packs results into values of at most the store's size.
-func (s *Store) chunks(results []batch.Result) ([][]byte, error) {
-	if len(results) == 0 {
+// pack encodes entries into values of at most the store's size.
+func pack[T any](s *Store, entries []T) ([][]byte, error) {
+	if len(entries) == 0 {
 		return nil, nil
 	}
-	raw, err := json.Marshal(results)
+	raw, err := json.Marshal(entries)
 	if err != nil {
-		return nil, errors.Wrap(err, "encoding results")
+		return nil, errors.Wrap(err, "encoding a chunk")
 	}
-	if len(raw) <= s.value || len(results) == 1 {
+	if len(raw) <= s.value || len(entries) == 1 {
 		return [][]byte{raw}, nil
 	}
-	half := len(results) / 2
-	first, err := s.chunks(results[:half])
+	half := len(entries) / 2
+	first, err := pack(s, entries[:half])
 	if err != nil {
 		return nil, err
 	}
-	second, err := s.chunks(results[half:])
+	second, err := pack(s, entries[half:])
 	return append(first, second...), err
 }
 
@@ -306,13 +326,16 @@
 // Remove deletes what is kept of a submission.
 func (s *Store) Remove(ctx context.Context, k Kept) error {
 	t := kvst.Txn{Expect: map[string]int64{headKey(k.ID): k.Revision}, Remove: []string{headKey(k.ID)}}
-	keys := make([]string, 0, k.Parts+k.Chunks)
+	keys := make([]string, 0, k.Parts+k.Chunks+k.Progress)
 	for i := range k.Parts {
 		keys = append(keys, bodyKey(k.ID, i))
 	}
 	for i := range k.Chunks {
 		keys = append(keys, resultKey(k.ID, i))
 	}
+	for i := range k.Progress {
+		keys = append(keys, progressKey(k.ID, i))
+	}
 	n := min(len(keys), txnEntries-2)
 	t.Remove = append(t.Remove, keys[:n]...)
 	if _, err := s.kv.Commit(ctx, t); err != nil {
@@ -368,3 +391,7 @@
 func resultKey(id string, n int) string {
 	return fmt.Sprintf("%s%s/%06d", resultPrefix, url.PathEscape(id), n)
 }
+
+func progressKey(id string, n int) string {
+	return fmt.Sprintf("%s%s/%06d", progressPrefix, url.PathEscape(id), n)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -45,7 +45,7 @@
 	idleTime    = 2 * time.Minute
 	// settleTime is the wait before submissions without a holder are looked for:
 	// by then all live peers have been heard.
-	settleTime = 1500 * time.Millisecond
+	settleTime = 800 * time.Millisecond
 	// sweepEvery is how often endpoints whose grace is over are dropped.
 	sweepEvery = 250 * time.Millisecond
 	// bootBytes name a boot.
@@ -276,7 +276,7 @@
 	if n.desk == nil {
 		return
 	}
-	n.runner.Stop()
+	n.runner.Stop(ctx)
 	n.desk.HandOver(ctx)
 	if n.cfg.Front != "" {
 		sleep(ctx, time.Duration(drainShare*float64(n.cfg.Grace)))
--- a/wplan/wplan.go
+++ b/wplan/wplan.go
@@ -99,6 +99,8 @@
 	model  string
 	// forced engines are too old for the newest step.
 	forced bool
+	// idle engines would load ahead of need.
+	idle bool
 	// fit is the share of the model's engines that are fit for its newest step.
 	fit float64
 }
@@ -113,6 +115,7 @@
 	slices.SortStableFunc(all, func(a, b candidate) int {
 		return cmp.Or(
 			-cmp.Compare(number(a.forced), number(b.forced)),
+			cmp.Compare(number(a.idle), number(b.idle)),
 			cmp.Compare(a.fit, b.fit),
 			cmp.Compare(a.engine.Running, b.engine.Running),
 			cmp.Compare(a.engine.ID, b.engine.ID))
@@ -150,9 +153,17 @@
 	slices.SortFunc(willing, func(a, b Engine) int {
 		return cmp.Or(cmp.Compare(a.Versions[model], b.Versions[model]), cmp.Compare(a.Running, b.Running), cmp.Compare(a.ID, b.ID))
 	})
-	for _, e := range willing[:max(0, min(len(willing), share-fresh-len(forced)))] {
+	n := max(0, min(len(willing), share-fresh-len(forced)))
+	for _, e := range willing[:n] {
 		out = append(out, candidate{engine: e, model: model, fit: fit})
 	}
+	// When steps follow each other faster than usual, after an outage, engines
+	// that used an idle moment to load are fit for the second of them.
+	for _, e := range willing[n:] {
+		if e.Running == 0 {
+			out = append(out, candidate{engine: e, model: model, fit: fit, idle: true})
+		}
+	}
 	return out
 }
 
