Have three entries read the store for all, and ask only who is needed

Readers watch with a wait of 0.6 s and tell the age of what they know; the rest leave a reader at 1.3 s. Peers answer each other once instead of twice, and links to engines stay only with the planner and with holders of open submissions.

--- /dev/null
+++ b/fanout/fanout.go
@@ -0,0 +1,198 @@
+// Package fanout lets a few instances read the metadata store for all.
+package fanout
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/follow"
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/mesh"
+)
+
+const (
+	// path is where readers are asked.
+	path = "/lavendermux.Follow/Since"
+
+	// readers is how many instances watch the store. Any two of them may be lost
+	// or cut off at once.
+	readers = 3
+	// readerWait is how long a reader's watch waits while others depend on it,
+	// and staleAfter the age at which its answers are no longer used: a watch
+	// that was swallowed shows within that time, and a reader's followers have
+	// a second left to learn from another one what is in force.
+	readerWait = 600 * time.Millisecond
+	staleAfter = 1300 * time.Millisecond
+	// waitMost is how long a reader holds a question without news, and askTimeout
+	// the bound beyond that.
+	waitMost   = 500 * time.Millisecond
+	askTimeout = 400 * time.Millisecond
+)
+
+var errStale = errors.New("the reader has lost the store")
+
+type (
+	// Fanout chooses where this instance reads. See New.
+	Fanout struct {
+		mesh  *mesh.Mesh
+		store follow.Source
+
+		mu        sync.Mutex
+		followers map[string]*follow.Follower
+		// skip counts answers that were stale or missing, and so rotates among
+		// the readers.
+		skip int
+	}
+
+	// reader reads from a peer.
+	reader struct {
+		f    *Fanout
+		node mesh.Node
+
+		mu  sync.Mutex
+		age time.Duration
+	}
+
+	request struct {
+		Prefix string `json:"prefix"`
+		// After is the revision to go on from; List asks for all instead.
+		After  int64 `json:"after"`
+		List   bool  `json:"list"`
+		WaitMs int64 `json:"waitMs"`
+	}
+
+	response struct {
+		Items    []kvst.Item `json:"items,omitempty"`
+		Revision int64       `json:"revision"`
+		Gap      bool        `json:"gap,omitempty"`
+		// Known is false while the reader has no copy itself.
+		Known bool `json:"known"`
+		// AgeMs is how long ago the store vouched for this.
+		AgeMs int64 `json:"ageMs"`
+	}
+)
+
+// New returns the choice of instance for the followers of one instance.
+//
+//	f := fanout.New(m, store)
+//	fo := follow.New(store, "op/", logger, follow.WithChoice(f.Choose))
+func New(m *mesh.Mesh, store follow.Source) *Fanout {
+	return &Fanout{mesh: m, store: store, followers: make(map[string]*follow.Follower)}
+}
+
+// Serve has the copy of a follower handed on to peers that ask for its prefix.
+func (f *Fanout) Serve(prefix string, fo *follow.Follower) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.followers[prefix] = fo
+}
+
+// Handler serves peers.
+func (f *Fanout) Handler() (string, http.Handler) { return path, mesh.Handle(path, f.serve) }
+
+// Choose says where to read next: the store, if this instance is a reader or
+// there is none; otherwise a reader.
+func (f *Fanout) Choose() follow.Choice {
+	nodes := f.readers()
+	self := f.mesh.Self().Name
+	for _, n := range nodes {
+		if n.Name != self {
+			continue
+		}
+		if f.mesh.Size() <= readers {
+			return follow.Choice{Source: f.store}
+		}
+		return follow.Choice{Source: f.store, Wait: readerWait}
+	}
+	if len(nodes) == 0 {
+		return follow.Choice{Source: f.store}
+	}
+	f.mu.Lock()
+	n := nodes[f.skip%len(nodes)]
+	f.mu.Unlock()
+	r := &reader{f: f, node: n}
+	return follow.Choice{Source: r, Wait: waitMost, Age: r.Age}
+}
+
+// readers are the first entries by name that reach the store; where none does,
+// the first ones by name, since somebody has to notice when it is back.
+func (f *Fanout) readers() []mesh.Node {
+	nodes := f.mesh.Entries(true)
+	if len(nodes) == 0 {
+		nodes = f.mesh.Entries(false)
+	}
+	return nodes[:min(readers, len(nodes))]
+}
+
+func (f *Fanout) serve(ctx context.Context, in *request) (*response, error) {
+	f.mu.Lock()
+	fo := f.followers[in.Prefix]
+	f.mu.Unlock()
+	if fo == nil {
+		return nil, connect.NewError(connect.CodeNotFound, errors.Newf("prefix %q is not followed", in.Prefix))
+	}
+	out := &response{}
+	if in.List {
+		out.Items, out.Revision = fo.Items()
+	} else {
+		waitCtx, cancel := context.WithTimeout(ctx, min(waitMost, time.Duration(in.WaitMs)*time.Millisecond))
+		defer cancel()
+		changes, err := fo.Since(waitCtx, in.After)
+		out.Items, out.Revision, out.Gap = changes.Items, changes.Revision, err != nil
+	}
+	out.Known = fo.Revision() > 0
+	out.AgeMs = fo.Age().Milliseconds()
+	return out, nil
+}
+
+// Age is how old the reader's last answer was.
+func (r *reader) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.age
+}
+
+// List implements follow.Source.
+func (r *reader) List(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
+	res, err := r.ask(ctx, request{Prefix: prefix, List: true})
+	if err != nil {
+		return nil, 0, err
+	}
+	return res.Items, res.Revision, nil
+}
+
+// Watch implements follow.Source.
+func (r *reader) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (kvst.Changes, error) {
+	res, err := r.ask(ctx, request{Prefix: prefix, After: after, WaitMs: wait.Milliseconds()})
+	if err != nil {
+		return kvst.Changes{}, err
+	}
+	if res.Gap {
+		return kvst.Changes{}, &kvst.GapError{After: after}
+	}
+	return kvst.Changes{Items: res.Items, Revision: res.Revision}, nil
+}
+
+func (r *reader) ask(ctx context.Context, in request) (*response, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout+time.Duration(in.WaitMs)*time.Millisecond)
+	defer cancel()
+	res, err := mesh.Call[request, response](ctx, r.f.mesh.Client(), r.node.Addr, path, &in)
+	if err == nil && (!res.Known || time.Duration(res.AgeMs)*time.Millisecond > staleAfter) {
+		err = errStale
+	}
+	if err != nil {
+		r.f.mu.Lock()
+		r.f.skip++
+		r.f.mu.Unlock()
+		return nil, &kvst.UnknownError{Cause: err}
+	}
+	r.mu.Lock()
+	r.age = time.Duration(res.AgeMs) * time.Millisecond
+	r.mu.Unlock()
+	return res, nil
+}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -31,6 +31,9 @@
 	// late, a twelfth of its patience.
 	pingEvery = 350 * time.Millisecond
 	aliveFor  = 1200 * time.Millisecond
+	// pingPerPeer bounds what an instance spends on its peers: some 70 questions
+	// a second, asked or answered, from 24 peers on.
+	pingPerPeer = 15 * time.Millisecond
 	// pingTimeout bounds one question; a peer answers within milliseconds.
 	pingTimeout = 800 * time.Millisecond
 	// forgetAfter drops a peer that was replaced.
@@ -77,7 +80,8 @@
 	}
 
 	pingRequest struct {
-		From Node `json:"from"`
+		From   Node   `json:"from"`
+		Status Status `json:"status"`
 	}
 
 	// Status is what an instance tells its peers about itself.
@@ -186,6 +190,28 @@
 	return out
 }
 
+// Size is the number of entries that are alive, with this instance if it is one.
+func (m *Mesh) Size() int { return len(m.Entries(false)) }
+
+// Entries returns the live entries by name, with this instance if it is one; with
+// reaching, only those that reach the metadata store.
+func (m *Mesh) Entries(reaching bool) []Node {
+	var out []Node
+	own := m.status()
+	if m.self.Plans && !own.Stopping && (own.Reaches || !reaching) {
+		out = append(out, m.self)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.alive && p.Plans && !p.Stopping && (p.Reaches || !reaching) {
+			out = append(out, p.Node)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Reaching returns the live peers that reach the metadata store.
 func (m *Mesh) Reaching() []Node {
 	m.mu.Lock()
@@ -303,43 +329,65 @@
 
 func (m *Mesh) keepInTouch(ctx context.Context, p *peer) {
 	for ctx.Err() == nil {
-		askCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		res, err := Call[pingRequest, pingResponse](askCtx, m.client, p.Addr, pingPath, &pingRequest{From: m.self})
-		cancel()
-		if err == nil {
-			m.heard(ctx, p, res)
-		} else if m.missed(p) {
-			return
+		every := m.interval()
+		if m.silence(p) >= every*9/10 {
+			askCtx, cancel := context.WithTimeout(ctx, pingTimeout)
+			res, err := Call[pingRequest, pingResponse](askCtx, m.client, p.Addr, pingPath, &pingRequest{From: m.self, Status: m.status()})
+			cancel()
+			if err == nil {
+				m.heard(ctx, p, res.Node, res.Status)
+				for _, n := range res.Peers {
+					m.meet(ctx, n)
+				}
+			} else if m.missed(p) {
+				return
+			}
 		}
-		pause(ctx, pingEvery)
+		pause(ctx, every)
 	}
 }
 
-func (m *Mesh) heard(ctx context.Context, p *peer, res *pingResponse) {
+// interval is the time between two signs of life from one peer. It grows with the
+// number of peers, so that what an instance spends on them stays the same.
+func (m *Mesh) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(pingEvery, time.Duration(len(m.peers))*pingPerPeer)
+}
+
+// silence is how long nothing was heard from a peer; a peer that asked counts, as
+// its question carried all that an answer would.
+func (m *Mesh) silence(p *peer) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !p.alive {
+		return time.Hour
+	}
+	return time.Since(p.heard)
+}
+
+func (m *Mesh) heard(_ context.Context, p *peer, n Node, st Status) {
 	m.mu.Lock()
 	old := *p
-	p.Node = res.Node
+	p.Node = n
 	p.heard = time.Now()
 	p.alive = true
-	p.Status = res.Status
+	p.Status = st
 	m.mu.Unlock()
 	if !old.alive {
-		m.logger.Info("Peer in touch.", "peer", res.Node.Name, "boot", res.Node.Boot)
+		m.logger.Info("Peer in touch.", "peer", n.Name, "boot", n.Boot)
 	}
-	if old.Boot != "" && old.Boot != res.Node.Boot && len(old.Holding) > 0 {
+	if old.Boot != "" && old.Boot != n.Boot && len(old.Holding) > 0 {
 		m.lost(old.Node, old.Status)
 	}
-	m.told(res.Node, res.Status)
-	for _, n := range res.Peers {
-		m.meet(ctx, n)
-	}
+	m.told(n, st)
 }
 
 // missed takes an unanswered question and reports whether to give the peer up.
 func (m *Mesh) missed(p *peer) bool {
 	m.mu.Lock()
 	silent := time.Since(p.heard)
-	lost := p.alive && silent > aliveFor
+	lost := p.alive && silent > max(aliveFor, 3*time.Duration(len(m.peers))*pingPerPeer)
 	if lost {
 		p.alive = false
 	}
@@ -359,6 +407,12 @@
 
 func (m *Mesh) ping(ctx context.Context, in *pingRequest) (*pingResponse, error) {
 	m.meet(ctx, in.From)
+	m.mu.Lock()
+	p := m.peers[in.From.Name]
+	m.mu.Unlock()
+	if p != nil {
+		m.heard(ctx, p, in.From, in.Status)
+	}
 	out := &pingResponse{Node: m.self, Status: m.status()}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/detour"
+	"github.com/lavendermux/lavendermux/fanout"
 	"github.com/lavendermux/lavendermux/fwd"
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/kvst"
@@ -61,7 +62,7 @@
 		// Engine is the engine beside this process, or nil.
 		Engine giver.Engine
 		// Follow keeps what the store says about the outside up to date.
-		Follow func(ctx context.Context, store kvst.Store, b *Beliefs)
+		Follow func(ctx context.Context, store kvst.Store, fan *fanout.Fanout, b *Beliefs)
 		// Callers makes the handler of callers' requests.
 		Callers func(manifest func() *manif.Manifest, f *fwd.Forwarder, d *bdesk.Desk) http.Handler
 		// VersionLine names the line of a stream that tells the weight version.
@@ -76,6 +77,7 @@
 		beliefs *Beliefs
 		mesh    *mesh.Mesh
 		store   *detour.Store
+		fan     *fanout.Fanout
 		runner  *brun.Runner
 		desk    *bdesk.Desk
 		pilot   *steer.Pilot
@@ -166,16 +168,17 @@
 	peers := http.NewServeMux()
 	peers.Handle(n.mesh.Handler())
 	peers.Handle(n.store.Handler())
+	peers.Handle(n.fan.Handler())
 	peers.Handle(bdesk.AskPath, mesh.Handle(bdesk.AskPath, n.desk.Answer))
 	n.serve(ctx, g, n.cfg.PeerAddr, peers)
 	g.Go(func() error { n.mesh.Run(ctx, n.store); return nil })
 	g.Go(func() error { n.runner.Run(ctx); return nil })
-	g.Go(func() error { n.out.Follow(ctx, n.store, n.beliefs); return nil })
+	g.Go(func() error { n.out.Follow(ctx, n.store, n.fan, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
+	g.Go(func() error { n.pilot.Run(ctx); return nil })
 	if n.cfg.Front == "" {
 		return
 	}
-	g.Go(func() error { n.pilot.Run(ctx); return nil })
 	forward := fwd.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger)
 	n.serve(ctx, g, n.cfg.Front, n.out.Callers(n.beliefs.Manifest, forward, n.desk))
 	n.serve(ctx, g, n.cfg.Ready, http.HandlerFunc(n.ready))
@@ -196,8 +199,10 @@
 		}),
 		mesh.WithLost(func(p mesh.Node, last mesh.Status) { n.desk.Lost(p, last.Holding) }),
 		mesh.WithTold(func(p mesh.Node, s mesh.Status) { n.runner.Overtaken(p.Name, s.Holding) }))
+	n.fan = fanout.New(n.mesh, n.store)
 	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger)
-	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure)
+	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure,
+		func() bool { return len(n.runner.Holding()) > 0 })
 	n.beliefs.Pilot = n.pilot
 }
 
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -47,6 +47,7 @@
 		port   string
 		logger *log.Logger
 		pure   func(model string) bool
+		busy   func() bool
 
 		mu      sync.Mutex
 		named   map[string]named
@@ -77,11 +78,12 @@
 )
 
 // New returns a pilot. port is where the processes beside engines listen; pure
-// says whether a model's samples must come from one version.
+// says whether a model's samples must come from one version, busy whether this
+// instance sends work to engines.
 //
-//	p := steer.New(set, m, client, 7720, logger, pure)
+//	p := steer.New(set, m, client, 7720, logger, pure, busy)
 //	go p.Run(ctx)
-func New(set *wset.Set, m *mesh.Mesh, client *http.Client, port int, logger *log.Logger, pure func(model string) bool) *Pilot {
+func New(set *wset.Set, m *mesh.Mesh, client *http.Client, port int, logger *log.Logger, pure func(model string) bool, busy func() bool) *Pilot {
 	return &Pilot{
 		set:     set,
 		mesh:    m,
@@ -89,6 +91,7 @@
 		port:    strconv.Itoa(port),
 		logger:  logger,
 		pure:    pure,
+		busy:    busy,
 		named:   make(map[string]named),
 		links:   make(map[string]*link),
 		changed: make(chan struct{}, 1),
@@ -137,18 +140,37 @@
 		case <-t.C:
 		case <-p.changed:
 		}
-		p.connect(ctx)
-		p.plan()
+		plans := p.plans()
+		p.connect(ctx, plans || p.busy())
+		if plans {
+			p.plan()
+		}
 	}
 }
 
-// connect keeps one link to each engine.
-func (p *Pilot) connect(ctx context.Context) {
+// plans reports whether this instance plans. Only one entry does, the first by
+// name: two that see different engines would have more of them load than needed.
+func (p *Pilot) plans() bool {
+	self := p.mesh.Self()
+	if !self.Plans {
+		return false
+	}
+	for _, n := range p.mesh.Alive() {
+		if n.Plans && n.Name < self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// connect keeps one link to each engine while that is of use here. All instances
+// to all engines would be a thousand connections in a fleet of thirty and fifty.
+func (p *Pilot) connect(ctx context.Context, wanted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := make(map[string]bool)
 	for _, v := range p.set.All() {
-		if len(v.Versions) == 0 {
+		if len(v.Versions) == 0 || !wanted {
 			continue
 		}
 		known[v.ID] = true
@@ -171,14 +193,8 @@
 	}
 }
 
-// plan says which engine loads what. Only one entry plans, the first by name:
-// two that see different engines would have more of them load than needed.
+// plan says which engine loads what.
 func (p *Pilot) plan() {
-	for _, n := range p.mesh.Alive() {
-		if n.Plans && n.Name < p.mesh.Self().Name {
-			return
-		}
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Lag: defaultLag}
