--- a/node/node.go
+++ b/node/node.go
@@ -69,6 +69,9 @@
 		VersionLine string
 	}
 
+	// Option changes a Node as New makes it.
+	Option func(*Node)
+
 	// Node is the process. See New.
 	Node struct {
 		cfg     setup.Setup
@@ -83,6 +86,7 @@
 		pilot   *steer.Pilot
 		giver   *giver.Giver
 		client  *http.Client
+		listen  func(ctx context.Context, addr string) (net.Listener, error)
 		// stopping is set when the process has been told to stop.
 		stopping atomic.Bool
 	}
@@ -119,8 +123,32 @@
 //
 //	n := node.New(cfg, outside, logger)
 //	err := n.Run(ctx)
-func New(cfg setup.Setup, out Outside, logger *log.Logger) *Node {
-	return &Node{cfg: cfg, out: out, logger: logger, client: &http.Client{Transport: conns.New(conns.WithIdle(idleTime))}}
+func New(cfg setup.Setup, out Outside, logger *log.Logger, opts ...Option) *Node {
+	n := &Node{
+		cfg:    cfg,
+		out:    out,
+		logger: logger,
+		client: &http.Client{Transport: conns.New(conns.WithIdle(idleTime))},
+		listen: func(ctx context.Context, addr string) (net.Listener, error) {
+			var lc net.ListenConfig
+			return lc.Listen(ctx, "tcp", addr)
+		},
+	}
+	for _, opt := range opts {
+		opt(n)
+	}
+	return n
+}
+
+// WithTransport sets how peers are reached. The default is TCP with the system's
+// own settings.
+func WithTransport(tr http.RoundTripper) Option {
+	return func(n *Node) { n.client = &http.Client{Transport: tr} }
+}
+
+// WithListen sets how the process listens. The default is TCP.
+func WithListen(f func(ctx context.Context, addr string) (net.Listener, error)) Option {
+	return func(n *Node) { n.listen = f }
 }
 
 // Run serves until ctx ends, and then stops in order.
@@ -238,8 +266,7 @@
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
 	g.Go(func() error {
-		var lc net.ListenConfig
-		l, err := lc.Listen(ctx, "tcp", addr)
+		l, err := n.listen(ctx, addr)
 		if err != nil {
 			return errors.Wrapf(err, "listening at %s", addr)
 		}
