--- /dev/null
+++ b/sse/sse_test.go
@@ -0,0 +1,51 @@
+package sse
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// The versions line stands before the event from which it holds, and a long event
+// may come in several data lines.
+func TestEvents(t *testing.T) {
+	g := NewWithT(t)
+	r := New(strings.NewReader("id: 1\ndata: a\n\nweight-versions: 7\nid: 2\ndata: b\ndata: c\r\n\r\n\nid:3\ndata:d\n\n"), "weight-versions")
+	for _, want := range []Event{{ID: 1, Data: "a"}, {ID: 2, Data: "b\nc", Version: 7}, {ID: 3, Data: "d"}} {
+		got, err := r.Next()
+		g.Expect(err).NotTo(HaveOccurred())
+		got.Raw = nil
+		g.Expect(got).To(Equal(want))
+	}
+	_, err := r.Next()
+	g.Expect(err).To(MatchError(io.EOF))
+}
+
+// An engine stops in the middle of an event and closes the connection as if all
+// were there. The part must not count as an event, nor the stream as whole.
+func TestTruncated(t *testing.T) {
+	for _, text := range []string{"id: 1\nda", "id: 1\ndata: a", "id: 1\ndata: a\n"} {
+		g := NewWithT(t)
+		_, err := New(strings.NewReader(text), "v").Next()
+		g.Expect(err).To(MatchError(errTruncated))
+	}
+}
+
+// A line without an end must not fill the memory.
+func TestEndlessLine(t *testing.T) {
+	g := NewWithT(t)
+	_, err := New(io.LimitReader(endless{}, 1<<30), "v").Next()
+	g.Expect(errors.Is(err, errLong)).To(BeTrue())
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
--- /dev/null
+++ b/wplan/wplan_test.go
@@ -0,0 +1,180 @@
+package wplan
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// fleet is engines that load as they are told, one step of the plan after another.
+type fleet struct {
+	state State
+	loads map[string]int
+	most  int
+}
+
+func newFleet(engines int, models ...string) *fleet {
+	f := &fleet{state: State{Named: map[string]int64{}, Demand: map[string]float64{}, Lag: 1}, loads: map[string]int{}}
+	for i := range engines {
+		e := Engine{ID: fmt.Sprintf("e%02d", i), Versions: map[string]int64{}}
+		for _, m := range models {
+			e.Versions[m] = 1
+		}
+		f.state.Engines = append(f.state.Engines, e)
+	}
+	for _, m := range models {
+		f.state.Named[m] = 1
+	}
+	return f
+}
+
+// step carries a plan out and returns how many loads it began.
+func (f *fleet) step() int {
+	for i := range f.state.Engines {
+		e := &f.state.Engines[i]
+		if e.Loading != "" {
+			e.Versions[e.Loading] = f.state.Named[e.Loading]
+			e.Loading = ""
+		}
+	}
+	p := New(f.state)
+	for i := range f.state.Engines {
+		e := &f.state.Engines[i]
+		e.Home = p.Home[e.ID]
+		for _, l := range p.Loads {
+			if l.Engine == e.ID {
+				e.Loading = l.Model
+				f.loads[l.Model]++
+			}
+		}
+	}
+	f.most = max(f.most, len(p.Loads))
+	return len(p.Loads)
+}
+
+func (f *fleet) fit(model string) int {
+	n := 0
+	for _, e := range f.state.Engines {
+		if e.Home == model && f.state.Named[model]-e.Versions[model] <= 1 && e.Loading != model {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) busy(running int) {
+	for i := range f.state.Engines {
+		f.state.Engines[i].Running = running
+	}
+}
+
+// Two trainers name versions one after the other while their engines work. No
+// engine loads more than every second version, no more than two load at once, and
+// at each step nearly half of a trainer's engines are fit at once, all of them
+// three rounds later.
+func TestVersionsInTurn(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(11, "a", "b")
+	f.busy(3)
+	const versions = 20
+	for range versions {
+		for _, m := range []string{"a", "b"} {
+			f.state.Named[m]++
+			f.step()
+			g.Expect(f.fit(m)).To(BeNumerically(">=", 2), "engines fit for %s at once", m)
+			for range 3 {
+				f.step()
+			}
+			g.Expect(f.fit(m)).To(BeNumerically(">=", 5), "engines fit for %s later", m)
+		}
+	}
+	g.Expect(f.most).To(BeNumerically("<=", 2))
+	g.Expect(f.loads["a"] + f.loads["b"]).To(BeNumerically("<=", versions*11*6/10))
+}
+
+// One model has three times the demand of the other, and has about three times
+// its engines after a few rounds; a small change of demand moves none.
+func TestDemand(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, "a", "b")
+	f.state.Demand = map[string]float64{"a": 300, "b": 100}
+	for range 30 {
+		f.step()
+	}
+	count := func() (n int) {
+		for _, e := range f.state.Engines {
+			if e.Home == "a" {
+				n++
+			}
+		}
+		return n
+	}
+	g.Expect(count()).To(BeNumerically("~", 9, 1))
+	before := New(f.state).Home
+	f.state.Demand["b"] = 115
+	g.Expect(New(f.state).Home).To(Equal(before))
+}
+
+// Another instance becomes the planner and remembers nothing. It must leave the
+// engines with the models that they have been loading, or all of them would load
+// again.
+func TestPlannerReplaced(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(10, "a", "b")
+	for range 6 {
+		for _, m := range []string{"a", "b"} {
+			f.state.Named[m]++
+			for range 4 {
+				f.step()
+			}
+		}
+	}
+	want := New(f.state).Home
+	for i := range f.state.Engines {
+		f.state.Engines[i].Home = ""
+	}
+	g.Expect(New(f.state).Home).To(Equal(want))
+}
+
+// Two versions are named in quick succession after an outage in which the engines
+// stood idle. Engines that loaded ahead then are fit for the second of them.
+func TestIdleEnginesLoadAhead(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(6, "a")
+	f.state.Named["a"] = 2
+	for range 6 {
+		f.step()
+	}
+	for _, e := range f.state.Engines {
+		g.Expect(e.Versions["a"]).To(BeEquivalentTo(2))
+	}
+}
+
+// Half of one model's engines are lost; one of the other's moves at a time until
+// the shares are even again.
+func TestEnginesLost(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, "a", "b")
+	f.step()
+	var left []Engine
+	gone := 0
+	for _, e := range f.state.Engines {
+		if e.Home == "a" && gone < 5 {
+			gone++
+			continue
+		}
+		left = append(left, e)
+	}
+	f.state.Engines = left
+	for range 20 {
+		f.step()
+	}
+	n := 0
+	for _, e := range f.state.Engines {
+		if e.Home == "a" {
+			n++
+		}
+	}
+	g.Expect(n).To(BeNumerically(">=", 2))
+}
--- /dev/null
+++ b/wset/wset_test.go
@@ -0,0 +1,79 @@
+package wset
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/endpt"
+)
+
+func endpoint(id string, born int64) endpt.Endpoint {
+	return endpt.Endpoint{ID: id, Service: "s", Addr: "10.0.0.1:1", Slots: 2, Born: born}
+}
+
+func set() *Set { return New(func() {}) }
+
+// A worker starts again under its id. What was counted of the boot before must not
+// be taken for the new one's, or its slots would look taken for ever.
+func TestSameIDAnotherBoot(t *testing.T) {
+	g := NewWithT(t)
+	s := set()
+	old := endpoint("e", 1)
+	s.Put(old)
+	s.Begin(old)
+	s.Version(old, "m", 4)
+	s.Put(endpoint("e", 2))
+	s.End(old)
+	v := s.Service("s")
+	g.Expect(v).To(HaveLen(1))
+	g.Expect(v[0].Running).To(BeZero())
+	g.Expect(v[0].Versions).To(BeEmpty())
+}
+
+// An entry that was written before an answer showed a newer version arrives after
+// it, and must not take the version back: work would be sent away from an engine
+// that is fit for it.
+func TestLateEntryKeepsVersion(t *testing.T) {
+	g := NewWithT(t)
+	s := set()
+	e := endpoint("e", 1)
+	e.Versions = map[string]int64{"m": 1}
+	s.Put(e)
+	s.Version(e, "m", 2)
+	s.Put(e)
+	g.Expect(s.Service("s")[0].Versions["m"]).To(BeEquivalentTo(2))
+}
+
+// Entries lapse while the store is away and are deleted in its history. For two
+// seconds after its return they still count; one that is back by then stays.
+func TestGrace(t *testing.T) {
+	g := NewWithT(t)
+	s := set()
+	now := time.Now()
+	s.Put(endpoint("a", 1))
+	s.Put(endpoint("b", 1))
+	s.Regained(now)
+	s.Remove("a", now.Add(100*time.Millisecond))
+	s.Remove("b", now.Add(100*time.Millisecond))
+	s.Put(endpoint("b", 1))
+	s.Sweep(now.Add(time.Second))
+	g.Expect(s.Service("s")).To(HaveLen(2))
+	s.Sweep(now.Add(3 * time.Second))
+	g.Expect(s.Service("s")).To(HaveLen(1))
+	s.Remove("b", now.Add(4*time.Second))
+	g.Expect(s.Service("s")).To(BeEmpty())
+}
+
+// Another endpoint has the address: the one that was meant is forgotten, and a
+// newer boot of it isn't.
+func TestGone(t *testing.T) {
+	g := NewWithT(t)
+	s := set()
+	s.Put(endpoint("e", 2))
+	s.Gone(endpoint("e", 1))
+	g.Expect(s.Service("s")).To(HaveLen(1))
+	s.Gone(endpoint("e", 2))
+	g.Expect(s.Service("s")).To(BeEmpty())
+}
