Add nothing to an ended submission; follow readers that few depend on

A reader now says itself when it is stale, and a barred way is probed. A write that was overtaken also no longer drops the same submission that came back meanwhile.

--- a/brun/brun.go
+++ b/brun/brun.go
@@ -155,15 +155,20 @@
 		return
 	}
 	r.held[sub.ID] = h
+	resumed := 0
 	if !kept.Ended {
+		// Nothing may be added to an ended submission: others answer for it too,
+		// from the record, and a position would come and go.
 		r.demand[sub.Model] = h.tokens()
+		resumed = r.takePartials(h)
 	}
-	resumed := r.takePartials(h)
 	r.mu.Unlock()
 	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items),
 		"results", len(results), "progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model)
-	go r.flush(ctx, h)
-	r.Wake()
+	if !kept.Ended {
+		go r.flush(ctx, h)
+		r.Wake()
+	}
 }
 
 // takePartials hands texts that an earlier submission left unfinished to the
@@ -367,9 +372,21 @@
 func (r *Runner) Drop(id, reason string) {
 	r.mu.Lock()
 	h, ok := r.held[id]
+	r.mu.Unlock()
+	if ok {
+		r.drop(h, reason)
+	}
+}
+
+// drop drops h, unless it isn't held any longer: the submission may have come back
+// since, at a later epoch.
+func (r *Runner) drop(h *held, reason string) {
+	id := h.sub.ID
+	r.mu.Lock()
+	ok := r.held[id] == h
+	h.dropped = true
 	if ok {
 		delete(r.held, id)
-		h.dropped = true
 		r.stopItems(h)
 		h.poke()
 		h.announce()
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -117,7 +117,7 @@
 				"end", change.End, "revision", change.Kept.Revision, "took", time.Since(start).Round(time.Millisecond))
 			return true
 		case errors.As(err, &taken):
-			r.Drop(h.sub.ID, err.Error())
+			r.drop(h, err.Error())
 			return false
 		}
 		r.logger.Warn("Results not kept yet.", "batch", h.sub.ID, "error", err)
--- a/detour/detour.go
+++ b/detour/detour.go
@@ -24,6 +24,9 @@
 	// path is where peers ask for calls to the store.
 	path = "/lavendermux.Store/Do"
 
+	// probeKey is read to find out whether the way is open; it needn't exist.
+	probeKey = "lavendermux/probe"
+
 	opGet    = "get"
 	opList   = "list"
 	opWatch  = "watch"
@@ -142,6 +145,26 @@
 	return !s.barred || time.Now().After(s.badUntil)
 }
 
+// Run finds out when a barred way opens again; without it an instance that no
+// longer makes calls of its own would go by way of its peers for ever.
+func (s *Store) Run(ctx context.Context) {
+	t := time.NewTicker(tryAgain)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if s.Reaches() || len(s.peers()) == 0 {
+			continue
+		}
+		if _, err := s.direct.Get(ctx, probeKey); !barring(err) {
+			s.note(nil)
+		}
+	}
+}
+
 // note takes how a call by the own way ended.
 func (s *Store) note(err error) {
 	s.mu.Lock()
--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -23,11 +23,13 @@
 	// or cut off at once.
 	readers = 3
 	// readerWait is how long a reader's watch waits while others depend on it,
-	// and staleAfter the age at which its answers are no longer used: a watch
-	// that was swallowed shows within that time, and a reader's followers have
-	// a second left to learn from another one what is in force.
+	// and aloneWait while nobody does but entries that are barred from the store.
+	// A watch that was swallowed shows when the wait and the slack are over; the
+	// reader's answers are then no longer used, and its followers have a second
+	// left to learn from another one what is in force.
 	readerWait = 600 * time.Millisecond
-	staleAfter = 1300 * time.Millisecond
+	aloneWait  = 1800 * time.Millisecond
+	staleSlack = 700 * time.Millisecond
 	// waitMost is how long a reader holds a question without news, and askTimeout
 	// the bound beyond that.
 	waitMost   = 500 * time.Millisecond
@@ -74,6 +76,9 @@
 		Known bool `json:"known"`
 		// AgeMs is how long ago the store vouched for this.
 		AgeMs int64 `json:"ageMs"`
+		// Stale says that this is longer than the reader's watches take: it has
+		// lost the store.
+		Stale bool `json:"stale,omitempty"`
 	}
 )
 
@@ -104,10 +109,7 @@
 		if n.Name != self {
 			continue
 		}
-		if f.mesh.Size() <= readers {
-			return follow.Choice{Source: f.store}
-		}
-		return follow.Choice{Source: f.store, Wait: readerWait}
+		return follow.Choice{Source: f.store, Wait: f.wait()}
 	}
 	if len(nodes) == 0 {
 		return follow.Choice{Source: f.store}
@@ -119,6 +121,14 @@
 	return follow.Choice{Source: r, Wait: waitMost, Age: r.Age}
 }
 
+// wait is how long a watch of this instance waits.
+func (f *Fanout) wait() time.Duration {
+	if f.mesh.Size() <= readers {
+		return aloneWait
+	}
+	return readerWait
+}
+
 // readers are the first entries by name that reach the store; where none does,
 // the first ones by name, since somebody has to notice when it is back.
 func (f *Fanout) readers() []mesh.Node {
@@ -146,7 +156,9 @@
 		out.Items, out.Revision, out.Gap = changes.Items, changes.Revision, err != nil
 	}
 	out.Known = fo.Revision() > 0
-	out.AgeMs = fo.Age().Milliseconds()
+	age := fo.Age()
+	out.AgeMs = age.Milliseconds()
+	out.Stale = age > f.wait()+staleSlack
 	return out, nil
 }
 
@@ -182,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout+time.Duration(in.WaitMs)*time.Millisecond)
 	defer cancel()
 	res, err := mesh.Call[request, response](ctx, r.f.mesh.Client(), r.node.Addr, path, &in)
-	if err == nil && (!res.Known || time.Duration(res.AgeMs)*time.Millisecond > staleAfter) {
+	if err == nil && (!res.Known || res.Stale) {
 		err = errStale
 	}
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -200,6 +200,7 @@
 	peers.Handle(bdesk.AskPath, mesh.Handle(bdesk.AskPath, n.desk.Answer))
 	n.serve(ctx, g, n.cfg.PeerAddr, peers)
 	g.Go(func() error { n.mesh.Run(ctx, n.store); return nil })
+	g.Go(func() error { n.store.Run(ctx); return nil })
 	g.Go(func() error { n.runner.Run(ctx); return nil })
 	g.Go(func() error { n.out.Follow(ctx, n.store, n.fan, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
