--- a/brun/brun.go
+++ b/brun/brun.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/strays"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -46,6 +47,7 @@
 		logger   *log.Logger
 		version  string
 		centre   string
+		meter    *meter.Meter
 
 		mu       sync.Mutex
 		held     map[string]*held
@@ -100,6 +102,7 @@
 		partials: make(map[string]*item),
 		demand:   make(map[string]float64),
 		wake:     make(chan struct{}, 1),
+		meter:    meter.New(),
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -118,6 +121,11 @@
 	return func(r *Runner) { r.centre = name }
 }
 
+// WithMeter sets where runs are counted. The default counts for nobody.
+func WithMeter(m *meter.Meter) Option {
+	return func(r *Runner) { r.meter = m }
+}
+
 // Wake makes the runner look for work that can start.
 func (r *Runner) Wake() {
 	select {
@@ -467,6 +475,7 @@
 		it.cancel(errEnded)
 	}
 	h.finish(it, batch.Errored)
+	r.meter.Count("items_given_up_total", 1, "cause", cause)
 	r.logger.Warn("Item given up.", "batch", h.sub.ID, "item", it.ID, "cause", cause, "attempts", it.attempts, "events", len(it.texts))
 }
 
@@ -577,8 +586,10 @@
 	it.cancel = nil
 	outcome := r.settle(h, it, route, call, err)
 	r.mu.Unlock()
+	r.meter.Count("item_runs_total", 1, "outcome", outcome)
+	r.meter.Observe("item_run_seconds", time.Since(start))
 	r.logger.Info("Item run.", "batch", h.sub.ID, "item", it.ID, "endpoint", call.Endpoint.ID, "from", had,
-		"to", it.last, "outcome", outcome, "attempt", it.attempts, "versions", it.versions, "took", time.Since(start).Round(time.Millisecond))
+		"to", it.last, "outcome", outcome, "error", err, "attempt", it.attempts, "versions", it.versions, "took", time.Since(start).Round(time.Millisecond))
 	r.Wake()
 }
 
@@ -608,7 +619,7 @@
 		return "moved"
 	default:
 		r.set.Failed(call.Endpoint, now)
-		return "broken: " + err.Error()
+		return "broken"
 	}
 }
 
@@ -621,7 +632,7 @@
 		h.finish(it, batch.Errored)
 		return "errored"
 	}
-	return e.Error()
+	return "failed"
 }
 
 // stream reads the events of one run into the item.
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -113,6 +113,7 @@
 		var taken *bstore.OvertakenError
 		switch {
 		case err == nil:
+			r.meter.Observe("results_kept_seconds", time.Since(start))
 			r.logger.Info("Results kept.", "batch", h.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Kept.Results,
 				"end", change.End, "revision", change.Kept.Revision, "took", time.Since(start).Round(time.Millisecond))
 			return true
--- a/cmd/lavendermux/node.go
+++ b/cmd/lavendermux/node.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/node"
 	"github.com/lavendermux/lavendermux/platform/conf"
 	"github.com/lavendermux/lavendermux/platform/world"
@@ -37,7 +38,8 @@
 	}
 	logger := logs.New(spool.New(os.Stdout), logs.WithLevel(c.LogLevel), logs.WithField(logs.FieldInstance, cfg.Instance))
 	go followSettings(ctx, cfg, logger)
-	return node.New(cfg, world.New(cfg, logger), logger).Run(ctx)
+	m := meter.New()
+	return node.New(cfg, world.New(cfg, logger, world.WithMeter(m)), logger, node.WithMeter(m)).Run(ctx)
 }
 
 // followSettings looks at the settings file again at each SIGHUP. What a process
--- a/fwd/fwd.go
+++ b/fwd/fwd.go
@@ -14,6 +14,7 @@
 
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/upstr"
 	"github.com/lavendermux/lavendermux/wset"
@@ -51,6 +52,7 @@
 		picker *place.Picker
 		logger *log.Logger
 		centre string
+		meter  *meter.Meter
 	}
 
 	// Request is a caller's request.
@@ -106,10 +108,10 @@
 
 // New returns a forwarder that prefers endpoints of the data centre.
 //
-//	f := fwd.New(set, sender, "cyberjaya-a", logger)
+//	f := fwd.New(set, sender, "dc-a", logger, meter)
 //	answer, err := f.Forward(ctx, request)
-func New(set *wset.Set, sender upstr.Sender, centre string, logger *log.Logger) *Forwarder {
-	return &Forwarder{set: set, sender: sender, picker: place.New(), centre: centre, logger: logger}
+func New(set *wset.Set, sender upstr.Sender, centre string, logger *log.Logger, m *meter.Meter) *Forwarder {
+	return &Forwarder{set: set, sender: sender, picker: place.New(), centre: centre, logger: logger, meter: m}
 }
 
 // Until returns when a request must have its answer.
@@ -133,19 +135,35 @@
 	defer cancel()
 	t := &tries{f: f, r: r, ctx: ctx, results: make(chan try, r.Route.MaxAttempts+notRunMost)}
 	answer, err := t.run()
-	outcome := "answered"
-	if err != nil {
-		outcome = err.Error()
-	}
+	outcome := outcomeOf(err)
+	f.meter.Count("requests_total", 1, "route", r.Route.Name, "outcome", outcome)
+	f.meter.Observe("request_seconds", time.Since(start), "route", r.Route.Name)
 	status := 0
 	if answer != nil {
 		status = answer.Status
 	}
-	f.logger.Info("Request done.", "request", r.ID, "route", r.Route.Name, "outcome", outcome, "status", status,
+	f.logger.Info("Request done.", "request", r.ID, "route", r.Route.Name, "outcome", outcome, "error", err, "status", status,
 		"sent", t.sent, "notRun", t.notRun, "endpoints", t.used, "left", time.Until(until).Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
 	return answer, err
 }
 
+// outcomeOf names how a request ended, for logs and metrics.
+func outcomeOf(err error) string {
+	var refused *RefusedError
+	var failed *FailedError
+	switch {
+	case err == nil:
+		return "answered"
+	case errors.As(err, &refused):
+		return "refused"
+	case errors.Is(err, context.Canceled):
+		return "callerGone"
+	case errors.As(err, &failed) && failed.Late:
+		return "late"
+	}
+	return "failed"
+}
+
 // send asks one endpoint and reads its whole answer.
 func (f *Forwarder) send(ctx context.Context, r Request, e endpt.Endpoint) try {
 	f.set.Begin(e)
--- a/fwd/stream.go
+++ b/fwd/stream.go
@@ -61,11 +61,9 @@
 	defer cancel()
 	s := &stream{f: f, r: r, sink: sink, version: version, last: last}
 	err = s.run(ctx)
-	outcome := "whole"
-	if err != nil {
-		outcome = err.Error()
-	}
-	f.logger.Info("Stream done.", "request", r.ID, "route", r.Route.Name, "outcome", outcome, "runs", s.runs,
+	outcome := outcomeOf(err)
+	f.meter.Count("streams_total", 1, "route", r.Route.Name, "outcome", outcome)
+	f.logger.Info("Stream done.", "request", r.ID, "route", r.Route.Name, "outcome", outcome, "error", err, "runs", s.runs,
 		"endpoints", s.used, "last", s.last, "took", time.Since(start).Round(time.Millisecond))
 	return s.begun, err
 }
--- a/fwd/tries.go
+++ b/fwd/tries.go
@@ -127,7 +127,7 @@
 	if t.open == 0 && t.failure == nil {
 		return nil, &RefusedError{Cause: "no endpoint in time", RetryAfter: comeBack}
 	}
-	return nil, &FailedError{Late: true, Cause: t.ctx.Err()}
+	return nil, &FailedError{Late: errors.Is(t.ctx.Err(), context.DeadlineExceeded), Cause: t.ctx.Err()}
 }
 
 func (t *tries) pause(d time.Duration) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/lavendermux/lavendermux/bdesk"
@@ -26,6 +27,7 @@
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/setup"
 	"github.com/lavendermux/lavendermux/steer"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -86,6 +88,7 @@
 		pilot   *steer.Pilot
 		giver   *giver.Giver
 		client  *http.Client
+		meter   *meter.Meter
 		listen  func(ctx context.Context, addr string) (net.Listener, error)
 		// stopping is set when the process has been told to stop.
 		stopping atomic.Bool
@@ -128,6 +131,7 @@
 		cfg:    cfg,
 		out:    out,
 		logger: logger,
+		meter:  meter.New(),
 		client: &http.Client{Transport: conns.New(conns.WithIdle(idleTime))},
 		listen: func(ctx context.Context, addr string) (net.Listener, error) {
 			var lc net.ListenConfig
@@ -146,6 +150,11 @@
 	return func(n *Node) { n.client = &http.Client{Transport: tr} }
 }
 
+// WithMeter sets the metrics of the process. The default is a meter of its own.
+func WithMeter(m *meter.Meter) Option {
+	return func(n *Node) { n.meter = m }
+}
+
 // WithListen sets how the process listens. The default is TCP.
 func WithListen(f func(ctx context.Context, addr string) (net.Listener, error)) Option {
 	return func(n *Node) { n.listen = f }
@@ -157,6 +166,11 @@
 	defer end()
 	n.logger.Info("Started.", "addr", n.cfg.PeerAddr, "front", n.cfg.Front, "engine", n.cfg.Endpoint, "store", n.cfg.Store)
 	g, gctx := errgroup.WithContext(life)
+	if n.cfg.Metrics != "" {
+		router := mux.NewRouter()
+		n.meter.Register(router)
+		n.serve(gctx, g, n.cfg.Metrics, router)
+	}
 	if n.cfg.Endpoint != "" {
 		n.startSide(gctx, g)
 	} else {
@@ -183,9 +197,9 @@
 // startSide runs the process beside an engine.
 func (n *Node) startSide(ctx context.Context, g *errgroup.Group) {
 	n.giver = giver.New(n.cfg.Instance, n.out.Engine, n.logger)
-	mux := http.NewServeMux()
-	mux.Handle(steer.Handler(n.giver))
-	n.serve(ctx, g, n.cfg.PeerAddr, mux)
+	peers := http.NewServeMux()
+	peers.Handle(steer.Handler(n.giver))
+	n.serve(ctx, g, n.cfg.PeerAddr, peers)
 	g.Go(func() error { n.giver.Run(ctx); return nil })
 }
 
@@ -208,7 +222,7 @@
 	if n.cfg.Front == "" {
 		return
 	}
-	forward := fwd.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger)
+	forward := fwd.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger, n.meter)
 	n.serve(ctx, g, n.cfg.Front, n.out.Callers(n.beliefs.Manifest, forward, n.desk))
 	n.serve(ctx, g, n.cfg.Ready, http.HandlerFunc(n.ready))
 	g.Go(func() error { n.recover(ctx); return nil })
@@ -220,7 +234,7 @@
 	n.store = detour.New(n.out.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.Reaching() })
 	store := bstore.New(n.store, bstore.WithValueBytes(n.cfg.ValueBytes))
 	n.runner = brun.New(store, n.beliefs.Set, n.out.Sender, n.beliefs.Manifest, n.logger,
-		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre))
+		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre), brun.WithMeter(n.meter))
 	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != ""}
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
