--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -231,6 +231,11 @@
 			d.forget(in.ID)
 			continue
 		}
+		if n, ok := d.reader(kept); ok {
+			if res, last = d.askPeer(ctx, n, in); last == nil && res.Held {
+				return res, nil
+			}
+		}
 		if last = d.adopt(ctx, kept); last != nil {
 			d.forget(in.ID)
 			var taken *bstore.OvertakenError
@@ -245,6 +250,19 @@
 	return nil, last
 }
 
+// reader returns the peer that answers for an ended submission whose holder is
+// gone, always the same one, so that not every instance has to load it.
+func (d *Desk) reader(kept bstore.Kept) (mesh.Node, bool) {
+	if !kept.Ended {
+		return mesh.Node{}, false
+	}
+	first := rendez.First(kept.ID, d.mesh.Entries(true), 1, func(n mesh.Node) string { return n.Name })
+	if len(first) == 0 || first[0].Name == d.mesh.Self().Name {
+		return mesh.Node{}, false
+	}
+	return first[0], true
+}
+
 func (d *Desk) local(ctx context.Context, in askRequest) (*askResponse, error) {
 	res := &askResponse{Held: true}
 	var err error
@@ -276,7 +294,8 @@
 	if err == nil && !res.Held {
 		// The asker's record names this instance, but what it accepted got lost
 		// on the way: its creation took effect after its answer was given up.
-		if kept, loadErr := d.store.Load(ctx, in.ID); loadErr == nil && kept.Holder == d.self && d.adopt(ctx, kept) == nil {
+		// Or it has ended, and this instance is the one that answers for it.
+		if kept, loadErr := d.store.Load(ctx, in.ID); loadErr == nil && (kept.Holder == d.self || kept.Ended) && d.adopt(ctx, kept) == nil {
 			res, err = d.local(ctx, *in)
 		}
 	}
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -7,13 +7,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/drip"
 )
 
 const (
-	// flushEvery is the least time between two writes of results of one
-	// submission. Each write costs the store a call; a trainer reads about twice
-	// a second, so that waiting a quarter of a second delays a step by an eighth.
-	flushEvery = 250 * time.Millisecond
 	// progressEvery is how often the text of long items is kept while nothing
 	// else is written, and progressLeast the events that make it worth a write:
 	// about a second of work. When all instances lose power at once, only what
@@ -44,10 +41,8 @@
 				continue
 			}
 		}
-		if wait := flushEvery - time.Since(last); wait > 0 && !r.urgent(h) {
-			if !sleep(ctx, wait) {
-				return
-			}
+		if !r.waitForMore(ctx, h, last) {
+			return
 		}
 		last = time.Now()
 		if !r.writePending(ctx, h) {
@@ -56,11 +51,44 @@
 	}
 }
 
-// urgent reports whether nothing more is to be expected.
-func (r *Runner) urgent(h *held) bool {
+// waitForMore returns when a write is due, or false when ctx has ended.
+func (r *Runner) waitForMore(ctx context.Context, h *held, last time.Time) bool {
+	for {
+		wait := r.flushWait(h, last)
+		if wait <= 0 {
+			return true
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		case <-h.poked:
+		}
+		t.Stop()
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+func (r *Runner) flushWait(h *held, last time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return h.ended || h.dropped || h.saving != nil || len(h.results)+len(h.pending) == len(h.items)
+	if h.ended || h.dropped || h.saving != nil {
+		return 0
+	}
+	s := drip.State{
+		Age:     h.kept.Age(time.Now()),
+		Last:    time.Since(last),
+		Groups:  h.groups(len(h.pending)),
+		Kept:    h.groups(0),
+		Desired: h.sub.Desired,
+		Done:    len(h.results)+len(h.pending) == len(h.items),
+	}
+	if route, ok := r.route(h.sub); ok {
+		s.Due = route.ResultDue
+	}
+	return s.Wait()
 }
 
 // writePending writes what is pending and reports whether to go on. A write that
--- a/brun/held.go
+++ b/brun/held.go
@@ -185,6 +185,29 @@
 	return float64(n)
 }
 
+// groups counts the groups all of whose items are listed, or among the first n of
+// those that aren't written yet.
+func (h *held) groups(n int) int {
+	left := make(map[string]int)
+	for _, it := range h.items {
+		left[it.Group]++
+	}
+	for _, list := range [][]batch.Result{h.results, h.pending[:n]} {
+		for _, res := range list {
+			if it, ok := h.byID[res.ID]; ok {
+				left[it.Group]--
+			}
+		}
+	}
+	whole := 0
+	for _, n := range left {
+		if n == 0 {
+			whole++
+		}
+	}
+	return whole
+}
+
 // poke wakes the goroutine that writes results.
 func (h *held) poke() {
 	select {
--- /dev/null
+++ b/drip/drip_test.go
@@ -0,0 +1,59 @@
+package drip
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const ms = time.Millisecond
+
+func TestWait(t *testing.T) {
+	for name, c := range map[string]struct {
+		state State
+		want  time.Duration
+	}{
+		"early, one more item":              {State{Age: time.Second, Last: 100 * ms, Groups: 2, Kept: 2, Desired: 11}, 700 * ms},
+		"long since the last write":         {State{Age: time.Second, Last: time.Hour, Groups: 2, Kept: 2, Desired: 11}, 0},
+		"the last group that is waited for": {State{Age: time.Second, Groups: 11, Kept: 10, Desired: 11}, 0},
+		"more than is waited for":           {State{Age: time.Second, Groups: 12, Kept: 11, Desired: 11}, 800 * ms},
+		"near the time":                     {State{Age: 5 * time.Second, Due: 7500 * ms, Groups: 3, Kept: 2, Desired: 11}, 250 * ms},
+		"all done":                          {State{Age: time.Second, Groups: 3, Kept: 3, Desired: 11, Done: true}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(c.state.Wait()).To(Equal(c.want))
+		})
+	}
+}
+
+// A hundred items finish over six seconds, most of them early. The step isn't
+// delayed at all by the wait, and there are at most half the writes of a steady
+// quarter of a second.
+func TestFewWritesNoDelay(t *testing.T) {
+	g := NewWithT(t)
+	const desired = 11
+	finished := make([]time.Duration, 96)
+	for i := range finished {
+		finished[i] = time.Duration(i*i*6000/(95*95)) * ms
+	}
+	writes, last, kept, decisive := 0, time.Duration(0), 0, time.Duration(-1)
+	for now := time.Duration(0); now < 8*time.Second; now += 10 * ms {
+		items := 0
+		for _, f := range finished {
+			if f <= now {
+				items++
+			}
+		}
+		whole := items / 8
+		s := State{Age: now, Due: 7500 * ms, Last: now - last, Groups: whole, Kept: kept / 8, Desired: desired, Done: items == len(finished)}
+		if items > kept && s.Wait() == 0 {
+			writes, last, kept = writes+1, now, items
+			if whole >= desired && decisive < 0 {
+				decisive = now
+			}
+		}
+	}
+	g.Expect(decisive).To(BeNumerically("~", finished[desired*8-1], 10*ms))
+	g.Expect(writes).To(BeNumerically("<=", 13))
+}
