--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -23,6 +23,7 @@
 	Entry    entryCommand    `cmd:"" group:"Programs" help:"Run an entry instance."`
 	Side     sideCommand     `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
 	Node     nodeCommand     `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
+	Trace    traceCommand    `cmd:"" group:"Programs" help:"Print the story of one request, item or batch from the logs of several processes."`
 	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
 	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
 }
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,37 @@
+package trace
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+// The logs of a deployment in which a holder was lost, and one submission's way
+// through them.
+func TestStory(t *testing.T) {
+	g := NewWithT(t)
+	f, err := os.Open("testdata/two.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer f.Close()
+	s := New("33cb1651b71eae0d")
+	g.Expect(s.Read(f)).To(Succeed())
+	var out bytes.Buffer
+	g.Expect(s.Write(&out)).To(Succeed())
+	goldie.New(t).Assert(t, "story", out.Bytes())
+}
+
+// An id that is part of another one, or stands in a message only, isn't the one
+// that was asked for: its lines would lead to the wrong cause.
+func TestOtherIDs(t *testing.T) {
+	g := NewWithT(t)
+	s := New("ab12")
+	g.Expect(s.Read(strings.NewReader("time=2026-01-02T03:04:05Z level=info msg=\"about ab12\" request=ab123\n" +
+		"time=yesterday msg=x request=ab12\nrequest=ab12\n"))).To(Succeed())
+	g.Expect(s.Len()).To(BeZero())
+	g.Expect(s.Read(strings.NewReader("time=2026-01-02T03:04:05Z msg=x batches=\"[cd34 ab12]\"\n"))).To(Succeed())
+	g.Expect(s.Len()).To(Equal(1))
+}
