--- a/Makefile
+++ b/Makefile
@@ -8,16 +8,20 @@
 GOBIN = $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: build demo demo-koolitund test lint format generate tools linter measure clean
+.PHONY: build demo demo-site demo-koolitund test lint format generate tools linter measure clean
 
 build:
 	go build -o bin/ ./cmd/...
 
-# The main job: stand-ins, three entries and the processes beside the endpoints
-# of one deployment, two trainers and some callers, over loopback.
-demo: build
+# The main job, on both grounds: a deployment of the users' platform, then the
+# product's own interface; each with stand-ins, three entries, the processes beside
+# the endpoints, trainers and callers, over loopback.
+demo: demo-site
 	scripts/demo.sh perdana
 
+demo-site: build
+	scripts/site.sh
+
 demo-koolitund: build
 	scripts/demo.sh koolitund
 
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -30,6 +30,7 @@
 	Trainer   trainerCommand   `cmd:"" help:"Trainer: a client of lavendermux."`
 	Caller    callerCommand    `cmd:"" help:"Callers: a load of live requests to lavendermux."`
 	Register  registerCommand  `cmd:"" help:"Put instances on the instance list."`
+	Site      siteCommand      `cmd:"" help:"A deployment of the users' platform, with a trainer and callers that check what they get."`
 	Await     awaitCommand     `cmd:"" help:"Wait until entries are ready."`
 }
 
--- /dev/null
+++ b/cmd/standin/site.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lavendermux/lavendermux/platform/simsit"
+)
+
+type siteCommand struct {
+	Dir    string        `default:"run/site" help:"Folder for the settings of the product's processes."`
+	During time.Duration `default:"20s" help:"How long trainer and callers play."`
+}
+
+// Run plays a deployment of the users' platform.
+func (c *siteCommand) Run(ctx context.Context) error {
+	return simsit.New(c.Dir, log.New(os.Stdout)).Run(ctx, c.During)
+}
