--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -17,6 +17,7 @@
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/brun"
 	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/heirs"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/rendez"
 )
@@ -32,6 +33,9 @@
 
 	// askTimeout bounds a question to a peer, beyond the time that it may wait.
 	askTimeout = 1200 * time.Millisecond
+	// powerLeast is the share of a processor that a holder needs: two steps of a
+	// hundred streams take 0.05 of one at the mean and 0.15 at their start.
+	powerLeast = 0.2
 	// offerTime bounds how long a peer may take to take submissions over.
 	offerTime = 2 * time.Second
 	// adoptPause is the wait before a take-over that failed is tried again.
@@ -51,6 +55,7 @@
 		run context.Context
 		// stopping is set once this instance takes no new work.
 		stopping atomic.Bool
+		strained func() bool
 
 		mu sync.Mutex
 		// known are the heads that were read, so that a submission's holder
@@ -90,12 +95,14 @@
 // Error names the submission.
 func (e *NoBatchError) Error() string { return "no batch " + e.ID }
 
-// New returns a desk. run is the life of the process.
+// New returns a desk. run is the life of the process; strained says whether it is
+// short of processor time.
 //
-//	d := bdesk.New(run, store, runner, m, logger)
+//	d := bdesk.New(run, store, runner, m, logger, gauge.Strained)
 //	err := d.Submit(ctx, sub)
-func New(run context.Context, store *bstore.Store, runner *brun.Runner, m *mesh.Mesh, logger *log.Logger) *Desk {
+func New(run context.Context, store *bstore.Store, runner *brun.Runner, m *mesh.Mesh, logger *log.Logger, strained func() bool) *Desk {
 	return &Desk{
+		strained: strained,
 		self:     m.Self().Holder(),
 		store:    store,
 		runner:   runner,
@@ -131,17 +138,23 @@
 	return nil
 }
 
-// holderFor returns who should hold a new submission: this instance, or a peer if
-// this one is about to stop.
+// holderFor returns who should hold a submission: this instance, or a peer if this
+// one is about to stop, short of processor time, or too small.
 func (d *Desk) holderFor(id string) (n mesh.Node, elsewhere bool) {
-	if d.stopping.Load() {
-		if heirs := rendez.First(id, d.mesh.Alive(), 1, func(n mesh.Node) string { return n.Name }); len(heirs) == 1 {
-			return heirs[0], true
-		}
+	self := d.mesh.Self()
+	if !d.stopping.Load() && !d.strained() && self.Power >= powerLeast {
+		return self, false
+	}
+	n, ok := heirs.Choose(id, d.mesh.Heirs())
+	if !ok || (!d.stopping.Load() && !d.strained() && n.Power <= self.Power) {
+		return self, false
 	}
-	return d.mesh.Self(), false
+	return n, true
 }
 
+// Shed hands over what is held here while this instance is short of processor time.
+func (d *Desk) Shed(ctx context.Context) { d.handOver(ctx) }
+
 // ensureHeld sees to it that a submission that came again has a live holder: the
 // first one may have died after it was kept.
 func (d *Desk) ensureHeld(id string) {
@@ -156,6 +169,10 @@
 // and has new ones go there from now on.
 func (d *Desk) HandOver(ctx context.Context) {
 	d.stopping.Store(true)
+	d.handOver(ctx)
+}
+
+func (d *Desk) handOver(ctx context.Context) {
 	offers := make(map[mesh.Node][]string)
 	for id := range d.runner.Holding() {
 		if heir, ok := d.holderFor(id); ok {
@@ -393,11 +410,6 @@
 	if d.runner.Holds(kept.ID) {
 		return nil
 	}
-	if heir, ok := d.holderFor(kept.ID); ok {
-		d.offer(ctx, heir, []string{kept.ID}, kept.Holder)
-		d.forget(kept.ID)
-		return nil
-	}
 	now, err := d.store.Load(ctx, kept.ID)
 	if err != nil {
 		return err
@@ -410,6 +422,11 @@
 		d.remember(now)
 		return &bstore.OvertakenError{ID: kept.ID, Now: now.Head}
 	}
+	if heir, ok := d.holderFor(kept.ID); ok && !now.Ended {
+		d.offer(ctx, heir, []string{kept.ID}, now.Holder)
+		d.forget(kept.ID)
+		return nil
+	}
 	if !now.Ended {
 		if err := d.store.TakeOver(ctx, &now, d.self); err != nil {
 			return err
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -69,6 +69,8 @@
 		Boot string `json:"boot"`
 		// Plans marks instances that plan which engine loads what.
 		Plans bool `json:"plans"`
+		// Power is the machine's share of a processor.
+		Power float64 `json:"power"`
 	}
 
 	peer struct {
@@ -93,6 +95,8 @@
 		Demand map[string]float64 `json:"demand,omitempty"`
 		// Reaches says that the metadata store can be reached from here.
 		Reaches bool `json:"reaches"`
+		// Strained instances are short of processor time.
+		Strained bool `json:"strained,omitempty"`
 		// Stopping instances take no new work.
 		Stopping bool `json:"stopping"`
 	}
@@ -190,6 +194,20 @@
 	return out
 }
 
+// Heirs returns the live peers that can take submissions on, and how many each
+// holds.
+func (m *Mesh) Heirs() map[Node]int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[Node]int)
+	for _, p := range m.peers {
+		if p.alive && !p.Stopping && !p.Strained && p.Reaches {
+			out[p.Node] = len(p.Holding)
+		}
+	}
+	return out
+}
+
 // Size is the number of entries that are alive, with this instance if it is one.
 func (m *Mesh) Size() int { return len(m.Entries(false)) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/setup"
 	"github.com/lavendermux/lavendermux/steer"
+	"github.com/lavendermux/lavendermux/strain"
 	"github.com/lavendermux/lavendermux/upstr"
 	"github.com/lavendermux/lavendermux/wset"
 )
@@ -86,6 +87,7 @@
 		runner  *brun.Runner
 		desk    *bdesk.Desk
 		pilot   *steer.Pilot
+		gauge   strain.Gauge
 		giver   *giver.Giver
 		client  *http.Client
 		meter   *meter.Meter
@@ -218,6 +220,7 @@
 	g.Go(func() error { n.runner.Run(ctx); return nil })
 	g.Go(func() error { n.out.Follow(ctx, n.store, n.fan, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
+	g.Go(func() error { n.watchStrain(ctx); return nil })
 	g.Go(func() error { n.pilot.Run(ctx); return nil })
 	if n.cfg.Front == "" {
 		return
@@ -235,15 +238,16 @@
 	store := bstore.New(n.store, bstore.WithValueBytes(n.cfg.ValueBytes))
 	n.runner = brun.New(store, n.beliefs.Set, n.out.Sender, n.beliefs.Manifest, n.logger,
 		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre), brun.WithMeter(n.meter))
-	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != ""}
+	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != "", Power: n.cfg.Power}
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
-			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Reaches: n.store.Reaches(), Stopping: n.stopping.Load()}
+			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Reaches: n.store.Reaches(),
+				Strained: n.gauge.Strained(), Stopping: n.stopping.Load()}
 		}),
 		mesh.WithLost(func(p mesh.Node, last mesh.Status) { n.desk.Lost(p, last.Holding) }),
 		mesh.WithTold(func(p mesh.Node, s mesh.Status) { n.runner.Overtaken(p.Name, s.Holding) }))
 	n.fan = fanout.New(n.mesh, n.store)
-	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger)
+	n.desk = bdesk.New(ctx, store, n.runner, n.mesh, n.logger, n.gauge.Strained)
 	n.pilot = steer.New(n.beliefs.Set, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.pure,
 		func() bool { return len(n.runner.Holding()) > 0 })
 	n.beliefs.Pilot = n.pilot
@@ -343,6 +347,24 @@
 	}
 }
 
+// watchStrain sheds work while this process gets too little of the processor.
+func (n *Node) watchStrain(ctx context.Context) {
+	for {
+		start := time.Now()
+		if !sleep(ctx, strain.Every) {
+			return
+		}
+		now := time.Now()
+		if !n.gauge.Observe(now.Sub(start)-strain.Every, now) {
+			continue
+		}
+		n.logger.Warn("Strain changed.", "strained", n.gauge.Strained(), "late", n.gauge.Mean().Round(time.Millisecond), "holding", len(n.runner.Holding()))
+		if n.gauge.Strained() {
+			go n.desk.Shed(ctx)
+		}
+	}
+}
+
 func boot() string {
 	raw := make([]byte, bootBytes)
 	_, _ = rand.Read(raw) // never fails, as its documentation says
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -25,7 +25,9 @@
 	Store      string
 	ValueBytes int
 	// Memory is the bytes that the process may use; 0 is unknown.
-	Memory    int64
+	Memory int64
+	// Power is the share of a processor that the process has; 0 is unknown.
+	Power     float64
 	Heartbeat time.Duration
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
