--- a/bstore/bstore_test.go
+++ b/bstore/bstore_test.go
@@ -78,8 +78,8 @@
 	return m.revision, nil
 }
 
-func submission(id string) *batch.Submission {
-	return &batch.Submission{ID: id, Host: "h", Target: "/b/", Items: []batch.Item{{ID: "i1", Body: []byte("x")}, {ID: "i2"}}}
+func submission() *batch.Submission {
+	return &batch.Submission{ID: "b", Host: "h", Target: "/b/", Items: []batch.Item{{ID: "i1", Body: []byte("x")}, {ID: "i2"}}}
 }
 
 func results(ids ...string) (out []batch.Result) {
@@ -93,10 +93,10 @@
 // second learns who holds it.
 func TestAcceptedOnce(t *testing.T) {
 	g, ctx, s := NewWithT(t), context.Background(), New(newMemory())
-	_, created, err := s.Create(ctx, submission("b"), "one")
+	_, created, err := s.Create(ctx, submission(), "one")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(created).To(BeTrue())
-	k, created, err := s.Create(ctx, submission("b"), "two")
+	k, created, err := s.Create(ctx, submission(), "two")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(created).To(BeFalse())
 	g.Expect(k.Holder).To(Equal("one"))
@@ -112,7 +112,7 @@
 	g, ctx, m := NewWithT(t), context.Background(), newMemory()
 	s := New(m)
 	m.lose = 1
-	k, created, err := s.Create(ctx, submission("b"), "one")
+	k, created, err := s.Create(ctx, submission(), "one")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(created).To(BeTrue())
 	for _, id := range []string{"i1", "i2"} {
@@ -134,7 +134,7 @@
 // position would hold another result than a trainer has read.
 func TestPausedHolder(t *testing.T) {
 	g, ctx, s := NewWithT(t), context.Background(), New(newMemory())
-	old, _, err := s.Create(ctx, submission("b"), "one")
+	old, _, err := s.Create(ctx, submission(), "one")
 	g.Expect(err).NotTo(HaveOccurred())
 	young := old
 	g.Expect(s.TakeOver(ctx, &young, "two")).To(Succeed())
@@ -153,7 +153,7 @@
 func TestRefused(t *testing.T) {
 	g, ctx, m := NewWithT(t), context.Background(), newMemory()
 	m.refuse = 1
-	_, _, err := New(m).Create(ctx, submission("b"), "one")
+	_, _, err := New(m).Create(ctx, submission(), "one")
 	var refused *kvst.RefusedError
 	g.Expect(errors.As(err, &refused)).To(BeTrue())
 	g.Expect(m.items).To(BeEmpty())
@@ -164,7 +164,7 @@
 func TestLargeValues(t *testing.T) {
 	g, ctx, m := NewWithT(t), context.Background(), newMemory()
 	s := New(m, WithValueBytes(100))
-	sub := submission("b")
+	sub := submission()
 	sub.Items[0].Body = []byte(strings.Repeat("y", 800))
 	k, _, err := s.Create(ctx, sub, "one")
 	g.Expect(err).NotTo(HaveOccurred())
--- a/cmd/lavendermux/trace.go
+++ b/cmd/lavendermux/trace.go
@@ -32,6 +32,6 @@
 	if err != nil {
 		return errors.Wrap(err, "trace")
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }() // it was only read
 	return errors.Wrapf(story.Read(f), "%s", name)
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -295,12 +295,13 @@
 		switch {
 		case gap:
 			return kvst.Changes{}, &kvst.GapError{After: after}
-		case len(changes.Items) > 0 || ctx.Err() != nil:
+		case len(changes.Items) > 0:
 			return changes, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			return changes, nil
 		}
 	}
 }
--- a/fwd/tries.go
+++ b/fwd/tries.go
@@ -36,8 +36,8 @@
 		select {
 		case res := <-t.results:
 			hedge.Stop()
-			if answer, err, over := t.take(res); over {
-				return answer, err
+			if v := t.take(res); v.over {
+				return v.answer, v.err
 			}
 		case <-hedge.C:
 			if t.mayHedge() {
@@ -77,13 +77,20 @@
 	return true
 }
 
-// take takes a result and reports whether it settles the request.
-func (t *tries) take(res try) (answer *Answer, err error, over bool) {
+// verdict is what a result means for the request; it is settled when over is set.
+type verdict struct {
+	answer *Answer
+	err    error
+	over   bool
+}
+
+// take takes a result.
+func (t *tries) take(res try) verdict {
 	t.open--
 	var notRun *upstr.NotRunError
 	switch {
 	case res.err == nil && (res.answer.Status < http.StatusInternalServerError || !t.r.Route.MayRepeat()):
-		return res.answer, nil, true
+		return verdict{answer: res.answer, over: true}
 	case res.err == nil:
 		t.kept = res.answer
 	case errors.As(res.err, &notRun):
@@ -93,31 +100,31 @@
 		t.failure = res.err
 	}
 	if t.open > 0 {
-		return nil, nil, false
+		return verdict{}
 	}
 	return t.again()
 }
 
 // again sends the request once more if it may, or ends it.
-func (t *tries) again() (answer *Answer, err error, over bool) {
+func (t *tries) again() verdict {
 	ran := t.failure != nil || t.kept != nil
 	may := t.sent < t.r.Route.MaxAttempts && (!ran || t.r.Route.MayRepeat())
 	if may && t.notRun < notRunMost {
 		if t.notRun > 0 && t.notRun%2 == 0 && !t.pause(fullPause) {
-			answer, err = t.timeUp()
-			return answer, err, true
+			answer, err := t.timeUp()
+			return verdict{answer: answer, err: err, over: true}
 		}
 		if t.next() {
-			return nil, nil, false
+			return verdict{}
 		}
 	}
 	switch {
 	case t.kept != nil:
-		return t.kept, nil, true
+		return verdict{answer: t.kept, over: true}
 	case t.failure != nil:
-		return nil, &FailedError{Cause: t.failure}, true
+		return verdict{err: &FailedError{Cause: t.failure}, over: true}
 	}
-	return nil, &RefusedError{Cause: "all endpoints are full", RetryAfter: comeBack}, true
+	return verdict{err: &RefusedError{Cause: "all endpoints are full", RetryAfter: comeBack}, over: true}
 }
 
 func (t *tries) timeUp() (*Answer, error) {
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -244,6 +244,14 @@
 	return out
 }
 
+// Knows reports whether a live peer has the name.
+func (m *Mesh) Knows(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	p, ok := m.peers[name]
+	return ok && p.alive
+}
+
 // Find returns the peer that a record names as holder, if it is alive.
 func (m *Mesh) Find(holder string) (Node, bool) {
 	m.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	settleTime = 800 * time.Millisecond
 	// sweepEvery is how often endpoints whose grace is over are dropped.
 	sweepEvery = 250 * time.Millisecond
+	// retireMost bounds the wishes to empty an instance that wait.
+	retireMost = 32
 	// bootBytes name a boot.
 	bootBytes = 4
 )
@@ -68,6 +70,9 @@
 		Follow func(ctx context.Context, store kvst.Store, fan *fanout.Fanout, b *Beliefs)
 		// Callers makes the handler of callers' requests.
 		Callers func(manifest func() *manif.Manifest, f *fwd.Forwarder, d *bdesk.Desk) http.Handler
+		// Retired makes the record that tells the operator how far the emptying
+		// of an instance is.
+		Retired func(instance string, done bool) (key string, value []byte)
 		// VersionLine names the line of a stream that tells the weight version.
 		VersionLine string
 	}
@@ -102,6 +107,8 @@
 		Pilot    *steer.Pilot
 		manifest atomic.Pointer[manif.Manifest]
 		listed   atomic.Bool
+		// retire has the instances that are to be emptied, until somebody looks.
+		retire chan string
 	}
 )
 
@@ -121,6 +128,15 @@
 	}
 }
 
+// Retire takes an operator's wish to empty an instance. It never waits; the wish
+// is seen again with each list.
+func (b *Beliefs) Retire(instance string) {
+	select {
+	case b.retire <- instance:
+	default:
+	}
+}
+
 // Listed says that the endpoints have been listed once.
 func (b *Beliefs) Listed() { b.listed.Store(true) }
 
@@ -221,6 +237,7 @@
 	g.Go(func() error { n.out.Follow(ctx, n.store, n.fan, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
 	g.Go(func() error { n.watchStrain(ctx); return nil })
+	g.Go(func() error { n.retire(ctx); return nil })
 	g.Go(func() error { n.pilot.Run(ctx); return nil })
 	if n.cfg.Front == "" {
 		return
@@ -232,7 +249,7 @@
 }
 
 func (n *Node) build(ctx context.Context) {
-	n.beliefs = &Beliefs{}
+	n.beliefs = &Beliefs{retire: make(chan string, retireMost)}
 	n.beliefs.Set = wset.New(func() { n.runner.Wake() })
 	n.store = detour.New(n.out.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.Reaching() })
 	store := bstore.New(n.store, bstore.WithValueBytes(n.cfg.ValueBytes))
@@ -289,7 +306,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "listening at %s", addr)
 		}
-		stop := context.AfterFunc(ctx, func() { srv.Close() })
+		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 		defer stop()
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -347,24 +364,6 @@
 	}
 }
 
-// watchStrain sheds work while this process gets too little of the processor.
-func (n *Node) watchStrain(ctx context.Context) {
-	for {
-		start := time.Now()
-		if !sleep(ctx, strain.Every) {
-			return
-		}
-		now := time.Now()
-		if !n.gauge.Observe(now.Sub(start)-strain.Every, now) {
-			continue
-		}
-		n.logger.Warn("Strain changed.", "strained", n.gauge.Strained(), "late", n.gauge.Mean().Round(time.Millisecond), "holding", len(n.runner.Holding()))
-		if n.gauge.Strained() {
-			go n.desk.Shed(ctx)
-		}
-	}
-}
-
 func boot() string {
 	raw := make([]byte, bootBytes)
 	_, _ = rand.Read(raw) // never fails, as its documentation says
--- /dev/null
+++ b/node/watch.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/strain"
+)
+
+// retireRetry is the pause before a record that was not written is tried again.
+const retireRetry = 300 * time.Millisecond
+
+// watchStrain sheds work while this process gets too little of the processor.
+func (n *Node) watchStrain(ctx context.Context) {
+	for {
+		start := time.Now()
+		if !sleep(ctx, strain.Every) {
+			return
+		}
+		now := time.Now()
+		if !n.gauge.Observe(now.Sub(start)-strain.Every, now) {
+			continue
+		}
+		n.logger.Warn("Strain changed.", "strained", n.gauge.Strained(), "late", n.gauge.Mean().Round(time.Millisecond), "holding", len(n.runner.Holding()))
+		if n.gauge.Strained() {
+			go n.desk.Shed(ctx)
+		}
+	}
+}
+
+// retire empties this instance when the operator asks for it, and answers for
+// instances that run no process. Nothing lies on an instance's disk, so that one is
+// empty once its submissions are handed over.
+func (n *Node) retire(ctx context.Context) {
+	for {
+		var instance string
+		select {
+		case <-ctx.Done():
+			return
+		case instance = <-n.beliefs.retire:
+		}
+		switch {
+		case instance == n.cfg.Instance:
+			n.tellRetired(ctx, instance, false)
+			n.desk.HandOver(ctx)
+		case n.mesh.Knows(instance) || !n.pilot.Plans():
+			continue
+		}
+		n.tellRetired(ctx, instance, true)
+	}
+}
+
+func (n *Node) tellRetired(ctx context.Context, instance string, done bool) {
+	key, value := n.out.Retired(instance, done)
+	for {
+		_, err := n.store.Commit(ctx, kvst.Txn{Puts: []kvst.Put{{Key: key, Value: value}}})
+		n.logger.Info("Instance emptied.", "retired", instance, "done", done, "error", err)
+		if err == nil || !sleep(ctx, retireRetry) {
+			return
+		}
+	}
+}
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -40,7 +40,7 @@
 	go func() {
 		defer close(done)
 		for n := range 10000 {
-			fmt.Fprintf(s, "line %d\n", n)
+			_, _ = fmt.Fprintf(s, "line %d\n", n) // it never fails
 		}
 	}()
 	g.Eventually(done, 5*time.Second).Should(BeClosed())
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -140,7 +140,7 @@
 		case <-t.C:
 		case <-p.changed:
 		}
-		plans := p.plans()
+		plans := p.Plans()
 		p.connect(ctx, plans || p.busy())
 		if plans {
 			p.plan()
@@ -148,9 +148,9 @@
 	}
 }
 
-// plans reports whether this instance plans. Only one entry does, the first by
+// Plans reports whether this instance plans. Only one entry does, the first by
 // name: two that see different engines would have more of them load than needed.
-func (p *Pilot) plans() bool {
+func (p *Pilot) Plans() bool {
 	self := p.mesh.Self()
 	if !self.Plans {
 		return false
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -16,7 +16,7 @@
 	g := NewWithT(t)
 	f, err := os.Open("testdata/two.log")
 	g.Expect(err).NotTo(HaveOccurred())
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	s := New("33cb1651b71eae0d")
 	g.Expect(s.Read(f)).To(Succeed())
 	var out bytes.Buffer
--- a/wplan/wplan_test.go
+++ b/wplan/wplan_test.go
@@ -29,8 +29,8 @@
 	return f
 }
 
-// step carries a plan out and returns how many loads it began.
-func (f *fleet) step() int {
+// step carries a plan out.
+func (f *fleet) step() {
 	for i := range f.state.Engines {
 		e := &f.state.Engines[i]
 		if e.Loading != "" {
@@ -50,7 +50,6 @@
 		}
 	}
 	f.most = max(f.most, len(p.Loads))
-	return len(p.Loads)
 }
 
 func (f *fleet) fit(model string) int {
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -204,7 +204,7 @@
 
 // Draining marks e as leaving before its entry says so.
 func (s *Set) Draining(e endpt.Endpoint) {
-	s.with(e, func(st *state) { st.Endpoint.Draining = true })
+	s.with(e, func(st *state) { st.Draining = true })
 }
 
 // Gone forgets e: another endpoint has its address.
@@ -243,7 +243,7 @@
 
 // Loading takes which models e is changing.
 func (s *Set) Loading(e endpt.Endpoint, models map[string]bool) {
-	s.with(e, func(st *state) { st.View.Loading = models })
+	s.with(e, func(st *state) { st.Loading = models })
 	s.changed()
 }
 
