--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -31,6 +32,9 @@
 	fleets = 3
 )
 
+// nextPort counts the ports that addresses has handed out.
+var nextPort atomic.Int64
+
 type (
 	// fleet is one deployment of processes: the platform's stand-ins, three
 	// entries, and a process beside each of three engines and a plain service.
@@ -80,23 +84,58 @@
 // turns bounds the fleets that run at a time.
 var turns = make(chan struct{}, fleets)
 
-// addresses returns n addresses on loopback where nothing listens.
+// addresses returns addresses for n programs that are started later. A port that
+// was free a moment ago may be taken by any connection until its program starts, so
+// these lie where connections never do: at a loopback address of this test process
+// alone, with ports below those that the system hands out.
 func addresses(t *testing.T, n int) []string {
 	t.Helper()
+	const firstPort = 20000
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>14&63, pid>>7&127+1, pid&127+1)
 	var c net.ListenConfig
 	var addrs []string
 	for range n {
-		l, err := c.Listen(context.Background(), "tcp", "127.0.0.1:0")
+		addr := net.JoinHostPort(ip, strconv.FormatInt(firstPort+nextPort.Add(1), 10))
+		l, err := c.Listen(context.Background(), "tcp", addr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		// Kept until all are chosen, or one might be chosen twice.
-		defer func() { _ = l.Close() }()
-		addrs = append(addrs, l.Addr().String())
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+		addrs = append(addrs, addr)
 	}
 	return addrs
 }
 
+// TestAddressesStayFree opens many connections between the choice of addresses and
+// their use, as other tests do at the same time. A program that then finds its
+// address taken ends at once, and the test that started it fails.
+func TestAddressesStayFree(t *testing.T) {
+	g := NewWithT(t)
+	srv, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = srv.Close() }()
+	addrs := addresses(t, 20)
+	chosen := make(map[string]bool)
+	for _, a := range addrs {
+		chosen[a] = true
+	}
+	var dialer net.Dialer
+	for range 500 {
+		c, err := dialer.DialContext(t.Context(), "tcp", srv.Addr().String())
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = c.Close() }()
+		g.Expect(chosen[c.LocalAddr().String()]).To(BeFalse())
+	}
+	for _, a := range addrs {
+		l, err := net.Listen("tcp", a)
+		g.Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = l.Close() }()
+	}
+}
+
 // newFleet starts a deployment and waits until it serves.
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
