--- a/steer/steer.go
+++ b/steer/steer.go
@@ -58,6 +58,7 @@
 	named struct {
 		version  int64
 		revision int64
+		at       time.Time
 	}
 
 	// link is the connection to the process beside one engine.
@@ -117,7 +118,7 @@
 	old := p.named[model]
 	newer := version > old.version
 	if newer {
-		p.named[model] = named{version: version, revision: revision}
+		p.named[model] = named{version: version, revision: revision, at: time.Now()}
 	}
 	p.mu.Unlock()
 	if newer {
@@ -197,9 +198,10 @@
 func (p *Pilot) plan() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Lag: defaultLag}
+	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Age: make(map[string]time.Duration), Lag: defaultLag}
 	for model, n := range p.named {
 		state.Named[model] = n.version
+		state.Age[model] = time.Since(n.at)
 	}
 	for model := range state.Demand {
 		state.Named[model] = max(state.Named[model], firstVersion)
--- a/wplan/wplan.go
+++ b/wplan/wplan.go
@@ -17,6 +17,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -25,6 +26,11 @@
 	// 46 at full speed.
 	atOnceShare = 0.2
 	atOnceLeast = 2
+	// fillTime is how long engines that are fit for the newest step are left alone
+	// after its version was named. The step's items arrive within a round trip;
+	// an engine that has taken some goes on with them while it loads, and one that
+	// loads first would keep them waiting for a second.
+	fillTime = 300 * time.Millisecond
 	// slack is how far a model's engines may be from its share before one moves:
 	// a move costs a load, and shares change with each step.
 	slack = 1.2
@@ -50,6 +56,8 @@
 		Named map[string]int64
 		// Demand is the work that each model has; 0 everywhere shares equally.
 		Demand map[string]float64
+		// Age is the time since each version was named.
+		Age map[string]time.Duration
 		// Lag is how many versions old samples may be.
 		Lag     int64
 		Engines []Engine
@@ -143,6 +151,9 @@
 		}
 	}
 	var out []candidate
+	if s.Age[model] < fillTime {
+		willing = nil
+	}
 	fit := float64(mine-len(forced)) / float64(max(1, mine))
 	for _, e := range forced {
 		out = append(out, candidate{engine: e, model: model, forced: true, fit: fit})
--- a/wplan/wplan_test.go
+++ b/wplan/wplan_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -15,7 +16,7 @@
 }
 
 func newFleet(engines int, models ...string) *fleet {
-	f := &fleet{state: State{Named: map[string]int64{}, Demand: map[string]float64{}, Lag: 1}, loads: map[string]int{}}
+	f := &fleet{state: State{Named: map[string]int64{}, Demand: map[string]float64{}, Age: map[string]time.Duration{}, Lag: 1}, loads: map[string]int{}}
 	for i := range engines {
 		e := Engine{ID: fmt.Sprintf("e%02d", i), Versions: map[string]int64{}}
 		for _, m := range models {
@@ -25,6 +26,7 @@
 	}
 	for _, m := range models {
 		f.state.Named[m] = 1
+		f.state.Age[m] = time.Second
 	}
 	return f
 }
@@ -177,3 +179,19 @@
 	}
 	g.Expect(n).To(BeNumerically(">=", 2))
 }
+
+// A version is named and the step's items arrive a moment later. Engines that are
+// fit for it must take them first and load then: loading first, half of them would
+// keep the items waiting for a second.
+func TestFitEnginesTakeItemsFirst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(6, "a")
+	f.state.Named["a"] = 2
+	f.state.Age["a"] = 10 * time.Millisecond
+	g.Expect(New(f.state).Loads).To(BeEmpty())
+	f.state.Age["a"] = time.Second
+	g.Expect(New(f.state).Loads).To(HaveLen(2))
+	f.state.Named["a"] = 3
+	f.state.Age["a"] = 10 * time.Millisecond
+	g.Expect(New(f.state).Loads).To(HaveLen(2), "engines that are too old load at once")
+}
