--- a/follow/follow.go
+++ b/follow/follow.go
@@ -211,11 +211,13 @@
 		wait = c.Wait
 	}
 	after := f.Revision()
-	asked := time.Now()
 	changes, err := c.Watch(ctx, f.prefix, after, wait)
 	if err != nil {
 		return err
 	}
+	// The source answers a watch when its wait is over; until then it vouches
+	// that nothing has changed.
+	answered := time.Now()
 	if lost {
 		f.regained()
 	}
@@ -224,7 +226,7 @@
 		f.take(it)
 	}
 	f.revision = max(f.revision, changes.Revision)
-	f.vouch(asked, c)
+	f.vouch(answered, c)
 	f.mu.Unlock()
 	for _, it := range changes.Items {
 		f.change(it)
@@ -246,8 +248,7 @@
 }
 
 // vouch notes when the copy was known to be current. The lock is held.
-func (f *Follower) vouch(asked time.Time, c Choice) {
-	at := asked
+func (f *Follower) vouch(at time.Time, c Choice) {
 	if c.Age != nil {
 		at = time.Now().Add(-c.Age())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -99,6 +99,8 @@
 		listen  func(ctx context.Context, addr string) (net.Listener, error)
 		// stopping is set when the process has been told to stop.
 		stopping atomic.Bool
+		// drained is closed once no request of a caller is in flight any more.
+		drained chan struct{}
 	}
 
 	// Beliefs are what the process takes for true about the outside.
@@ -146,11 +148,12 @@
 //	err := n.Run(ctx)
 func New(cfg setup.Setup, out Outside, logger *log.Logger, opts ...Option) *Node {
 	n := &Node{
-		cfg:    cfg,
-		out:    out,
-		logger: logger,
-		meter:  meter.New(),
-		client: &http.Client{Transport: conns.New(conns.WithIdle(idleTime))},
+		cfg:     cfg,
+		out:     out,
+		logger:  logger,
+		meter:   meter.New(),
+		drained: make(chan struct{}),
+		client:  &http.Client{Transport: conns.New(conns.WithIdle(idleTime))},
 		listen: func(ctx context.Context, addr string) (net.Listener, error) {
 			var lc net.ListenConfig
 			return lc.Listen(ctx, "tcp", addr)
@@ -330,10 +333,8 @@
 		return
 	}
 	srv.SetKeepAlivesEnabled(false)
-	drainCtx, cancel := context.WithTimeout(ctx, n.cfg.Grace)
-	defer cancel()
-	if err := srv.Shutdown(drainCtx); err != nil && ctx.Err() == nil {
-		n.logger.Warn("Requests cut at the end of the grace.", "error", err)
+	if err := srv.Shutdown(ctx); err == nil {
+		close(n.drained)
 	}
 }
 
@@ -346,8 +347,17 @@
 	}
 	n.runner.Stop(ctx)
 	n.desk.HandOver(ctx)
-	if n.cfg.Front != "" {
-		sleep(ctx, time.Duration(drainShare*float64(n.cfg.Grace)))
+	if n.cfg.Front == "" {
+		return
+	}
+	// Leaving early matters: until the process has started again, its callers have
+	// one entry less.
+	most := time.NewTimer(time.Duration(drainShare * float64(n.cfg.Grace)))
+	defer most.Stop()
+	select {
+	case <-n.drained:
+	case <-most.C:
+		n.logger.Warn("Requests cut at the end of the grace.")
 	}
 }
 
