--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -12,6 +12,10 @@
 	"github.com/lavendermux/lavendermux/rendez"
 )
 
+// leftOver is the age at which an ended submission is loaded at the start of an
+// instance, only to expire there: the instance that should have removed it is gone.
+const leftOver = 10 * time.Minute
+
 // adopt makes this instance the holder of a submission whose holder is lost. An
 // ended submission is only loaded, to be read.
 func (d *Desk) adopt(ctx context.Context, kept bstore.Kept) error {
@@ -121,7 +125,7 @@
 		heads, err = d.store.Heads(ctx)
 	}
 	for _, k := range heads {
-		if k.Ended || d.runner.Holds(k.ID) {
+		if d.runner.Holds(k.ID) || (k.Ended && k.Age(time.Now()) < leftOver) {
 			continue
 		}
 		if _, alive := d.mesh.Find(k.Holder); !alive {
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -48,6 +48,8 @@
 		version  string
 		centre   string
 		meter    *meter.Meter
+		// retention is how long results stay readable after submission.
+		retention time.Duration
 
 		mu       sync.Mutex
 		held     map[string]*held
@@ -103,6 +105,8 @@
 		demand:   make(map[string]float64),
 		wake:     make(chan struct{}, 1),
 		meter:    meter.New(),
+
+		retention: defaultRetention,
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -143,7 +147,9 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			r.sweep(now)
+			if expired := r.sweep(now); len(expired) > 0 {
+				go r.remove(ctx, expired)
+			}
 		case <-r.wake:
 		}
 		r.schedule(ctx, time.Now())
@@ -405,8 +411,9 @@
 	}
 }
 
-// sweep ends runs that went silent and items that are overdue.
-func (r *Runner) sweep(now time.Time) {
+// sweep ends runs that went silent and items that are overdue, and returns the
+// submissions that have expired.
+func (r *Runner) sweep(now time.Time) []bstore.Kept {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, h := range r.held {
@@ -429,6 +436,7 @@
 			}
 		}
 	}
+	return r.expired(now)
 }
 
 // silence is how long a run may make no event.
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -13,10 +13,11 @@
 const (
 	// progressEvery is how often the text of long items is kept while nothing
 	// else is written, and progressLeast the events that make it worth a write:
-	// about a second of work. When all instances lose power at once, only what
-	// the store has is left of a step, and its longest items decide when it ends.
-	progressEvery = 1200 * time.Millisecond
-	progressLeast = 25
+	// under half a second of work. When all instances lose power at once, only
+	// what the store has is left of a step, and its longest items decide when it
+	// ends.
+	progressEvery = 600 * time.Millisecond
+	progressLeast = 10
 	// stopSave bounds how long a stop waits for the text of running items.
 	stopSave = 600 * time.Millisecond
 	// flushRetry is the pause after a write that the store refused.
--- a/node/node.go
+++ b/node/node.go
@@ -257,7 +257,8 @@
 	n.store = detour.New(n.out.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.Reaching() })
 	store := bstore.New(n.store, bstore.WithValueBytes(n.cfg.ValueBytes))
 	n.runner = brun.New(store, n.beliefs.Set, n.out.Sender, n.beliefs.Manifest, n.logger,
-		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre), brun.WithMeter(n.meter))
+		brun.WithVersionLine(n.out.VersionLine), brun.WithDataCentre(n.cfg.DataCentre), brun.WithMeter(n.meter),
+		brun.WithRetention(n.cfg.Retention))
 	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != "", Power: n.cfg.Power}
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
