--- /dev/null
+++ b/brun/runs.go
@@ -0,0 +1,186 @@
+package brun
+
+import (
+	"context"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/place"
+	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+// schedule starts as many waiting items as endpoints have room for, the oldest
+// submission first.
+func (r *Runner) schedule(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stopping {
+		return
+	}
+	open := make([]*held, 0, len(r.held))
+	for _, h := range r.held {
+		if !h.ended {
+			open = append(open, h)
+		}
+	}
+	slices.SortFunc(open, func(a, b *held) int { return int(a.kept.Submitted - b.kept.Submitted) })
+	for _, h := range open {
+		route, ok := r.route(h.sub)
+		if !ok {
+			continue
+		}
+		r.startItems(ctx, h, route, now)
+	}
+}
+
+func (r *Runner) startItems(ctx context.Context, h *held, route *manif.Route, now time.Time) {
+	for _, it := range h.order {
+		if it.done || it.cancel != nil || now.Before(it.notBefore) {
+			continue
+		}
+		views := r.candidates(route.Service(it.ID), h.sub, it, route)
+		i, ok := r.picker.Pick(candidates(views, r.centre, now))
+		if !ok {
+			return
+		}
+		r.start(ctx, h, it, route, views[i])
+	}
+}
+
+// candidates returns the endpoints whose weights fit.
+func (r *Runner) candidates(service string, sub *batch.Submission, it *item, route *manif.Route) []wset.View {
+	return slices.DeleteFunc(r.set.Service(service), func(v wset.View) bool {
+		version := v.Versions[sub.Model]
+		if v.Loading[sub.Model] || version < sub.MinVersion {
+			return true
+		}
+		return route.SingleVersion && len(it.versions) > 0 && it.versions[0] != version
+	})
+}
+
+func candidates(views []wset.View, centre string, now time.Time) []place.Candidate {
+	out := make([]place.Candidate, len(views))
+	for i, v := range views {
+		out[i] = place.Candidate{
+			Slots:   v.Slots,
+			Running: v.Running,
+			Pace:    pace(v),
+			Remote:  v.DataCentre != centre,
+			Avoid:   now.Before(v.AvoidUntil),
+		}
+	}
+	return out
+}
+
+func pace(v wset.View) float64 {
+	if v.Pace == 0 {
+		return unknownPace.Seconds()
+	}
+	return v.Pace.Seconds()
+}
+
+// start sends an item to an endpoint. The runner's lock is held.
+func (r *Runner) start(ctx context.Context, h *held, it *item, route *manif.Route, v wset.View) {
+	runCtx, cancel := context.WithCancelCause(ctx)
+	it.cancel = cancel
+	it.at = v.Endpoint
+	it.started = time.Now()
+	it.heard = it.started
+	it.attempts++
+	r.set.Begin(v.Endpoint)
+	call := upstr.Call{
+		Endpoint:  v.Endpoint,
+		ID:        it.ID,
+		Method:    "POST",
+		Target:    it.Target,
+		Host:      h.sub.Host,
+		Header:    it.header(),
+		Body:      it.Body,
+		LastEvent: it.last,
+	}
+	if route.MaxQueue > 0 {
+		call.Budget = route.MaxQueue - h.kept.Age(time.Now())
+	}
+	go r.run(runCtx, h, it, route, call)
+}
+
+func (r *Runner) run(ctx context.Context, h *held, it *item, route *manif.Route, call upstr.Call) {
+	start, had := time.Now(), call.LastEvent
+	err := r.stream(ctx, h, it, call)
+	if cause := context.Cause(ctx); cause != nil && err != nil {
+		err = cause
+	}
+	r.set.End(call.Endpoint)
+	r.mu.Lock()
+	it.cancel(nil)
+	it.cancel = nil
+	outcome := r.settle(h, it, route, call, err)
+	r.mu.Unlock()
+	r.meter.Count("item_runs_total", 1, "outcome", outcome)
+	r.meter.Observe("item_run_seconds", time.Since(start))
+	r.logger.Info("Item run.", "batch", h.sub.ID, "item", it.ID, "endpoint", call.Endpoint.ID, "from", had,
+		"to", it.last, "outcome", outcome, "error", err, "attempt", it.attempts, "versions", it.versions, "took", time.Since(start).Round(time.Millisecond))
+	r.Wake()
+}
+
+// settle takes the end of a run and names its outcome.
+func (r *Runner) settle(h *held, it *item, route *manif.Route, call upstr.Call, err error) string {
+	now := time.Now()
+	var notRun *upstr.NotRunError
+	var status *statusError
+	switch {
+	case it.done || h.ended || h.dropped:
+		return "ended"
+	case err == nil:
+		it.whole = true
+		h.finish(it, batch.Completed)
+		return "completed"
+	case errors.As(err, &notRun):
+		it.notBefore = now.Add(retryPause)
+		if notRun.Gone {
+			r.set.Gone(call.Endpoint)
+			return "endpoint gone"
+		}
+		r.set.Failed(call.Endpoint, now)
+		return "not run"
+	case errors.As(err, &status):
+		return r.settleStatus(h, it, route, status)
+	case errors.Is(err, errMoved):
+		return "moved"
+	default:
+		r.set.Failed(call.Endpoint, now)
+		return "broken"
+	}
+}
+
+func (r *Runner) settleStatus(h *held, it *item, route *manif.Route, e *statusError) string {
+	it.notBefore = time.Now().Add(retryPause)
+	if e.Status == statusFailed {
+		it.failures++
+	}
+	if e.Status == statusNever || it.failures >= route.MaxAttempts {
+		h.finish(it, batch.Errored)
+		return "errored"
+	}
+	return "failed"
+}
+
+// stream reads the events of one run into the item.
+func (r *Runner) stream(ctx context.Context, h *held, it *item, call upstr.Call) error {
+	a, err := r.sender.Send(ctx, call)
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	if a.Status != statusOK {
+		_, _ = io.CopyN(io.Discard, a.Body, refusalBytes) // keeps the connection
+		return &statusError{Status: a.Status}
+	}
+	return r.events(h, it, call, a)
+}
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lavendermux/lavendermux/sse"
+	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -61,7 +61,7 @@
 // events appends the events of an answer to the item. An event counts under the
 // weight version that was in force when it was made.
 func (r *Runner) events(h *held, it *item, call upstr.Call, a *upstr.Answer) error {
-	reader := sse.New(a.Body, r.version)
+	reader := stream.New(a.Body, r.version)
 	version := a.Version
 	r.set.Version(call.Endpoint, h.sub.Model, version)
 	before := time.Now()
@@ -86,7 +86,7 @@
 	}
 }
 
-func (r *Runner) addEvent(h *held, it *item, ev sse.Event, version int64) error {
+func (r *Runner) addEvent(h *held, it *item, ev stream.Event, version int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it.heard = time.Now()
--- /dev/null
+++ b/brun/sweep.go
@@ -0,0 +1,88 @@
+package brun
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/strays"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+// sweep ends runs that went silent and items that are overdue, and returns the
+// submissions that have expired.
+func (r *Runner) sweep(now time.Time) []bstore.Kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range r.held {
+		if h.ended {
+			continue
+		}
+		route, ok := r.route(h.sub)
+		age := h.kept.Age(now)
+		for _, it := range h.items {
+			switch {
+			case it.done:
+			case r.manifest() != nil && !ok:
+				r.giveUp(h, it, "route removed")
+			case ok && route.MaxQueue > 0 && age > route.MaxQueue:
+				r.giveUp(h, it, "queue time over")
+			case it.cancel != nil && now.Sub(it.heard) > r.silence(h, it):
+				it.cancel(errSilent)
+			case it.cancel != nil && ok && !r.stopping:
+				r.moveSlow(h, it, route, now)
+			}
+		}
+	}
+	return r.expired(now)
+}
+
+// silence is how long a run may make no event.
+func (r *Runner) silence(h *held, it *item) time.Duration {
+	if v, ok := r.set.View(it.at); ok && v.Loading[h.sub.Model] {
+		return silenceLoading
+	}
+	return silenceMost
+}
+
+// moveSlow breaks a run off if it is expected to end sooner elsewhere; it then
+// starts again from its last event.
+func (r *Runner) moveSlow(h *held, it *item, route *manif.Route, now time.Time) {
+	here, ok := r.set.View(it.at)
+	if !ok || now.Sub(it.started) < moveAfter {
+		return
+	}
+	views := r.candidates(it.at.Service, h.sub, it, route)
+	views = slices.DeleteFunc(views, func(v wset.View) bool { return v.ID == it.at.ID || now.Before(v.AvoidUntil) })
+	cands := candidates(views, r.centre, now)
+	i, ok := r.picker.Pick(cands)
+	if !ok {
+		return
+	}
+	run := strays.Run{Made: len(it.texts), Expected: r.expected(it, it.at.Service), Here: here.Pace, There: views[i].Pace}
+	if run.Move() {
+		r.logger.Info("Item moved.", "batch", h.sub.ID, "item", it.ID, "from", it.at.ID, "to", views[i].ID,
+			"made", run.Made, "expected", run.Expected, "here", run.Here, "there", run.There)
+		it.cancel(errMoved)
+	}
+}
+
+// expected is the number of events that an item is expected to make.
+func (r *Runner) expected(it *item, service string) int {
+	m := r.manifest()
+	if m == nil || m.Services[service].Stride == 0 {
+		return 0
+	}
+	return it.Hint / m.Services[service].Stride
+}
+
+func (r *Runner) giveUp(h *held, it *item, cause string) {
+	if it.cancel != nil {
+		it.cancel(errEnded)
+	}
+	h.finish(it, batch.Errored)
+	r.meter.Count("items_given_up_total", 1, "cause", cause)
+	r.logger.Warn("Item given up.", "batch", h.sub.ID, "item", it.ID, "cause", cause, "attempts", it.attempts, "events", len(it.texts))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -22,12 +22,12 @@
 	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/detour"
 	"github.com/lavendermux/lavendermux/fanout"
-	"github.com/lavendermux/lavendermux/fwd"
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/proxy"
 	"github.com/lavendermux/lavendermux/setup"
 	"github.com/lavendermux/lavendermux/steer"
 	"github.com/lavendermux/lavendermux/strain"
@@ -69,7 +69,7 @@
 		// Follow keeps what the store says about the outside up to date.
 		Follow func(ctx context.Context, store kvst.Store, fan *fanout.Fanout, b *Beliefs)
 		// Callers makes the handler of callers' requests.
-		Callers func(manifest func() *manif.Manifest, f *fwd.Forwarder, d *bdesk.Desk) http.Handler
+		Callers func(manifest func() *manif.Manifest, f *proxy.Forwarder, d *bdesk.Desk) http.Handler
 		// Retired makes the record that tells the operator how far the emptying
 		// of an instance is.
 		Retired func(instance string, done bool) (key string, value []byte)
@@ -245,7 +245,7 @@
 	if n.cfg.Front == "" {
 		return
 	}
-	forward := fwd.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger, n.meter)
+	forward := proxy.New(n.beliefs.Set, n.out.Sender, n.cfg.DataCentre, n.logger, n.meter)
 	n.serve(ctx, g, n.cfg.Front, n.out.Callers(n.beliefs.Manifest, forward, n.desk))
 	n.serve(ctx, g, n.cfg.Ready, http.HandlerFunc(n.ready))
 	g.Go(func() error { n.recover(ctx); return nil })
--- a/fwd/fwd.go
+++ b/proxy/proxy.go
@@ -1,6 +1,6 @@
-// Package fwd forwards single requests to endpoints and decides what the caller
+// Package proxy forwards single requests to endpoints and decides what the caller
 // is told when one fails.
-package fwd
+package proxy
 
 import (
 	"context"
@@ -108,7 +108,7 @@
 
 // New returns a forwarder that prefers endpoints of the data centre.
 //
-//	f := fwd.New(set, sender, "dc-a", logger, meter)
+//	f := proxy.New(set, sender, "dc-a", logger, meter)
 //	answer, err := f.Forward(ctx, request)
 func New(set *wset.Set, sender upstr.Sender, centre string, logger *log.Logger, m *meter.Meter) *Forwarder {
 	return &Forwarder{set: set, sender: sender, picker: place.New(), centre: centre, logger: logger, meter: m}
--- a/fwd/stream.go
+++ b/proxy/stream.go
@@ -1,4 +1,4 @@
-package fwd
+package proxy
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/endpt"
-	"github.com/lavendermux/lavendermux/sse"
+	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -34,8 +34,8 @@
 		Write(p []byte) error
 	}
 
-	// stream is one streamed answer, put together from one or more runs.
-	stream struct {
+	// streamed is one streamed answer, put together from one or more runs.
+	streamed struct {
 		f       *Forwarder
 		r       Request
 		sink    Sink
@@ -59,7 +59,7 @@
 	until := Until(start, r.Route, r.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	s := &stream{f: f, r: r, sink: sink, version: version, last: last}
+	s := &streamed{f: f, r: r, sink: sink, version: version, last: last}
 	err = s.run(ctx)
 	outcome := outcomeOf(err)
 	f.meter.Count("streams_total", 1, "route", r.Route.Name, "outcome", outcome)
@@ -68,7 +68,7 @@
 	return s.begun, err
 }
 
-func (s *stream) run(ctx context.Context) error {
+func (s *streamed) run(ctx context.Context) error {
 	var ran error
 	for notRun := 0; s.runs < s.r.Route.MaxAttempts && notRun < notRunMost; {
 		e, ok := s.f.pick(s.r.Route.Service(s.r.ID), s.used)
@@ -101,7 +101,7 @@
 }
 
 // once passes on what one endpoint sends.
-func (s *stream) once(ctx context.Context, e endpt.Endpoint) error {
+func (s *streamed) once(ctx context.Context, e endpt.Endpoint) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := time.AfterFunc(time.Hour, func() { cancel(errStreamSilent) })
@@ -145,7 +145,7 @@
 }
 
 // whole passes on an answer that isn't a stream.
-func (s *stream) whole(a *upstr.Answer) error {
+func (s *streamed) whole(a *upstr.Answer) error {
 	body, err := io.ReadAll(io.LimitReader(a.Body, bodyMost))
 	if err != nil || s.begun {
 		return &upstr.UnknownError{Cause: errors.CombineErrors(err, errors.Newf("status %d", a.Status))}
@@ -155,8 +155,8 @@
 	return s.sink.Write(body)
 }
 
-func (s *stream) pass(a *upstr.Answer, silence *time.Timer) error {
-	events := sse.New(a.Body, s.version)
+func (s *streamed) pass(a *upstr.Answer, silence *time.Timer) error {
+	events := stream.New(a.Body, s.version)
 	for {
 		ev, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/fwd/tries.go
+++ b/proxy/tries.go
@@ -1,4 +1,4 @@
-package fwd
+package proxy
 
 import (
 	"context"
--- a/sse/sse.go
+++ b/stream/stream.go
@@ -1,6 +1,6 @@
-// Package sse reads a series of events. An event counts only once its blank line
+// Package stream reads a series of events. An event counts only once its blank line
 // is there, since an endpoint may stop in the middle of one.
-package sse
+package stream
 
 import (
 	"bufio"
@@ -48,7 +48,7 @@
 // New returns a reader of r. A line that begins with version and a colon names
 // the weight version from its event on.
 //
-//	events := sse.New(resp.Body, "weight-versions")
+//	events := stream.New(resp.Body, "weight-versions")
 //	ev, err := events.Next()
 func New(r io.Reader, version string) *Reader {
 	return &Reader{br: bufio.NewReaderSize(r, buffer), version: []byte(version + ":")}
--- a/sse/sse_test.go
+++ b/stream/stream_test.go
@@ -1,4 +1,4 @@
-package sse
+package stream
 
 import (
 	"io"
