--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -54,6 +54,9 @@
 	if now.Revision == 0 {
 		return &NoBatchError{ID: kept.ID}
 	}
+	if !now.Ended && !d.mesh.Settled(ctx) {
+		return ctx.Err()
+	}
 	from := now.Holder
 	if _, alive := d.mesh.Find(from); alive && from != kept.Holder {
 		d.remember(now)
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -36,6 +36,9 @@
 	pingPerPeer = 15 * time.Millisecond
 	// pingTimeout bounds one question; a peer answers within milliseconds.
 	pingTimeout = 800 * time.Millisecond
+	// settleTime is how long after its registration an instance knows which peers
+	// live: they answer within a round trip.
+	settleTime = 200 * time.Millisecond
 	// forgetAfter drops a peer that was replaced.
 	forgetAfter = 30 * time.Second
 	// listRetry is the pause after a failed registration.
@@ -56,6 +59,8 @@
 		peers map[string]*peer
 		lost  func(Node, Status)
 		told  func(Node, Status)
+		// settled is closed once the peers that live are known.
+		settled chan struct{}
 	}
 
 	// Option changes a Mesh as New makes it.
@@ -124,6 +129,8 @@
 		status: func() Status { return Status{} },
 		lost:   func(Node, Status) {},
 		told:   func(Node, Status) {},
+
+		settled: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(m)
@@ -244,6 +251,17 @@
 	return out
 }
 
+// Settled waits until the peers that live are known, and reports whether they are.
+// Instances that come up together would otherwise take each other for lost.
+func (m *Mesh) Settled(ctx context.Context) bool {
+	select {
+	case <-m.settled:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Knows reports whether a live peer has the name.
 func (m *Mesh) Knows(name string) bool {
 	m.mu.Lock()
@@ -308,6 +326,8 @@
 		m.logger.Warn("Not registered yet.", "error", err)
 		pause(ctx, listRetry)
 	}
+	pause(ctx, settleTime)
+	close(m.settled)
 	<-ctx.Done()
 }
 
