--- a/brun/flush.go
+++ b/brun/flush.go
@@ -8,6 +8,7 @@
 
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/drip"
+	"github.com/lavendermux/lavendermux/nap"
 )
 
 const (
@@ -151,7 +152,7 @@
 			return false
 		}
 		r.logger.Warn("Results not kept yet.", "batch", h.sub.ID, "error", err)
-		if r.isDropped(h) || !sleep(ctx, flushRetry) {
+		if r.isDropped(h) || !nap.For(ctx, flushRetry) {
 			return false
 		}
 	}
@@ -162,14 +163,3 @@
 	defer r.mu.Unlock()
 	return h.dropped
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -19,6 +19,7 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/nap"
 )
 
 const (
@@ -299,7 +300,7 @@
 			return settle(k, conflict)
 		}
 		var unknown *kvst.UnknownError
-		if !errors.As(err, &unknown) || !pause(ctx, settlePause) {
+		if !errors.As(err, &unknown) || !nap.For(ctx, settlePause) {
 			return err
 		}
 	}
@@ -371,17 +372,6 @@
 	return append(parts, raw)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func headKey(id string) string { return HeadPrefix + url.PathEscape(id) }
 
 func bodyKey(id string, n int) string {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/nap"
 )
 
 const (
@@ -156,7 +157,7 @@
 			rest = 0
 		}
 		if rest > 0 {
-			pause(ctx, rest)
+			nap.For(ctx, rest)
 		}
 	}
 }
@@ -316,12 +317,3 @@
 	}
 	return out
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/hubs/follow.go
+++ b/hubs/follow.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/wire"
 )
@@ -43,7 +45,7 @@
 			wait = firstBackoff
 			continue
 		}
-		if !pause(ctx, h.jitter(wait, wide)) {
+		if !nap.For(ctx, h.jitter(wait, wide)) {
 			return
 		}
 		wait = min(2*wait, defaultBackoff*2/3)
--- a/hubs/hub.go
+++ b/hubs/hub.go
@@ -18,6 +18,7 @@
 	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/member"
@@ -271,15 +272,3 @@
 	}
 	return p
 }
-
-// pause waits for d or until ctx ends, and tells whether to go on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+
+	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/record"
 	"github.com/lavendermux/lavendermux/rendez"
 )
@@ -167,7 +169,7 @@
 		} else {
 			backoff = firstBackoff
 		}
-		pause(ctx, wait)
+		nap.For(ctx, wait)
 	}
 	k.handBack()
 }
@@ -269,12 +271,3 @@
 	defer k.mu.Unlock()
 	return time.Duration(float64(d) * (1 + share*(2*k.rand.Float64()-1)))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/nap"
 )
 
 const (
@@ -324,9 +325,9 @@
 			break
 		}
 		m.logger.Warn("Not registered yet.", "error", err)
-		pause(ctx, listRetry)
+		nap.For(ctx, listRetry)
 	}
-	pause(ctx, settleTime)
+	nap.For(ctx, settleTime)
 	close(m.settled)
 	<-ctx.Done()
 }
@@ -389,7 +390,7 @@
 				return
 			}
 		}
-		pause(ctx, every)
+		nap.For(ctx, every)
 	}
 }
 
@@ -469,12 +470,3 @@
 	}
 	return out, nil
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/proxy"
 	"github.com/lavendermux/lavendermux/setup"
 	"github.com/lavendermux/lavendermux/steer"
@@ -326,11 +327,11 @@
 func (n *Node) drain(ctx context.Context, srv *http.Server) {
 	const look = 50 * time.Millisecond
 	for !n.stopping.Load() {
-		if !sleep(ctx, look) {
+		if !nap.For(ctx, look) {
 			return
 		}
 	}
-	if !sleep(ctx, serveOn) {
+	if !nap.For(ctx, serveOn) {
 		return
 	}
 	srv.SetKeepAlivesEnabled(false)
@@ -364,13 +365,13 @@
 
 // recover takes over what no live instance holds, once the peers are known.
 func (n *Node) recover(ctx context.Context) {
-	if sleep(ctx, settleTime) {
+	if nap.For(ctx, settleTime) {
 		n.desk.Recover(ctx)
 	}
 }
 
 func (n *Node) sweep(ctx context.Context) {
-	for sleep(ctx, sweepEvery) {
+	for nap.For(ctx, sweepEvery) {
 		n.beliefs.Set.Sweep(time.Now())
 	}
 }
@@ -380,14 +381,3 @@
 	_, _ = rand.Read(raw) // never fails, as its documentation says
 	return hex.EncodeToString(raw)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -90,7 +91,7 @@
 		if ctx.Err() != nil || !s.r.Route.MayRepeat() {
 			break
 		}
-		if !sleep(ctx, resumeGap) {
+		if !nap.For(ctx, resumeGap) {
 			break
 		}
 	}
@@ -177,14 +178,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -16,6 +16,7 @@
 
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/wplan"
 	"github.com/lavendermux/lavendermux/wset"
 )
@@ -269,7 +270,7 @@
 				p.logger.Warn("Engine's process lost.", "endpoint", v.ID, "addr", addr, "error", err)
 			}
 			lost = true
-			pause(ctx, retryPause)
+			nap.For(ctx, retryPause)
 			continue
 		}
 		if lost {
@@ -325,12 +326,3 @@
 	default:
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
