Steps of one model at one entry, paces without the first event, moves that fit

Cause: with 23 entries each step of a trainer was held by another one, which knew no engine's speed: the longest items (116 events) began on engines that are a third slower and ended at 7.3 to 7.6 s instead of 5.6 s. The time from the head of an answer to its first event was taken for the time of an event (5 ms for 48 ms), so that a strange engine looked ten times faster.

Ruled out: waiting for weights (loads free the engines in time), processor time (0.09 of a core at the busiest), the store (writes take 10 to 50 ms).

A submission that was created for the boot that takes it needs no take-over write.

--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -12,9 +12,14 @@
 	"github.com/lavendermux/lavendermux/rendez"
 )
 
-// leftOver is the age at which an ended submission is loaded at the start of an
-// instance, only to expire there: the instance that should have removed it is gone.
-const leftOver = 10 * time.Minute
+const (
+	// leftOver is the age at which an ended submission is loaded at the start of an
+	// instance, only to expire there: the instance that should have removed it is
+	// gone.
+	leftOver = 10 * time.Minute
+	// firstEpoch is that of a submission that was created a moment ago.
+	firstEpoch = 1
+)
 
 // adopt makes this instance the holder of a submission whose holder is lost. An
 // ended submission is only loaded, to be read.
@@ -67,7 +72,7 @@
 		d.forget(kept.ID)
 		return nil
 	}
-	if !now.Ended {
+	if !now.Ended && !d.createdFor(now) {
 		if err := d.store.TakeOver(ctx, &now, d.self); err != nil {
 			return err
 		}
@@ -90,6 +95,15 @@
 	return nil
 }
 
+// createdFor reports whether a peer created the submission for this boot of this
+// instance and nobody has written to it since. It needs no later epoch then: a
+// take-over would cost a write, and delay the first items by it. After any write a
+// later epoch is needed even here, to tell a write of an earlier holding that comes
+// late from those of this one.
+func (d *Desk) createdFor(kept bstore.Kept) bool {
+	return kept.Holder == d.self && kept.Epoch == firstEpoch && kept.Writes == 0
+}
+
 // Lost takes over those submissions of a lost peer that fall to this instance.
 func (d *Desk) Lost(n mesh.Node, holding map[string]int64) {
 	alive := []string{d.mesh.Self().Name}
--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +116,7 @@
 	if d.runner.Holds(sub.ID) {
 		return nil
 	}
-	holder, elsewhere := d.holderFor(sub.ID)
+	holder, elsewhere := d.homeOf(sub)
 	kept, created, err := d.store.Create(ctx, sub, holder.Holder())
 	if err != nil {
 		return err
@@ -133,6 +134,21 @@
 	return nil
 }
 
+// homeOf returns who should hold a new submission: the entry that holds the others
+// of its model, if that is in touch, and this one otherwise.
+func (d *Desk) homeOf(sub *batch.Submission) (n mesh.Node, elsewhere bool) {
+	entries := d.mesh.Heirs()
+	maps.DeleteFunc(entries, func(n mesh.Node, _ int) bool { return !n.Plans })
+	if !d.stopping.Load() && !d.strained() {
+		entries[d.mesh.Self()] = len(d.runner.Holding())
+	}
+	n, ok := heirs.Home(sub.Model, sub.ID, entries)
+	if !ok {
+		return d.holderFor(sub.ID)
+	}
+	return n, n != d.mesh.Self()
+}
+
 // holderFor returns who should hold a submission: this instance, or a peer if this
 // one is about to stop, short of processor time, or too small.
 func (d *Desk) holderFor(id string) (n mesh.Node, elsewhere bool) {
--- /dev/null
+++ b/brun/pace_test.go
@@ -0,0 +1,195 @@
+package brun
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+const (
+	stride = 10
+	events = 100
+	slots  = 3
+	// firstAfter is the time from the head of an answer to its first event.
+	firstAfter = 5 * time.Millisecond
+)
+
+type (
+	// keeper is a store that takes every write.
+	keeper struct {
+		kvst.Store
+		mu       sync.Mutex
+		revision int64
+	}
+
+	// engines answers each run with events: the first right after the head of the
+	// answer, the others at the pace of the engine.
+	engines struct {
+		mu   sync.Mutex
+		pace map[string]time.Duration
+		// busy and most are the runs at each engine, now and at most.
+		busy, most map[string]int
+	}
+)
+
+func (k *keeper) Commit(context.Context, kvst.Txn) (int64, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.revision++
+	return k.revision, nil
+}
+
+// Send implements upstr.Sender.
+func (e *engines) Send(ctx context.Context, c upstr.Call) (*upstr.Answer, error) {
+	e.mu.Lock()
+	e.busy[c.Endpoint.ID]++
+	e.most[c.Endpoint.ID] = max(e.most[c.Endpoint.ID], e.busy[c.Endpoint.ID])
+	e.mu.Unlock()
+	pr, pw := io.Pipe()
+	go func() {
+		defer func() {
+			e.mu.Lock()
+			e.busy[c.Endpoint.ID]--
+			e.mu.Unlock()
+		}()
+		_ = pw.CloseWithError(e.stream(ctx, pw, c)) // a reader that left hears nothing
+	}()
+	return &upstr.Answer{Status: http.StatusOK, Body: pr, Version: 1}, nil
+}
+
+func (e *engines) stream(ctx context.Context, w io.Writer, c upstr.Call) error {
+	wait := firstAfter
+	for n := c.LastEvent + 1; n < events; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+		wait = e.paceOf(c.Endpoint.ID)
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: x\n\n", n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *engines) paceOf(id string) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.pace[id]
+}
+
+// inRunner plays f with a runner before engines of these paces.
+func inRunner(t *testing.T, pace map[string]time.Duration, f func(ctx context.Context, g *WithT, r *Runner, e *engines, set *wset.Set)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		set := wset.New(func() {})
+		for id := range pace {
+			set.Put(endpt.Endpoint{ID: id, Service: "lm", Slots: slots, Versions: map[string]int64{"m": 1}})
+		}
+		e := &engines{pace: pace, busy: make(map[string]int), most: make(map[string]int)}
+		m := &manif.Manifest{
+			Routes:   []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.Share{{Service: "lm", Weight: 1}}}},
+			Services: map[string]manif.Service{"lm": {Name: "lm", Stride: stride}},
+		}
+		r := New(bstore.New(&keeper{}), set, e, func() *manif.Manifest { return m }, logs.New(io.Discard))
+		var wg sync.WaitGroup
+		wg.Go(func() { r.Run(ctx) })
+		f(ctx, NewWithT(t), r, e, set)
+		cancel()
+		wg.Wait()
+		synctest.Wait()
+	})
+}
+
+func hand(ctx context.Context, r *Runner, id string, items int) {
+	sub := &batch.Submission{ID: id, Host: "h", Target: "/b/", Model: "m", Submitted: time.Now().UnixMilli()}
+	for n := range items {
+		sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint(id, "-", n), Hint: events * stride})
+	}
+	r.Add(ctx, bstore.Kept{ID: id, Head: batch.Head{Holder: "me", Epoch: 1, Submitted: sub.Submitted}}, sub, nil, nil)
+}
+
+// An engine sends the first event of each run right after the head of its answer. An instance that took that moment for the time of an event would believe
+// that an engine it has just begun to use is many times faster than all others,
+// and put the longest items there, also when it is the slowest.
+func TestFirstEventTellsNoPace(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": 50 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, _ *engines, set *wset.Set) {
+		hand(ctx, r, "b", 2)
+		time.Sleep(20 * time.Millisecond)
+		v := set.All()[0]
+		g.Expect(v.Running).To(Equal(2))
+		g.Expect(v.Pace).To(BeZero())
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(set.All()[0].Pace).To(BeNumerically("~", 50*time.Millisecond, time.Millisecond))
+	})
+}
+
+// Two engines turn four times slower while one that has room for three runs stays
+// fast. Only as many runs move there as fit. If every run of the slow engines were
+// broken off for the same few free places, the others would have lost their engine
+// for nothing, and the trainer's step would end later than without any move.
+func TestOnlyAsManyMoveAsFit(t *testing.T) {
+	fast, slow := 20*time.Millisecond, 80*time.Millisecond
+	inRunner(t, map[string]time.Duration{"a": fast, "b": fast, "c": fast}, func(ctx context.Context, g *WithT, r *Runner, e *engines, _ *wset.Set) {
+		hand(ctx, r, "first", 3*slots)
+		time.Sleep(3 * time.Second) // all end; the paces are known
+		hand(ctx, r, "second", 2*slots)
+		time.Sleep(200 * time.Millisecond)
+		e.mu.Lock()
+		var left string
+		for id := range e.pace {
+			if e.busy[id] < slots {
+				left = id
+			}
+		}
+		for id := range e.pace {
+			if id != left {
+				e.pace[id] = slow
+			}
+		}
+		free := slots - e.busy[left]
+		clear(e.most)
+		e.mu.Unlock()
+		g.Expect(free).To(BeNumerically(">", 0))
+		moved := countMoves(r, time.Second)
+		g.Expect(moved).To(BeNumerically("<=", free))
+		g.Expect(e.most[left]).To(BeNumerically("<=", slots))
+	})
+}
+
+// countMoves counts the runs that are broken off to go on elsewhere.
+func countMoves(r *Runner, during time.Duration) int {
+	before := attempts(r)
+	time.Sleep(during)
+	return attempts(r) - before
+}
+
+func attempts(r *Runner) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, h := range r.held {
+		for _, it := range h.items {
+			n += it.attempts
+		}
+	}
+	return n
+}
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -64,7 +64,7 @@
 	reader := stream.New(a.Body, r.version)
 	version := a.Version
 	r.set.Version(call.Endpoint, h.sub.Model, version)
-	before := time.Now()
+	var before time.Time
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -81,7 +81,12 @@
 			return err
 		}
 		now := time.Now()
-		r.set.Worked(call.Endpoint, now.Sub(before))
+		// The first event comes with the headers or long after them, as the prompt
+		// is read in. Taken for a pace, it makes a new engine look ten times
+		// faster than it is, and the longest items gather there.
+		if !before.IsZero() {
+			r.set.Worked(call.Endpoint, now.Sub(before))
+		}
 		before = now
 	}
 }
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -16,6 +16,7 @@
 func (r *Runner) sweep(now time.Time) []bstore.Kept {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	coming := make(map[string]int)
 	for _, h := range r.held {
 		if h.ended {
 			continue
@@ -32,7 +33,7 @@
 			case it.cancel != nil && now.Sub(it.heard) > r.silence(h, it):
 				it.cancel(errSilent)
 			case it.cancel != nil && ok && !r.stopping:
-				r.moveSlow(h, it, route, now)
+				r.moveSlow(h, it, route, now, coming)
 			}
 		}
 	}
@@ -48,14 +49,22 @@
 }
 
 // moveSlow breaks a run off if it is expected to end sooner elsewhere; it then
-// starts again from its last event.
-func (r *Runner) moveSlow(h *held, it *item, route *manif.Route, now time.Time) {
+// starts again from its last event. coming counts the runs that were broken off a
+// moment ago for each endpoint: they don't run there yet, and without the count
+// all runs of a slow time would go to the one endpoint that is fastest just now,
+// be turned away there, and lose more than they were to gain.
+func (r *Runner) moveSlow(h *held, it *item, route *manif.Route, now time.Time, coming map[string]int) {
 	here, ok := r.set.View(it.at)
 	if !ok || now.Sub(it.started) < moveAfter {
 		return
 	}
 	views := r.candidates(it.at.Service, h.sub, it, route)
-	views = slices.DeleteFunc(views, func(v wset.View) bool { return v.ID == it.at.ID || now.Before(v.AvoidUntil) })
+	views = slices.DeleteFunc(views, func(v wset.View) bool {
+		return v.ID == it.at.ID || v.Pace == 0 || now.Before(v.AvoidUntil)
+	})
+	for i := range views {
+		views[i].Running += coming[views[i].ID]
+	}
 	cands := candidates(views, r.centre, now)
 	i, ok := r.picker.Pick(cands)
 	if !ok {
@@ -65,6 +74,7 @@
 	if run.Move() {
 		r.logger.Info("Item moved.", "batch", h.sub.ID, "item", it.ID, "from", it.at.ID, "to", views[i].ID,
 			"made", run.Made, "expected", run.Expected, "here", run.Here, "there", run.There)
+		coming[views[i].ID]++
 		it.cancel(errMoved)
 	}
 }
