A soak of real processes with faults from outside, from seeds

Seven processes of the product run between stand-ins on loopback, with a proxy on each way between callers, processes, workers and the store.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -31,6 +31,7 @@
 	Caller    callerCommand    `cmd:"" help:"Callers: a load of live requests to lavendermux."`
 	Register  registerCommand  `cmd:"" help:"Put instances on the instance list."`
 	Site      siteCommand      `cmd:"" help:"A deployment of the users' platform, with a trainer and callers that check what they get."`
+	Soak      soakCommand      `cmd:"" help:"Real processes with faults from outside, drawn from seeds; prints the promises that broke."`
 	Await     awaitCommand     `cmd:"" help:"Wait until entries are ready."`
 }
 
--- /dev/null
+++ b/cmd/standin/soak.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/platform/soak"
+)
+
+type soakCommand struct {
+	Program string `default:"bin/lavendermux" help:"The program that is played."`
+	Dir     string `default:"run/soak" help:"Folder for settings and logs, one folder a seed."`
+	First   uint64 `default:"1" help:"First seed."`
+	Seeds   int    `default:"1" help:"How many seeds."`
+	Jobs    int    `default:"3" help:"How many plays of seven processes at a time."`
+	Verbose bool   `help:"Log each fault."`
+}
+
+// Run plays the seeds and prints what broke.
+func (c *soakCommand) Run(ctx context.Context) error {
+	seeds := make(chan uint64)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	for slot := range c.Jobs {
+		wg.Go(func() {
+			for seed := range seeds {
+				ok := c.play(ctx, seed, slot)
+				mu.Lock()
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for n := range c.Seeds {
+		seeds <- c.First + uint64(n)
+	}
+	close(seeds)
+	wg.Wait()
+	if failed > 0 {
+		return errors.Newf("%d of %d seeds failed", failed, c.Seeds)
+	}
+	return nil
+}
+
+func (c *soakCommand) play(ctx context.Context, seed uint64, slot int) bool {
+	out := io.Discard
+	if c.Verbose {
+		out = os.Stderr
+	}
+	dir := filepath.Join(c.Dir, fmt.Sprint(seed))
+	r, err := soak.New(c.Program, dir, soak.WithSeed(seed), soak.WithSlot(slot), soak.WithLogger(log.New(out))).Run(ctx)
+	if err != nil {
+		fmt.Printf("seed %d: not played: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d steps, %d samples, %d of %d calls answered, %d without an answer, %d promises broken\n",
+		seed, len(r.Faults), r.Steps, r.Samples, r.Answered, r.Calls, r.Unsure, len(r.Broken))
+	for _, b := range r.Broken {
+		fmt.Println("  ", b)
+	}
+	if len(r.Broken) > 0 {
+		fmt.Println("   faults:", r.Faults)
+	}
+	return len(r.Broken) == 0
+}
