--- a/beats/options.go
+++ b/beats/options.go
@@ -61,17 +61,6 @@
 	return func(c *Client) { c.seed = seed }
 }
 
-// WithInterval sets how often the instance beats. The default is 3 seconds.
-func WithInterval(d time.Duration) Option {
-	return func(c *Client) { c.interval = d }
-}
-
-// WithRelist sets how often the instance list is read in calm weather. The
-// default is 5 minutes.
-func WithRelist(d time.Duration) Option {
-	return func(c *Client) { c.relist = d }
-}
-
 // WithLogger sets where the client logs. The default is log.Default.
 func WithLogger(l *log.Logger) Option {
 	return func(c *Client) { c.log = l }
--- a/check/options.go
+++ b/check/options.go
@@ -20,18 +20,6 @@
 	}
 )
 
-// WithDrain sets after how long a leaving endpoint must get no new work. The
-// default is 5 seconds.
-func WithDrain(d time.Duration) Option {
-	return func(l *limits) { l.drain = d }
-}
-
-// WithSpread sets within what an accepted change must be in force at every
-// instance that is not cut off. The default is 18 seconds.
-func WithSpread(d time.Duration) Option {
-	return func(l *limits) { l.spread = d }
-}
-
 // WithComplete says that the history ends after everything was given time to
 // come to rest: whatever was accepted must have been delivered. By default it may
 // end anywhere.
--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -15,12 +16,13 @@
 )
 
 type soakCommand struct {
-	Program string `default:"bin/lavendermux" help:"The program that is played."`
-	Dir     string `default:"run/soak" help:"Folder for settings and logs, one folder a seed."`
-	First   uint64 `default:"1" help:"First seed."`
-	Seeds   int    `default:"1" help:"How many seeds."`
-	Jobs    int    `default:"3" help:"How many plays of seven processes at a time."`
-	Verbose bool   `help:"Log each fault."`
+	Program string        `default:"bin/lavendermux" help:"The program that is played."`
+	Dir     string        `default:"run/soak" help:"Folder for settings and logs, one folder a seed."`
+	First   uint64        `default:"1" help:"First seed."`
+	Seeds   int           `default:"1" help:"How many seeds."`
+	Jobs    int           `default:"3" help:"How many plays of seven processes at a time."`
+	During  time.Duration `default:"12s" help:"How long faults come in each play."`
+	Verbose bool          `help:"Log each fault."`
 }
 
 // Run plays the seeds and prints what broke.
@@ -58,7 +60,7 @@
 		out = os.Stderr
 	}
 	dir := filepath.Join(c.Dir, fmt.Sprint(seed))
-	r, err := soak.New(c.Program, dir, soak.WithSeed(seed), soak.WithSlot(slot), soak.WithLogger(log.New(out))).Run(ctx)
+	r, err := soak.New(c.Program, dir, soak.WithSeed(seed), soak.WithSlot(slot), soak.WithDuring(c.During), soak.WithLogger(log.New(out))).Run(ctx)
 	if err != nil {
 		fmt.Printf("seed %d: not played: %v\n", seed, err)
 		return false
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -60,11 +60,6 @@
 	return func(tr *http.Transport) { tr.IdleConnTimeout = d }
 }
 
-// WithDial bounds how long a connection may take to open. The default is 400 ms.
-func WithDial(d time.Duration) Option {
-	return func(tr *http.Transport) { tr.DialContext = Dialer(d).DialContext }
-}
-
 // Dialer returns the dialer behind the transports.
 func Dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
--- a/dial/dial.go
+++ b/dial/dial.go
@@ -46,11 +46,6 @@
 	return d
 }
 
-// WithTLS says that the client speaks TLS. By default it does not.
-func WithTLS() Option {
-	return func(d *Dialer) { d.scheme = "https://" }
-}
-
 // Door returns the client of the process beside an endpoint, at an address such
 // as "127.0.0.1:7400".
 func (d *Dialer) Door(address string) wireconnect.DoorServiceClient {
--- a/door/door.go
+++ b/door/door.go
@@ -129,12 +129,6 @@
 	return func(d *Door) { d.log = l }
 }
 
-// WithPoll sets how often the engine is asked what it holds. The default is one
-// second.
-func WithPoll(every time.Duration) Option {
-	return func(d *Door) { d.poll = every }
-}
-
 // Watch asks the engine what it holds, again and again, until ctx ends.
 func (d *Door) Watch(ctx context.Context) {
 	tick := time.NewTicker(d.poll)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -236,12 +236,6 @@
 	return func(f *Feed) { f.seen = o }
 }
 
-// WithGather sets how long an offer waits for more samples after the first. The
-// default is 200 ms.
-func WithGather(d time.Duration) Option {
-	return func(f *Feed) { f.gather = d }
-}
-
 // Name returns the subscription's name.
 func (f *Feed) Name() string {
 	return f.name
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,11 +58,6 @@
 	return g
 }
 
-// WithQueue passes options to the queue. The default is the queue's own.
-func WithQueue(opts ...queue.Option) Option {
-	return func(g *Gate) { g.opts = append(g.opts, opts...) }
-}
-
 // Resize tells the gate how many slots the engine reports.
 func (g *Gate) Resize(total int) {
 	g.mu.Lock()
--- a/hubs/options.go
+++ b/hubs/options.go
@@ -68,24 +68,6 @@
 	return func(h *Hub) { h.seed = seed }
 }
 
-// WithInterval sets how often the hub beats to other data centres. The default
-// is 3 seconds.
-func WithInterval(d time.Duration) Option {
-	return func(h *Hub) { h.interval = d }
-}
-
-// WithLinger sets how long the entry goes on as hub after it need not. The
-// default is 20 seconds.
-func WithLinger(d time.Duration) Option {
-	return func(h *Hub) { h.linger = d }
-}
-
-// WithWatch sets how long one watch of the key-value service waits. The default
-// is 30 seconds.
-func WithWatch(d time.Duration) Option {
-	return func(h *Hub) { h.watchWait = d }
-}
-
 // WithLogger sets where the hub logs. The default is log.Default.
 func WithLogger(l *log.Logger) Option {
 	return func(h *Hub) { h.log = l }
--- a/lease/options.go
+++ b/lease/options.go
@@ -38,12 +38,6 @@
 	return func(k *Keeper) { k.term = d }
 }
 
-// WithMargin sets the share of the term, in (0, 1), by which the holder stops
-// claiming the job early. The default is 0.2.
-func WithMargin(share float64) Option {
-	return func(k *Keeper) { k.margin = share }
-}
-
 // WithStep sets by how much each further candidate waits longer before it tries.
 // The default is 5 seconds.
 func WithStep(d time.Duration) Option {
--- a/member/options.go
+++ b/member/options.go
@@ -29,26 +29,3 @@
 	// Option changes a Table as New makes it.
 	Option func(*Table)
 )
-
-// WithExpiry sets how long a silent instance stays. The default is 15 seconds.
-func WithExpiry(d time.Duration) Option {
-	return func(t *Table) { t.expiry = d }
-}
-
-// WithSourceExpiry sets how long the members of a silent data centre stay. The
-// default is 30 seconds.
-func WithSourceExpiry(d time.Duration) Option {
-	return func(t *Table) { t.sourceExpiry = d }
-}
-
-// WithSettle sets how long a minor change may wait for others. The default is
-// 15 seconds.
-func WithSettle(d time.Duration) Option {
-	return func(t *Table) { t.settle = d }
-}
-
-// WithKeepGone sets how long the marks of gone instances are kept. The default
-// is 10 minutes.
-func WithKeepGone(d time.Duration) Option {
-	return func(t *Table) { t.keepGone = d }
-}
--- a/opclnt/opclnt.go
+++ b/opclnt/opclnt.go
@@ -89,11 +89,6 @@
 	return c
 }
 
-// WithHTTP sets the HTTP client. The default is http.DefaultClient.
-func WithHTTP(h *http.Client) Option {
-	return func(c *Client) { c.http = h }
-}
-
 // WithToken sets the operator's token. The default is none.
 func WithToken(token string) Option {
 	return func(c *Client) { c.token = token }
--- a/place/place.go
+++ b/place/place.go
@@ -60,11 +60,6 @@
 	return p
 }
 
-// WithCrowd sets how much each request slows the others. The default is 0.04.
-func WithCrowd(share float64) Option {
-	return func(p *Picker) { p.crowd = share }
-}
-
 // Pick returns the index of the candidate with a free slot at which work is
 // expected to end soonest. Those to avoid are taken only when nothing else is
 // left, and ok is false when every slot is taken.
--- a/queue/options.go
+++ b/queue/options.go
@@ -51,12 +51,6 @@
 	return func(s *settings) { s.rate = perSecond }
 }
 
-// WithMean sets how many tokens work of unknown length is expected to make
-// before any has been measured. The default is 256.
-func WithMean(tokens float64) Option {
-	return func(s *settings) { s.mean = tokens }
-}
-
 // WithStretch sets how many times its own service time work may wait before
 // shorter work that comes now no longer goes before it: 0 is first come, first
 // served, a great value is shortest first. The default is 3.
--- a/relay/options.go
+++ b/relay/options.go
@@ -15,12 +15,6 @@
 	return func(r *Relay) { r.place = append(r.place, route.WithPlace(dataCentre, region)) }
 }
 
-// WithSubset sets how many endpoints of a service the entry talks to. The
-// default is 24.
-func WithSubset(n int) Option {
-	return func(r *Relay) { r.size = n }
-}
-
 // WithRetryShare sets who says which share of requests may be sent a second
 // time. The default is 0.1.
 func WithRetryShare(share func() float64) Option {
--- a/reply/reply.go
+++ b/reply/reply.go
@@ -184,11 +184,6 @@
 	Of(err).Write(w)
 }
 
-// Unknown reports whether err leaves open if what was asked for happened.
-func Unknown(err error) bool {
-	return err != nil && Of(err).Outcome == OutcomeUnknown
-}
-
 // Busy is the error of a limit that is full.
 func Busy(cause, reason string, after time.Duration) error {
 	return &fault.NotRunError{Cause: cause, Reason: reason, RetryAfter: after}
