What processes of a deployment believe, and checks of its files, on the command line

lavendermux instances ADDR... asks the processes at their metrics addresses and names where they differ: an older manifest, no way to the store, a batch with two holders, an engine that doesn't report. settings check knows the settings of a machine and the manifest. status and settings check of the own interface had no like on the users' platform.

--- a/cmd/lavendermux/apply.go
+++ b/cmd/lavendermux/apply.go
@@ -12,6 +12,7 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/opclnt"
--- a/cmd/lavendermux/entry.go
+++ b/cmd/lavendermux/entry.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/entry"
 	"github.com/lavendermux/lavendermux/logs"
--- a/cmd/lavendermux/errors.go
+++ b/cmd/lavendermux/errors.go
@@ -1,6 +1,17 @@
 package main
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
+
+// notWholeError says what stands against a deployment being whole, a line each.
+type notWholeError struct {
+	Problems []string
+}
+
+// Error implements error.
+func (e *notWholeError) Error() string { return strings.Join(e.Problems, "\n") }
 
 // notYetError says that a revision is not in force everywhere.
 type notYetError struct {
--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -13,19 +13,20 @@
 type commands struct {
 	globals
 
-	Get      getCommand      `cmd:"" group:"Resources" help:"Show resources."`
-	Apply    applyCommand    `cmd:"" group:"Resources" help:"Create or replace resources from a file."`
-	Delete   deleteCommand   `cmd:"" group:"Resources" help:"Delete a resource."`
-	Watch    watchCommand    `cmd:"" group:"Resources" help:"Print changes of resources as an entry learns of them."`
-	Status   statusCommand   `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
-	Explain  explainCommand  `cmd:"" group:"Resources" help:"Show what the system did about a resource by itself, and why."`
-	Report   reportCommand   `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
-	Entry    entryCommand    `cmd:"" group:"Programs" help:"Run an entry instance."`
-	Side     sideCommand     `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
-	Node     nodeCommand     `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
-	Trace    traceCommand    `cmd:"" group:"Programs" help:"Print the story of one request, item or batch from the logs of several processes."`
-	Settings settingsCommand `cmd:"" group:"Programs" help:"Look at settings files."`
-	Version  versionCommand  `cmd:"" group:"Programs" help:"Print the version."`
+	Get       getCommand       `cmd:"" group:"Resources" help:"Show resources."`
+	Apply     applyCommand     `cmd:"" group:"Resources" help:"Create or replace resources from a file."`
+	Delete    deleteCommand    `cmd:"" group:"Resources" help:"Delete a resource."`
+	Watch     watchCommand     `cmd:"" group:"Resources" help:"Print changes of resources as an entry learns of them."`
+	Status    statusCommand    `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
+	Explain   explainCommand   `cmd:"" group:"Resources" help:"Show what the system did about a resource by itself, and why."`
+	Report    reportCommand    `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
+	Entry     entryCommand     `cmd:"" group:"Programs" help:"Run an entry instance."`
+	Side      sideCommand      `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
+	Node      nodeCommand      `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
+	Instances instancesCommand `cmd:"" group:"Programs" help:"Show what the processes of a deployment believe, and where they differ."`
+	Trace     traceCommand     `cmd:"" group:"Programs" help:"Print the story of one request, item or batch from the logs of several processes."`
+	Settings  settingsCommand  `cmd:"" group:"Programs" help:"Look at settings files."`
+	Version   versionCommand   `cmd:"" group:"Programs" help:"Print the version."`
 }
 
 func main() {
--- a/cmd/lavendermux/main_test.go
+++ b/cmd/lavendermux/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -24,10 +25,12 @@
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/opapi"
+	"github.com/lavendermux/lavendermux/platform/simcfg"
 	"github.com/lavendermux/lavendermux/reason"
 	"github.com/lavendermux/lavendermux/simkv"
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/tokens"
+	"github.com/lavendermux/lavendermux/views"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -220,3 +223,43 @@
 	b.run("{}", "settings", "check", "side", "-")
 	goldie.New(t).Assert(t, "settings", []byte(b.lines.String()))
 }
+
+// The settings of a machine lack the store's address, and a manifest sends callers to
+// a service that doesn't exist. The check names the field before a process starts with
+// it or callers get 503.
+func TestSettingsCheckOfADeployment(t *testing.T) {
+	b := newBench(t)
+	b.run(simcfg.Settings(simcfg.Node{Name: "entry-0", IP: "10.0.0.1", Store: "10.0.0.9:1", Front: "80", Ready: "81"}), "settings", "check", "node", "-")
+	b.run(simcfg.Settings(simcfg.Node{Name: "entry-0", IP: "10.0.0.1"}), "settings", "check", "node", "-")
+	manifest, err := json.Marshal(simcfg.Manifest(3, "dest"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.run(string(manifest), "settings", "check", "manifest", "-")
+	goldie.New(t).Assert(t, "deployment", []byte(b.lines.String()))
+}
+
+// One process of a deployment has an older manifest and one is gone. Both are named,
+// and a script sees it by the exit code.
+func TestInstances(t *testing.T) {
+	g := NewWithT(t)
+	serve := func(v views.View) string {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == views.Path {
+				_ = json.NewEncoder(w).Encode(v) // a test that left hears nothing
+			}
+		}))
+		t.Cleanup(srv.Close)
+		return strings.TrimPrefix(srv.URL, "http://")
+	}
+	ahead := serve(views.View{Instance: "entry-0", Role: views.RoleEntry, Manifest: 4, Ready: true, Store: true})
+	old := serve(views.View{Instance: "entry-1", Role: views.RoleEntry, Manifest: 3, Ready: true, Store: true})
+	var out, errOut bytes.Buffer
+	s := &session{ctx: t.Context(), out: &out, errOut: &errOut}
+	g.Expect(run(s, []string{"instances", ahead})).To(Equal(exitOK))
+	g.Expect(errOut.String()).To(BeEmpty())
+	g.Expect(run(s, []string{"instances", ahead, old, "127.0.0.1:1"})).To(Equal(exitNotYet))
+	g.Expect(out.String()).To(ContainSubstring("entry-1"))
+	g.Expect(errOut.String()).To(ContainSubstring("entry-1: manifest 3, others have 4"))
+	g.Expect(errOut.String()).To(ContainSubstring("127.0.0.1:1: no answer"))
+}
--- a/cmd/lavendermux/report.go
+++ b/cmd/lavendermux/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/burn"
 	"github.com/lavendermux/lavendermux/counts"
 	"github.com/lavendermux/lavendermux/report"
--- a/cmd/lavendermux/session.go
+++ b/cmd/lavendermux/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/opclnt"
 )
@@ -105,6 +106,7 @@
 		notRun   *fault.NotRunError
 		unknown  *fault.UnknownOutcomeError
 		notYet   *notYetError
+		notWhole *notWholeError
 	)
 	switch {
 	case errors.As(err, &field):
@@ -117,7 +119,7 @@
 		return exitNotRun
 	case errors.As(err, &unknown):
 		return exitUnknown
-	case errors.As(err, &notYet):
+	case errors.As(err, &notYet), errors.As(err, &notWhole):
 		return exitNotYet
 	}
 	return exitFailed
--- a/cmd/lavendermux/settings.go
+++ b/cmd/lavendermux/settings.go
@@ -3,9 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/platform/conf"
+	"github.com/lavendermux/lavendermux/platform/recs"
 	"github.com/lavendermux/lavendermux/scfg"
 	"github.com/lavendermux/lavendermux/tokens"
 )
@@ -18,8 +23,8 @@
 	}
 
 	settingsCheckCommand struct {
-		Program string `arg:"" enum:"entry,side" help:"Program that the file is for: entry or side."`
-		File    string `arg:"" help:"Settings file; - for standard input."`
+		Program string `arg:"" enum:"entry,side,node,manifest" help:"What the file is for: entry, side, node, or manifest for the routes of a deployment."`
+		File    string `arg:"" help:"Settings file or manifest; - for standard input."`
 		Quiet   bool   `short:"q" help:"Print nothing when the file is right."`
 	}
 
@@ -66,8 +71,35 @@
 		return ecfg.Parse(raw)
 	case "side":
 		return scfg.Parse(raw)
+	case "node":
+		return parseNode(raw)
+	case "manifest":
+		return parseManifest(raw)
+	}
+	return nil, &fault.FieldError{Field: "program", Problem: "is entry, side, node or manifest"}
+}
+
+func parseNode(raw []byte) (any, error) {
+	cfg, err := conf.Parse(raw)
+	var missing *conf.MissingError
+	if errors.As(err, &missing) {
+		return nil, &fault.FieldError{Field: missing.Field, Problem: "is missing"}
+	}
+	if err != nil {
+		return nil, &fault.FieldError{Field: "settings", Problem: err.Error()}
+	}
+	return cfg, nil
+}
+
+func parseManifest(raw []byte) (any, error) {
+	m, err := recs.Manifest(raw)
+	if err != nil {
+		return nil, &fault.FieldError{Field: "manifest", Problem: err.Error()}
+	}
+	if problems := m.Problems(); len(problems) > 0 {
+		return nil, &fault.FieldError{Field: "manifest", Problem: strings.Join(problems, "\n")}
 	}
-	return nil, &fault.FieldError{Field: "program", Problem: "is entry or side"}
+	return m, nil
 }
 
 // Help implements kong's HelpProvider.
--- a/cmd/lavendermux/side.go
+++ b/cmd/lavendermux/side.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/scfg"
--- a/giver/giver.go
+++ b/giver/giver.go
@@ -131,6 +131,13 @@
 	}
 }
 
+// Now returns the state as it is.
+func (g *Giver) Now() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.state
+}
+
 // State returns the state once it is another than the one with serial seen, or
 // when ctx ends.
 func (g *Giver) State(ctx context.Context, seen int64) State {
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/lavendermux/lavendermux/steer"
 	"github.com/lavendermux/lavendermux/strain"
 	"github.com/lavendermux/lavendermux/upstr"
+	"github.com/lavendermux/lavendermux/views"
 	"github.com/lavendermux/lavendermux/wset"
 )
 
@@ -188,16 +189,17 @@
 	defer end()
 	n.logger.Info("Started.", "addr", n.cfg.PeerAddr, "front", n.cfg.Front, "engine", n.cfg.Endpoint, "store", n.cfg.Store)
 	g, gctx := errgroup.WithContext(life)
-	if n.cfg.Metrics != "" {
-		router := mux.NewRouter()
-		n.meter.Register(router)
-		n.serve(gctx, g, n.cfg.Metrics, router)
-	}
 	if n.cfg.Endpoint != "" {
 		n.startSide(gctx, g)
 	} else {
 		n.startHolder(gctx, g)
 	}
+	if n.cfg.Metrics != "" {
+		router := mux.NewRouter()
+		n.meter.Register(router)
+		router.HandleFunc(views.Path, n.serveView).Methods(http.MethodGet)
+		n.serve(gctx, g, n.cfg.Metrics, router)
+	}
 	g.Go(func() error {
 		select {
 		case <-gctx.Done():
@@ -290,13 +292,17 @@
 }
 
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
-	if n.stopping.Load() || n.beliefs.Manifest() == nil || !n.beliefs.listed.Load() {
+	if !n.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.beliefs.Manifest() != nil && n.beliefs.listed.Load()
+}
+
 // serve listens at addr until ctx ends.
 func (n *Node) serve(ctx context.Context, g *errgroup.Group, addr string, h http.Handler) {
 	srv := &http.Server{
--- /dev/null
+++ b/node/view.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/views"
+	"github.com/lavendermux/lavendermux/wset"
+)
+
+// serveView answers with what this process believes.
+func (n *Node) serveView(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(n.view()); err != nil {
+		n.logger.Debug("View not sent.", "error", err)
+	}
+}
+
+func (n *Node) view() views.View {
+	v := views.View{Instance: n.cfg.Instance, DataCentre: n.cfg.DataCentre, Stopping: n.stopping.Load()}
+	if n.giver != nil {
+		n.viewSide(&v)
+		return v
+	}
+	v.Role = views.RoleData
+	if n.cfg.Front != "" {
+		v.Role = views.RoleEntry
+	}
+	if m := n.beliefs.Manifest(); m != nil {
+		v.Manifest, v.Routes = m.Version, len(m.Routes)
+	}
+	v.Boot = n.mesh.Self().Boot
+	v.Ready = n.isReady()
+	v.Store = n.store.Reaches() || len(n.mesh.Reaching()) > 0
+	v.Strained = n.gauge.Strained()
+	v.Batches = n.runner.Holding()
+	for _, p := range n.mesh.Alive() {
+		v.Peers = append(v.Peers, p.Name)
+	}
+	now := time.Now()
+	for _, e := range n.beliefs.Set.All() {
+		v.Endpoints = append(v.Endpoints, viewEndpoint(e, now))
+	}
+	return v
+}
+
+func (n *Node) viewSide(v *views.View) {
+	v.Role, v.Engine = views.RoleBeside, n.cfg.Endpoint
+	state := n.giver.Now()
+	v.Versions = state.Versions
+	for model, loading := range state.Loading {
+		if loading {
+			v.Loading = append(v.Loading, model)
+		}
+	}
+	slices.Sort(v.Loading)
+}
+
+func viewEndpoint(e wset.View, now time.Time) views.Endpoint {
+	return views.Endpoint{
+		ID: e.ID, Service: e.Service, Addr: e.Addr, Running: e.Running, Slots: e.Slots, Draining: e.Draining,
+		Avoided: now.Before(e.AvoidUntil), PaceMs: float64(e.Pace.Microseconds()) / 1000, Versions: e.Versions,
+	}
+}
--- a/setup/setup.go
+++ b/setup/setup.go
@@ -6,33 +6,33 @@
 // Setup is the settings of one process.
 type Setup struct {
 	// Instance is the name of the machine; not empty.
-	Instance   string
-	Host       string
-	DataCentre string
+	Instance   string `json:"instance"`
+	Host       string `json:"host"`
+	DataCentre string `json:"dataCentre"`
 	// PeerAddr is where this process listens to its own kind; PeerPort is the
 	// same on all machines of a deployment.
-	PeerAddr string
-	PeerPort int
+	PeerAddr string `json:"peerAddr"`
+	PeerPort int    `json:"peerPort"`
 	// Metrics is the address of the counters and histograms.
-	Metrics string
+	Metrics string `json:"metrics"`
 	// Front and Ready are empty where no callers are served.
-	Front string
-	Ready string
+	Front string `json:"front"`
+	Ready string `json:"ready"`
 	// Endpoint and Service are set beside a model engine only.
-	Endpoint string
-	Service  string
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
 	// Store is the address of the metadata store; ValueBytes bounds a value.
-	Store      string
-	ValueBytes int
+	Store      string `json:"store"`
+	ValueBytes int    `json:"valueBytes"`
 	// Memory is the bytes that the process may use; 0 is unknown.
-	Memory int64
+	Memory int64 `json:"memoryBytes"`
 	// Power is the share of a processor that the process has; 0 is unknown.
-	Power     float64
-	Heartbeat time.Duration
+	Power     float64       `json:"power"`
+	Heartbeat time.Duration `json:"heartbeatNs"`
 	// Grace is the time between SIGTERM and SIGKILL.
-	Grace time.Duration
+	Grace time.Duration `json:"graceNs"`
 	// Retention is how long results are kept after a batch was submitted.
-	Retention time.Duration
+	Retention time.Duration `json:"retentionNs"`
 	// Drain is how soon a leaving endpoint must get no more work.
-	Drain time.Duration
+	Drain time.Duration `json:"drainNs"`
 }
--- /dev/null
+++ b/views/views_test.go
@@ -0,0 +1,49 @@
+package views
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func healthy() []View {
+	return []View{
+		{Instance: "entry-1", Role: RoleEntry, Manifest: 7, Ready: true, Store: true, Endpoints: []Endpoint{{ID: "e"}, {ID: "f", Draining: true}}},
+		{Instance: "entry-0", Role: RoleEntry, Manifest: 7, Ready: true, Store: true, Batches: map[string]int64{"b": 1}},
+		{Instance: "data-0", Role: RoleData, Manifest: 7, Store: true},
+		{Instance: "side-0", Role: RoleBeside, Engine: "e", Versions: map[string]int64{"m": 3}},
+	}
+}
+
+// All is well: nothing is reported, or an operator would learn to pass over it.
+func TestNoDifferences(t *testing.T) {
+	NewWithT(t).Expect(Differences(healthy())).To(BeEmpty())
+}
+
+// One entry was cut off from the store and still has the manifest before the last;
+// callers of it are sent where a route no longer goes. A batch has two holders, one
+// of which doesn't know yet that it was overtaken. Each is named with its instance.
+func TestDifferences(t *testing.T) {
+	all := healthy()
+	all[0].Manifest, all[0].Store, all[0].Endpoints[0].Avoided = 6, false, true
+	all[2].Batches = map[string]int64{"b": 2}
+	all[3].Versions = nil
+	NewWithT(t).Expect(Differences(all)).To(Equal([]string{
+		"batch b: held by data-0 and entry-0",
+		"entry-1: doesn't reach the metadata store",
+		"entry-1: manifest 6, others have 7",
+		"entry-1: passes e over after a failure",
+		"side-0: its engine doesn't report",
+	}))
+}
+
+// The table has the processes by role and name, each with what an operator looks
+// for first.
+func TestRows(t *testing.T) {
+	g := NewWithT(t)
+	rows := Rows(healthy())
+	g.Expect(rows).To(HaveLen(5))
+	g.Expect(rows[1][:5]).To(Equal([]string{"side-0", "beside", "", "-", "ok"}))
+	g.Expect(rows[1][8]).To(Equal("m=3"))
+	g.Expect(rows[4]).To(Equal([]string{"entry-1", "entry", "", "7", "ok", "-", "-", "1 of 2", "-"}))
+}
