Items wait for a sound engine, and don't hammer one that resets

Items at an engine that had gone silent were lost for 1.2 s each, one wave after the other.

Change: a pause after a broken run as after a refusal; engines that failed a moment ago are left out while any other fits, even if that is full just now; an engine that answers that it is full is passed over for 250 ms instead of 1.5 s. Each with a test that failed first.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 GOBIN = $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: build demo demo-site demo-koolitund test lint format generate tools linter measure clean
+.PHONY: build demo demo-site demo-koolitund soak test lint format generate tools linter measure clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -25,6 +25,10 @@
 demo-koolitund: build
 	scripts/demo.sh koolitund
 
+# Fifty seeds of real processes with faults from outside; about eight minutes.
+soak: build
+	bin/standin soak --seeds 50
+
 test:
 	bash scripts/test.sh
 
--- a/brun/pace_test.go
+++ b/brun/pace_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/batch"
@@ -30,6 +31,8 @@
 	firstAfter = 5 * time.Millisecond
 )
 
+var errReset = errors.New("connection reset by peer")
+
 type (
 	// keeper is a store that takes every write.
 	keeper struct {
@@ -43,8 +46,12 @@
 	engines struct {
 		mu   sync.Mutex
 		pace map[string]time.Duration
-		// busy and most are the runs at each engine, now and at most.
+		// busy and most are the runs at each engine, now and at most; sent is when
+		// each engine got its last one.
 		busy, most map[string]int
+		sent       map[string]time.Time
+		// resets has the engines that break off each run at once.
+		resets map[string]bool
 	}
 )
 
@@ -59,6 +66,7 @@
 func (e *engines) Send(ctx context.Context, c upstr.Call) (*upstr.Answer, error) {
 	e.mu.Lock()
 	e.busy[c.Endpoint.ID]++
+	e.sent[c.Endpoint.ID] = time.Now()
 	e.most[c.Endpoint.ID] = max(e.most[c.Endpoint.ID], e.busy[c.Endpoint.ID])
 	e.mu.Unlock()
 	pr, pw := io.Pipe()
@@ -74,6 +82,9 @@
 }
 
 func (e *engines) stream(ctx context.Context, w io.Writer, c upstr.Call) error {
+	if e.resets[c.Endpoint.ID] {
+		return errReset
+	}
 	wait := firstAfter
 	for n := c.LastEvent + 1; n < events; n++ {
 		select {
@@ -104,7 +115,7 @@
 		for id := range pace {
 			set.Put(endpt.Endpoint{ID: id, Service: "lm", Slots: slots, Versions: map[string]int64{"m": 1}})
 		}
-		e := &engines{pace: pace, busy: make(map[string]int), most: make(map[string]int)}
+		e := &engines{pace: pace, busy: make(map[string]int), most: make(map[string]int), sent: make(map[string]time.Time)}
 		m := &manif.Manifest{
 			Routes:   []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.Share{{Service: "lm", Weight: 1}}}},
 			Services: map[string]manif.Service{"lm": {Name: "lm", Stride: stride}},
@@ -193,3 +204,30 @@
 	}
 	return n
 }
+
+// One of two engines goes silent, and the other has no free place just then. Items
+// that wait are not sent to the silent one, where each would be lost for more than a
+// second, as those before it: they wait for a place at the sound one.
+func TestNoItemsForASilentEngine(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": time.Hour, "b": 15 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *engines, _ *wset.Set) {
+		hand(ctx, r, "b", 5*slots)
+		time.Sleep(silenceMost + 10*sweepEvery)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		g.Expect(time.Since(e.sent["a"])).To(BeNumerically(">", silenceMost), "sent there again")
+		g.Expect(e.busy["b"]).To(Equal(slots))
+	})
+}
+
+// The only engine that has the weights resets every connection for a second. Its
+// items must come back to it, but not hundreds of times each: the engine, the network
+// and the log of this instance would have nothing else to do.
+func TestResetsAreNotHammered(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *engines, _ *wset.Set) {
+		e.resets = map[string]bool{"a": true}
+		hand(ctx, r, "b", slots)
+		time.Sleep(time.Second)
+		g.Expect(attempts(r)).To(BeNumerically("<=", slots*int(time.Second/retryPause)+slots))
+		g.Expect(attempts(r)).To(BeNumerically(">", slots))
+	})
+}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -44,7 +45,7 @@
 		if it.done || it.cancel != nil || now.Before(it.notBefore) {
 			continue
 		}
-		views := r.candidates(route.Service(it.ID), h.sub, it, route)
+		views := r.candidates(route.Service(it.ID), h.sub, it, route, now)
 		i, ok := r.picker.Pick(candidates(views, r.centre, now))
 		if !ok {
 			return
@@ -53,15 +54,23 @@
 	}
 }
 
-// candidates returns the endpoints whose weights fit.
-func (r *Runner) candidates(service string, sub *batch.Submission, it *item, route *manif.Route) []wset.View {
-	return slices.DeleteFunc(r.set.Service(service), func(v wset.View) bool {
+// candidates returns the endpoints whose weights fit. Those that failed a moment ago
+// are left out while others fit, even if all of these are full: a place comes free
+// several times a second, and at an endpoint that has gone silent an item finds out
+// only after silenceMost, as others have just done before it.
+func (r *Runner) candidates(service string, sub *batch.Submission, it *item, route *manif.Route, now time.Time) []wset.View {
+	fit := slices.DeleteFunc(r.set.Service(service), func(v wset.View) bool {
 		version := v.Versions[sub.Model]
 		if v.Loading[sub.Model] || version < sub.MinVersion {
 			return true
 		}
 		return route.SingleVersion && len(it.versions) > 0 && it.versions[0] != version
 	})
+	avoided := func(v wset.View) bool { return now.Before(v.AvoidUntil) }
+	if slices.IndexFunc(fit, func(v wset.View) bool { return !avoided(v) }) < 0 {
+		return fit
+	}
+	return slices.DeleteFunc(fit, avoided)
 }
 
 func candidates(views []wset.View, centre string, now time.Time) []place.Candidate {
@@ -147,18 +156,31 @@
 			r.set.Gone(call.Endpoint)
 			return "endpoint gone"
 		}
-		r.set.Failed(call.Endpoint, now)
+		r.noteRefusal(call.Endpoint, notRun, now)
 		return "not run"
 	case errors.As(err, &status):
 		return r.settleStatus(h, it, route, status)
 	case errors.Is(err, errMoved):
 		return "moved"
 	default:
+		// An endpoint that resets every connection would otherwise be sent the same
+		// item hundreds of times a second, when no other has room.
+		it.notBefore = now.Add(retryPause)
 		r.set.Failed(call.Endpoint, now)
 		return "broken"
 	}
 }
 
+// noteRefusal passes an endpoint over: for a moment if it answered, and for longer
+// if it can't be reached.
+func (r *Runner) noteRefusal(e endpt.Endpoint, err *upstr.NotRunError, now time.Time) {
+	if err.Status != 0 {
+		r.set.Refused(e, now)
+		return
+	}
+	r.set.Failed(e, now)
+}
+
 func (r *Runner) settleStatus(h *held, it *item, route *manif.Route, e *statusError) string {
 	it.notBefore = time.Now().Add(retryPause)
 	if e.Status == statusFailed {
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -58,7 +58,7 @@
 	if !ok || now.Sub(it.started) < moveAfter {
 		return
 	}
-	views := r.candidates(it.at.Service, h.sub, it, route)
+	views := r.candidates(it.at.Service, h.sub, it, route, now)
 	views = slices.DeleteFunc(views, func(v wset.View) bool {
 		return v.ID == it.at.ID || v.Pace == 0 || now.Before(v.AvoidUntil)
 	})
--- a/cmd/lavendermux/instances.go
+++ b/cmd/lavendermux/instances.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -39,7 +40,7 @@
 	} else {
 		s.print(viewTable(all))
 	}
-	problems := append(silent, views.Differences(all)...)
+	problems := slices.Concat(silent, views.Differences(all))
 	if len(problems) == 0 {
 		return nil
 	}
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -16,6 +16,9 @@
 	// shows in the list of endpoints after about three heartbeats; until then
 	// one request in each such span finds out.
 	avoidFor = 1500 * time.Millisecond
+	// refusedFor is how long an endpoint is passed over that refused a request as
+	// it was full or loading. A place comes free several times a second.
+	refusedFor = 250 * time.Millisecond
 	// weight is the share of a new observation in a running mean: about the last
 	// ten count.
 	weight = 0.1
@@ -202,6 +205,15 @@
 	s.with(e, func(st *state) { st.AvoidUntil = now.Add(avoidFor) })
 }
 
+// Refused passes e over for a moment, unless it is passed over for longer.
+func (s *Set) Refused(e endpt.Endpoint, now time.Time) {
+	s.with(e, func(st *state) {
+		if until := now.Add(refusedFor); st.AvoidUntil.Before(until) {
+			st.AvoidUntil = until
+		}
+	})
+}
+
 // Draining marks e as leaving before its entry says so.
 func (s *Set) Draining(e endpt.Endpoint) {
 	s.with(e, func(st *state) { st.Draining = true })
