--- a/brun/brun.go
+++ b/brun/brun.go
@@ -55,6 +55,10 @@
 		demand   map[string]float64
 		wake     chan struct{}
 		stopping bool
+		// unremoved are expired submissions that the store still has; they are
+		// removed again after removeAgain.
+		unremoved   []bstore.Kept
+		removeAgain time.Time
 	}
 
 	// Option changes a Runner as New makes it.
--- a/brun/expire.go
+++ b/brun/expire.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/kvst"
 )
 
 const (
@@ -15,9 +18,12 @@
 	expireSlack = 30 * time.Second
 	// openMost is how long a submission is kept whose trainer never ends it.
 	openMost = time.Hour
-	// expireTimeout bounds one removal; one that fails is tried again with the
-	// next sweep.
+	// expireTimeout bounds one removal; one that fails is tried again after
+	// expireRetry.
 	expireTimeout = 5 * time.Second
+	expireRetry   = 10 * time.Second
+	// expireMost bounds the removals that wait for the store to come back.
+	expireMost = 4000
 )
 
 // WithRetention sets how long results stay readable after submission. The default
@@ -49,6 +55,10 @@
 		h.poke()
 		out = append(out, h.kept)
 	}
+	if now.After(r.removeAgain) {
+		out = append(out, r.unremoved...)
+		r.unremoved = nil
+	}
 	return out
 }
 
@@ -60,5 +70,22 @@
 		err := r.store.Remove(tryCtx, k)
 		cancel()
 		r.logger.Info("Batch expired.", "batch", k.ID, "results", k.Results, "ended", k.Ended, "error", err)
+		var gone *kvst.ConflictError
+		if err != nil && !errors.As(err, &gone) {
+			r.keepForRemoval(k)
+		}
+	}
+}
+
+// keepForRemoval has a removal tried again. Nobody else would: the submission is held
+// nowhere any longer, and its keys would stay in the store.
+func (r *Runner) keepForRemoval(k bstore.Kept) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.unremoved) >= expireMost {
+		r.logger.Warn("Batch left in the store.", "batch", k.ID, "waiting", len(r.unremoved))
+		return
 	}
+	r.unremoved = append(r.unremoved, k)
+	r.removeAgain = time.Now().Add(expireRetry)
 }
--- a/brun/pace_test.go
+++ b/brun/pace_test.go
@@ -39,6 +39,9 @@
 		kvst.Store
 		mu       sync.Mutex
 		revision int64
+		// refuse is how many writes are refused; removed has the keys that are gone.
+		refuse  int
+		removed []string
 	}
 
 	// engines answers each run with events: the first right after the head of the
@@ -55,9 +58,14 @@
 	}
 )
 
-func (k *keeper) Commit(context.Context, kvst.Txn) (int64, error) {
+func (k *keeper) Commit(_ context.Context, t kvst.Txn) (int64, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.refuse > 0 {
+		k.refuse--
+		return 0, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	k.removed = append(k.removed, t.Remove...)
 	k.revision++
 	return k.revision, nil
 }
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -324,10 +325,11 @@
 	return &OvertakenError{ID: k.ID}
 }
 
-// Remove deletes what is kept of a submission.
+// Remove deletes what is kept of a submission, the head last, so that a removal that
+// stopped halfway can be done again. On a *kvst.ConflictError another instance has
+// removed it.
 func (s *Store) Remove(ctx context.Context, k Kept) error {
-	t := kvst.Txn{Expect: map[string]int64{headKey(k.ID): k.Revision}, Remove: []string{headKey(k.ID)}}
-	keys := make([]string, 0, k.Parts+k.Chunks+k.Progress)
+	keys := make([]string, 0, k.Parts+k.Chunks+k.Progress+1)
 	for i := range k.Parts {
 		keys = append(keys, bodyKey(k.ID, i))
 	}
@@ -337,14 +339,10 @@
 	for i := range k.Progress {
 		keys = append(keys, progressKey(k.ID, i))
 	}
-	n := min(len(keys), txnEntries-2)
-	t.Remove = append(t.Remove, keys[:n]...)
-	if _, err := s.kv.Commit(ctx, t); err != nil {
-		return err
-	}
-	for keys = keys[n:]; len(keys) > 0; keys = keys[n:] {
-		n = min(len(keys), txnEntries)
-		if _, err := s.kv.Commit(ctx, kvst.Txn{Remove: keys[:n]}); err != nil {
+	keys = append(keys, headKey(k.ID))
+	unchanged := map[string]int64{headKey(k.ID): k.Revision}
+	for part := range slices.Chunk(keys, txnEntries-1) {
+		if _, err := s.kv.Commit(ctx, kvst.Txn{Expect: unchanged, Remove: part}); err != nil {
 			return err
 		}
 	}
