An ended submission is taken over without the text of its items

After all instances have lost power each of some thirty ended submissions was loaded with the text that its items had when they ran, a call and up to a megabyte each, while open ones waited for the same store.

--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -85,9 +85,11 @@
 	if err != nil {
 		return err
 	}
-	progress, err := d.store.Progress(ctx, now)
-	if err != nil {
-		return err
+	var progress []batch.Progress
+	if !now.Ended { // nothing of an ended one runs again
+		if progress, err = d.store.Progress(ctx, now); err != nil {
+			return err
+		}
 	}
 	d.remember(now)
 	d.runner.Add(d.run, now, sub, results, progress)
