--- a/brun/held.go
+++ b/brun/held.go
@@ -58,6 +58,7 @@
 		notBefore time.Time
 		attempts  int
 		failures  int
+		moves     int
 	}
 )
 
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -70,11 +70,12 @@
 	if !ok {
 		return
 	}
-	run := strays.Run{Made: len(it.texts), Expected: r.expected(it, it.at.Service), Here: here.Pace, There: views[i].Pace}
+	run := strays.Run{Made: len(it.texts), Expected: r.expected(it, it.at.Service), Here: here.Pace, There: views[i].Pace, Moves: it.moves}
 	if run.Move() {
 		r.logger.Info("Item moved.", "batch", h.sub.ID, "item", it.ID, "from", it.at.ID, "to", views[i].ID,
 			"made", run.Made, "expected", run.Expected, "here", run.Here, "there", run.There)
 		coming[views[i].ID]++
+		it.moves++
 		it.cancel(errMoved)
 	}
 }
--- a/strays/strays.go
+++ b/strays/strays.go
@@ -20,8 +20,9 @@
 	ratio = 1.6
 	// longLeast and longRatio are those for runs with much left: on an engine that
 	// is a third slower for good, an item of 116 events ends after 7.4 s instead of
-	// 5.6 s, and its step with it. A difference by load alone that is as great is
-	// worth a move too, as long as it is expected to save so much.
+	// 5.6 s, and its step with it. They hold for a run's first move only: its first
+	// place may have been taken without knowing the engine, the second was not, and
+	// a difference by load alone would send it to and fro.
 	longLeast = time.Second
 	longRatio = 1.25
 	// tail is the part of what a run has made that is expected still to come
@@ -42,6 +43,8 @@
 	// endpoint; 0 is unknown.
 	Here  time.Duration
 	There time.Duration
+	// Moves is how often the run has moved.
+	Moves int
 }
 
 // Left is the number of events that are still expected.
@@ -59,5 +62,8 @@
 	}
 	slower := float64(r.Here) / float64(r.There)
 	saved := time.Duration(r.Left()) * (r.Here - r.There)
-	return (slower >= ratio && saved > least) || (slower >= longRatio && saved > longLeast)
+	if slower >= ratio && saved > least {
+		return true
+	}
+	return r.Moves == 0 && slower >= longRatio && saved > longLeast
 }
--- a/strays/strays_test.go
+++ b/strays/strays_test.go
@@ -21,6 +21,8 @@
 		"almost there":                  {Run{Made: 9, Expected: 10, Here: 110 * ms, There: 37 * ms}, false},
 		"slower by its load":            {Run{Made: 20, Expected: 60, Here: 50 * ms, There: 37 * ms}, false},
 		"a third slower, much left":     {Run{Made: 10, Expected: 116, Here: 63 * ms, There: 48 * ms}, true},
+		"a third slower, moved before":  {Run{Made: 10, Expected: 116, Here: 63 * ms, There: 48 * ms, Moves: 1}, false},
+		"three times slower again":      {Run{Made: 20, Expected: 60, Here: 110 * ms, There: 37 * ms, Moves: 3}, true},
 		"a third slower, half left":     {Run{Made: 58, Expected: 116, Here: 63 * ms, There: 48 * ms}, false},
 		"a little slower, much left":    {Run{Made: 10, Expected: 116, Here: 55 * ms, There: 48 * ms}, false},
 		"other unknown":                 {Run{Made: 20, Expected: 160, Here: 110 * ms}, false},
