A refused move of a straggler waits

The maker moved a straggler whose attempt waited for an engine, the move was refused at once (an engine frozen, the others away), and as a refusal does not count as an attempt and slots with a run under way passed over their time to wait, the same move began again in the same instant, for ever. In real life a holder would have taken a whole processor until an engine came back.

Change: a slot whose last attempt was refused is no candidate for a move before the time that the refusal named. Test failed first.

--- a/feed/plan.go
+++ b/feed/plan.go
@@ -74,10 +74,12 @@
 }
 
 // Moves returns up to free attempts that go on from ones under way which make no
-// way where they are, and counts them as under way.
+// way where they are, and counts them as under way. A move that was refused is held
+// back for as long as a first attempt: it doesn't count as an attempt, so that
+// nothing else would end a loop of moves and refusals.
 func (f *Feed) Moves(free int, now time.Time) []trial.Trial {
 	return f.next(free, now, func(s *slotState) bool {
-		return s.delivered || s.ready != nil || len(s.runs) > 0
+		return s.delivered || s.ready != nil || (len(s.runs) > 0 && !now.Before(s.notBefore))
 	})
 }
 
