Each booking of the processes' set-up has a key of its own

TestPauseLongerThanLease was answered 502 for 60 s in its set-up, at load 37. Traced: 502 says that the outcome is unknown; the set-up repeated one idempotency key, and for that key the system rightly goes on to say so. The wait asks for the same as before, a booking that succeeds at each entry.

--- a/procs/fleet_test.go
+++ b/procs/fleet_test.go
@@ -156,12 +156,16 @@
 }
 
 // awaitHome waits until the system has written down which endpoint remembers
-// idempotency keys; before that it refuses keyed bookings as not run.
+// idempotency keys; before that it refuses keyed bookings as not run. Each try has a
+// key of its own: where the outcome of a first one is unknown, as on a machine that is
+// too busy, the system goes on to say so for that key.
 func (f *fleet) awaitHome(t *testing.T) {
 	t.Helper()
 	for _, url := range f.entryURL {
+		try := 0
 		NewWithT(t).Eventually(func(g Gomega) {
-			status, err := book(t.Context(), url, "set-up", "family-"+url)
+			try++
+			status, err := book(t.Context(), url, fmt.Sprint("set-up-", try), "family-"+url)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(status).To(Equal(http.StatusCreated))
 		}, patience, every).Should(Succeed())
