A SIGHUP in a process's first moments doesn't end it

The handler was installed after the command line and the settings had been read; a SIGHUP that came before ended the process. It is installed first now, for the node only: the operators' commands still end with their terminal. What is left is the time until main begins.

--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -30,9 +30,23 @@
 }
 
 func main() {
+	hangups := catchHangups(os.Args[1:])
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	s := &session{ctx: ctx, in: os.Stdin, out: os.Stdout, errOut: os.Stderr}
+	s := &session{ctx: ctx, hangups: hangups, in: os.Stdin, out: os.Stdout, errOut: os.Stderr}
 	code := run(s, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
+
+// catchHangups keeps SIGHUP from ending a process that is just starting: an operator
+// who has all processes read their settings again may meet one in its first
+// milliseconds, and it would be gone. The operators' commands still end with their
+// terminal.
+func catchHangups(args []string) chan os.Signal {
+	if len(args) == 0 || args[0] != "node" {
+		return nil
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
--- a/cmd/lavendermux/main_test.go
+++ b/cmd/lavendermux/main_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -263,3 +265,15 @@
 	g.Expect(errOut.String()).To(ContainSubstring("entry-1: manifest 3, others have 4"))
 	g.Expect(errOut.String()).To(ContainSubstring("127.0.0.1:1: no answer"))
 }
+
+// All processes are told to read their settings again while one of them has just
+// started. It must not end by the signal, whatever it has got to; a soak of real
+// processes lost a data instance so.
+func TestHangupAtTheStart(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(catchHangups([]string{"get", "pool"})).To(BeNil())
+	hangups := catchHangups([]string{"node"})
+	t.Cleanup(func() { signal.Stop(hangups) })
+	g.Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed())
+	g.Eventually(hangups, 5*time.Second).Should(Receive(Equal(syscall.SIGHUP)))
+}
--- a/cmd/lavendermux/node.go
+++ b/cmd/lavendermux/node.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -28,7 +26,7 @@
 }
 
 // Run serves until a signal, and then drains.
-func (c *nodeCommand) Run(ctx context.Context) error {
+func (c *nodeCommand) Run(ctx context.Context, s *session) error {
 	cfg, err := conf.Load()
 	if err != nil {
 		return errors.Wrap(err, "node")
@@ -37,23 +35,20 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Memory)))
 	}
 	logger := logs.New(spool.New(os.Stdout), logs.WithLevel(c.LogLevel), logs.WithField(logs.FieldInstance, cfg.Instance))
-	go followSettings(ctx, cfg, logger)
+	go followSettings(ctx, s.hangups, cfg, logger)
 	m := meter.New()
 	return node.New(cfg, world.New(cfg, logger, world.WithMeter(m)), logger, node.WithMeter(m)).Run(ctx)
 }
 
 // followSettings looks at the settings file again at each SIGHUP. What a process
 // uses of it is fixed for as long as it runs; a change of that is logged, so that
-// an operator sees that a restart is due, and takes effect with it. Without a
-// handler the signal would end the process.
-func followSettings(ctx context.Context, old setup.Setup, logger *log.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// an operator sees that a restart is due, and takes effect with it.
+func followSettings(ctx context.Context, hangups <-chan os.Signal, old setup.Setup, logger *log.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-hangups:
 		}
 		cfg, err := conf.Load()
 		if err != nil {
--- a/cmd/lavendermux/session.go
+++ b/cmd/lavendermux/session.go
@@ -43,11 +43,14 @@
 
 	// session is what a command runs with.
 	session struct {
-		ctx    context.Context
-		in     io.Reader
-		out    io.Writer
-		errOut io.Writer
-		flags  *globals
+		ctx context.Context
+		// hangups has the SIGHUPs since the program's first moment; nil where they
+		// end it.
+		hangups chan os.Signal
+		in      io.Reader
+		out     io.Writer
+		errOut  io.Writer
+		flags   *globals
 	}
 
 	// exit is thrown by the parser when it has printed help.
