--- a/brun/flush.go
+++ b/brun/flush.go
@@ -8,7 +8,7 @@
 
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/drip"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -152,7 +152,7 @@
 			return false
 		}
 		r.logger.Warn("Results not kept yet.", "batch", h.sub.ID, "error", err)
-		if r.isDropped(h) || !nap.For(ctx, flushRetry) {
+		if r.isDropped(h) || !sleep.For(ctx, flushRetry) {
 			return false
 		}
 	}
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -20,7 +20,7 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -301,7 +301,7 @@
 			return settle(k, conflict)
 		}
 		var unknown *kvst.UnknownError
-		if !errors.As(err, &unknown) || !nap.For(ctx, settlePause) {
+		if !errors.As(err, &unknown) || !sleep.For(ctx, settlePause) {
 			return err
 		}
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,7 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -157,7 +157,7 @@
 			rest = 0
 		}
 		if rest > 0 {
-			nap.For(ctx, rest)
+			sleep.For(ctx, rest)
 		}
 	}
 }
--- a/hubs/exchange.go
+++ b/hubs/exchange.go
@@ -8,9 +8,9 @@
 	"connectrpc.com/connect"
 
 	"github.com/lavendermux/lavendermux/insts"
-	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/rota"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -26,7 +26,7 @@
 // exchangeLoop beats to one hub of each other data centre until ctx ends.
 func (h *Hub) exchangeLoop(ctx context.Context) {
 	rotas := map[string]*rota.Rota{}
-	for nap.For(ctx, h.jitter(h.interval, narrow)) {
+	for sleep.For(ctx, h.jitter(h.interval, narrow)) {
 		h.refresh(rotas)
 		var round sync.WaitGroup
 		for _, r := range rotas {
--- a/hubs/follow.go
+++ b/hubs/follow.go
@@ -8,8 +8,8 @@
 
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/fault"
-	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -45,7 +45,7 @@
 			wait = firstBackoff
 			continue
 		}
-		if !nap.For(ctx, h.jitter(wait, wide)) {
+		if !sleep.For(ctx, h.jitter(wait, wide)) {
 			return
 		}
 		wait = min(2*wait, defaultBackoff*2/3)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -22,9 +22,9 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/record"
 	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -169,7 +169,7 @@
 		} else {
 			backoff = firstBackoff
 		}
-		nap.For(ctx, wait)
+		sleep.For(ctx, wait)
 	}
 	k.handBack()
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -20,7 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -325,9 +325,9 @@
 			break
 		}
 		m.logger.Warn("Not registered yet.", "error", err)
-		nap.For(ctx, listRetry)
+		sleep.For(ctx, listRetry)
 	}
-	nap.For(ctx, settleTime)
+	sleep.For(ctx, settleTime)
 	close(m.settled)
 	<-ctx.Done()
 }
@@ -390,7 +390,7 @@
 				return
 			}
 		}
-		nap.For(ctx, every)
+		sleep.For(ctx, every)
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -27,9 +27,9 @@
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/meter"
-	"github.com/lavendermux/lavendermux/nap"
 	"github.com/lavendermux/lavendermux/proxy"
 	"github.com/lavendermux/lavendermux/setup"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/steer"
 	"github.com/lavendermux/lavendermux/strain"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -333,11 +333,11 @@
 func (n *Node) drain(ctx context.Context, srv *http.Server) {
 	const look = 50 * time.Millisecond
 	for !n.stopping.Load() {
-		if !nap.For(ctx, look) {
+		if !sleep.For(ctx, look) {
 			return
 		}
 	}
-	if !nap.For(ctx, serveOn) {
+	if !sleep.For(ctx, serveOn) {
 		return
 	}
 	srv.SetKeepAlivesEnabled(false)
@@ -371,13 +371,13 @@
 
 // recover takes over what no live instance holds, once the peers are known.
 func (n *Node) recover(ctx context.Context) {
-	if nap.For(ctx, settleTime) {
+	if sleep.For(ctx, settleTime) {
 		n.desk.Recover(ctx)
 	}
 }
 
 func (n *Node) sweep(ctx context.Context) {
-	for nap.For(ctx, sweepEvery) {
+	for sleep.For(ctx, sweepEvery) {
 		n.beliefs.Set.Sweep(time.Now())
 	}
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/strain"
 )
 
@@ -16,7 +16,7 @@
 func (n *Node) watchStrain(ctx context.Context) {
 	for {
 		start := time.Now()
-		if !nap.For(ctx, strain.Every) {
+		if !sleep.For(ctx, strain.Every) {
 			return
 		}
 		now := time.Now()
@@ -57,7 +57,7 @@
 	for {
 		_, err := n.store.Commit(ctx, kvst.Txn{Puts: []kvst.Put{{Key: key, Value: value}}})
 		n.logger.Info("Instance emptied.", "retired", instance, "done", done, "error", err)
-		if err == nil || !nap.For(ctx, retireRetry) {
+		if err == nil || !sleep.For(ctx, retireRetry) {
 			return
 		}
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/endpt"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -91,7 +91,7 @@
 		if ctx.Err() != nil || !s.r.Route.MayRepeat() {
 			break
 		}
-		if !nap.For(ctx, resumeGap) {
+		if !sleep.For(ctx, resumeGap) {
 			break
 		}
 	}
--- a/nap/nap.go
+++ b/sleep/sleep.go
@@ -1,5 +1,5 @@
-// Package nap waits for a time or for the end of a context.
-package nap
+// Package sleep waits for a time or for the end of a context.
+package sleep
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 // For waits for d, or until ctx ends, and reports whether d has passed. A d of
 // zero or less passes at once while ctx goes on.
 //
-//	for nap.For(ctx, time.Second) {
+//	for sleep.For(ctx, time.Second) {
 //		sweep()
 //	}
 func For(ctx context.Context, d time.Duration) bool {
--- a/nap/nap_test.go
+++ b/sleep/sleep_test.go
@@ -1,4 +1,4 @@
-package nap
+package sleep
 
 import (
 	"context"
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -16,7 +16,7 @@
 
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/mesh"
-	"github.com/lavendermux/lavendermux/nap"
+	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/wplan"
 	"github.com/lavendermux/lavendermux/wset"
 )
@@ -270,7 +270,7 @@
 				p.logger.Warn("Engine's process lost.", "endpoint", v.ID, "addr", addr, "error", err)
 			}
 			lost = true
-			nap.For(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		if lost {
