--- a/grade/grade_test.go
+++ b/grade/grade_test.go
@@ -50,7 +50,7 @@
 }
 
 // grade plays one call against endpoints that answer with these statuses.
-func grade(t *testing.T, during time.Duration, statuses ...int) (score string, err error, s *scorers) {
+func grade(t *testing.T, during time.Duration, statuses ...int) (score string, s *scorers, err error) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s = &scorers{statuses: statuses}
@@ -67,7 +67,7 @@
 		score, err = g.Grade(t.Context(), job)
 		synctest.Wait()
 	})
-	return score, err, s
+	return score, s, err
 }
 
 // Endpoints of the scoring service are full, fall silent or fail now and then. The call
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			score, err, _ := grade(t, time.Minute, statuses...)
+			score, _, err := grade(t, time.Minute, statuses...)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(score).To(Equal("r-c"))
 		})
@@ -95,7 +95,7 @@
 // Only these count: a call that was given up over a lost answer would lose its text.
 func TestGivenUp(t *testing.T) {
 	g := NewWithT(t)
-	_, err, s := grade(t, time.Minute, 502, 500, 503, 500, 500, 200)
+	_, s, err := grade(t, time.Minute, 502, 500, 503, 500, 500, 200)
 	var failed *FailedError
 	g.Expect(errors.As(err, &failed)).To(BeTrue())
 	g.Expect(failed.Failures).To(Equal(3))
@@ -106,7 +106,7 @@
 // the item: endpoints would work on calls whose item has long been given up.
 func TestSendsShareOneDeadline(t *testing.T) {
 	g := NewWithT(t)
-	_, err, s := grade(t, 30*time.Second, make([]int, 200)...)
+	_, s, err := grade(t, 30*time.Second, make([]int, 200)...)
 	g.Expect(err).To(MatchError(context.DeadlineExceeded))
 	g.Expect(len(s.ends)).To(BeNumerically(">", 5))
 	for _, end := range s.ends {
