Endpoints whose answer is overdue are passed over; runs that fall silent move sooner

On engines, items began at a dark one again after 1.5 s and lost 1.2 s each; an engine that falls silent in mid-run cost 1.2 s. Change: such an endpoint is suspect for 3 s more, or until it works; it gets only what nobody else has a place for. A run whose engine has made events is given up after 12 of them, half a second at least. A process that was paused doesn't take its runs for silent.

--- a/brun/brun.go
+++ b/brun/brun.go
@@ -61,6 +61,8 @@
 		// that became whole.
 		calls  map[string]int
 		wholes int
+		// sweptAt is when the runs were last looked over.
+		sweptAt time.Time
 		// unremoved are expired submissions that the store still has; they are
 		// removed again after removeAgain.
 		unremoved   []bstore.Kept
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -82,7 +82,7 @@
 			Running: v.Running,
 			Pace:    pace(v),
 			Remote:  v.DataCentre != centre,
-			Avoid:   now.Before(v.AvoidUntil),
+			Avoid:   now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
 		}
 	}
 	return out
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -245,3 +245,42 @@
 		g.Expect(attempts(r)).To(BeNumerically(">", slots))
 	})
 }
+
+// An engine falls silent in the middle of a run, and makes an event each 20 ms before
+// that. The run goes on elsewhere after half a second; at the bound that holds for a run
+// whose engine may still have it wait, its step would end 0.7 s later.
+func TestSilenceInTheMiddleOfARun(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *engines, set *wset.Set) {
+		hand(ctx, r, "b", 1)
+		time.Sleep(200 * time.Millisecond)
+		e.mu.Lock()
+		e.pace["a"], e.pace["b"] = time.Hour, 20*time.Millisecond
+		e.mu.Unlock()
+		set.Put(endpt.Endpoint{ID: "b", Service: "lm", Slots: slots, Versions: map[string]int64{"m": 1}})
+		time.Sleep(silenceLeast + 3*sweepEvery)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		g.Expect(e.busy["b"]).To(Equal(1))
+	})
+}
+
+// The process gets no processor for three seconds, and the events of that time wait
+// unread. Its runs are not taken for silent: all of them at once would lose their engines,
+// for a pause that none of these made.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, _ *engines, _ *wset.Set) {
+		hand(ctx, r, "b", slots)
+		time.Sleep(200 * time.Millisecond)
+		const pause = 3 * time.Second
+		r.mu.Lock()
+		r.sweptAt = r.sweptAt.Add(-pause)
+		for _, it := range r.held["b"].items {
+			it.heard = it.heard.Add(-pause)
+		}
+		r.mu.Unlock()
+		r.sweep(time.Now())
+		g.Expect(attempts(r)).To(Equal(slots))
+		time.Sleep(sweepEvery / 2)
+		g.Expect(attempts(r)).To(Equal(slots))
+	})
+}
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -13,9 +13,16 @@
 )
 
 const (
-	// silenceMost is how long a run may make no event: engines make one each
-	// 30 to 60 ms, slow ones each 200 ms.
+	// silenceMost is how long a run may make no event where nothing is known, or before
+	// its first one: an engine that is full has it wait for a place.
 	silenceMost = 1200 * time.Millisecond
+	// silenceLeast and silenceEvents bound the pause after an event, in time and in
+	// events of the engine's own pace. Engines make one each 30 to 60 ms and pause for
+	// 200 ms at most, while they read in the prompts of a whole step; one that falls
+	// silent in the middle of a step's longest item costs the step as much as it takes
+	// to notice.
+	silenceLeast  = 500 * time.Millisecond
+	silenceEvents = 12
 	// silenceLoading holds while the engine loads weights of the model: about a
 	// second, and longer when several engines load.
 	silenceLoading = 5 * time.Second
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -16,6 +16,7 @@
 func (r *Runner) sweep(now time.Time) []bstore.Kept {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.excuse(now)
 	coming := make(map[string]int)
 	for _, h := range r.held {
 		if h.ended {
@@ -42,10 +43,31 @@
 
 // silence is how long a run may make no event.
 func (r *Runner) silence(h *held, it *item) time.Duration {
-	if v, ok := r.set.View(it.at); ok && v.Loading[h.sub.Model] {
+	v, ok := r.set.View(it.at)
+	switch {
+	case ok && v.Loading[h.sub.Model]:
 		return silenceLoading
+	case !ok || v.Pace == 0 || it.heard.Equal(it.started):
+		return silenceMost
 	}
-	return silenceMost
+	return min(silenceMost, max(silenceLeast, silenceEvents*v.Pace))
+}
+
+// excuse adds the time for which this process got no processor to the last signs of life
+// of its runs. The events of that time wait unread; without this a process that was paused
+// would take every run for silent, and start all of them anew.
+func (r *Runner) excuse(now time.Time) {
+	paused := now.Sub(r.sweptAt) - sweepEvery
+	if !r.sweptAt.IsZero() && paused > sweepEvery {
+		for _, h := range r.held {
+			for _, it := range h.items {
+				if it.cancel != nil {
+					it.heard = it.heard.Add(paused)
+				}
+			}
+		}
+	}
+	r.sweptAt = now
 }
 
 // moveSlow breaks a run off if it is expected to end sooner elsewhere; it then
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -250,7 +250,7 @@
 				Running: v.Running,
 				Pace:    1,
 				Remote:  v.DataCentre != f.centre,
-				Avoid:   now.Before(v.AvoidUntil),
+				Avoid:   now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
 			}
 		}
 		if i, ok := f.picker.Pick(cands); ok {
--- a/proxy/tries.go
+++ b/proxy/tries.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -18,6 +19,8 @@
 	results chan try
 	// used are the endpoints that were asked, in order.
 	used []string
+	// last is the endpoint that was asked last.
+	last endpt.Endpoint
 	// sent counts sends that may have run, open those without a result, notRun
 	// those that surely haven't run.
 	sent, open, notRun int
@@ -43,6 +46,7 @@
 			}
 		case <-hedge.C:
 			if t.mayHedge() {
+				t.f.set.Overdue(t.last, time.Now())
 				t.next()
 			}
 		case <-t.ctx.Done():
@@ -73,6 +77,7 @@
 		return false
 	}
 	t.used = append(t.used, e.ID)
+	t.last = e
 	t.sent++
 	t.open++
 	go func() { t.results <- t.f.send(t.ctx, t.r, e) }()
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -16,6 +16,11 @@
 	// shows in the list of endpoints after about three heartbeats; until then
 	// one request in each such span finds out.
 	avoidFor = 1500 * time.Millisecond
+	// suspectFor is how long after that an endpoint only gets work that nobody else has
+	// a place for, unless it answers before. One that has gone dark is silent for some
+	// four seconds; being idle it would look best of all, and the longest item of a step
+	// would go there and lose a second.
+	suspectFor = 3 * time.Second
 	// refusedFor is how long an endpoint is passed over that refused a request as
 	// it was full or loading. A place comes free several times a second.
 	refusedFor = 250 * time.Millisecond
@@ -45,6 +50,9 @@
 		Pace time.Duration
 		// AvoidUntil is set after a failure.
 		AvoidUntil time.Time
+		// SuspectUntil is set after a failure, or when an answer is overdue, and cleared
+		// by the next sign of work.
+		SuspectUntil time.Time
 		// Loading has the models whose weights are being changed.
 		Loading map[string]bool
 	}
@@ -202,7 +210,15 @@
 
 // Failed passes e over for a while.
 func (s *Set) Failed(e endpt.Endpoint, now time.Time) {
-	s.with(e, func(st *state) { st.AvoidUntil = now.Add(avoidFor) })
+	s.with(e, func(st *state) {
+		st.AvoidUntil = now.Add(avoidFor)
+		st.SuspectUntil = st.AvoidUntil.Add(suspectFor)
+	})
+}
+
+// Overdue notes that an answer of e is so late that a second endpoint was asked.
+func (s *Set) Overdue(e endpt.Endpoint, now time.Time) {
+	s.with(e, func(st *state) { st.SuspectUntil = now.Add(suspectFor) })
 }
 
 // Refused passes e over for a moment, unless it is passed over for longer.
@@ -231,6 +247,7 @@
 // Worked takes the time of one unit of work at e.
 func (s *Set) Worked(e endpt.Endpoint, took time.Duration) {
 	s.with(e, func(st *state) {
+		st.SuspectUntil = time.Time{}
 		if st.Pace == 0 {
 			st.Pace = took
 			return
--- a/wset/wset_test.go
+++ b/wset/wset_test.go
@@ -77,3 +77,24 @@
 	s.Gone(endpoint("e", 2))
 	g.Expect(s.Service("s")).To(BeEmpty())
 }
+
+// An endpoint goes dark for seconds. After the first moments it still only gets what
+// nobody else has a place for, since being idle it would look best of all; a sign of work
+// makes it one like the others.
+func TestSuspectUntilItWorks(t *testing.T) {
+	g := NewWithT(t)
+	s := set()
+	now := time.Now()
+	e := endpoint("e", 1)
+	s.Put(e)
+	s.Failed(e, now)
+	v, _ := s.View(e)
+	g.Expect(v.AvoidUntil).To(Equal(now.Add(avoidFor)))
+	g.Expect(v.SuspectUntil).To(Equal(now.Add(avoidFor + suspectFor)))
+	s.Worked(e, time.Millisecond)
+	v, _ = s.View(e)
+	g.Expect(v.SuspectUntil).To(BeZero())
+	s.Overdue(e, now)
+	v, _ = s.View(e)
+	g.Expect(v.SuspectUntil).To(Equal(now.Add(suspectFor)))
+}
