Engines keep their models while a planner doesn't know the demand

Cause: after a loss of all entries the planner knew the named versions at once and the demand of each model only with its next step. Two entries planned at once, as neither knew its peers yet. Ruled out: engines that were lost (the new ones had the newest versions). Change: engines move only when the demand of each named model is known, or after 15 s; nobody plans before the mesh has settled. Test: a restart with the demand of one model of three, failed before (five engines of another model's were taken).

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -263,6 +263,16 @@
 	}
 }
 
+// IsSettled reports whether the peers that live are known by now.
+func (m *Mesh) IsSettled() bool {
+	select {
+	case <-m.settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Knows reports whether a live peer has the name.
 func (m *Mesh) Knows(name string) bool {
 	m.mu.Lock()
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -54,6 +54,8 @@
 		named   map[string]named
 		links   map[string]*link
 		changed chan struct{}
+		// plansSince is when this instance began to plan; zero while it doesn't.
+		plansSince time.Time
 	}
 
 	named struct {
@@ -143,6 +145,7 @@
 		case <-p.changed:
 		}
 		plans := p.Plans()
+		p.noteTurn(plans)
 		p.connect(ctx, plans || p.busy())
 		if plans {
 			p.plan()
@@ -151,10 +154,11 @@
 }
 
 // Plans reports whether this instance plans. Only one entry does, the first by
-// name: two that see different engines would have more of them load than needed.
+// name: two that see different engines would have more of them load than needed. One
+// that doesn't know its peers yet would take itself for the first.
 func (p *Pilot) Plans() bool {
 	self := p.mesh.Self()
-	if !self.Plans {
+	if !self.Plans || !p.mesh.IsSettled() {
 		return false
 	}
 	for _, n := range p.mesh.Alive() {
@@ -165,6 +169,19 @@
 	return true
 }
 
+// noteTurn remembers since when this instance plans.
+func (p *Pilot) noteTurn(plans bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !plans:
+		p.plansSince = time.Time{}
+	case p.plansSince.IsZero():
+		p.plansSince = time.Now()
+		p.logger.Info("Plans loads.", "named", len(p.named), "engines", len(p.links))
+	}
+}
+
 // connect keeps one link to each engine while that is of use here. All instances
 // to all engines would be a thousand connections in a fleet of thirty and fifty.
 func (p *Pilot) connect(ctx context.Context, wanted bool) {
@@ -199,7 +216,8 @@
 func (p *Pilot) plan() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Age: make(map[string]time.Duration), Lag: defaultLag}
+	state := wplan.State{Named: make(map[string]int64), Demand: p.mesh.Demand(), Age: make(map[string]time.Duration), Lag: defaultLag,
+		Watched: time.Since(p.plansSince)}
 	for model, n := range p.named {
 		state.Named[model] = n.version
 		state.Age[model] = time.Since(n.at)
--- a/wplan/wplan.go
+++ b/wplan/wplan.go
@@ -34,6 +34,10 @@
 	// slack is how far a model's engines may be from its share before one moves:
 	// a move costs a load, and shares change with each step.
 	slack = 1.2
+	// demandSeen is how long a planner waits for a step of each model before it takes a
+	// model without one for unused: trainers hand in a step every few seconds, and one
+	// takes ten at most.
+	demandSeen = 15 * time.Second
 )
 
 type (
@@ -54,8 +58,10 @@
 	State struct {
 		// Named has the newest version of each model that any trainer uses.
 		Named map[string]int64
-		// Demand is the work that each model has; 0 everywhere shares equally.
-		Demand map[string]float64
+		// Demand is the work that each model has; 0 everywhere shares equally. Watched
+		// is for how long it was watched.
+		Demand  map[string]float64
+		Watched time.Duration
 		// Age is the time since each version was named.
 		Age map[string]time.Duration
 		// Lag is how many versions old samples may be.
@@ -201,10 +207,28 @@
 		home[e.ID] = m
 		count[m]++
 	}
-	s.move(models, home, target, count)
+	if s.demandKnown(models) {
+		s.move(models, home, target, count)
+	}
 	return home
 }
 
+// demandKnown reports whether shares can be told. A planner that has just started knows
+// the engines and the named versions at once, and the demand of a model only with its next
+// step; it would take engines from models that it hasn't heard of yet, for a load each, and
+// give them back a second later for another. Until then each model keeps its engines.
+func (s State) demandKnown(models []string) bool {
+	if s.Watched >= demandSeen {
+		return true
+	}
+	for _, m := range models {
+		if s.Demand[m] <= 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // choose gives an engine without a home to the model that it is fit for, and
 // otherwise to the one that lacks most.
 func (s State) choose(e Engine, models []string, target, count map[string]float64) string {
@@ -255,7 +279,7 @@
 	}
 }
 
-// targets shares the engines among models by demand.
+// targets shares the engines among models by demand, and alike while that isn't known.
 func (s State) targets(models []string) map[string]float64 {
 	total := 0.0
 	for _, m := range models {
@@ -264,7 +288,7 @@
 	target := make(map[string]float64, len(models))
 	for _, m := range models {
 		share := 1 / float64(len(models))
-		if total > 0 {
+		if total > 0 && s.demandKnown(models) {
 			share = s.Demand[m] / total
 		}
 		target[m] = share * float64(len(s.Engines))
--- a/wplan/wplan_test.go
+++ b/wplan/wplan_test.go
@@ -16,7 +16,7 @@
 }
 
 func newFleet(engines int, models ...string) *fleet {
-	f := &fleet{state: State{Named: map[string]int64{}, Demand: map[string]float64{}, Age: map[string]time.Duration{}, Lag: 1}, loads: map[string]int{}}
+	f := &fleet{state: State{Named: map[string]int64{}, Demand: map[string]float64{}, Age: map[string]time.Duration{}, Watched: time.Minute, Lag: 1}, loads: map[string]int{}}
 	for i := range engines {
 		e := Engine{ID: fmt.Sprintf("e%02d", i), Versions: map[string]int64{}}
 		for _, m := range models {
@@ -195,3 +195,68 @@
 	f.state.Age["a"] = 10 * time.Millisecond
 	g.Expect(New(f.state).Loads).To(HaveLen(2), "engines that are too old load at once")
 }
+
+// All instances start again at once, and one of them plans anew. It knows the engines and
+// the named versions, and the demand of the one model whose trainer has come first. Each
+// model keeps the engines that have its weights, and only those that are too old load; a
+// planner that took unknown demand for none moved five of twelve engines to the first
+// model and back, and the first steps after the start waited four seconds for engines.
+func TestEnginesStayAfterARestart(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(0, "a", "b", "c")
+	f.state.Watched = 0
+	f.state.Named = map[string]int64{"a": 9, "b": 8, "c": 10}
+	add := func(n int, versions map[string]int64) {
+		for range n {
+			f.state.Engines = append(f.state.Engines, Engine{ID: fmt.Sprintf("e%02d", len(f.state.Engines)), Versions: versions})
+		}
+	}
+	add(5, map[string]int64{"a": 8, "b": 1, "c": 1})
+	add(5, map[string]int64{"a": 1, "b": 7, "c": 1})
+	add(2, map[string]int64{"a": 1, "b": 1, "c": 9})
+	for _, demand := range []map[string]float64{{}, {"c": 100}, {"a": 500, "c": 100}} {
+		f.state.Demand = demand
+		p := New(f.state)
+		for _, e := range f.state.Engines {
+			want := "a"
+			switch {
+			case e.Versions["b"] > 1:
+				want = "b"
+			case e.Versions["c"] > 1:
+				want = "c"
+			}
+			g.Expect(p.Home[e.ID]).To(Equal(want))
+		}
+		for _, l := range p.Loads {
+			g.Expect(l.Model).To(Equal(p.Home[l.Engine]))
+		}
+	}
+}
+
+// A trainer has stopped for good, and a planner starts after that. When it has waited for
+// a step of it in vain, the engines go to the models that have work.
+func TestUnusedModelGivesItsEnginesBack(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(12, "a", "b")
+	f.state.Watched = 0
+	f.state.Demand = map[string]float64{"a": 100}
+	for range 20 {
+		f.step()
+	}
+	g.Expect(f.count("b")).To(BeNumerically(">=", 4))
+	f.state.Watched = demandSeen
+	for range 20 {
+		f.step()
+	}
+	g.Expect(f.count("b")).To(BeNumerically("<=", 2))
+}
+
+func (f *fleet) count(model string) int {
+	n := 0
+	for _, e := range f.state.Engines {
+		if e.Home == model {
+			n++
+		}
+	}
+	return n
+}
