Loads that were wanted of an engine that is gone are dropped, and the planner hears of it

Ruled out: lost processes beside engines (none was out of touch). Change: such a refusal drops the want, and the state that the planner waits for names the engine as gone. Test failed before (the new engine got its order after the old one's).

--- a/giver/giver.go
+++ b/giver/giver.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -36,7 +37,7 @@
 		// Report returns what the engine says about itself now.
 		Report(ctx context.Context) (Report, error)
 		// Load orders a version and reports whether the engine accepted it or
-		// has it already.
+		// has it already. On a *GoneError it never will.
 		Load(ctx context.Context, o Order) (accepted bool, err error)
 	}
 
@@ -64,6 +65,11 @@
 		Expected int64
 	}
 
+	// GoneError says that another engine has the address of the one that was meant.
+	GoneError struct {
+		Endpoint string
+	}
+
 	// Want is a version that should be loaded.
 	Want struct {
 		Model    string `json:"model"`
@@ -78,6 +84,8 @@
 		Serial   int64            `json:"serial"`
 		Versions map[string]int64 `json:"versions"`
 		Loading  map[string]bool  `json:"loading"`
+		// Gone is an endpoint that was meant lately and isn't here any longer; "" is none.
+		Gone string `json:"gone,omitempty"`
 		// Known is false until the engine has reported once.
 		Known bool `json:"known"`
 	}
@@ -99,6 +107,9 @@
 	}
 )
 
+// Error names the engine that was meant.
+func (e *GoneError) Error() string { return "engine " + e.Endpoint + " is gone" }
+
 // New returns the giver named name of orders to engine.
 //
 //	g := giver.New("side-1", engine, logger)
@@ -186,6 +197,11 @@
 		return reportEvery
 	}
 	accepted, err := g.engine.Load(ctx, o)
+	var gone *GoneError
+	if errors.As(err, &gone) {
+		g.forget(gone.Endpoint)
+		return busyEvery
+	}
 	g.mu.Lock()
 	g.ordered, g.orderedAt = o, time.Now()
 	g.mu.Unlock()
@@ -194,6 +210,22 @@
 	return busyEvery
 }
 
+// forget drops what was wanted of an engine that isn't here any longer, and tells those
+// who wait for State. Its order would be refused for ever, take turns with those for the
+// engine that is here, and count as a load that is under way: after a loss of power three
+// such orders kept all other loads waiting for six seconds.
+func (g *Giver) forget(endpoint string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.wants, func(_ string, w Want) bool { return w.Endpoint == endpoint })
+	g.logger.Info("Engine is another.", "wanted", endpoint)
+	g.state.Gone = endpoint
+	g.state.Loading = nil
+	g.state.Serial++
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
 // next returns the order that is due: one at a time, and none while an earlier
 // one may still be on its way.
 func (g *Giver) next(rep Report) (Order, bool) {
@@ -245,7 +277,7 @@
 		return
 	}
 	g.logger.Info("Engine changed.", "versions", rep.Versions, "loading", loading, "busy", rep.Busy, "orders", rep.Orders)
-	g.state = State{Serial: g.state.Serial + 1, Versions: rep.Versions, Loading: loading, Known: true}
+	g.state = State{Serial: g.state.Serial + 1, Versions: rep.Versions, Loading: loading, Gone: g.state.Gone, Known: true}
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/giver/giver_test.go
+++ b/giver/giver_test.go
@@ -22,7 +22,9 @@
 	busy     string
 	seen     []Order
 	lose     int
-	late     int
+	// id is the engine's identity; "" is any that is meant.
+	id   string
+	late int
 }
 
 func (e *engine) Report(context.Context) (Report, error) {
@@ -39,6 +41,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.seen = append(e.seen, o)
+	if e.id != "" && o.Endpoint != e.id {
+		return false, &GoneError{Endpoint: o.Endpoint}
+	}
 	if e.late > 0 {
 		e.late--
 		time.AfterFunc(3*time.Second, func() { e.accept(o) })
@@ -161,3 +166,21 @@
 		g.Expect(st.Loading).To(BeEmpty())
 	})
 }
+
+// All machines lose power, and the engine is another one when they are back, at the same
+// address. Loads that were wanted of the one before are refused. They must not be asked
+// for again and again in turn with those for the new one, which would wait for seconds
+// without its weights, and whoever plans hears at once that the old one is gone.
+func TestWantsOfAnEngineThatIsGone(t *testing.T) {
+	play(t, func(g *WithT, e *engine, gv *Giver) {
+		e.id = "new"
+		gv.Want(Want{Model: "a", Version: 2, Endpoint: "old"})
+		time.Sleep(time.Second)
+		g.Expect(gv.Now().Gone).To(Equal("old"))
+		g.Expect(gv.Now().Loading).To(BeEmpty())
+		gv.Want(Want{Model: "b", Version: 5, Endpoint: "new"})
+		time.Sleep(2 * time.Second)
+		g.Expect(e.versions).To(Equal(map[string]int64{"a": 1, "b": 5}))
+		g.Expect(e.seen).To(HaveLen(2))
+	})
+}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -335,10 +335,15 @@
 }
 
 func (p *Pilot) take(v wset.View, state *giver.State) {
-	for model, version := range state.Versions {
-		p.set.Version(v.Endpoint, model, version)
+	if state.Gone == v.ID {
+		p.logger.Info("Engine gone.", "endpoint", v.ID, "addr", v.Addr)
+		p.set.Gone(v.Endpoint)
+	} else {
+		for model, version := range state.Versions {
+			p.set.Version(v.Endpoint, model, version)
+		}
+		p.set.Loading(v.Endpoint, state.Loading)
 	}
-	p.set.Loading(v.Endpoint, state.Loading)
 	select {
 	case p.changed <- struct{}{}:
 	default:
