--- a/cmd/lavendermux/node.go
+++ b/cmd/lavendermux/node.go
@@ -17,6 +17,11 @@
 	"github.com/lavendermux/lavendermux/spool"
 )
 
+// gcPercent is how much the heap may grow between two collections, as a share of what is
+// in use after the first. Texts, requests and their encodings live for less than a second,
+// so that most of an entry's memory at its peak is garbage at the usual 100.
+const gcPercent = 40
+
 // memoryShare of what the process may use is the collector's target: the rest is
 // for stacks, buffers of the kernel and the time until a collection has ended.
 const memoryShare = 0.6
@@ -31,6 +36,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node")
 	}
+	debug.SetGCPercent(gcPercent)
 	if cfg.Memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Memory)))
 	}
