A scoring call whose time is over pauses before it starts again

Found by reading: an item that isn't given up, as its route sets no time, had its call started again in the same instant for ever, and its instance did nothing else; where the route sets a time, for up to 100 ms. Test: stood still for ever before.

--- a/brun/calls.go
+++ b/brun/calls.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// callMost bounds a scoring call where the item's route has no time of its own.
-	callMost = time.Minute
+	// callMost bounds a scoring call where the item's route has no time of its own: as
+	// long as a submission is kept that nobody ends.
+	callMost = openMost
 	// scoreLate is how long a whole text waits for its score before it is kept on its
 	// own, however short. While the scoring service takes nothing, texts pile up that
 	// only this instance has; a call usually takes 200 ms, so that this costs no write
@@ -43,8 +44,8 @@
 
 // startCalls starts the scoring calls that there is room for, those of the groups that
 // are nearest to whole first. The runner's lock is held.
-func (r *Runner) startCalls(ctx context.Context, open []*held) {
-	calls := r.waitingCalls(open)
+func (r *Runner) startCalls(ctx context.Context, open []*held, now time.Time) {
+	calls := r.waitingCalls(open, now)
 	if len(calls) == 0 {
 		return
 	}
@@ -60,7 +61,7 @@
 	}
 }
 
-func (r *Runner) waitingCalls(open []*held) []waiting {
+func (r *Runner) waitingCalls(open []*held, now time.Time) []waiting {
 	var calls []waiting
 	m := r.manifest()
 	if m == nil {
@@ -69,7 +70,7 @@
 	for _, h := range open {
 		var missing map[string]int
 		for _, it := range h.items {
-			if !it.whole || it.done || it.call != nil {
+			if !it.whole || it.done || it.call != nil || now.Before(it.notBefore) {
 				continue
 			}
 			route, ok := m.Match(it.Scoring.Host, it.Scoring.Target)
@@ -152,6 +153,11 @@
 		w.held.finish(w.item, batch.Completed)
 	case errors.As(err, &failed):
 		w.held.finish(w.item, batch.Errored)
+	default:
+		// The call's time is over, and the item has not been given up yet. Without a
+		// pause it would start again in the same instant, and again, and take the
+		// whole processor until then.
+		w.item.notBefore = time.Now().Add(retryPause)
 	}
 }
 
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -38,7 +38,7 @@
 		}
 		r.startItems(ctx, h, route, now)
 	}
-	r.startCalls(ctx, open)
+	r.startCalls(ctx, open, now)
 }
 
 func (r *Runner) startItems(ctx context.Context, h *held, route *manif.Route, now time.Time) {
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -128,7 +128,8 @@
 		}
 		e := &engines{pace: pace, busy: make(map[string]int), most: make(map[string]int), sent: make(map[string]time.Time)}
 		m := &manif.Manifest{
-			Routes:   []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.Share{{Service: "lm", Weight: 1}}}},
+			Routes: []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.Share{{Service: "lm", Weight: 1}}},
+				{Host: "s", Prefix: "/s/", Kind: manif.Idempotent, MaxAttempts: 2, Split: []manif.Share{{Service: "score", Weight: 1}}}},
 			Services: map[string]manif.Service{"lm": {Name: "lm", Stride: stride}},
 		}
 		manifest := func() *manif.Manifest { return m }
@@ -284,3 +285,22 @@
 		g.Expect(attempts(r)).To(Equal(slots))
 	})
 }
+
+// The time of a text's scoring call is over, the scoring service has nobody, and its item
+// isn't given up, as its route sets no time for that. The call must not start again in the
+// same instant for ever: the instance would do nothing else, and every step that it holds
+// would stand still.
+func TestExpiredCallsPause(t *testing.T) {
+	inRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *engines, _ *wset.Set) {
+		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m", Submitted: time.Now().Add(-callMost).UnixMilli()}
+		sub.Items = []batch.Item{{ID: "i", Scoring: &batch.Scoring{ID: "c", Host: "s", Target: "/s/x"}}}
+		r.Add(ctx, bstore.Kept{ID: "b", Head: batch.Head{Holder: "me", Epoch: 1, Submitted: sub.Submitted}}, sub, nil,
+			[]batch.Progress{{ID: "i", Texts: []string{"x"}, Whole: true}})
+		time.Sleep(time.Second)
+		hand(ctx, r, "other", 1)
+		time.Sleep(100 * time.Millisecond)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		g.Expect(e.busy["a"]).To(Equal(1))
+	})
+}
