Ages of submissions on steady clocks only

Cause: a submission's record had the time of day at which it was accepted, and each holder compared it with its own. On machines whose clock jumps by seconds items are given up early, or late, and scoring calls get another deadline at a successor. Found by reading for wall times that are kept or compared; there are no others in the node's packages (a worker's 'born' is compared for equality only). Ruled out: a lower bound from the wall clock; it jumps forward too. Change: heads hold the age at their last write; the time since then comes from what the holder told its peers. Where nobody is left who was told, scoring calls assume 4 s more. Ended submissions without a holder are loaded ten minutes after a start, by the instance's own clock.

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -2,10 +2,6 @@
 // kept in the metadata store.
 package batch
 
-import (
-	"time"
-)
-
 const (
 	// Completed items have their whole text.
 	Completed State = "completed"
@@ -30,8 +26,6 @@
 		// Desired is the number of groups that the trainer waits for.
 		Desired int    `json:"desired"`
 		Items   []Item `json:"items"`
-		// Submitted is the Unix millisecond at which it was first accepted.
-		Submitted int64 `json:"submitted"`
 	}
 
 	// Item is one request of a submission.
@@ -106,16 +100,15 @@
 		Results  int  `json:"results"`
 		Total    int  `json:"total"`
 		Ended    bool `json:"ended,omitempty"`
-		// Submitted is the Unix millisecond of acceptance.
-		Submitted int64 `json:"submitted"`
+		// AgeMs is how long ago the submission was accepted, in milliseconds, at
+		// the time of the write. It is counted on the steady clocks of its holders,
+		// one after the other, and leaves out the time that it had none: the time of
+		// day differs between instances and may jump, and a submission whose age
+		// jumped would be given up, or removed, while its trainer waits for it.
+		AgeMs int64 `json:"ageMs"`
 	}
 )
 
-// Age returns how long ago the submission was accepted.
-func (h Head) Age(now time.Time) time.Duration {
-	return now.Sub(time.UnixMilli(h.Submitted))
-}
-
 // SameWrite reports whether h and o are one write of one holder.
 func (h Head) SameWrite(o Head) bool {
 	return h.Holder == o.Holder && h.Epoch == o.Epoch && h.Writes == o.Writes
--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -10,13 +10,18 @@
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
-	// leftOver is the age at which an ended submission is loaded at the start of an
-	// instance, only to expire there: the instance that should have removed it is
-	// gone.
+	// leftOver is how long after its start an instance loads the ended submissions
+	// that it found without a holder, only to expire here: the instance that should
+	// have removed them is gone.
 	leftOver = 10 * time.Minute
+	// lossDoubt is how long a submission may have had no holder: the time from the
+	// last write of one that was lost together with all its peers until the start of
+	// its successor. Machines that lose power are back within some 3.5 s.
+	lossDoubt = 4 * time.Second
 	// firstEpoch is that of a submission that was created a moment ago.
 	firstEpoch = 1
 )
@@ -62,6 +67,7 @@
 	if !now.Ended && !d.mesh.Settled(ctx) {
 		return ctx.Err()
 	}
+	d.count(&now)
 	from := now.Holder
 	if _, alive := d.mesh.Find(from); alive && from != kept.Holder {
 		d.remember(now)
@@ -97,6 +103,25 @@
 	return nil
 }
 
+// count corrects the age that the record had at its last write by what peers told of
+// it since. Where none did, some time may be missing.
+func (d *Desk) count(kept *bstore.Kept) {
+	age, told := d.mesh.AgeOf(kept.ID)
+	if told {
+		kept.Since = earlier(kept.Since, time.Now().Add(-age))
+	}
+	if !told && !d.createdFor(*kept) {
+		kept.Doubt = lossDoubt
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // createdFor reports whether a peer created the submission for this boot of this
 // instance and nobody has written to it since. It needs no later epoch then: a
 // take-over would cost a write, and delay the first items by it. After any write a
@@ -143,12 +168,19 @@
 		time.Sleep(adoptPause)
 		heads, err = d.store.Heads(ctx)
 	}
+	open, ended := make(map[string]int64), make(map[string]int64)
 	for _, k := range heads {
-		if d.runner.Holds(k.ID) || (k.Ended && k.Age(time.Now()) < leftOver) {
-			continue
-		}
-		if _, alive := d.mesh.Find(k.Holder); !alive {
-			d.Lost(mesh.Node{}, map[string]int64{k.ID: k.Epoch})
+		_, alive := d.mesh.Find(k.Holder)
+		switch {
+		case alive || d.runner.Holds(k.ID):
+		case k.Ended:
+			ended[k.ID] = k.Epoch
+		default:
+			open[k.ID] = k.Epoch
 		}
 	}
+	d.Lost(mesh.Node{}, open)
+	if len(ended) > 0 && sleep.For(d.run, leftOver) {
+		d.Lost(mesh.Node{}, ended)
+	}
 }
--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -116,8 +116,9 @@
 	if d.runner.Holds(sub.ID) {
 		return nil
 	}
+	since := time.Now()
 	holder, elsewhere := d.homeOf(sub)
-	kept, created, err := d.store.Create(ctx, sub, holder.Holder())
+	kept, created, err := d.store.Create(ctx, sub, holder.Holder(), since)
 	if err != nil {
 		return err
 	}
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -295,6 +295,21 @@
 	return open
 }
 
+// Ages returns how long ago each of the submissions that are open here was accepted,
+// in milliseconds.
+func (r *Runner) Ages() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	ages := make(map[string]int64)
+	for id, h := range r.held {
+		if !h.ended {
+			ages[id] = h.kept.Age(now).Milliseconds()
+		}
+	}
+	return ages
+}
+
 // Overtaken drops the submissions that another instance holds at a later epoch.
 // An instance that has nothing to write would otherwise not notice, and go on to
 // answer with the results of its own time.
--- a/brun/calls.go
+++ b/brun/calls.go
@@ -123,13 +123,14 @@
 
 // callDeadline is when an item of the submission may be given up. It is one moment for
 // all sends of a call, and the same at a later holder: an endpoint must not be handed
-// more time by a repeated send than by the first.
+// more time by a repeated send than by the first. Where the submission may be older
+// than is known, the moment is the earliest that it can have been.
 func (r *Runner) callDeadline(h *held) time.Time {
 	most := callMost
 	if route, ok := r.route(h.sub); ok && route.MaxQueue > 0 {
 		most = route.MaxQueue
 	}
-	return time.UnixMilli(h.kept.Submitted).Add(most)
+	return h.kept.Since.Add(most - h.kept.Doubt)
 }
 
 func (r *Runner) score(ctx context.Context, w waiting, job grade.Job) {
--- a/brun/expire_test.go
+++ b/brun/expire_test.go
@@ -19,9 +19,9 @@
 	inRunner(t, map[string]time.Duration{"a": time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, _ *engines, _ *wset.Set) {
 		k := &keeper{refuse: 1}
 		r.store = bstore.New(k)
-		old := time.Now().Add(-time.Hour).UnixMilli()
-		r.Add(ctx, bstore.Kept{ID: "b", Head: batch.Head{Holder: "me", Epoch: 1, Parts: 1, Submitted: old, Ended: true}},
-			&batch.Submission{ID: "b", Submitted: old}, nil, nil)
+		old := time.Now().Add(-time.Hour)
+		r.Add(ctx, bstore.Kept{ID: "b", Head: batch.Head{Holder: "me", Epoch: 1, Parts: 1, Ended: true}, Since: old},
+			&batch.Submission{ID: "b"}, nil, nil)
 		time.Sleep(time.Second)
 		g.Expect(r.Holds("b")).To(BeFalse())
 		k.mu.Lock()
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -30,7 +30,7 @@
 			open = append(open, h)
 		}
 	}
-	slices.SortFunc(open, func(a, b *held) int { return int(a.kept.Submitted - b.kept.Submitted) })
+	slices.SortFunc(open, func(a, b *held) int { return a.kept.Since.Compare(b.kept.Since) })
 	for _, h := range open {
 		route, ok := r.route(h.sub)
 		if !ok {
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -146,11 +146,11 @@
 }
 
 func hand(ctx context.Context, r *Runner, id string, items int) {
-	sub := &batch.Submission{ID: id, Host: "h", Target: "/b/", Model: "m", Submitted: time.Now().UnixMilli()}
+	sub := &batch.Submission{ID: id, Host: "h", Target: "/b/", Model: "m"}
 	for n := range items {
 		sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint(id, "-", n), Hint: events * stride})
 	}
-	r.Add(ctx, bstore.Kept{ID: id, Head: batch.Head{Holder: "me", Epoch: 1, Submitted: sub.Submitted}}, sub, nil, nil)
+	r.Add(ctx, bstore.Kept{ID: id, Head: batch.Head{Holder: "me", Epoch: 1}, Since: time.Now()}, sub, nil, nil)
 }
 
 // An engine sends the first event of each run right after the head of its answer. An instance that took that moment for the time of an event would believe
@@ -292,9 +292,9 @@
 // would stand still.
 func TestExpiredCallsPause(t *testing.T) {
 	inRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *engines, _ *wset.Set) {
-		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m", Submitted: time.Now().Add(-callMost).UnixMilli()}
+		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
 		sub.Items = []batch.Item{{ID: "i", Scoring: &batch.Scoring{ID: "c", Host: "s", Target: "/s/x"}}}
-		r.Add(ctx, bstore.Kept{ID: "b", Head: batch.Head{Holder: "me", Epoch: 1, Submitted: sub.Submitted}}, sub, nil,
+		r.Add(ctx, bstore.Kept{ID: "b", Head: batch.Head{Holder: "me", Epoch: 1}, Since: time.Now().Add(-callMost)}, sub, nil,
 			[]batch.Progress{{ID: "i", Texts: []string{"x"}, Whole: true}})
 		time.Sleep(time.Second)
 		hand(ctx, r, "other", 1)
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -55,6 +55,10 @@
 		batch.Head
 		ID       string
 		Revision int64
+		// Since is when the submission was accepted, on this process's steady clock.
+		// It may be too late, by at most Doubt, where the head was read from the store.
+		Since time.Time
+		Doubt time.Duration
 	}
 
 	// Change is one write about one submission: results to append, text of items
@@ -89,6 +93,9 @@
 	return fmt.Sprintf("a submission of %d bytes is larger than %d", e.Bytes, e.Most)
 }
 
+// Age returns how long ago the submission was accepted, or somewhat less.
+func (k Kept) Age(now time.Time) time.Duration { return now.Sub(k.Since) }
+
 // New returns a store on kv.
 //
 //	s := bstore.New(kv, bstore.WithValueBytes(1<<20))
@@ -110,9 +117,9 @@
 	}
 }
 
-// Create accepts a submission once. When it is there already, the holder and
-// count that it has are returned, with created false.
-func (s *Store) Create(ctx context.Context, sub *batch.Submission, holder string) (kept Kept, created bool, err error) {
+// Create accepts a submission once; it came in at the time since. When it is there
+// already, the holder and count that it has are returned, with created false.
+func (s *Store) Create(ctx context.Context, sub *batch.Submission, holder string, since time.Time) (kept Kept, created bool, err error) {
 	raw, err := json.Marshal(sub)
 	if err != nil {
 		return Kept{}, false, errors.Wrap(err, "encoding a submission")
@@ -121,12 +128,11 @@
 	if len(parts) > txnEntries-2 {
 		return Kept{}, false, &SizeError{Bytes: len(raw), Most: s.value * (txnEntries - 2)}
 	}
-	kept = Kept{ID: sub.ID, Head: batch.Head{
-		Holder:    holder,
-		Epoch:     1,
-		Parts:     len(parts),
-		Total:     len(sub.Items),
-		Submitted: sub.Submitted,
+	kept = Kept{ID: sub.ID, Since: since, Head: batch.Head{
+		Holder: holder,
+		Epoch:  1,
+		Parts:  len(parts),
+		Total:  len(sub.Items),
 	}}
 	t := kvst.Txn{Expect: map[string]int64{headKey(sub.ID): 0}}
 	for i, part := range parts {
@@ -289,6 +295,7 @@
 // write under the same condition is repeated until the store either takes it or
 // shows the head of whoever wrote last, which may be this very write.
 func (s *Store) write(ctx context.Context, k *Kept, t kvst.Txn) error {
+	k.AgeMs = k.Age(time.Now()).Milliseconds()
 	raw, err := json.Marshal(k.Head)
 	if err != nil {
 		return errors.Wrap(err, "encoding a head")
@@ -358,6 +365,7 @@
 	if err := json.Unmarshal(it.Value, &k.Head); err != nil {
 		return Kept{}, errors.Wrapf(err, "head of batch %s", id)
 	}
+	k.Since = time.Now().Add(-time.Duration(k.AgeMs) * time.Millisecond)
 	return k, nil
 }
 
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -97,6 +97,8 @@
 		// Holding are the submissions that are open here, each with the epoch
 		// of its record.
 		Holding map[string]int64 `json:"holding"`
+		// Ages has how long ago each of them was accepted, in milliseconds.
+		Ages map[string]int64 `json:"ages,omitempty"`
 		// Demand is the work of the newest submission of each model, in tokens.
 		Demand map[string]float64 `json:"demand,omitempty"`
 		// Reaches says that the metadata store can be reached from here.
@@ -307,6 +309,19 @@
 	return n, ok
 }
 
+// AgeOf returns how long ago a submission was accepted, as its holders told last,
+// also those that were lost a moment ago.
+func (m *Mesh) AgeOf(id string) (age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if ms, told := p.Ages[id]; told {
+			age, ok = max(age, time.Duration(ms)*time.Millisecond+time.Since(p.heard)), true
+		}
+	}
+	return age, ok
+}
+
 // Demand returns the work of each model at this instance and its live peers, by
 // the newest submission that any of them has.
 func (m *Mesh) Demand() map[string]float64 {
--- a/node/node.go
+++ b/node/node.go
@@ -268,7 +268,7 @@
 	self := mesh.Node{Name: n.cfg.Instance, Addr: n.cfg.PeerAddr, Boot: boot(), Plans: n.cfg.Front != "", Power: n.cfg.Power}
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
-			return mesh.Status{Holding: n.runner.Holding(), Demand: n.runner.Demand(), Reaches: n.store.Reaches(),
+			return mesh.Status{Holding: n.runner.Holding(), Ages: n.runner.Ages(), Demand: n.runner.Demand(), Reaches: n.store.Reaches(),
 				Strained: n.gauge.Strained(), Stopping: n.stopping.Load()}
 		}),
 		mesh.WithLost(func(p mesh.Node, last mesh.Status) { n.desk.Lost(p, last.Holding) }),
