report steps: where the time of trainers' steps went, from the logs

What was missing: a late step could only be explained by reading its holder's lines one by one; groups are in no line, so that the moment at which 90% of them were whole could not be found at all. Change: a holder logs four moments of a step once each (begun, whole with the last item waited for, listed, read); 'lavendermux report steps LOG...' splits the step along that item's way and names what a late one waited for, sums up the causes and the live requests without an answer, and draws the stages (SVG).

--- a/brun/ask.go
+++ b/brun/ask.go
@@ -19,6 +19,7 @@
 		}
 		page, changed := h.page(after, limit), h.changed
 		over := h.ended || len(h.results) == len(h.items)
+		r.noteRead(h, page.Next)
 		r.mu.Unlock()
 		if len(page.Results) > 0 || over {
 			return page, nil
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -190,14 +190,23 @@
 	}
 	h.sortItems(r.stride(h.sub))
 	r.mu.Unlock()
-	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items),
-		"results", len(results), "progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model)
+	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items), "results", len(results),
+		"progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model, "due", r.due(sub))
 	if !kept.Ended {
 		go r.flush(ctx, h)
 		r.Wake()
 	}
 }
 
+// due is how long after its acceptance a submission's results are due; 0 if unknown.
+func (r *Runner) due(sub *batch.Submission) time.Duration {
+	route, ok := r.route(sub)
+	if !ok {
+		return 0
+	}
+	return route.ResultDue
+}
+
 // finishWhole goes on with the texts that an earlier holder kept whole.
 func (r *Runner) finishWhole(h *held) {
 	for _, it := range h.items {
--- a/brun/calls.go
+++ b/brun/calls.go
@@ -39,6 +39,7 @@
 	it.wholeAt = time.Now()
 	if it.Scoring == nil {
 		h.finish(it, batch.Completed)
+		r.noteWhole(h, it)
 	}
 }
 
@@ -152,6 +153,7 @@
 	case err == nil:
 		w.item.score = score
 		w.held.finish(w.item, batch.Completed)
+		r.noteWhole(w.held, w.item)
 	case errors.As(err, &failed):
 		w.held.finish(w.item, batch.Errored)
 	default:
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -88,9 +88,7 @@
 		Desired: h.sub.Desired,
 		Done:    len(h.results)+len(h.pending) == len(h.items),
 	}
-	if route, ok := r.route(h.sub); ok {
-		s.Due = route.ResultDue
-	}
+	s.Due = r.due(h.sub)
 	if results := (due{in: s.Wait(), results: true}); results.in <= text.in {
 		return results
 	}
@@ -142,6 +140,7 @@
 	h.results = append(h.results, change.Results...)
 	if len(change.Results) > 0 || change.End {
 		h.announce()
+		r.noteListed(h)
 	}
 	if change.End {
 		close(h.endKept)
--- a/brun/held.go
+++ b/brun/held.go
@@ -38,6 +38,7 @@
 		saving chan struct{}
 		// writtenAt is when the store was last written to, listedAt when results were.
 		writtenAt, listedAt time.Time
+		stages              stages
 	}
 
 	item struct {
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -114,6 +114,7 @@
 		it.texts, it.saved, it.last, it.versions = nil, 0, upstr.NoEvent, nil
 		return errMixed
 	}
+	r.noteBegun(h, it)
 	it.texts = append(it.texts, ev.Data)
 	it.last = ev.ID
 	it.addVersion(version)
--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -19,7 +19,7 @@
 	Watch     watchCommand     `cmd:"" group:"Resources" help:"Print changes of resources as an entry learns of them."`
 	Status    statusCommand    `cmd:"" group:"Resources" help:"Show where a resource is in force and what stands against it."`
 	Explain   explainCommand   `cmd:"" group:"Resources" help:"Show what the system did about a resource by itself, and why."`
-	Report    reportCommand    `cmd:"" group:"Resources" help:"Report on the objectives of policies."`
+	Report    reportCommand    `cmd:"" group:"Resources" help:"Report on the objectives of policies, and on trainers' steps."`
 	Entry     entryCommand     `cmd:"" group:"Programs" help:"Run an entry instance."`
 	Side      sideCommand      `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
 	Node      nodeCommand      `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
--- a/cmd/lavendermux/report.go
+++ b/cmd/lavendermux/report.go
@@ -17,7 +17,8 @@
 type (
 	// reportCommand groups the reports.
 	reportCommand struct {
-		Burn burnCommand `cmd:"" help:"Report how fast the objectives' error budgets are being spent, by whom and why."`
+		Burn  burnCommand  `cmd:"" help:"Report how fast the objectives' error budgets are being spent, by whom and why."`
+		Steps stepsCommand `cmd:"" help:"Report where the time of trainers' steps went, from the logs of the processes."`
 	}
 
 	burnCommand struct {
--- /dev/null
+++ b/stages/stages_test.go
@@ -0,0 +1,85 @@
+package stages
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
+)
+
+// Seven steps of two trainers: two in time, one whose longest item took too long, one
+// whose results could not be written, one whose holder was lost, one that came to
+// nothing, and one whose last item found no place. Each must be told with its cause, or
+// who looks for it looks in the wrong place; some lines were marked by a collector.
+func TestTable(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	read(g, r, "testdata/day.log")
+	goldie.New(t).Assert(t, "day", []byte(r.Table()))
+}
+
+// The logs of several processes are read in any order; a step that changed hands is
+// told the same.
+func TestOrderOfLogs(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := os.ReadFile("testdata/day.log")
+	g.Expect(err).NotTo(HaveOccurred())
+	lines := strings.Split(string(raw), "\n")
+	one, two := New(), New()
+	g.Expect(one.Read(bytes.NewReader(raw))).To(Succeed())
+	for i := len(lines) - 1; i >= 0; i-- {
+		g.Expect(two.Read(strings.NewReader(lines[i] + "\n"))).To(Succeed())
+	}
+	g.Expect(two.Table()).To(Equal(one.Table()))
+}
+
+// A deployment without submissions has nothing to draw, which must be said.
+func TestNothing(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	g.Expect(r.Read(strings.NewReader("msg=x\n"))).To(Succeed())
+	g.Expect(r.Len()).To(BeZero())
+	_, err := r.SVG()
+	g.Expect(err).To(MatchError(ContainSubstring("no steps")))
+}
+
+func TestDrawing(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	read(g, r, "testdata/day.log")
+	drawing, err := r.SVG()
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, name := range stageNames {
+		g.Expect(string(drawing)).To(ContainSubstring(name))
+	}
+}
+
+// A day of a hundred machines makes some 10 MB of lines, and whoever looks into a late
+// step waits for the table.
+func BenchmarkRead(b *testing.B) {
+	var day bytes.Buffer
+	for i := range 50_000 {
+		at := time.Date(2026, 1, 2, 3, 4, 5, i, time.UTC).Format(time.RFC3339Nano)
+		fmt.Fprintf(&day, "time=%s level=info msg=\"Peer in touch.\" instance=entry-%d peer=entry-%d boot=0f3a77b1\n", at, i%60, i%59)
+		fmt.Fprintf(&day, "time=%s level=info msg=\"Item run.\" instance=entry-%d batch=b%d item=i%d endpoint=i-3 outcome=completed error=null took=1.2s\n",
+			at, i%60, i%100, i)
+	}
+	b.SetBytes(int64(day.Len()))
+	for b.Loop() {
+		if err := New().Read(bytes.NewReader(day.Bytes())); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func read(g *WithT, r *Report, name string) {
+	f, err := os.Open(name)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = f.Close() }()
+	g.Expect(r.Read(f)).To(Succeed())
+}
