Signs of life carry no list of peers; ring: who would watch whom in a large fleet

Cause: each answer to a sign of life named every live peer, 110 bytes each: at 68 instances 7 KB an answer, 33 answers a second and instance, some 17 MB a second over the fleet. Ruled out: that the list is needed to find peers: an instance is announced before it lists the others, so of two at least one finds the other and asks it. Change: the list is gone.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -112,7 +112,6 @@
 	pingResponse struct {
 		Node   Node   `json:"node"`
 		Status Status `json:"status"`
-		Peers  []Node `json:"peers"`
 	}
 )
 
@@ -357,6 +356,9 @@
 	<-ctx.Done()
 }
 
+// register announces this instance and meets those that are announced. Of two that come
+// up together at least one finds the other, as each is announced before it lists, and
+// whoever is asked meets the asker.
 func (m *Mesh) register(ctx context.Context, store kvst.Store) error {
 	raw, err := json.Marshal(m.self)
 	if err != nil {
@@ -408,9 +410,6 @@
 			cancel()
 			if err == nil {
 				m.heard(ctx, p, res.Node, res.Status)
-				for _, n := range res.Peers {
-					m.meet(ctx, n)
-				}
 			} else if m.missed(p) {
 				return
 			}
@@ -485,13 +484,5 @@
 	if p != nil {
 		m.heard(ctx, p, in.From, in.Status)
 	}
-	out := &pingResponse{Node: m.self, Status: m.status()}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, p := range m.peers {
-		if p.alive {
-			out.Peers = append(out.Peers, p.Node)
-		}
-	}
-	return out, nil
+	return &pingResponse{Node: m.self, Status: m.status()}, nil
 }
--- /dev/null
+++ b/ring/ring_test.go
@@ -0,0 +1,91 @@
+package ring
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func fleet(n int) []string {
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-%d", i)
+	}
+	return names
+}
+
+// An instance that watches another one must be watched by it: if only one side kept
+// the edge, the other would take its questions for those of a stranger.
+func TestBothSidesKnowAnEdge(t *testing.T) {
+	for _, n := range []int{2, 3, 31, 32, 33, 68, 350} {
+		g := NewWithT(t)
+		names := fleet(n)
+		for _, a := range names {
+			near, far := Neighbours(a, names)
+			g.Expect(near).NotTo(ContainElement(a))
+			for _, b := range near {
+				back, _ := Neighbours(b, names)
+				g.Expect(back).To(ContainElement(a), "%s and %s of %d", a, b, n)
+			}
+			for _, b := range far {
+				_, back := Neighbours(b, names)
+				g.Expect(back).To(ContainElement(a), "%s and %s of %d", a, b, n)
+			}
+		}
+	}
+}
+
+// A fleet grows from 68 instances to 350. What each has to do for the others must
+// nearly stay the same, or the fleet drowns in its own signs of life.
+func TestNeighboursGrowSlowly(t *testing.T) {
+	g := NewWithT(t)
+	count := func(n int) int {
+		near, far := Neighbours("entry-0", fleet(n))
+		return len(near) + len(far)
+	}
+	g.Expect(count(32)).To(Equal(31))
+	g.Expect(count(68)).To(BeNumerically("<=", 14))
+	g.Expect(count(350)).To(BeNumerically("<=", 18))
+	g.Expect(count(1000)).To(BeNumerically("<=", 20))
+}
+
+// Half of a fleet loses power in the same moment. News must still reach those that are
+// left, and soon: a loss that some don't hear of leaves a trainer's step with nobody. An
+// instance whose neighbours all went with it hears it once it has noticed their loss.
+func TestNewsReachesAllThatAreLeft(t *testing.T) {
+	for seed := range uint64(20) {
+		g := NewWithT(t)
+		names := fleet(350)
+		random := rand.New(rand.NewPCG(seed, 1))
+		left := slices.DeleteFunc(slices.Clone(names), func(string) bool { return random.Float64() < 0.5 })
+		reached, hops := spread(left, names)
+		g.Expect(reached).To(BeNumerically(">=", len(left)-1), "seed %d", seed)
+		g.Expect(hops).To(BeNumerically("<=", 9), "seed %d", seed)
+		reached, hops = spread(left, left)
+		g.Expect(reached).To(Equal(len(left)), "seed %d", seed)
+		g.Expect(hops).To(BeNumerically("<=", 8), "seed %d", seed)
+	}
+}
+
+// spread tells a piece of news to the first instance of left, each of which takes names
+// for the fleet, and returns how many hear it after how many hops.
+func spread(left, names []string) (reached, hops int) {
+	heard, wave := map[string]bool{left[0]: true}, left[:1]
+	for ; len(wave) > 0; hops++ {
+		var next []string
+		for _, a := range wave {
+			near, far := Neighbours(a, names)
+			for _, b := range append(near, far...) {
+				if slices.Contains(left, b) && !heard[b] {
+					heard[b] = true
+					next = append(next, b)
+				}
+			}
+		}
+		wave = next
+	}
+	return len(heard), hops
+}
