Large fleets keep in touch with neighbours and pass news on

Cause: every instance asked every other one. The interval grew with the fleet to bound that, so that a lost holder was noticed after 3.1 s at 68 instances, and after 16 s at 350 (docs/CAPACITY.md named it the first mechanism to break); each also logged each other one at its start (6,188 lines in 40 s). Change: from 32 peers on an instance asks 4 near neighbours each 350 ms and up to 12 far ones each 1.4 s (package ring); what changes about anybody is told on at once. A silent instance counts as lost when none of three other neighbours hears it; it contradicts if it lives; who hears nobody takes itself for cut off. Fleets up to 32 are asked as before. Beside: two halves that lost each other for longer than peers are remembered (30 s) never met again, also in small fleets; instances are now listed again each minute. Announcements of machines that are gone are removed after ten minutes. A paused process no longer counts its own pause as the silence of its peers.

--- /dev/null
+++ b/mesh/calls.go
@@ -0,0 +1,32 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+)
+
+// Handle makes a handler of a typed call between instances.
+func Handle[Req, Res any](path string, f func(context.Context, *Req) (*Res, error)) http.Handler {
+	return connect.NewUnaryHandler(path, func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
+		out, err := f(ctx, r.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(out), nil
+	}, connect.WithCodec(codec{}))
+}
+
+// Call asks the instance at addr.
+func Call[Req, Res any](ctx context.Context, client *http.Client, addr, path string, in *Req) (*Res, error) {
+	c := connect.NewClient[Req, Res](client, "http://"+addr+path, connect.WithCodec(codec{}))
+	res, err := c.CallUnary(ctx, connect.NewRequest(in))
+	if err != nil {
+		return nil, err
+	}
+	return res.Msg, nil
+}
+
+// Client is the HTTP client for calls to peers.
+func (m *Mesh) Client() *http.Client { return m.client }
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,393 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/memnet"
+	"github.com/lavendermux/lavendermux/ring"
+)
+
+const (
+	large = 40
+	small = 8
+	// least is the smallest fleet in which not all ask all.
+	least = 34
+)
+
+type (
+	// announcements is the part of the metadata store that a mesh uses.
+	announcements struct {
+		kvst.Store
+		mu       sync.Mutex
+		revision int64
+		items    map[string]kvst.Item
+	}
+
+	// member is one instance with what its mesh reported.
+	member struct {
+		*Mesh
+		ip     string
+		cancel context.CancelFunc
+
+		mu      sync.Mutex
+		holding map[string]int64
+		lost    []string
+	}
+
+	// deployment is instances on a network in memory.
+	deployment struct {
+		g       *WithT
+		net     *memnet.Network
+		store   *announcements
+		members []*member
+		// calls and bytes are those of all questions to peers.
+		calls, bytes atomic.Int64
+	}
+
+	counting struct {
+		http.RoundTripper
+		d *deployment
+	}
+)
+
+func (a *announcements) Commit(_ context.Context, t kvst.Txn) (int64, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, revision := range t.Expect {
+		if a.items[key].Revision != revision {
+			return 0, &kvst.ConflictError{Now: []kvst.Item{a.items[key]}}
+		}
+	}
+	a.revision++
+	for _, p := range t.Puts {
+		a.items[p.Key] = kvst.Item{Key: p.Key, Value: p.Value, Revision: a.revision}
+	}
+	for _, key := range t.Remove {
+		delete(a.items, key)
+	}
+	return a.revision, nil
+}
+
+func (a *announcements) List(_ context.Context, prefix string) (items []kvst.Item, revision int64, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for key, it := range a.items {
+		if strings.HasPrefix(key, prefix) {
+			items = append(items, it)
+		}
+	}
+	return items, a.revision, nil
+}
+
+func (c counting) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.d.calls.Add(1)
+	c.d.bytes.Add(max(0, r.ContentLength))
+	res, err := c.RoundTripper.RoundTrip(r)
+	if err == nil {
+		c.d.bytes.Add(max(0, res.ContentLength))
+	}
+	return res, err
+}
+
+// inDeployment plays f with n instances that have found each other.
+func inDeployment(t *testing.T, n int, f func(d *deployment)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		d := &deployment{g: NewWithT(t), net: memnet.New(memnet.WithDelay(time.Millisecond)), store: &announcements{items: make(map[string]kvst.Item)}}
+		for i := range n {
+			d.members = append(d.members, d.start(i, "first"))
+		}
+		time.Sleep(2 * time.Second)
+		for _, m := range d.members {
+			d.g.Expect(m.Alive()).To(HaveLen(n-1), "at %s", m.self.Name)
+		}
+		f(d)
+		for _, m := range d.members {
+			m.cancel()
+		}
+		d.net.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (d *deployment) start(i int, boot string) *member {
+	ip := fmt.Sprintf("10.0.%d.%d", i/200, i%200+1)
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{ip: ip, cancel: cancel, holding: make(map[string]int64)}
+	self := Node{Name: fmt.Sprintf("entry-%03d", i), Addr: ip + ":1", Boot: boot, Plans: true, Power: 0.3}
+	m.Mesh = New(self, &http.Client{Transport: counting{RoundTripper: d.net.Transport(ip), d: d}}, logs.New(io.Discard),
+		WithStatus(m.status), WithLost(m.takeLost))
+	mux := http.NewServeMux()
+	m.Mount(mux)
+	srv, err := d.net.Serve(self.Addr, mux)
+	d.g.Expect(err).NotTo(HaveOccurred())
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	go m.Run(ctx, d.store)
+	return m
+}
+
+func (m *member) status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	holding := make(map[string]int64)
+	for id, epoch := range m.holding {
+		holding[id] = epoch
+	}
+	return Status{Holding: holding, Reaches: true}
+}
+
+func (m *member) hold(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holding[id] = 1
+}
+
+func (m *member) takeLost(n Node, last Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lost = append(m.lost, fmt.Sprintf("%s holding %d", n.Holder(), len(last.Holding)))
+}
+
+func (m *member) losses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
+func (d *deployment) kill(i int) {
+	d.net.Kill(d.members[i].ip)
+	d.members[i].cancel()
+}
+
+// isolate cuts an instance off from all others.
+func (d *deployment) isolate(i int, change func(a, b string)) {
+	for j, m := range d.members {
+		if j != i {
+			change(d.members[i].ip, m.ip)
+		}
+	}
+}
+
+// The holder of a submission is killed. Each other instance must know soon, also in a
+// fleet that is too large for all to ask all: the step's trainer waits until one of them
+// has taken it over.
+func TestLossIsKnownEverywhere(t *testing.T) {
+	for _, n := range []int{small, large} {
+		inDeployment(t, n, func(d *deployment) {
+			d.members[0].hold("b1")
+			time.Sleep(time.Second)
+			for _, m := range d.members[1:] {
+				holder, ok := m.HolderOf("b1")
+				d.g.Expect(ok).To(BeTrue())
+				d.g.Expect(holder.Name).To(Equal("entry-000"))
+			}
+			d.kill(0)
+			time.Sleep(2500 * time.Millisecond)
+			for _, m := range d.members[1:] {
+				d.g.Expect(m.Alive()).To(HaveLen(n - 2))
+				d.g.Expect(m.losses()).To(ConsistOf("entry-000/first holding 1"))
+			}
+		})
+	}
+}
+
+// What an instance holds changes. In a large fleet others learn it from others, and a
+// trainer that reads its results anywhere must be sent on to the holder, not wait.
+func TestNewsTravelsFast(t *testing.T) {
+	inDeployment(t, large, func(d *deployment) {
+		d.members[7].hold("b1")
+		time.Sleep(600 * time.Millisecond)
+		for i, m := range d.members {
+			_, ok := m.HolderOf("b1")
+			d.g.Expect(ok).To(Equal(i != 7), "at %d", i)
+		}
+	})
+}
+
+// An instance starts again before anybody has missed it. Everybody must learn that its
+// earlier boot is gone, with what that held, and know the new one.
+func TestStartedAgain(t *testing.T) {
+	for _, n := range []int{small, large} {
+		inDeployment(t, n, func(d *deployment) {
+			d.members[0].hold("b1")
+			time.Sleep(time.Second)
+			d.kill(0)
+			time.Sleep(300 * time.Millisecond)
+			d.members[0] = d.start(0, "second")
+			time.Sleep(1500 * time.Millisecond)
+			for _, m := range d.members[1:] {
+				_, alive := m.Find("entry-000/second")
+				d.g.Expect(alive).To(BeTrue())
+				_, holds := m.HolderOf("b1")
+				d.g.Expect(holds).To(BeFalse())
+				d.g.Expect(m.losses()).To(ConsistOf("entry-000/first holding 1"))
+			}
+			d.g.Expect(d.members[0].Alive()).To(HaveLen(n - 1))
+		})
+	}
+}
+
+// The way between two instances is broken, and both reach all others. Nobody may take
+// over what they hold: others see that they live.
+func TestOneBrokenWay(t *testing.T) {
+	inDeployment(t, large, func(d *deployment) {
+		for i := range d.members {
+			d.members[i].hold(fmt.Sprintf("b%d", i))
+		}
+		names := []string{d.members[0].self.Name}
+		for _, n := range d.members[0].Alive() {
+			names = append(names, n.Name)
+		}
+		near, far := ring.Neighbours(names[0], names)
+		for _, m := range d.members[1:] {
+			if !slices.Contains(near, m.self.Name) && !slices.Contains(far, m.self.Name) {
+				continue
+			}
+			d.net.Cut(d.members[0].ip, m.ip)
+			time.Sleep(2 * time.Second)
+			d.net.Heal(d.members[0].ip, m.ip)
+		}
+		for _, m := range d.members {
+			d.g.Expect(m.losses()).To(BeEmpty(), "at %s", m.self.Name)
+		}
+	})
+}
+
+// An instance is cut off from all others for some seconds. The others must take it for
+// lost. It must not take them for lost, nor have them believe it of each other when the
+// way is open again: each submission of the fleet would change hands.
+func TestCutOff(t *testing.T) {
+	inDeployment(t, large, func(d *deployment) {
+		for i := range d.members {
+			d.members[i].hold(fmt.Sprintf("b%d", i))
+		}
+		time.Sleep(time.Second)
+		d.isolate(0, d.net.Cut)
+		time.Sleep(6 * time.Second)
+		d.g.Expect(d.members[0].Alive()).To(BeEmpty())
+		for _, m := range d.members[1:] {
+			d.g.Expect(m.losses()).To(ConsistOf("entry-000/first holding 1"))
+		}
+		d.isolate(0, d.net.Heal)
+		time.Sleep(4 * time.Second)
+		for _, m := range d.members[1:] {
+			d.g.Expect(m.Alive()).To(HaveLen(large - 1))
+			d.g.Expect(m.losses()).To(HaveLen(1))
+		}
+		d.g.Expect(d.members[0].Alive()).To(HaveLen(large - 1))
+		d.g.Expect(d.members[0].losses()).To(BeEmpty())
+	})
+}
+
+// Half of a fleet loses power in one moment, neighbours of each other among them. All
+// that are left must know all that are lost.
+func TestHalfIsLost(t *testing.T) {
+	inDeployment(t, large, func(d *deployment) {
+		for i := range d.members {
+			d.members[i].hold(fmt.Sprintf("b%d", i))
+		}
+		time.Sleep(time.Second)
+		for i := range large / 2 {
+			d.kill(2 * i)
+		}
+		time.Sleep(6 * time.Second)
+		for i := range large / 2 {
+			d.g.Expect(d.members[2*i+1].Alive()).To(HaveLen(large/2-1), "at %d", 2*i+1)
+			d.g.Expect(d.members[2*i+1].losses()).To(HaveLen(large/2), "at %d", 2*i+1)
+		}
+	})
+}
+
+// Two halves of a fleet lose each other for longer than peers are remembered, as regions
+// do. They must find each other again without a restart of anybody.
+func TestHalvesMeetAgain(t *testing.T) {
+	inDeployment(t, least, func(d *deployment) {
+		across := func(change func(a, b string)) {
+			for i, a := range d.members {
+				for _, b := range d.members[i+1:] {
+					if (a.ip < d.members[least/2].ip) != (b.ip < d.members[least/2].ip) {
+						change(a.ip, b.ip)
+					}
+				}
+			}
+		}
+		across(d.net.Cut)
+		time.Sleep(forgetAfter + 10*time.Second)
+		for _, m := range d.members {
+			d.g.Expect(len(m.Alive())).To(BeNumerically("<", least-1))
+		}
+		across(d.net.Heal)
+		time.Sleep(relistEvery + 10*time.Second)
+		for _, m := range d.members {
+			d.g.Expect(m.Alive()).To(HaveLen(least-1), "at %s", m.self.Name)
+		}
+	})
+}
+
+// A machine is taken away for good. Its announcement must not stay for ever, or each new
+// instance asks all that were ever there.
+func TestAnnouncementOfTheGone(t *testing.T) {
+	inDeployment(t, 3, func(d *deployment) {
+		d.kill(0)
+		time.Sleep(buryAfter - relistEvery)
+		d.g.Expect(d.store.items).To(HaveKey(prefix + "entry-000"))
+		time.Sleep(5 * relistEvery)
+		d.g.Expect(d.store.items).To(HaveLen(2))
+		d.g.Expect(d.store.items).NotTo(HaveKey(prefix + "entry-000"))
+	})
+}
+
+// A fleet grows. What each instance spends on signs of life in calm must hardly grow with
+// it: the budget at 350 instances is 1.3% of a core and 20 KB a second for all control.
+func TestSignsOfLifeGrowSlowly(t *testing.T) {
+	type load struct{ calls, bytes float64 }
+	measure := func(n int) (l load) {
+		inDeployment(t, n, func(d *deployment) {
+			const seconds = 5
+			d.calls.Store(0)
+			d.bytes.Store(0)
+			time.Sleep(seconds * time.Second)
+			l = load{calls: float64(d.calls.Load()) / seconds / float64(n), bytes: float64(d.bytes.Load()) / seconds / float64(n)}
+		})
+		return l
+	}
+	g := NewWithT(t)
+	at40, at120 := measure(40), measure(120)
+	t.Logf("at 40: %.1f questions and %.0f bytes a second each; at 120: %.1f and %.0f", at40.calls, at40.bytes, at120.calls, at120.bytes)
+	g.Expect(at120.calls).To(BeNumerically("<", 1.4*at40.calls))
+	g.Expect(at120.bytes).To(BeNumerically("<", 1.4*at40.bytes))
+	g.Expect(at120.bytes).To(BeNumerically("<", 10_000))
+}
+
+// A process is paused for some seconds. When it goes on, its questions are all overdue;
+// it must not take its peers for lost because of that.
+func TestPaused(t *testing.T) {
+	g := NewWithT(t)
+	m := New(Node{Name: "a"}, nil, logs.New(io.Discard), WithLost(func(n Node, _ Status) { t.Errorf("%s lost", n.Name) }))
+	p := &peer{Node: Node{Name: "b"}, alive: true, touched: time.Now().Add(-5 * time.Second)}
+	m.peers["b"] = p
+	m.excuse(p)
+	m.missed(context.Background(), p)
+	g.Expect(p.alive).To(BeTrue())
+}
+
+var errUnused = errors.New("not used")
+
+func (a *announcements) Get(context.Context, string) (kvst.Item, error) {
+	return kvst.Item{}, errUnused
+}
--- a/node/node.go
+++ b/node/node.go
@@ -234,7 +234,7 @@
 func (n *Node) startHolder(ctx context.Context, g *errgroup.Group) {
 	n.build(ctx)
 	peers := http.NewServeMux()
-	peers.Handle(n.mesh.Handler())
+	n.mesh.Mount(peers)
 	peers.Handle(n.store.Handler())
 	peers.Handle(n.fan.Handler())
 	peers.Handle(bdesk.AskPath, mesh.Handle(bdesk.AskPath, n.desk.Answer))
