Who reads the store for whom: readers, relays, and strong machines first

Cause: all instances asked the first of the three readers, by name: 4 questions a second each, 270 a second at 68 instances, on a machine of 0.144 cores where the name said so; the other two served nobody. At 350 it would be 1,400 a second. Change: package tiers. Readers are strong machines; from 28 entries on some sqrt(n) relays ask them and serve the others; each follower begins at a source of its own. A relay's copy may be older by the time that its own question is held. At 350 nobody serves more than 32 (virtual).

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -13,15 +13,13 @@
 	"github.com/lavendermux/lavendermux/follow"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/tiers"
 )
 
 const (
 	// path is where readers are asked.
 	path = "/lavendermux.Follow/Since"
 
-	// readers is how many instances watch the store. Any two of them may be lost
-	// or cut off at once.
-	readers = 3
 	// readerWait is how long a reader's watch waits while others depend on it,
 	// and aloneWait while nobody does but entries that are barred from the store.
 	// A watch that was swallowed shows when the wait and the slack are over; the
@@ -29,6 +27,8 @@
 	// left to learn from another one what is in force.
 	readerWait = 600 * time.Millisecond
 	aloneWait  = 1800 * time.Millisecond
+	// aloneMost is the number of entries up to which all of them read the store.
+	aloneMost  = 3
 	staleSlack = 700 * time.Millisecond
 	// waitMost is how long a reader holds a question without news, and askTimeout
 	// the bound beyond that.
@@ -47,7 +47,7 @@
 		mu        sync.Mutex
 		followers map[string]*follow.Follower
 		// skip counts answers that were stale or missing, and so rotates among
-		// the readers.
+		// the sources.
 		skip int
 	}
 
@@ -101,21 +101,14 @@
 func (f *Fanout) Handler() (string, http.Handler) { return path, mesh.Handle(path, f.serve) }
 
 // Choose says where to read next: the store, if this instance is a reader or
-// there is none; otherwise a reader.
+// there is none; otherwise one of its sources.
 func (f *Fanout) Choose() follow.Choice {
-	nodes := f.readers()
-	self := f.mesh.Self().Name
-	for _, n := range nodes {
-		if n.Name != self {
-			continue
-		}
+	sources := f.sources()
+	if len(sources) == 0 {
 		return follow.Choice{Source: f.store, Wait: f.wait()}
 	}
-	if len(nodes) == 0 {
-		return follow.Choice{Source: f.store}
-	}
 	f.mu.Lock()
-	n := nodes[f.skip%len(nodes)]
+	n := sources[f.skip%len(sources)]
 	f.mu.Unlock()
 	r := &reader{f: f, node: n}
 	return follow.Choice{Source: r, Wait: waitMost, Age: r.Age}
@@ -123,20 +116,29 @@
 
 // wait is how long a watch of this instance waits.
 func (f *Fanout) wait() time.Duration {
-	if f.mesh.Size() <= readers {
+	if f.mesh.Size() <= aloneMost {
 		return aloneWait
 	}
 	return readerWait
 }
 
-// readers are the first entries by name that reach the store; where none does,
-// the first ones by name, since somebody has to notice when it is back.
-func (f *Fanout) readers() []mesh.Node {
+// staleAfter is the age at which an answer of this instance must not be used. A relay's
+// copy is older than its reader's by the time that its own question may be held.
+func (f *Fanout) staleAfter() time.Duration {
+	if len(f.sources()) == 0 {
+		return f.wait() + staleSlack
+	}
+	return f.wait() + staleSlack + waitMost
+}
+
+// sources are chosen among the entries that reach the store; where none does, among
+// all, since somebody has to notice when it is back.
+func (f *Fanout) sources() []mesh.Node {
 	nodes := f.mesh.Entries(true)
 	if len(nodes) == 0 {
 		nodes = f.mesh.Entries(false)
 	}
-	return nodes[:min(readers, len(nodes))]
+	return tiers.Sources(f.mesh.Self().Name, nodes)
 }
 
 func (f *Fanout) serve(ctx context.Context, in *request) (*response, error) {
@@ -158,7 +160,7 @@
 	out.Known = fo.Revision() > 0
 	age := fo.Age()
 	out.AgeMs = age.Milliseconds()
-	out.Stale = age > f.wait()+staleSlack
+	out.Stale = age > f.staleAfter()
 	return out, nil
 }
 
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -86,7 +86,7 @@
 		upto = fresh[newsMost-1].changed
 	}
 	for _, p := range fresh {
-		news = append(news, rumour{Node: p.Node, Version: p.version, Lost: p.lost, Status: p.Status.aged(time.Since(p.heard))})
+		news = append(news, rumour{Node: p.Node, Version: p.version, Lost: p.lost, Status: p.aged(time.Since(p.heard))})
 	}
 	if p, ok := m.peers[name]; ok && p.lostAt > 0 && p.version <= p.lostAt {
 		// It was taken for lost, and others may still do so until it contradicts.
--- a/stages/table.go
+++ b/stages/table.go
@@ -26,9 +26,8 @@
 	var inTime []parts
 	for _, s := range r.ordered() {
 		w := row{step: s, parts: s.split(r.items[itemKey{batch: s.id, item: s.straggler}])}
-		read := false
-		w.late, read = s.late()
-		w.isOK = read && w.late == 0
+		late, isRead := s.late()
+		w.late, w.isOK = late, isRead && late == 0
 		if w.isOK {
 			inTime = append(inTime, w.parts)
 		}
--- /dev/null
+++ b/tiers/tiers_test.go
@@ -0,0 +1,83 @@
+package tiers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/mesh"
+)
+
+// fleet has n entries, every fourth of them on a large machine.
+func fleet(n int) []mesh.Node {
+	nodes := make([]mesh.Node, n)
+	for i := range nodes {
+		nodes[i] = mesh.Node{Name: fmt.Sprintf("entry-%03d", i), Power: 0.144}
+		if i%4 == 3 {
+			nodes[i].Power = 0.8
+		}
+	}
+	return nodes
+}
+
+// A fleet grows to 350 entries and some data instances. Whoever serves others must not
+// drown in their questions, and small machines must not serve at all while there are
+// large ones: their callers would wait behind the fleet.
+func TestNobodyServesTooMany(t *testing.T) {
+	for n, most := range map[int]int{3: 30, 6: 10, 27: 18, 68: 16, 350: 32} {
+		g := NewWithT(t)
+		nodes, followers := fleet(n), make(map[string]int)
+		for i := range n + 5 {
+			self := fmt.Sprintf("entry-%03d", i) // the last five are no entries
+			if sources := Sources(self, nodes); len(sources) > 0 {
+				followers[sources[0].Name]++
+			}
+		}
+		for name, count := range followers {
+			g.Expect(count).To(BeNumerically("<=", most), "%s of %d", name, n)
+		}
+		if n >= 68 {
+			for name := range followers {
+				i := slices.IndexFunc(nodes, func(m mesh.Node) bool { return m.Name == name })
+				g.Expect(nodes[i].Power).To(Equal(0.8), "%s of %d", name, n)
+			}
+		}
+	}
+}
+
+// Every instance must come to the store over its sources, over at most two others: a
+// ring of instances that read from each other would vouch for old copies for ever.
+func TestAllComeToTheStore(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 4, 27, 28, 68, 350} {
+		g := NewWithT(t)
+		nodes := fleet(n)
+		for i := range n + 2 {
+			name, hops := fmt.Sprintf("entry-%03d", i), 0
+			for sources := Sources(name, nodes); len(sources) > 0; sources = Sources(name, nodes) {
+				name = sources[0].Name
+				hops++
+				g.Expect(hops).To(BeNumerically("<=", 2), "from %d of %d", i, n)
+			}
+		}
+		direct := 0
+		for _, m := range nodes {
+			if len(Sources(m.Name, nodes)) == 0 {
+				direct++
+			}
+		}
+		g.Expect(direct).To(Equal(min(n, readers)))
+	}
+}
+
+// A source is cut off. Its followers must have another one to go to.
+func TestThereIsAnotherSource(t *testing.T) {
+	for _, n := range []int{5, 27, 28, 350} {
+		g := NewWithT(t)
+		for _, m := range fleet(n) {
+			sources := Sources(m.Name, fleet(n))
+			g.Expect(len(sources) == 0 || len(sources) >= 3).To(BeTrue())
+		}
+	}
+}
