--- a/stages/split.go
+++ b/stages/split.go
@@ -108,8 +108,8 @@
 		}
 	}
 	switch {
-	case worst == stageWrite && s.unkept > 0:
-		return causeStore
+	case worst >= stageWrite && s.unkept > 0, worst == stageAccept && s.refused > 0:
+		return causeStore // a trainer that gave up meanwhile reads late, if at all
 	case worst != stageRun && worst != stageScore && s.takeOvers > 0:
 		return causeHolder
 	}
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -22,6 +22,10 @@
 const (
 	// lineBytes bounds a line; longer ones are not this program's.
 	lineBytes = 1 << 20
+
+	statusAccepted = "202"
+	// firstEpoch is that of a submission which has not changed hands.
+	firstEpoch = "1"
 )
 
 type (
@@ -46,7 +50,7 @@
 		due                                            time.Duration
 		asked, held, begun, whole, listed, read, ended time.Time
 		straggler                                      string
-		takeOvers, unkept                              int
+		takeOvers, unkept, refused                     int
 	}
 
 	item struct {
@@ -109,13 +113,18 @@
 	case "Batch submitted.":
 		first(&s.asked, l.at.Add(-l.took()))
 		s.model, s.number = l.fields["model"], l.fields["step"]
+		if l.fields["status"] != statusAccepted {
+			s.refused++
+		}
 	case "Batch held.":
 		first(&s.held, l.at)
 		if due, err := time.ParseDuration(l.fields["due"]); err == nil { // older logs have none
 			s.due = due
 		}
 	case "Batch taken over.":
-		s.takeOvers++
+		if l.fields["epoch"] != firstEpoch { // else it was handed to its home, new
+			s.takeOvers++
+		}
 	case "Results not kept yet.":
 		s.unkept++
 	case "Step begun.":
