Steps that are more than the engines can make go group by group

Cause: the items of a step start longest first. If the groups that are waited for are more, they go one after the other, the smallest first.

--- a/brun/brun.go
+++ b/brun/brun.go
@@ -188,7 +188,7 @@
 		r.finishWhole(h)
 		resumed = r.takePartials(h)
 	}
-	h.sortItems(r.stride(h.sub))
+	r.sortItems(h, time.Now())
 	r.mu.Unlock()
 	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", kept.Epoch, "items", len(sub.Items), "results", len(results),
 		"progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model, "due", r.due(sub))
--- a/brun/held.go
+++ b/brun/held.go
@@ -38,7 +38,9 @@
 		saving chan struct{}
 		// writtenAt is when the store was last written to, listedAt when results were.
 		writtenAt, listedAt time.Time
-		stages              stages
+		// sortedAt is when order was made.
+		sortedAt time.Time
+		stages   stages
 	}
 
 	item struct {
@@ -109,18 +111,27 @@
 }
 
 // sortItems sets the order in which the items should start. stride is the tokens of an
-// event.
-func (h *held) sortItems(stride int) {
+// event, room the tokens that can be made until the results are due.
+func (h *held) sortItems(stride, room int, now time.Time) {
+	h.sortedAt = now
 	items := make([]firsts.Item, len(h.items))
 	for i, it := range h.items {
-		items[i] = firsts.Item{ID: it.ID, Group: it.Group, Expected: it.expected(stride), Again: it.again}
+		items[i] = firsts.Item{ID: it.ID, Group: it.Group, Expected: it.left(stride), Again: it.again}
 	}
 	h.order = h.order[:0]
-	for _, i := range firsts.Order(items, h.sub.Desired) {
+	for _, i := range firsts.Order(items, h.sub.Desired, room) {
 		h.order = append(h.order, h.items[i])
 	}
 }
 
+// left is the output that an item is expected to make yet, in tokens.
+func (it *item) left(stride int) int {
+	if it.whole || it.done {
+		return 0
+	}
+	return max(0, it.expected(stride)-len(it.texts)*stride)
+}
+
 // expected is the output that an item is expected to make, in tokens.
 func (it *item) expected(stride int) int {
 	if it.lengthKnown {
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -22,6 +22,9 @@
 		if h.ended {
 			continue
 		}
+		if now.Sub(h.sortedAt) >= sortEvery {
+			r.sortItems(h, now)
+		}
 		route, ok := r.route(h.sub)
 		age := h.kept.Age(now)
 		for _, it := range h.items {
--- a/firsts/firsts.go
+++ b/firsts/firsts.go
@@ -11,6 +11,12 @@
 // whole. Ordered by length alone they count as the ones to do without once more, and
 // start last: two seconds late on engines that are full.
 //
+// Another load is a step that is more than the engines can make until its results are
+// due, after half of them were lost or on a fleet that is too small. With the longest
+// items first every group is begun and few end in time, and a group that isn't whole is
+// worth nothing. The groups then go one after the other, the one with least work first:
+// on engines for half of a step, half of its groups end in time instead of one in eight.
+//
 // The package has no clock and no network.
 package firsts
 
@@ -23,7 +29,8 @@
 type Item struct {
 	ID    string
 	Group string
-	// Expected is the expected output; right at the median only, 0 if unknown.
+	// Expected is the expected output, less what is there; right at the median only, 0
+	// if unknown.
 	Expected int
 	// Again marks items of groups that come again.
 	Again bool
@@ -34,15 +41,36 @@
 // the ones expected to end soonest, desired in all. Among these the longest items come
 // first, and so they do among the rest.
 //
-//	for _, i := range firsts.Order(items, 9) {
+// room is the output that can be made until the results are due, math.MaxInt if there is
+// no such time. When the groups that the trainer waits for are more than that, the order
+// is by groups, the smallest first.
+//
+//	for _, i := range firsts.Order(items, 9, room) {
 //		start(items[i])
 //	}
-func Order(items []Item, desired int) []int {
+func Order(items []Item, desired, room int) []int {
 	needed := neededGroups(items, desired)
 	order := make([]int, len(items))
 	for i := range order {
 		order[i] = i
 	}
+	work, sum := make(map[string]int), 0
+	for _, it := range items {
+		work[it.Group] += it.Expected
+		if needed[it.Group] {
+			sum += it.Expected
+		}
+	}
+	if sum > room {
+		slices.SortStableFunc(order, func(a, b int) int {
+			x, y := items[a], items[b]
+			return cmp.Or(
+				cmp.Compare(work[x.Group], work[y.Group]),
+				cmp.Compare(x.Group, y.Group),
+				-cmp.Compare(x.Expected, y.Expected))
+		})
+		return order
+	}
 	slices.SortStableFunc(order, func(a, b int) int {
 		x, y := items[a], items[b]
 		return cmp.Or(
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -48,6 +48,8 @@
 		Running int
 		// Pace is the mean time of a unit of work here; 0 is unknown.
 		Pace time.Duration
+		// WorkedAt is when Pace was last observed.
+		WorkedAt time.Time
 		// AvoidUntil is set after a failure.
 		AvoidUntil time.Time
 		// SuspectUntil is set after a failure, or when an answer is overdue, and cleared
@@ -247,7 +249,7 @@
 // Worked takes the time of one unit of work at e.
 func (s *Set) Worked(e endpt.Endpoint, took time.Duration) {
 	s.with(e, func(st *state) {
-		st.SuspectUntil = time.Time{}
+		st.SuspectUntil, st.WorkedAt = time.Time{}, time.Now()
 		if st.Pace == 0 {
 			st.Pace = took
 			return
