--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -25,6 +25,7 @@
 	Node      nodeCommand      `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
 	Instances instancesCommand `cmd:"" group:"Programs" help:"Show what the processes of a deployment believe, and where they differ."`
 	Trace     traceCommand     `cmd:"" group:"Programs" help:"Print the story of one request, item or batch from the logs of several processes."`
+	Copies    copiesCommand    `cmd:"" group:"Programs" help:"Look at the copies of results on a data instance's disk."`
 	Settings  settingsCommand  `cmd:"" group:"Programs" help:"Look at settings files."`
 	Version   versionCommand   `cmd:"" group:"Programs" help:"Print the version."`
 }
--- /dev/null
+++ b/walog/check.go
@@ -0,0 +1,67 @@
+package walog
+
+import (
+	"io"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/grid"
+)
+
+// Check looks through the logs of a folder without changing anything, and returns a table
+// of them and how many are torn. A torn log is cut behind its last whole record when its
+// process starts; what is torn was never acknowledged.
+//
+//	table, torn, err := walog.Check("/data/copies")
+func Check(path string) (table *grid.Grid, torn int, err error) {
+	names, err := filepath.Glob(filepath.Join(path, "*"+suffix))
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "listing copies")
+	}
+	if _, err := os.Stat(filepath.Join(path, idFile)); err != nil {
+		return nil, 0, errors.Wrap(err, "no folder of copies")
+	}
+	table = grid.New("BATCH", "EPOCH", "FROM", "RESULTS", "BYTES", "TORN BYTES")
+	for _, name := range names {
+		cells, bad, err := checkLog(name)
+		if err != nil {
+			return nil, 0, err
+		}
+		if bad {
+			torn++
+		}
+		table.Add(cells...)
+	}
+	return table, torn, nil
+}
+
+func checkLog(name string) (cells []string, torn bool, err error) {
+	id, err := url.PathUnescape(strings.TrimSuffix(filepath.Base(name), suffix))
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "name of %s", name)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, false, errors.Wrap(err, "opening a copy")
+	}
+	defer func() { _ = f.Close() }() // it was only read
+	l := &file{}
+	whole, err := replay(f, l.take)
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "reading %s", name)
+	}
+	size, err := f.Seek(0, io.SeekEnd)
+	if err != nil {
+		return nil, false, errors.Wrapf(err, "size of %s", name)
+	}
+	cells = []string{id}
+	for _, n := range []int64{l.copy.Epoch, int64(l.copy.From), int64(len(l.copy.Results)), whole, size - whole} {
+		cells = append(cells, strconv.FormatInt(n, 10))
+	}
+	return cells, size > whole, nil
+}
--- a/walog/walog_test.go
+++ b/walog/walog_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
+	"github.com/sebdah/goldie/v2"
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/seal"
@@ -83,6 +84,27 @@
 	g.Expect(kept).To(BeEmpty())
 }
 
+// An operator looks at the disk of an instance that was stopped. The table tells whose
+// results are there and what is torn, and looking changes nothing.
+func TestCheck(t *testing.T) {
+	g, path := NewWithT(t), t.TempDir()
+	_, _, err := Check(path)
+	g.Expect(err).To(MatchError(ContainSubstring("no folder of copies")))
+	d := opened(g, path)
+	g.Expect(d.Append("b/1", 3, 4, 4, results("a", "b"))).To(Succeed())
+	g.Expect(d.Append("b2", 1, 0, 0, results("a"))).To(Succeed())
+	name := filepath.Join(path, "b2.log")
+	raw, err := os.ReadFile(name)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(os.WriteFile(name, raw[:len(raw)-5], fileMode)).To(Succeed())
+	for range 2 {
+		table, torn, err := Check(path)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(torn).To(Equal(1))
+		goldie.New(t).Assert(t, "check", []byte(table.Text()))
+	}
+}
+
 // The disk is replaced by an empty one. It must not pass for the old one: what it
 // acknowledged is gone.
 func TestAnotherDisk(t *testing.T) {
