A run's log line reads its item under the lock

Found by the race detector in TestResetsAreNotHammered (an old fault): the line about a run that ended was made while the item's next run could begin.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -131,11 +131,12 @@
 	it.cancel(nil)
 	it.cancel = nil
 	outcome := r.settle(h, it, route, call, err)
+	to, attempt, versions := it.last, it.attempts, slices.Clone(it.versions)
 	r.mu.Unlock()
 	r.meter.Count("item_runs_total", 1, "outcome", outcome)
 	r.meter.Observe("item_run_seconds", time.Since(start))
 	r.logger.Info("Item run.", "batch", h.sub.ID, "item", it.ID, "endpoint", call.Endpoint.ID, "from", had,
-		"to", it.last, "outcome", outcome, "error", err, "attempt", it.attempts, "versions", it.versions, "took", time.Since(start).Round(time.Millisecond))
+		"to", to, "outcome", outcome, "error", err, "attempt", attempt, "versions", versions, "took", time.Since(start).Round(time.Millisecond))
 	r.Wake()
 }
 
