An instance that goes on after a pause knows its peers

Cause: in a large fleet an instance knew of nobody while no sign of life was fresh, which is also true in the moment a paused process goes on; asked for a submission in that moment it would take it over from a living holder. It now is alone only when its questions went unanswered. Found by reading.

--- a/cmd/lavendermux/steps.go
+++ b/cmd/lavendermux/steps.go
@@ -24,7 +24,7 @@
 func (c *stepsCommand) Run(s *session) error {
 	r := stages.New()
 	for _, name := range c.Files {
-		if err := readSteps(r, name); err != nil {
+		if err := readLog(name, r.Read); err != nil {
 			return err
 		}
 	}
@@ -41,12 +41,3 @@
 	}
 	return errors.Wrap(os.WriteFile(c.Plot, drawing, pageMode), "writing the drawing")
 }
-
-func readSteps(r *stages.Report, name string) error {
-	f, err := os.Open(name)
-	if err != nil {
-		return errors.Wrap(err, "report steps")
-	}
-	defer func() { _ = f.Close() }() // it was only read
-	return errors.Wrapf(r.Read(f), "%s", name)
-}
--- a/cmd/lavendermux/trace.go
+++ b/cmd/lavendermux/trace.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"io"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,7 @@
 func (c *traceCommand) Run(s *session) error {
 	story := trace.New(c.ID)
 	for _, name := range c.Files {
-		if err := readLog(story, name); err != nil {
+		if err := readLog(name, story.Read); err != nil {
 			return err
 		}
 	}
@@ -27,11 +28,12 @@
 	return story.Write(s.out)
 }
 
-func readLog(story *trace.Story, name string) error {
+// readLog has a report read one log.
+func readLog(name string, read func(io.Reader) error) error {
 	f, err := os.Open(name)
 	if err != nil {
-		return errors.Wrap(err, "trace")
+		return errors.Wrap(err, "reading logs")
 	}
 	defer func() { _ = f.Close() }() // it was only read
-	return errors.Wrapf(story.Read(f), "%s", name)
+	return errors.Wrapf(read(f), "%s", name)
 }
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -62,8 +62,11 @@
 		version int64
 		last    Status
 		peers   map[string]*peer
-		// touched is when any peer gave a sign of life.
+		// touched is when any peer gave a sign of life; alone says that this instance
+		// hears from nobody, and so knows of nobody. A pause of its own doesn't make it
+		// alone: it would take over what living peers hold in the moment it goes on.
 		touched time.Time
+		alone   bool
 		// news counts the changes of what is known about peers; whole says that a
 		// neighbour has told all that it knows.
 		news  int64
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -374,6 +374,23 @@
 	g.Expect(at120.bytes).To(BeNumerically("<", 10_000))
 }
 
+// An instance of a large fleet is paused, and asked for something in the moment it goes
+// on. It must still know its peers: it would take what they hold for left behind.
+func TestKnowsItsPeersAfterAPause(t *testing.T) {
+	inDeployment(t, large, func(d *deployment) {
+		m := d.members[0]
+		m.mu.Lock()
+		m.Mesh.mu.Lock()
+		m.touched = time.Now().Add(-5 * time.Second)
+		for _, p := range m.peers {
+			p.touched = m.touched
+		}
+		m.Mesh.mu.Unlock()
+		m.mu.Unlock()
+		d.g.Expect(m.Alive()).To(HaveLen(large - 1))
+	})
+}
+
 // A process is paused for some seconds. When it goes on, its questions are all overdue;
 // it must not take its peers for lost because of that.
 func TestPaused(t *testing.T) {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -77,11 +77,16 @@
 // Alive returns the peers that answered a moment ago and aren't stopping, by
 // name.
 func (m *Mesh) Alive() []Node {
+	return m.nodes(func(p *peer) bool { return !p.Stopping })
+}
+
+// nodes returns the live peers that keep says, by name.
+func (m *Mesh) nodes(keep func(*peer) bool) []Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []Node
 	for _, p := range m.peers {
-		if m.lives(p) && !p.Stopping {
+		if m.lives(p) && keep(p) {
 			out = append(out, p.Node)
 		}
 	}
@@ -127,16 +132,7 @@
 
 // Reaching returns the live peers that reach the metadata store.
 func (m *Mesh) Reaching() []Node {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var out []Node
-	for _, p := range m.peers {
-		if m.lives(p) && p.Reaches {
-			out = append(out, p.Node)
-		}
-	}
-	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
-	return out
+	return m.nodes(func(p *peer) bool { return p.Reaches })
 }
 
 // Settled waits until the peers that live are known, and reports whether they are.
--- a/mesh/touch.go
+++ b/mesh/touch.go
@@ -273,6 +273,7 @@
 	now := time.Now()
 	old := *p
 	m.touched, p.touched = now, now
+	m.alone = false
 	p.alive, p.lost = true, false
 	if p.Boot != t.Node.Boot {
 		p.forgetBoot()
@@ -321,6 +322,7 @@
 	// Whoever hears nothing from anybody is cut off itself, and must not have others
 	// believe that everybody else is lost.
 	alone := sparse && answered == 0 && time.Since(m.touched) > aliveFor
+	m.alone = m.alone || alone
 	if !alone {
 		p.lost, p.lostAt = true, p.version
 		m.noteChange(p, "")
@@ -392,6 +394,4 @@
 
 // lives reports whether a peer is in touch with this instance or another neighbour of
 // it. An instance that is cut off knows of nobody. The lock is held.
-func (m *Mesh) lives(p *peer) bool {
-	return p.alive && (!m.isSparse() || time.Since(m.touched) < 2*aliveFor)
-}
+func (m *Mesh) lives(p *peer) bool { return p.alive && !m.alone }
