Submissions whose copies are gone are answered for; copies move when nothing is written

Each read began a take-over that waited 5 s for a copy, on the time of a caller who waits for one, and so never ended. Ruled out: that a read result was missing; the store had all of them. Change: a take-over goes on when its caller has left, and others join it; a copy is asked only if items are left that could have been listed there; copies move also when a submission has nothing else to write.

--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -23,35 +23,41 @@
 	// last write of one that was lost together with all its peers until the start of
 	// its successor. Machines that lose power are back within some 3.5 s.
 	lossDoubt = 4 * time.Second
+	// adoptTime bounds one try of a take-over: the store's answers and the patience with
+	// copies that aren't in touch.
+	adoptTime = 10 * time.Second
 	// firstEpoch is that of a submission that was created a moment ago.
 	firstEpoch = 1
 )
 
 // adopt makes this instance the holder of a submission whose holder is lost. An
-// ended submission is only loaded, to be read.
+// ended submission is only loaded, to be read. It goes on when ctx ends before it is done:
+// a caller waits for a second, and a successor may have to wait longer for a copy.
 func (d *Desk) adopt(ctx context.Context, kept bstore.Kept) error {
 	d.mu.Lock()
-	busy, ok := d.adopting[kept.ID]
+	a, ok := d.adopting[kept.ID]
 	if !ok {
-		busy = make(chan struct{})
-		d.adopting[kept.ID] = busy
+		a = &adoption{done: make(chan struct{})}
+		d.adopting[kept.ID] = a
+		go d.runAdoption(a, kept)
 	}
 	d.mu.Unlock()
-	if ok {
-		select {
-		case <-busy:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	select {
+	case <-a.done:
+		return a.err
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	defer func() {
-		d.mu.Lock()
-		delete(d.adopting, kept.ID)
-		d.mu.Unlock()
-		close(busy)
-	}()
-	return d.takeOver(ctx, kept)
+}
+
+func (d *Desk) runAdoption(a *adoption, kept bstore.Kept) {
+	ctx, cancel := context.WithTimeout(d.run, adoptTime)
+	defer cancel()
+	a.err = d.takeOver(ctx, kept)
+	d.mu.Lock()
+	delete(d.adopting, kept.ID)
+	d.mu.Unlock()
+	close(a.done)
 }
 
 func (d *Desk) takeOver(ctx context.Context, kept bstore.Kept) error {
@@ -93,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	if isTaken && len(now.Copies) > 0 {
+	if isTaken && len(now.Copies) > 0 && len(results) < now.Total {
 		if results, err = d.readCopies(ctx, &now, results); err != nil {
 			return err
 		}
--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -59,7 +59,13 @@
 		// needn't be looked up for each read.
 		known map[string]bstore.Kept
 		// adopting has the submissions that are just being taken over.
-		adopting map[string]chan struct{}
+		adopting map[string]*adoption
+	}
+
+	// adoption is a take-over; done is closed when it has ended with err.
+	adoption struct {
+		done chan struct{}
+		err  error
 	}
 
 	// Copies are results on disks, listed while the store was away; see package spill.
@@ -119,7 +125,7 @@
 		logger:   logger,
 		run:      run,
 		known:    make(map[string]bstore.Kept),
-		adopting: make(map[string]chan struct{}),
+		adopting: make(map[string]*adoption),
 	}
 }
 
--- a/brun/copies.go
+++ b/brun/copies.go
@@ -51,21 +51,27 @@
 	return func(r *Runner) { r.copies = c }
 }
 
-// beginWrite notes that a write is on its way, and has it move the copies if one of them
-// is no longer in touch.
-func (r *Runner) beginWrite(h *held, change *bstore.Change) {
+// moveCopies has a write name other copies if one of them is no longer in touch. A
+// submission that has nothing else to write is written for this alone: disks that are
+// replaced one after the other would otherwise leave it without a copy.
+func (r *Runner) moveCopies(h *held, change *bstore.Change) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h.writing = true
-	if change.End || h.copying || h.copied > h.kept.Results {
+	if change.End || h.copying || h.copied > h.kept.Results || h.kept.Results == len(h.items) {
 		return
 	}
 	if c := r.copies.Choose(h.sub.ID, h.kept.Copies); len(c) > 0 && !sameCopies(c, h.kept.Copies) {
 		change.Copies = c
-		h.moving = true
 	}
 }
 
+// beginWrite notes that a write is on its way.
+func (r *Runner) beginWrite(h *held, change bstore.Change) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h.writing, h.moving = true, len(change.Copies) > 0
+}
+
 func sameCopies(a, b []batch.Copy) bool {
 	if len(a) != len(b) {
 		return false
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -79,7 +79,7 @@
 	text := due{in: max(0, progressEvery-now.Sub(h.writtenAt))}
 	switch {
 	case len(h.line) == h.kept.Results:
-		return text
+		return text // or where the copies are, if that has to change
 	case h.copied > h.kept.Results: // the copies are for the time without the store only
 		return due{results: true}
 	}
@@ -135,10 +135,11 @@
 	if saving != nil {
 		defer close(saving)
 	}
-	if len(change.Results)+len(change.Progress) == 0 && !change.End {
+	r.moveCopies(h, &change)
+	if len(change.Results)+len(change.Progress)+len(change.Copies) == 0 && !change.End {
 		return !kept.Ended
 	}
-	r.beginWrite(h, &change)
+	r.beginWrite(h, change)
 	if !r.apply(ctx, h, change) {
 		return false
 	}
