A stop reads the requests of connections that it has accepted

Cause: net/http's server drops a request that it reads after its shutdown has begun, without an answer. A connection accepted in the last moment, on a machine short of processor time, meets that. Change: the callers' listener is closed first, and 250 ms later the server shuts down.

--- a/node/node.go
+++ b/node/node.go
@@ -45,6 +45,10 @@
 	// serveOn is how long an instance that stops still takes new connections:
 	// the balancer takes it out after two missed questions, a second each.
 	serveOn = 2500 * time.Millisecond
+	// lateAccept is how long a stop goes on to read requests from connections that were
+	// accepted in its last moment: on a machine with a seventh of a processor a goroutine
+	// waits up to 100 ms for its turn.
+	lateAccept = 250 * time.Millisecond
 	// drainShare of the grace is left for requests in flight after that.
 	drainShare = 0.75
 	// headerTime and headerBytes bound what a caller may take and send before
@@ -353,18 +357,20 @@
 		}
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 		defer stop()
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if addr == n.cfg.Front {
+			g.Go(func() error { n.drain(ctx, srv, l); return nil })
+		}
+		err = srv.Serve(l)
+		isEnd := errors.Is(err, http.ErrServerClosed) || (n.stopping.Load() && errors.Is(err, net.ErrClosed))
+		if !isEnd {
 			return err
 		}
 		return nil
 	})
-	if addr == n.cfg.Front {
-		g.Go(func() error { n.drain(ctx, srv); return nil })
-	}
 }
 
 // drain closes callers' connections in order once the process stops.
-func (n *Node) drain(ctx context.Context, srv *http.Server) {
+func (n *Node) drain(ctx context.Context, srv *http.Server, l net.Listener) {
 	const look = 50 * time.Millisecond
 	for !n.stopping.Load() {
 		if !sleep.For(ctx, look) {
@@ -374,6 +380,14 @@
 	if !sleep.For(ctx, serveOn) {
 		return
 	}
+	// A server that is shutting down drops a request that it reads from then on without
+	// an answer. What was accepted until now is read first.
+	if err := l.Close(); err != nil {
+		n.logger.Warn("Callers' address not closed.", "error", err)
+	}
+	if !sleep.For(ctx, lateAccept) {
+		return
+	}
 	srv.SetKeepAlivesEnabled(false)
 	if err := srv.Shutdown(ctx); err == nil {
 		close(n.drained)
