Customers' keys: endpoints learn the customer, never the key; submissions belong to the customer

Ruled out: a check at the holder only (a revoked key would reach endpoints by the plain path); keys kept as text (a dump of the memory would show them).

--- a/batch/batch.go
+++ b/batch/batch.go
@@ -16,6 +16,8 @@
 	// Submission is many requests that were handed in at once.
 	Submission struct {
 		ID string `json:"id"`
+		// Customer handed it in; "" where customers have no keys. It is kept in the head.
+		Customer string `json:"-"`
 		// Host and Target select the route, at each send anew.
 		Host   string `json:"host"`
 		Target string `json:"target"`
@@ -94,6 +96,10 @@
 		// change of it.
 		Holder string `json:"holder"`
 		Epoch  int64  `json:"epoch"`
+		// Customer owns the submission, whichever of its keys it was handed in with. Nobody
+		// else may read or end it, and its items run in this name, also once the customer
+		// has lost that key or is gone. "" where customers have no keys.
+		Customer string `json:"customer,omitempty"`
 		// Writes counts the writes of this epoch. Together with Epoch and
 		// Holder it tells a writer whose answer was lost whether its write is
 		// the one that the store has.
--- a/bdesk/ask.go
+++ b/bdesk/ask.go
@@ -92,6 +92,9 @@
 
 func (d *Desk) local(ctx context.Context, in askRequest) (*askResponse, error) {
 	res := &askResponse{Held: true}
+	if owner, _ := d.runner.Owner(in.ID); owner != "" && owner != in.Customer {
+		return &askResponse{Held: true, Foreign: true}, nil
+	}
 	var err error
 	switch in.Op {
 	case opRead:
--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -79,14 +79,28 @@
 		Drop(ctx context.Context, id string, epoch int64, copies []batch.Copy)
 	}
 
+	// Query names a submission and who asks for it.
+	Query struct {
+		ID string
+		// Customer asks; "" where customers have no keys.
+		Customer string
+	}
+
+	// TakenError says that another customer has a submission of this name.
+	TakenError struct {
+		ID string
+	}
+
 	// NoBatchError says that no such submission is kept.
 	NoBatchError struct {
 		ID string
 	}
 
 	askRequest struct {
-		Op   string   `json:"op"`
-		ID   string   `json:"id"`
+		Op       string `json:"op"`
+		ID       string `json:"id"`
+		Customer string `json:"customer,omitempty"`
+
 		IDs  []string `json:"ids,omitempty"`
 		Item string   `json:"item,omitempty"`
 		// From is the holder that offers submissions.
@@ -97,10 +111,12 @@
 	}
 
 	askResponse struct {
-		Held   bool      `json:"held"`
-		NoItem bool      `json:"noItem,omitempty"`
-		Page   brun.Page `json:"page"`
-		Body   []byte    `json:"body,omitempty"`
+		Held   bool `json:"held"`
+		NoItem bool `json:"noItem,omitempty"`
+		// Foreign says that another customer owns the submission.
+		Foreign bool      `json:"foreign,omitempty"`
+		Page    brun.Page `json:"page"`
+		Body    []byte    `json:"body,omitempty"`
 		// Taken are the offered submissions that were taken over.
 		Taken map[string]int64 `json:"taken,omitempty"`
 	}
@@ -109,6 +125,9 @@
 // Error names the submission.
 func (e *NoBatchError) Error() string { return "no batch " + e.ID }
 
+// Error names the submission.
+func (e *TakenError) Error() string { return "another customer has a batch " + e.ID }
+
 // New returns a desk. run is the life of the process; strained says whether it is
 // short of processor time.
 //
@@ -130,10 +149,10 @@
 }
 
 // Submit accepts a submission. When it returns nil the submission is kept; on a
-// *kvst.RefusedError it surely isn't; on any other error that is unknown.
+// *kvst.RefusedError or a *TakenError it surely isn't; on any other error that is unknown.
 func (d *Desk) Submit(ctx context.Context, sub *batch.Submission) error {
-	if d.runner.Holds(sub.ID) {
-		return nil
+	if owner, held := d.runner.Owner(sub.ID); held {
+		return checkOwner(sub, owner)
 	}
 	since := time.Now()
 	holder, elsewhere := d.homeOf(sub)
@@ -141,6 +160,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkOwner(sub, kept.Customer); err != nil {
+		return err
+	}
 	d.remember(kept)
 	if created && elsewhere {
 		go d.offer(d.run, holder, []string{sub.ID}, holder.Holder())
@@ -154,6 +176,15 @@
 	return nil
 }
 
+// checkOwner refuses a submission whose name another customer has used: it can't be kept,
+// and saying that it is would lose it.
+func checkOwner(sub *batch.Submission, owner string) error {
+	if owner != sub.Customer {
+		return &TakenError{ID: sub.ID}
+	}
+	return nil
+}
+
 // homeOf returns who should hold a new submission: the entry that holds the others
 // of its model, if that is in touch, and this one otherwise.
 func (d *Desk) homeOf(sub *batch.Submission) (n mesh.Node, elsewhere bool) {
@@ -227,8 +258,8 @@
 }
 
 // Read returns results from position after on.
-func (d *Desk) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (brun.Page, error) {
-	res, err := d.ask(ctx, askRequest{Op: opRead, ID: id, After: after, Limit: limit, Wait: wait.Milliseconds()})
+func (d *Desk) Read(ctx context.Context, q Query, after, limit int, wait time.Duration) (brun.Page, error) {
+	res, err := d.askOwned(ctx, q, askRequest{Op: opRead, After: after, Limit: limit, Wait: wait.Milliseconds()})
 	if err != nil {
 		return brun.Page{}, err
 	}
@@ -236,19 +267,30 @@
 }
 
 // Body returns the body of an item.
-func (d *Desk) Body(ctx context.Context, id, item string) ([]byte, error) {
-	res, err := d.ask(ctx, askRequest{Op: opBody, ID: id, Item: item})
+func (d *Desk) Body(ctx context.Context, q Query, item string) ([]byte, error) {
+	res, err := d.askOwned(ctx, q, askRequest{Op: opBody, Item: item})
 	if err != nil {
 		return nil, err
 	}
 	if res.NoItem {
-		return nil, &brun.NoItemError{ID: id, Item: item}
+		return nil, &brun.NoItemError{ID: q.ID, Item: item}
 	}
 	return res.Body, nil
 }
 
 // End ends a submission.
-func (d *Desk) End(ctx context.Context, id string) error {
-	_, err := d.ask(ctx, askRequest{Op: opEnd, ID: id})
+func (d *Desk) End(ctx context.Context, q Query) error {
+	_, err := d.askOwned(ctx, q, askRequest{Op: opEnd})
 	return err
 }
+
+// askOwned asks in the name of a customer. One who asks for another's submission gets
+// the answer that it would get if there were none.
+func (d *Desk) askOwned(ctx context.Context, q Query, in askRequest) (*askResponse, error) {
+	in.ID, in.Customer = q.ID, q.Customer
+	res, err := d.ask(ctx, in)
+	if err == nil && res.Foreign {
+		return nil, &NoBatchError{ID: q.ID}
+	}
+	return res, err
+}
--- a/brun/ask.go
+++ b/brun/ask.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// Owner returns the customer whose submission is held here; ok is false if it isn't held.
+func (r *Runner) Owner(id string) (customer string, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h, ok := r.held[id]
+	if !ok {
+		return "", false
+	}
+	return h.kept.Customer, true
+}
+
 // Body returns the body of an item.
 func (r *Runner) Body(id, itemID string) ([]byte, error) {
 	r.mu.Lock()
--- a/brun/calls.go
+++ b/brun/calls.go
@@ -116,6 +116,7 @@
 	job := grade.Job{
 		Batch:    w.held.sub.ID,
 		Item:     w.item.ID,
+		Customer: w.held.kept.Customer,
 		Scoring:  *w.item.Scoring,
 		Deadline: r.callDeadline(w.held),
 	}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -112,6 +112,7 @@
 		Host:      h.sub.Host,
 		Header:    it.header(),
 		Body:      it.Body,
+		Customer:  h.kept.Customer,
 		LastEvent: it.last,
 	}
 	if route.MaxQueue > 0 {
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -132,11 +132,12 @@
 		return Kept{}, false, &SizeError{Bytes: len(raw), Most: s.value * (txnEntries - 2)}
 	}
 	kept = Kept{ID: sub.ID, Since: since, Head: batch.Head{
-		Holder: holder,
-		Epoch:  1,
-		Parts:  len(parts),
-		Total:  len(sub.Items),
-		Copies: copies,
+		Holder:   holder,
+		Epoch:    1,
+		Customer: sub.Customer,
+		Parts:    len(parts),
+		Total:    len(sub.Items),
+		Copies:   copies,
 	}}
 	t := kvst.Txn{Expect: map[string]int64{headKey(sub.ID): 0}}
 	for i, part := range parts {
--- a/grade/grade.go
+++ b/grade/grade.go
@@ -51,6 +51,8 @@
 	Job struct {
 		Batch string
 		Item  string
+		// Customer owns the item; "" where customers have no keys.
+		Customer string
 		batch.Scoring
 		// Deadline is when the item expires; all sends share it.
 		Deadline time.Time
@@ -139,6 +141,7 @@
 		Host:     c.job.Host,
 		Header:   http.Header{},
 		Body:     c.job.Body,
+		Customer: c.job.Customer,
 		Route:    route,
 		Deadline: c.job.Deadline,
 		Internal: true,
--- a/manif/manif.go
+++ b/manif/manif.go
@@ -3,10 +3,13 @@
 package manif
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lavendermux/lavendermux/apikey"
 )
 
 const (
@@ -32,6 +35,8 @@
 		Routes   []Route
 		Services map[string]Service
 		Limits   Limits
+		// Keys are those of the customers; nil where callers need none.
+		Keys *apikey.Ring
 	}
 
 	// Route is one kind of request.
@@ -41,6 +46,8 @@
 		// Prefix begins and ends with a slash.
 		Prefix string
 		Kind   Kind
+		// Public routes are open to callers without a key.
+		Public bool
 		// Timeout is the longest that a caller is kept waiting; 0 is no bound.
 		Timeout time.Duration
 		// Target is the latency objective.
@@ -104,6 +111,12 @@
 	return best, best != nil
 }
 
+// PublicBatch reports whether a host takes submissions from callers without a key, who
+// then need none to read them either.
+func (m *Manifest) PublicBatch(host string) bool {
+	return slices.ContainsFunc(m.Routes, func(r Route) bool { return r.Host == host && r.Kind == Batch && r.Public })
+}
+
 // Service picks the service for a request. The same request always gets the same
 // one, so that an attempt that is sent again stays with its service.
 func (r *Route) Service(requestID string) string {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -64,6 +64,8 @@
 		Header http.Header
 		Body   []byte
 		Route  *manif.Route
+		// Customer is in whose name the request runs; "" where customers have no keys.
+		Customer string
 		// Deadline is when the caller stops waiting; zero is never.
 		Deadline time.Time
 		// Internal marks a call that the system makes itself, for an item of a batch.
@@ -192,6 +194,7 @@
 		Host:      r.Host,
 		Header:    r.Header,
 		Body:      r.Body,
+		Customer:  r.Customer,
 		LastEvent: upstr.NoEvent,
 	}
 	// The budget always ends at the request's own deadline, also where this send is
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -120,6 +120,7 @@
 		Host:      s.r.Host,
 		Header:    s.r.Header,
 		Body:      s.r.Body,
+		Customer:  s.r.Customer,
 		LastEvent: s.last,
 	}
 	if until, ok := ctx.Deadline(); ok {
--- a/upstr/upstr.go
+++ b/upstr/upstr.go
@@ -34,6 +34,8 @@
 		Host   string
 		Header http.Header
 		Body   []byte
+		// Customer is in whose name the request runs; "" where customers have no keys.
+		Customer string
 		// Budget is the time that is left; 0 sends none.
 		Budget time.Duration
 		// LastEvent is the last event of a stream that is there already.
