--- a/cmd/measure/ways.go
+++ b/cmd/measure/ways.go
@@ -32,6 +32,12 @@
 
 // Run plays all and prints the figures in pairs.
 func (c *waysCommand) Run() error {
+	if c.Command[0] == "--" {
+		c.Command = c.Command[1:]
+	}
+	if len(c.Command) == 0 {
+		return errors.New("no command is given")
+	}
 	pattern, err := regexp.Compile(c.Figure)
 	if err != nil {
 		return errors.Wrap(err, "--figure")
