Copies: one more than may be lost is enough, of twice as many; an old holder's tail gives way

Cause: results were listed in an outage of the store once all copies had them, as many as may be lost and one. Found beside it, by reading: a seal that arrives late leaves an old holder's unlisted results under the new holder's epoch, and the new holder's append of others was taken for a repeated one.

Ruled out: two copies where three are in touch without a quorum (a successor could go on with the one that lacks what was listed).

Change: copies are on 2 x lost + 1 disks as far as there are, what lost + 1 have is listed, a successor seals all but lost and goes on with the longest of the latest holder; lagging copies are brought up; each copy knows whose results it has.

The instance's own disk counts, it was left out where a data instance took over.

--- a/bdesk/adopt.go
+++ b/bdesk/adopt.go
@@ -124,11 +124,12 @@
 	var few *spill.FewError
 	switch {
 	case errors.As(err, &few) && ctx.Err() == nil:
-		d.logger.Error("Copies not read; results listed while the store was away may be missing.", "batch", now.ID, "epoch", now.Epoch, "error", err)
-		return results, nil
+		d.logger.Error("Too few copies read; results listed while the store was away may be missing.", "batch", now.ID, "epoch", now.Epoch,
+			"found", len(more), "error", err)
 	case err != nil:
 		return nil, err
-	case len(more) == 0:
+	}
+	if len(more) == 0 {
 		return results, nil
 	}
 	if err := d.store.Apply(ctx, bstore.Change{Kept: now, Results: more}); err != nil {
--- a/brun/copies.go
+++ b/brun/copies.go
@@ -25,7 +25,8 @@
 	Copies interface {
 		// Choose returns where the copies of a submission should be, or none.
 		Choose(id string, now []batch.Copy) []batch.Copy
-		// Append returns nil once all copies have the results.
+		// Append returns nil once enough copies have the results, of which those before the
+		// position from were appended before.
 		Append(ctx context.Context, id string, epoch int64, copies []batch.Copy, from, kept int, results []batch.Result) error
 		// Drop has the copies forget what the store has.
 		Drop(ctx context.Context, id string, epoch int64, copies []batch.Copy)
@@ -97,10 +98,11 @@
 	h.copying = true
 	kept := h.kept
 	from, to := max(kept.Results, h.copied), len(h.line)
-	go r.copy(ctx, h, kept, from, h.line[from:to:to])
+	go r.copy(ctx, h, kept, from, h.line[kept.Results:to:to])
 }
 
-// copy has all copies keep a part of the line, and lists it when they have.
+// copy has the copies keep what the store lacks of the line, and lists it when enough have
+// it. They have what is before the position from.
 func (r *Runner) copy(ctx context.Context, h *held, kept bstore.Kept, from int, results []batch.Result) {
 	start := time.Now()
 	err := r.copies.Append(ctx, kept.ID, kept.Epoch, kept.Copies, from, kept.Results, results)
@@ -121,7 +123,7 @@
 	}
 	r.meter.Count("results_copied_total", int64(len(results)), "outcome", "ok")
 	r.meter.Observe("results_copied_seconds", took)
-	h.copied = from + len(results)
+	h.copied = kept.Results + len(results)
 	if h.dropped || h.ended {
 		return
 	}
--- a/seal/seal.go
+++ b/seal/seal.go
@@ -1,10 +1,11 @@
 // Package seal is what one copy of a submission's newest results accepts.
 //
 // While the metadata store is away, the one holder of a submission appends finished
-// results to copies on several disks, and lists what all of them have. A successor first
-// takes the submission's epoch in the store, then seals a copy: from then on that copy
-// refuses the old holder, which therefore can list nothing more, and the copy's results
-// hold everything that it had listed. One copy is enough, as each has all.
+// results to copies on several disks, and lists what enough of them have: one more than
+// disks may be lost at once. A successor first takes the submission's epoch in the store,
+// then seals all copies but as many as may be lost: from then on these refuse the old
+// holder, which therefore can list nothing more, and one of them has everything that was
+// listed. That is the one whose results are of the latest holder, and the longest of these.
 //
 // The package has no network, no disk and no clock.
 package seal
@@ -17,6 +18,9 @@
 	Copy[T any] struct {
 		// Epoch is the latest holder's that is known here; it only grows.
 		Epoch int64 `json:"epoch"`
+		// Of is the epoch of the holder that Results are of. It is older than Epoch where
+		// a later holder has sealed the copy and not appended to it.
+		Of int64 `json:"of"`
 		// From is the position of the first of Results. The store has all before it.
 		From    int `json:"from"`
 		Results []T `json:"results"`
@@ -53,13 +57,13 @@
 	switch {
 	case epoch < c.Epoch:
 		return false, &FencedError{Asked: epoch, Known: c.Epoch}
-	case epoch > c.Epoch, kept >= next:
-		// The holder is another one, which has written what was here to the store before
-		// it appends; or the store has all that is here.
+	case epoch != c.Of, kept >= next:
+		// What is here is another holder's: the store has what was listed of it, and the
+		// rest never was. Or the store has all that is here.
 		if from != kept {
 			return false, &GapError{From: from, Next: kept}
 		}
-		*c = Copy[T]{Epoch: epoch, From: from, Results: results}
+		*c = Copy[T]{Epoch: epoch, Of: epoch, From: from, Results: results}
 		return true, nil
 	case from > next:
 		return false, &GapError{From: from, Next: next}
--- a/seal/seal_test.go
+++ b/seal/seal_test.go
@@ -41,6 +41,24 @@
 	g.Expect(c.After(3)).To(BeEmpty())
 }
 
+// A successor goes on with what two of three copies had, and its seal of the third arrives
+// late. That one has more of the old holder, which was never listed. The successor's own
+// results must take its place: counted as there already, they would be listed from one
+// copy less than disks may be lost.
+func TestOldTailGivesWay(t *testing.T) {
+	g := NewWithT(t)
+	var c Copy[string]
+	_, err := c.Append(1, 4, 4, []string{"a", "b", "c"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Seal(2)).To(Succeed())
+	g.Expect(c.Of).To(BeEquivalentTo(1))
+	changed, err := c.Append(2, 5, 5, []string{"x"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(changed).To(BeTrue())
+	g.Expect(c.After(5)).To(Equal([]string{"x"}))
+	g.Expect(c.Of).To(BeEquivalentTo(2))
+}
+
 // A copy missed an append, and a later one arrives: it must say so, or what it has would
 // stand at other positions than at the other copies.
 func TestGap(t *testing.T) {
--- a/spill/spill.go
+++ b/spill/spill.go
@@ -2,10 +2,12 @@
 //
 // A holder lists a result once the store has it. While the store is silent, finished steps
 // would wait for as long as that lasts, with trainers idle. The holder then appends the
-// results to copies on as many data instances as may be lost at once, and one more; each
-// syncs them before it answers, and what all have is listed. Agreement stays with the
-// store: which instances have the copies stands in the submission's record, and who holds
-// it is decided there only. A successor seals a copy before it goes on (package seal).
+// results to copies on several data instances; each syncs them before it answers, and what
+// one more has than may be lost at once is listed. There are more copies than that, as far
+// as there are disks: a data instance that is lost in the outage holds nothing up.
+// Agreement stays with the store: which instances have the copies stands in the
+// submission's record, and who holds it is decided there only. A successor seals all
+// copies but as many as may be lost before it goes on (package seal).
 package spill
 
 import (
@@ -52,14 +54,15 @@
 	Spill struct {
 		mesh   *mesh.Mesh
 		logger *log.Logger
-		copies int
-		dir    *walog.Dir
+		// lost is how many disks may be lost at once.
+		lost int
+		dir  *walog.Dir
 	}
 
 	// Option changes a Spill as New makes it.
 	Option func(*Spill)
 
-	// FewError says that not all copies of a submission took something.
+	// FewError says that too few copies of a submission took something.
 	FewError struct {
 		ID           string
 		Taken, Asked int
@@ -82,9 +85,15 @@
 		Fenced  int64          `json:"fenced,omitempty"`
 		Refused string         `json:"refused,omitempty"`
 		Results []batch.Result `json:"results,omitempty"`
+		// Of is the epoch of the holder that the results are of.
+		Of int64 `json:"of,omitempty"`
+		// Gap says that the copy lacks results before those that it was sent.
+		Gap bool `json:"gap,omitempty"`
 	}
 )
 
+var errGap = errors.New("results before these are missing")
+
 // Error names the submission and the cause.
 func (e *FewError) Error() string {
 	return errors.Wrapf(e.Cause, "batch %s: %d of %d copies", e.ID, e.Taken, e.Asked).Error()
@@ -93,13 +102,13 @@
 // Unwrap returns the cause.
 func (e *FewError) Unwrap() error { return e.Cause }
 
-// New returns the copies that are reached over m. copies is how many each submission has;
-// lost is how many disks may be lost at once.
+// New returns the copies that are reached over m; lost is how many disks may be lost at
+// once.
 //
 //	s := spill.New(m, logger, lost, spill.WithDir(dir))
 //	copies := s.Choose("b1", nil)
 func New(m *mesh.Mesh, logger *log.Logger, lost int, opts ...Option) *Spill {
-	s := &Spill{mesh: m, logger: logger, copies: lost + 1}
+	s := &Spill{mesh: m, logger: logger, lost: lost}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -118,32 +127,43 @@
 	}
 }
 
+// quorum is how many copies have what is listed.
+func (s *Spill) quorum() int { return s.lost + 1 }
+
 // Choose returns where the copies of a submission should be: where they are, if all of
-// these live; otherwise on instances in different data centres, as far as there are
-// enough. It returns none if fewer disks live than there should be copies.
+// these live and there are no more disks; otherwise on instances in different data
+// centres, as far as there are enough. With as many more copies as disks may be lost,
+// losing them holds nothing up. It returns none if too few disks live.
 func (s *Spill) Choose(id string, now []batch.Copy) []batch.Copy {
-	disks := slices.DeleteFunc(s.mesh.Alive(), func(n mesh.Node) bool { return n.Disk == "" })
-	if len(now) >= s.copies && len(s.find(disks, now)) == len(now) {
+	disks := s.disks()
+	wanted := min(len(disks), s.quorum()+s.lost)
+	if len(now) >= wanted && len(s.find(disks, now)) == len(now) {
 		return now
 	}
+	if wanted < s.quorum() {
+		return nil
+	}
 	order := rendez.Order(id, disks, func(n mesh.Node) string { return n.Name })
 	var out []batch.Copy
 	taken, centres := make(map[string]bool), make(map[string]bool)
 	for _, anywhere := range []bool{false, true} {
 		for _, n := range order {
-			if len(out) == s.copies || taken[n.Name] || (!anywhere && centres[n.DataCentre]) {
+			if len(out) == wanted || taken[n.Name] || (!anywhere && centres[n.DataCentre]) {
 				continue
 			}
 			taken[n.Name], centres[n.DataCentre] = true, true
 			out = append(out, batch.Copy{Instance: n.Name, Disk: n.Disk})
 		}
 	}
-	if len(out) < s.copies {
-		return nil
-	}
 	return out
 }
 
+// disks returns the live instances with a disk, with this one if it has one.
+func (s *Spill) disks() []mesh.Node {
+	all := append(s.mesh.Alive(), s.mesh.Self())
+	return slices.DeleteFunc(all, func(n mesh.Node) bool { return n.Disk == "" })
+}
+
 // find returns the live instances that have copies on the disks that are meant.
 func (s *Spill) find(disks []mesh.Node, copies []batch.Copy) []mesh.Node {
 	var out []mesh.Node
@@ -156,29 +176,44 @@
 	return out
 }
 
-// Append has all copies keep results from a position on, of which the store has kept so
-// many. When it returns nil each of them has synced them. Its error is a
-// *seal.FencedError when a later holder is known, and else a *FewError.
+// Append has copies keep the results after the kept ones, which the store has; those
+// before the position from were appended before. When it returns nil, one more copy has
+// synced them than disks may be lost. Its error is a *seal.FencedError when a later holder
+// is known, and else a *FewError.
 func (s *Spill) Append(ctx context.Context, id string, epoch int64, copies []batch.Copy, from, kept int, results []batch.Result) error {
-	answers := s.askAll(ctx, copies, request{Op: opAppend, ID: id, Epoch: epoch, From: from, Kept: kept, Results: results})
-	return few(id, copies, answers)
+	in := request{Op: opAppend, ID: id, Epoch: epoch, From: from, Kept: kept, Results: results[from-kept:]}
+	answers := s.askAll(ctx, copies, in)
+	var behind []batch.Copy
+	for i, a := range answers {
+		if errors.Is(a.err, errGap) {
+			behind = append(behind, copies[i])
+		}
+	}
+	if len(behind) > 0 {
+		// These were out of touch when the others took the first results.
+		in.From, in.Results = kept, results
+		answers = append(slices.DeleteFunc(answers, func(a answer) bool { return errors.Is(a.err, errGap) }), s.askAll(ctx, behind, in)...)
+	}
+	return few(id, answers, s.quorum())
 }
 
-// Seal has earlier holders refused, and returns the results from a position on that one of
-// the copies has. It goes on asking for sealPatience; after that, or if every copy's disk
-// is known to be gone, it returns a *FewError.
+// Seal has earlier holders refused, and returns the results from a position on that were
+// listed, and those that the last holder may have appended besides. It goes on asking for
+// sealPatience; after that it returns a *FewError, and what it has found.
 func (s *Spill) Seal(ctx context.Context, id string, epoch int64, copies []batch.Copy, after int) ([]batch.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, sealPatience)
 	defer cancel()
 	for {
 		answers := s.askAll(ctx, copies, request{Op: opSeal, ID: id, Epoch: epoch, From: after})
-		if i := longest(answers); i >= 0 {
-			return answers[i].results, nil
-		}
+		err := few(id, answers, max(1, len(copies)-s.lost))
 		var fenced *seal.FencedError
-		err := few(id, copies, answers)
-		if errors.As(err, &fenced) || !sleep.For(ctx, sealPause) {
+		switch {
+		case err == nil:
+			return latest(answers), nil
+		case errors.As(err, &fenced):
 			return nil, err
+		case !sleep.For(ctx, sealPause):
+			return latest(answers), err
 		}
 	}
 }
@@ -187,17 +222,18 @@
 // until its log is overdue.
 func (s *Spill) Drop(ctx context.Context, id string, epoch int64, copies []batch.Copy) {
 	answers := s.askAll(ctx, copies, request{Op: opDrop, ID: id, Epoch: epoch})
-	s.logger.Info("Copies dropped.", "batch", id, "epoch", epoch, "error", few(id, copies, answers))
+	s.logger.Info("Copies dropped.", "batch", id, "epoch", epoch, "error", few(id, answers, len(copies)))
 }
 
 // answer is what one copy said.
 type answer struct {
 	results []batch.Result
+	of      int64
 	err     error
 }
 
 func (s *Spill) askAll(ctx context.Context, copies []batch.Copy, in request) []answer {
-	disks := s.mesh.Alive()
+	disks := s.disks()
 	answers := make([]answer, len(copies))
 	var wg sync.WaitGroup
 	for i, c := range copies {
@@ -209,32 +245,34 @@
 			}
 			meant := in
 			meant.Disk = c.Disk
-			answers[i].results, answers[i].err = s.ask(ctx, nodes[0], meant)
+			answers[i] = s.ask(ctx, nodes[0], meant)
 		})
 	}
 	wg.Wait()
 	return answers
 }
 
-func (s *Spill) ask(ctx context.Context, n mesh.Node, in request) ([]batch.Result, error) {
+func (s *Spill) ask(ctx context.Context, n mesh.Node, in request) answer {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	res, err := mesh.Call[request, response](ctx, s.mesh.Client(), n.Addr, path, &in)
 	switch {
 	case err != nil:
-		return nil, errors.Wrap(err, n.Name)
+		return answer{err: errors.Wrap(err, n.Name)}
 	case res.Fenced > 0:
-		return nil, &seal.FencedError{Asked: in.Epoch, Known: res.Fenced}
+		return answer{err: &seal.FencedError{Asked: in.Epoch, Known: res.Fenced}}
+	case res.Gap:
+		return answer{err: errGap}
 	case res.Refused != "":
-		return nil, errors.Newf("%s: %s", n.Name, res.Refused)
+		return answer{err: errors.Newf("%s: %s", n.Name, res.Refused)}
 	}
-	return res.Results, nil
+	return answer{results: res.Results, of: res.Of}
 }
 
-// few returns nil if all copies answered. That a later holder is known goes before all
+// few returns nil if enough copies answered. That a later holder is known goes before all
 // other errors.
-func few(id string, copies []batch.Copy, answers []answer) error {
-	err := &FewError{ID: id, Asked: len(copies)}
+func few(id string, answers []answer, enough int) error {
+	err := &FewError{ID: id, Asked: len(answers)}
 	for _, a := range answers {
 		var fenced *seal.FencedError
 		switch {
@@ -246,21 +284,22 @@
 			err.Cause = a.err
 		}
 	}
-	if err.Taken == len(copies) {
+	if err.Taken >= enough {
 		return nil
 	}
 	return err
 }
 
-// longest returns the answer with most results, or -1 if there is none.
-func longest(answers []answer) int {
-	best := -1
-	for i, a := range answers {
-		if a.err == nil && (best < 0 || len(a.results) > len(answers[best].results)) {
-			best = i
+// latest returns the results of the latest holder, and of these the most: each copy has
+// the first of them, and one has all that was listed.
+func latest(answers []answer) []batch.Result {
+	var best answer
+	for _, a := range answers {
+		if a.err == nil && (a.of > best.of || (a.of == best.of && len(a.results) > len(best.results))) {
+			best = a
 		}
 	}
-	return best
+	return best.results
 }
 
 // serve changes a copy on this instance's disk.
@@ -274,16 +313,19 @@
 	case opAppend:
 		err = s.dir.Append(in.ID, in.Epoch, in.From, in.Kept, in.Results)
 	case opSeal:
-		out.Results, err = s.dir.Seal(in.ID, in.Epoch, in.From)
+		out.Results, out.Of, err = s.dir.Seal(in.ID, in.Epoch, in.From)
 	case opDrop:
 		err = s.dir.Drop(in.ID, in.Epoch)
 	default:
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Newf("unknown operation %q", in.Op))
 	}
 	var fenced *seal.FencedError
+	var gap *seal.GapError
 	switch {
 	case errors.As(err, &fenced):
 		out.Fenced = fenced.Known
+	case errors.As(err, &gap):
+		out.Gap = true
 	case err != nil:
 		s.logger.Error("Copy not changed.", "batch", in.ID, "op", in.Op, "epoch", in.Epoch, "from", in.From, "error", err)
 		out.Refused = err.Error()
--- a/walog/walog.go
+++ b/walog/walog.go
@@ -256,14 +256,14 @@
 	})
 }
 
-// Seal has earlier holders refused and returns the results from a position on.
-func (d *Dir) Seal(id string, epoch int64, after int) ([]batch.Result, error) {
-	var out []batch.Result
-	err := d.change(id, record{Epoch: epoch}, func(c *seal.Copy[batch.Result]) (bool, error) {
-		out = c.After(after)
+// Seal has earlier holders refused and returns the results from a position on, and the
+// epoch of the holder that they are of.
+func (d *Dir) Seal(id string, epoch int64, after int) (results []batch.Result, of int64, err error) {
+	err = d.change(id, record{Epoch: epoch}, func(c *seal.Copy[batch.Result]) (bool, error) {
+		results, of = c.After(after), c.Of
 		return true, c.Seal(epoch)
 	})
-	return out, err
+	return results, of, err
 }
 
 // change writes what do accepts before it is in force.
@@ -274,7 +274,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := seal.Copy[batch.Result]{Epoch: l.copy.Epoch, From: l.copy.From, Results: l.copy.Results[:len(l.copy.Results):len(l.copy.Results)]}
+	next := seal.Copy[batch.Result]{Epoch: l.copy.Epoch, Of: l.copy.Of, From: l.copy.From, Results: l.copy.Results[:len(l.copy.Results):len(l.copy.Results)]}
 	changed, err := do(&next)
 	if err != nil || !changed {
 		return err
