--- a/clocks/clocks.go
+++ b/clocks/clocks.go
@@ -77,12 +77,15 @@
 		return own
 	}
 	common := zero.Add(now)
-	if off := own.Sub(common); off < -doubt || off > doubt {
+	if Doubts(own.Sub(common)) {
 		return common
 	}
 	return own
 }
 
+// Doubts reports whether a clock that is off by so much from its peers' is not used.
+func Doubts(off time.Duration) bool { return off.Abs() > doubt }
+
 // Off returns how far the machine's clock is from its peers', and reports whether enough
 // of them are known to tell.
 func (c *Clock) Off() (time.Duration, bool) {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -69,8 +69,10 @@
 		lease  time.Duration
 		late   time.Duration
 
-		// vacant is since when no leader is known; only Run uses it.
-		vacant time.Time
+		// vacant is since when no leader is known, clockOff that the machine's time of day is
+		// not its peers'; only Run uses them.
+		vacant   time.Time
+		clockOff bool
 
 		mu sync.Mutex
 		// term is that of this instance while it leads; rec and revision are the record
@@ -197,6 +199,7 @@
 		return
 	}
 	for sleep.For(ctx, lookEvery) {
+		l.noteClock()
 		switch {
 		case !l.due():
 		case l.Epoch() > 0:
@@ -209,6 +212,16 @@
 	}
 }
 
+// noteClock logs when the machine's time of day leaves its peers', and when it is back.
+func (l *Leader) noteClock() {
+	off, known := l.clock.Off()
+	isOff := known && clocks.Doubts(off)
+	if isOff != l.clockOff {
+		l.clockOff = isOff
+		l.logger.Warn("Machine's clock.", "doubted", isOff, "off", off.Round(time.Millisecond))
+	}
+}
+
 // isVacant reports whether this instance should take the lead.
 func (l *Leader) isVacant(now time.Time) bool {
 	if _, ok := l.mesh.Leader(); ok {
--- a/node/view.go
+++ b/node/view.go
@@ -35,6 +35,7 @@
 	v.Ready = n.isReady()
 	v.Store = n.store.Reaches() || len(n.mesh.Reaching()) > 0
 	v.Strained = n.gauge.Strained()
+	v.Leads = n.leads()
 	v.Batches = n.runner.Holding()
 	for _, p := range n.mesh.Alive() {
 		v.Peers = append(v.Peers, p.Name)
--- a/views/views.go
+++ b/views/views.go
@@ -38,6 +38,8 @@
 		Store    bool `json:"store"`
 		Stopping bool `json:"stopping,omitempty"`
 		Strained bool `json:"strained,omitempty"`
+		// Leads is the epoch of the instance that leads; 0 for all others.
+		Leads int64 `json:"leads,omitempty"`
 		// Peers are the names of the instances in touch.
 		Peers []string `json:"peers,omitempty"`
 		// Batches are the submissions held here, with the epoch of each.
@@ -145,6 +147,8 @@
 		return "no store"
 	case v.Strained:
 		return "strained"
+	case v.Leads > 0:
+		return fmt.Sprintf("leads, epoch %d", v.Leads)
 	}
 	return "ok"
 }
