--- a/leader/leader.go
+++ b/leader/leader.go
@@ -36,9 +36,6 @@
 )
 
 const (
-	// recordKey names the leader.
-	recordKey = "lavendermux/leader"
-
 	// lookEvery is how often the leader looks whether a report is due, and others whether
 	// there is a leader. Both ask nobody.
 	lookEvery = 250 * time.Millisecond
@@ -80,7 +77,9 @@
 		term     *duty.Term
 		rec      record
 		revision int64
-		// taken are the fixed reports that the platform has.
+		// fixed are the reports that the store keeps, by window; taken are those of them
+		// that the platform has, which the next write removes.
+		fixed map[int64]usage.Counts
 		taken map[int64]bool
 		// told has what instances have counted, by name and boot.
 		told map[string]counted
@@ -94,15 +93,9 @@
 		// Holder leads, "" if nobody does; Epoch grows with each leader.
 		Holder string `json:"holder"`
 		Epoch  int64  `json:"epoch"`
-		// Fixed is the last window whose report is fixed. Reports has those of them that the
-		// platform may not have.
-		Fixed   int64         `json:"fixed"`
-		Reports []fixedReport `json:"reports,omitempty"`
-	}
-
-	fixedReport struct {
-		Window int64        `json:"window"`
-		Counts usage.Counts `json:"counts"`
+		// Fixed is the last window whose report is fixed. Those that the platform may not
+		// have are kept beside the record, each under a key of its own.
+		Fixed int64 `json:"fixed"`
 	}
 
 	// RejectedError says that the platform will never take a report.
@@ -135,6 +128,7 @@
 		steady: uptime.Now,
 		lease:  defaultLease,
 		late:   defaultLate,
+		fixed:  make(map[int64]usage.Counts),
 		taken:  make(map[int64]bool),
 		told:   make(map[string]counted),
 	}
@@ -281,17 +275,22 @@
 		rec.Epoch++
 		rec.Fixed = l.firstOpen(rec.Fixed) - 1
 		asked = l.steady()
-		if revision, err = l.write(ctx, rec, revision); err != nil {
+		if revision, err = l.write(ctx, change{record: rec, expected: revision}); err != nil {
 			return err // if it was written after all, the next look finds this instance named
 		}
 	}
+	reports, err := l.readReports(ctx)
+	if err != nil {
+		return err // the next look finds this instance named
+	}
 	term := duty.Begin(rec.Epoch, asked, l.steady(), l.lease, isFirst)
+	l.vacant = time.Time{}
 	l.mu.Lock()
-	l.term, l.rec, l.revision = &term, rec, revision
+	l.term, l.rec, l.revision, l.fixed = &term, rec, revision, reports
 	clear(l.taken)
 	l.mu.Unlock()
 	l.logger.Info("Lead taken.", "epoch", rec.Epoch, "from", from, "revision", revision, "fixed", rec.Fixed,
-		"unsent", len(rec.Reports), "waits", term.Waits(l.steady()).Round(time.Millisecond))
+		"unsent", len(reports), "waits", term.Waits(l.steady()).Round(time.Millisecond))
 	return nil
 }
 
@@ -310,15 +309,16 @@
 // HandOver gives the lead up before a planned stop, so that nobody has to notice it.
 func (l *Leader) HandOver(ctx context.Context) {
 	l.mu.Lock()
-	leads, rec, revision := l.term != nil, l.unsent(), l.revision
+	leads := l.term != nil
+	c := change{record: l.rec, expected: l.revision, remove: l.removable()}
+	c.record.Holder = ""
 	l.term = nil
 	l.mu.Unlock()
 	if !leads {
 		return
 	}
-	rec.Holder = ""
-	_, err := l.write(ctx, rec, revision)
-	l.logger.Info("Lead handed over.", "epoch", rec.Epoch, "unsent", len(rec.Reports), "error", err)
+	_, err := l.write(ctx, c)
+	l.logger.Info("Lead handed over.", "epoch", c.record.Epoch, "error", err)
 }
 
 // look finds out whether the record still names this instance, and reports whether it
@@ -342,9 +342,6 @@
 	if rec.Holder == l.mesh.Self().Holder() && rec.Epoch == l.term.Epoch {
 		l.rec, l.revision = rec, revision
 		l.term.Seen(asked)
-		maps.DeleteFunc(l.taken, func(w int64, _ bool) bool {
-			return !slices.ContainsFunc(rec.Reports, func(r fixedReport) bool { return r.Window == w })
-		})
 		l.mu.Unlock()
 		return true
 	}
@@ -353,22 +350,52 @@
 	return false
 }
 
-// save writes the record as the leader wants it, and reports whether it is kept. A write
-// that got no answer is found, or overtaken, by the next one.
-func (l *Leader) save(ctx context.Context, rec record) bool {
+// fix has the store keep the reports of windows, and reports whether it does. A write that
+// got no answer is found, or overtaken, by the next one.
+func (l *Leader) fix(ctx context.Context, reports map[int64]usage.Counts) bool {
 	l.mu.Lock()
-	expected := l.revision
+	c := change{record: l.rec, expected: l.revision, reports: reports, remove: l.removable()}
 	l.mu.Unlock()
+	for w := range reports {
+		c.record.Fixed = max(c.record.Fixed, w)
+	}
 	asked := l.steady()
-	revision, err := l.write(ctx, rec, expected)
+	revision, err := l.write(ctx, c)
 	var conflict *kvst.ConflictError
 	switch {
 	case err == nil:
-		return l.accept(rec, revision, asked)
-	case errors.As(err, &conflict):
-		l.look(ctx)
+		l.mu.Lock()
+		maps.Copy(l.fixed, reports)
+		for _, w := range c.remove {
+			delete(l.fixed, w)
+			delete(l.taken, w)
+		}
+		l.mu.Unlock()
+		return l.accept(c.record, revision, asked)
+	case errors.As(err, &conflict) && l.look(ctx):
+		l.reload(ctx)
 	default:
-		l.logger.Warn("Reports not fixed.", "epoch", rec.Epoch, "fixed", rec.Fixed, "error", err)
+		l.logger.Warn("Reports not fixed.", "epoch", c.record.Epoch, "fixed", c.record.Fixed, "error", err)
 	}
 	return false
 }
+
+// reload reads the reports anew: an earlier write of this instance has taken effect of
+// which it had no answer, and what it fixed stands.
+func (l *Leader) reload(ctx context.Context) {
+	reports, err := l.readReports(ctx)
+	if err != nil {
+		l.resign("reports not read: "+err.Error(), record{})
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fixed = reports
+}
+
+// removable returns windows whose reports the platform has, as many as one write removes.
+// The lock is held.
+func (l *Leader) removable() []int64 {
+	windows := slices.Sorted(maps.Keys(l.taken))
+	return windows[:min(len(windows), removeMost)]
+}
--- a/leader/report.go
+++ b/leader/report.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/sleep"
+	"github.com/lavendermux/lavendermux/usage"
 )
 
 const (
@@ -40,59 +42,52 @@
 func (l *Leader) lead(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leadTimeout)
 	defer cancel()
-	l.mu.Lock()
-	rec := l.unsent()
-	l.mu.Unlock()
-	if next, ok := l.withDue(rec); ok && !l.save(ctx, next) {
+	if due := l.dueReports(); len(due) > 0 && !l.fix(ctx, due) {
 		return
 	}
-	for _, r := range l.waiting() {
-		if !l.send(ctx, r) {
+	for _, w := range l.unsent() {
+		if !l.send(ctx, w) {
 			return
 		}
 	}
 }
 
-// withDue adds reports of the windows that are over, and reports whether there are any.
-func (l *Leader) withDue(rec record) (record, bool) {
-	now, fixed := l.clock.Now(), rec.Fixed
-	for w := l.firstOpen(rec.Fixed); ; w++ {
+// dueReports returns the reports of the windows that are over, by window.
+func (l *Leader) dueReports() map[int64]usage.Counts {
+	l.mu.Lock()
+	fixed, epoch := l.rec.Fixed, l.rec.Epoch
+	l.mu.Unlock()
+	now, due := l.clock.Now(), make(map[int64]usage.Counts)
+	for w := l.firstOpen(fixed); len(due) < fixMost; w++ {
 		over := now.Sub(l.book.Ends(w))
 		counts, isWhole := l.sum(w)
 		if over < settleTime || (!isWhole && over < time.Duration(patience*float64(l.late))) {
 			break
 		}
-		rec.Fixed = w
-		rec.Reports = append(rec.Reports, fixedReport{Window: w, Counts: counts})
+		due[w] = counts
 		total := 0
 		for _, n := range counts {
 			total += n
 		}
 		l.logger.Info("Usage of a window.", "window", w, "requests", total, "customers", len(counts), "whole", isWhole,
-			"epoch", rec.Epoch, "after", over.Round(time.Millisecond))
+			"epoch", epoch, "after", over.Round(time.Millisecond))
 	}
-	return rec, rec.Fixed > fixed
-}
-
-// unsent is the record without the reports that the platform has. The lock is held.
-func (l *Leader) unsent() record {
-	rec := l.rec
-	rec.Reports = slices.DeleteFunc(slices.Clone(rec.Reports), func(r fixedReport) bool { return l.taken[r.Window] })
-	return rec
+	return due
 }
 
-// waiting returns the fixed reports that the platform may not have.
-func (l *Leader) waiting() []fixedReport {
+// unsent returns the windows whose fixed reports the platform may not have, the oldest
+// first.
+func (l *Leader) unsent() []int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.unsent().Reports
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(l.fixed)), func(w int64) bool { return l.taken[w] })
 }
 
-// send sends a fixed report while this instance may act, and reports whether the next one
-// may follow at once.
-func (l *Leader) send(ctx context.Context, r fixedReport) bool {
+// send sends the fixed report of a window while this instance may act, and reports whether
+// the next one may follow at once.
+func (l *Leader) send(ctx context.Context, window int64) bool {
 	l.mu.Lock()
-	term := l.term
+	term, counts := l.term, l.fixed[window]
 	l.mu.Unlock()
 	if term == nil || term.Waits(l.steady()) > 0 {
 		return false
@@ -109,8 +104,8 @@
 	start := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout, until-l.steady()))
 	defer cancel()
-	err := l.report(callCtx, l.mesh.Self().Name, term.Epoch, r.Window, r.Counts)
-	late := l.clock.Now().Sub(l.book.Ends(r.Window))
+	err := l.report(callCtx, l.mesh.Self().Name, term.Epoch, window, counts)
+	late := l.clock.Now().Sub(l.book.Ends(window))
 	var rejected *RejectedError
 	isTaken := err == nil || errors.As(err, &rejected)
 	outcome := "inTime"
@@ -123,14 +118,14 @@
 		outcome = "late"
 	}
 	l.meter.Count("usage_reports_total", 1, "outcome", outcome)
-	l.logger.Info("Usage reported.", "window", r.Window, "customers", len(r.Counts), "epoch", term.Epoch, "outcome", outcome,
+	l.logger.Info("Usage reported.", "window", window, "customers", len(counts), "epoch", term.Epoch, "outcome", outcome,
 		"error", err, "after", late.Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
 	if !isTaken {
 		sleep.For(ctx, againAfter)
 		return false
 	}
 	l.mu.Lock()
-	l.taken[r.Window] = true
+	l.taken[window] = true
 	l.mu.Unlock()
 	return true
 }
