--- a/leader/report.go
+++ b/leader/report.go
@@ -26,6 +26,11 @@
 	againAfter = 300 * time.Millisecond
 	// leadTimeout bounds one round of a leader's work.
 	leadTimeout = 3 * time.Second
+
+	outcomeInTime   = "inTime"
+	outcomeLate     = "late"
+	outcomeRejected = "rejected"
+	outcomeFailed   = "failed"
 )
 
 // firstOpen is the first window that may still be reported if those up to fixed are. The
@@ -105,22 +110,12 @@
 	callCtx, cancel := context.WithTimeout(ctx, min(reportTimeout, until-l.steady()))
 	defer cancel()
 	err := l.report(callCtx, l.mesh.Self().Name, term.Epoch, window, counts)
-	late := l.clock.Now().Sub(l.book.Ends(window))
-	var rejected *RejectedError
-	isTaken := err == nil || errors.As(err, &rejected)
-	outcome := "inTime"
-	switch {
-	case rejected != nil:
-		outcome = "rejected"
-	case err != nil:
-		outcome = "failed"
-	case late > l.late:
-		outcome = "late"
-	}
+	after := l.clock.Now().Sub(l.book.Ends(window))
+	outcome := l.outcomeOf(err, after)
 	l.meter.Count("usage_reports_total", 1, "outcome", outcome)
 	l.logger.Info("Usage reported.", "window", window, "customers", len(counts), "epoch", term.Epoch, "outcome", outcome,
-		"error", err, "after", late.Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
-	if !isTaken {
+		"error", err, "after", after.Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
+	if outcome == outcomeFailed {
 		sleep.For(ctx, againAfter)
 		return false
 	}
@@ -130,6 +125,21 @@
 	return true
 }
 
+// outcomeOf names what came of a report that was sent so long after its window, for logs and
+// metrics.
+func (l *Leader) outcomeOf(err error, after time.Duration) string {
+	var rejected *RejectedError
+	switch {
+	case errors.As(err, &rejected):
+		return outcomeRejected
+	case err != nil:
+		return outcomeFailed
+	case after > l.late:
+		return outcomeLate
+	}
+	return outcomeInTime
+}
+
 // mayAct reports whether this instance may act now, and until when.
 func (l *Leader) mayAct() (until time.Duration, ok bool) {
 	l.mu.Lock()
--- a/leader/told.go
+++ b/leader/told.go
@@ -98,9 +98,6 @@
 		return
 	}
 	counts, changes := l.book.Open()
-	if ctx.Err() != nil {
-		return
-	}
 	callCtx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	in := toldRequest{Holder: l.mesh.Self().Holder(), Upto: now.UnixMilli(), Counts: counts}
