A request that is handled keeps its connection while the server shuts down

Cause, by reading: net/http takes a connection for idle until it has read the whole head of the next request; a shutdown that looks in that moment closes it, and the request is handled all the same.

Change: inuse. A connection isn't closed while a request on it is handled; one whose connection is closed isn't handled. TestClosedWhileHandled fails without.

--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/lavendermux/lavendermux/fanout"
 	"github.com/lavendermux/lavendermux/giver"
 	"github.com/lavendermux/lavendermux/grade"
+	"github.com/lavendermux/lavendermux/inuse"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/leader"
 	"github.com/lavendermux/lavendermux/manif"
@@ -386,6 +387,7 @@
 		stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 		defer stop()
 		if addr == n.cfg.Front {
+			srv.Handler, srv.ConnContext, l = inuse.Handler(h), inuse.Context, inuse.New(l)
 			g.Go(func() error { n.drain(ctx, srv, l); return nil })
 		}
 		err = srv.Serve(l)
