--- a/bdesk/bdesk.go
+++ b/bdesk/bdesk.go
@@ -16,6 +16,7 @@
 	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/heirs"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/spill"
 )
 
 const (
@@ -52,7 +53,7 @@
 		// stopping is set once this instance takes no new work.
 		stopping atomic.Bool
 		strained func() bool
-		copies   Copies
+		copies   *spill.Spill
 
 		mu sync.Mutex
 		// known are the heads that were read, so that a submission's holder
@@ -68,17 +69,6 @@
 		err  error
 	}
 
-	// Copies are results on disks, listed while the store was away; see package spill.
-	Copies interface {
-		// Choose returns where the copies of a submission should be, or none.
-		Choose(id string, now []batch.Copy) []batch.Copy
-		// Seal has earlier holders refused and returns the results that a copy has from a
-		// position on.
-		Seal(ctx context.Context, id string, epoch int64, copies []batch.Copy, after int) ([]batch.Result, error)
-		// Drop has the copies forget what the store has.
-		Drop(ctx context.Context, id string, epoch int64, copies []batch.Copy)
-	}
-
 	// Query names a submission and who asks for it.
 	Query struct {
 		ID string
@@ -133,7 +123,7 @@
 //
 //	d := bdesk.New(run, store, runner, m, copies, logger, gauge.Strained)
 //	err := d.Submit(ctx, sub)
-func New(run context.Context, store *bstore.Store, runner *brun.Runner, m *mesh.Mesh, copies Copies, logger *log.Logger, strained func() bool) *Desk {
+func New(run context.Context, store *bstore.Store, runner *brun.Runner, m *mesh.Mesh, copies *spill.Spill, logger *log.Logger, strained func() bool) *Desk {
 	return &Desk{
 		strained: strained,
 		copies:   copies,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -79,7 +79,7 @@
 		revision int64
 		// fixed are the reports that the store keeps, by window; taken are those of them
 		// that the platform has, which the next write removes.
-		fixed map[int64]usage.Counts
+		fixed map[int64]map[string]int
 		taken map[int64]bool
 		// told has what instances have counted, by name and boot.
 		told map[string]counted
@@ -128,7 +128,7 @@
 		steady: uptime.Now,
 		lease:  defaultLease,
 		late:   defaultLate,
-		fixed:  make(map[int64]usage.Counts),
+		fixed:  make(map[int64]map[string]int),
 		taken:  make(map[int64]bool),
 		told:   make(map[string]counted),
 	}
@@ -352,7 +352,7 @@
 
 // fix has the store keep the reports of windows, and reports whether it does. A write that
 // got no answer is found, or overtaken, by the next one.
-func (l *Leader) fix(ctx context.Context, reports map[int64]usage.Counts) bool {
+func (l *Leader) fix(ctx context.Context, reports map[int64]map[string]int) bool {
 	l.mu.Lock()
 	c := change{record: l.rec, expected: l.revision, reports: reports, remove: l.removable()}
 	l.mu.Unlock()
--- a/leader/record.go
+++ b/leader/record.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/usage"
 )
 
 const (
@@ -29,7 +28,7 @@
 	// expected is the revision that the record must have.
 	expected int64
 	// reports are fixed, by window, remove are windows whose reports the platform has.
-	reports map[int64]usage.Counts
+	reports map[int64]map[string]int
 	remove  []int64
 }
 
@@ -46,18 +45,18 @@
 }
 
 // readReports returns the reports that the store keeps, by window.
-func (l *Leader) readReports(ctx context.Context) (map[int64]usage.Counts, error) {
+func (l *Leader) readReports(ctx context.Context) (map[int64]map[string]int, error) {
 	items, _, err := l.store.List(ctx, reportPrefix)
 	if err != nil {
 		return nil, err
 	}
-	reports := make(map[int64]usage.Counts, len(items))
+	reports := make(map[int64]map[string]int, len(items))
 	for _, it := range items {
 		window, err := strconv.ParseInt(strings.TrimPrefix(it.Key, reportPrefix), 10, 64)
 		if err != nil {
 			return nil, errors.Wrapf(err, "report %s", it.Key)
 		}
-		var counts usage.Counts
+		var counts map[string]int
 		if err := json.Unmarshal(it.Value, &counts); err != nil {
 			return nil, errors.Wrapf(err, "report %s", it.Key)
 		}
--- a/leader/report.go
+++ b/leader/report.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/sleep"
-	"github.com/lavendermux/lavendermux/usage"
 )
 
 const (
@@ -58,11 +57,11 @@
 }
 
 // dueReports returns the reports of the windows that are over, by window.
-func (l *Leader) dueReports() map[int64]usage.Counts {
+func (l *Leader) dueReports() map[int64]map[string]int {
 	l.mu.Lock()
 	fixed, epoch := l.rec.Fixed, l.rec.Epoch
 	l.mu.Unlock()
-	now, due := l.clock.Now(), make(map[int64]usage.Counts)
+	now, due := l.clock.Now(), make(map[int64]map[string]int)
 	for w := l.firstOpen(fixed); len(due) < fixMost; w++ {
 		over := now.Sub(l.book.Ends(w))
 		counts, isWhole := l.sum(w)
--- a/leader/told.go
+++ b/leader/told.go
@@ -7,7 +7,6 @@
 
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/sleep"
-	"github.com/lavendermux/lavendermux/usage"
 )
 
 const (
@@ -37,8 +36,8 @@
 	toldRequest struct {
 		Holder string `json:"holder"`
 		// Upto is the moment of the counts, in milliseconds since the start of 1970.
-		Upto   int64                  `json:"uptoMs"`
-		Counts map[int64]usage.Counts `json:"counts,omitempty"`
+		Upto   int64                    `json:"uptoMs"`
+		Counts map[int64]map[string]int `json:"counts,omitempty"`
 	}
 
 	toldResponse struct {
@@ -133,15 +132,15 @@
 // have counted in it has told all of it: the live entries, and those that have fallen
 // silent since. A leader that is cut off from its peers hears of no live ones; it must not
 // bill customers for what it counted alone while its successor knows the rest.
-func (l *Leader) sum(window int64) (counts usage.Counts, isWhole bool) {
+func (l *Leader) sum(window int64) (counts map[string]int, isWhole bool) {
 	settled, begin := l.book.Ends(window).Add(settleTime).UnixMilli(), l.book.Ends(window-1).UnixMilli()
 	own, _ := l.book.Open()
 	self := l.mesh.Self()
 	entries := l.mesh.Entries(false)
-	counts = make(usage.Counts)
+	counts = make(map[string]int)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	add := func(of usage.Counts) {
+	add := func(of map[string]int) {
 		for customer, n := range of {
 			counts[customer] += n
 		}
--- a/usage/usage.go
+++ b/usage/usage.go
@@ -17,29 +17,24 @@
 // longer than anybody is without a reader of its counts.
 const windowsMost = 60
 
-type (
-	// Book has the counts of one instance; safe for concurrent use. See New.
-	Book struct {
-		window time.Duration
+// Book has the counts of one instance; safe for concurrent use. See New.
+type Book struct {
+	window time.Duration
 
-		mu sync.Mutex
-		// counts has the windows after reported.
-		counts   map[int64]Counts
-		reported int64
-		// changes counts the changes.
-		changes int64
-	}
-
-	// Counts are the requests of each customer; none is 0.
-	Counts map[string]int
-)
+	mu sync.Mutex
+	// counts has the requests of each customer, by window; those up to reported are gone.
+	counts   map[int64]map[string]int
+	reported int64
+	// changes counts the changes.
+	changes int64
+}
 
 // New returns an empty book with windows of that length.
 //
 //	b := usage.New(5 * time.Second)
 //	w := b.Began("huka270", now)
 func New(window time.Duration) *Book {
-	return &Book{window: window, counts: make(map[int64]Counts)}
+	return &Book{window: window, counts: make(map[int64]map[string]int)}
 }
 
 // Window returns the number of the window that a time lies in, counted from the start of
@@ -67,7 +62,7 @@
 	}
 	of := b.counts[window]
 	if of == nil {
-		of = make(Counts)
+		of = make(map[string]int)
 		b.counts[window] = of
 		delete(b.counts, window-windowsMost)
 	}
@@ -80,10 +75,10 @@
 
 // Open returns the counts of all windows that aren't reported yet, and how often they
 // have changed.
-func (b *Book) Open() (counts map[int64]Counts, changes int64) {
+func (b *Book) Open() (counts map[int64]map[string]int, changes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	counts = make(map[int64]Counts, len(b.counts))
+	counts = make(map[int64]map[string]int, len(b.counts))
 	for w, of := range b.counts {
 		counts[w] = maps.Clone(of)
 	}
@@ -102,5 +97,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reported = max(b.reported, upto)
-	maps.DeleteFunc(b.counts, func(w int64, _ Counts) bool { return w <= b.reported })
+	maps.DeleteFunc(b.counts, func(w int64, _ map[string]int) bool { return w <= b.reported })
 }
--- a/usage/usage_test.go
+++ b/usage/usage_test.go
@@ -21,13 +21,13 @@
 	g.Expect(b.Ends(first)).To(BeTemporally("==", end))
 	b.Undo("b", turnedAway)
 	counts, changes := b.Open()
-	g.Expect(counts).To(Equal(map[int64]Counts{first: {"a": 1}, second: {"a": 1}}))
+	g.Expect(counts).To(Equal(map[int64]map[string]int{first: {"a": 1}, second: {"a": 1}}))
 	g.Expect(changes).To(Equal(b.Changes()))
 	b.Reported(first)
 	b.Undo("a", first)
 	b.Began("a", end.Add(-time.Second))
 	counts, _ = b.Open()
-	g.Expect(counts).To(Equal(map[int64]Counts{second: {"a": 1}}))
+	g.Expect(counts).To(Equal(map[int64]map[string]int{second: {"a": 1}}))
 }
 
 // Nobody has read the counts of an instance for hours. It keeps the last minutes: all of
