--- a/brun/copies.go
+++ b/brun/copies.go
@@ -117,7 +117,7 @@
 	if err != nil {
 		h.copyAt = time.Now().Add(copyRetry)
 		r.meter.Count("results_copied_total", int64(len(results)), "outcome", "failed")
-		r.logger.Warn("Results not on all copies.", "batch", kept.ID, "epoch", kept.Epoch, "from", from, "results", len(results),
+		r.logger.Warn("Results on too few copies.", "batch", kept.ID, "epoch", kept.Epoch, "from", from, "results", len(results),
 			"error", err, "took", took.Round(time.Millisecond))
 		return
 	}
--- a/inuse/inuse_test.go
+++ b/inuse/inuse_test.go
@@ -59,7 +59,7 @@
 	var handled atomic.Bool
 	c := &conn{}
 	near, far := net.Pipe()
-	defer far.Close()
+	t.Cleanup(func() { g.Expect(far.Close()).To(Succeed()) })
 	c.Conn = near
 	g.Expect(c.Close()).To(Succeed())
 	h := Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Store(true) }))
