Trial: an engine takes its own model's items first

The planner's model of each engine, passed on by the process beside it, keeps others away.

Not tried: others' engines at half their places.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/homing"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -71,7 +72,7 @@
 	if slices.IndexFunc(fit, func(v wset.View) bool { return !avoided(v) }) < 0 {
 		return fit
 	}
-	return slices.DeleteFunc(fit, avoided)
+	return homing.Choose(slices.DeleteFunc(fit, avoided), sub.Model, func(v wset.View) string { return v.Home })
 }
 
 func candidates(views []wset.View, centre string, now time.Time) []place.Candidate {
