--- a/brun/runs.go
+++ b/brun/runs.go
@@ -10,7 +10,6 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/endpt"
-	"github.com/lavendermux/lavendermux/homing"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -72,7 +71,7 @@
 	if slices.IndexFunc(fit, func(v wset.View) bool { return !avoided(v) }) < 0 {
 		return fit
 	}
-	return homing.Choose(slices.DeleteFunc(fit, avoided), sub.Model, func(v wset.View) string { return v.Home })
+	return slices.DeleteFunc(fit, avoided)
 }
 
 func candidates(views []wset.View, centre string, now time.Time) []place.Candidate {
--- a/giver/giver.go
+++ b/giver/giver.go
@@ -86,10 +86,6 @@
 		Loading  map[string]bool  `json:"loading"`
 		// Gone is an endpoint that was meant lately and isn't here any longer; "" is none.
 		Gone string `json:"gone,omitempty"`
-		// Home is the model that the planner has in mind for the engine HomeOf; "" is
-		// unknown.
-		Home   string `json:"home,omitempty"`
-		HomeOf string `json:"homeOf,omitempty"`
 		// Known is false until the engine has reported once.
 		Known bool `json:"known"`
 	}
@@ -146,18 +142,6 @@
 	}
 }
 
-// Home takes which model the planner has in mind for an engine. It is passed on to all who
-// send work, so that those who share the engines leave each other's alone.
-func (g *Giver) Home(endpoint, model string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.state.Home == model && g.state.HomeOf == endpoint {
-		return
-	}
-	g.state.Home, g.state.HomeOf = model, endpoint
-	g.tell()
-}
-
 // Now returns the state as it is.
 func (g *Giver) Now() State {
 	g.mu.Lock()
@@ -237,7 +221,9 @@
 	g.logger.Info("Engine is another.", "wanted", endpoint)
 	g.state.Gone = endpoint
 	g.state.Loading = nil
-	g.tell()
+	g.state.Serial++
+	close(g.changed)
+	g.changed = make(chan struct{})
 }
 
 // next returns the order that is due: one at a time, and none while an earlier
@@ -291,13 +277,7 @@
 		return
 	}
 	g.logger.Info("Engine changed.", "versions", rep.Versions, "loading", loading, "busy", rep.Busy, "orders", rep.Orders)
-	g.state.Versions, g.state.Loading, g.state.Known = rep.Versions, loading, true
-	g.tell()
-}
-
-// tell wakes those who wait for State. The lock is held.
-func (g *Giver) tell() {
-	g.state.Serial++
+	g.state = State{Serial: g.state.Serial + 1, Versions: rep.Versions, Loading: loading, Gone: g.state.Gone, Known: true}
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/giver/giver_test.go
+++ b/giver/giver_test.go
@@ -184,20 +184,3 @@
 		g.Expect(e.seen).To(HaveLen(2))
 	})
 }
-
-// Several instances send work to one engine, and one of them plans which model it is for.
-// The others have to learn that from the process beside it, at once and also when the
-// planner is lost afterwards.
-func TestHomeIsPassedOn(t *testing.T) {
-	g := NewWithT(t)
-	giver := New("side", &engine{}, logs.New(io.Discard))
-	before := giver.Now().Serial
-	heard := make(chan State, 1)
-	go func() { heard <- giver.State(t.Context(), before) }()
-	giver.Home("e", "draft")
-	state := <-heard
-	g.Expect(state.Home).To(Equal("draft"))
-	g.Expect(state.HomeOf).To(Equal("e"))
-	giver.Home("e", "draft")
-	g.Expect(giver.Now().Serial).To(Equal(state.Serial), "nothing is new")
-}
--- a/steer/steer.go
+++ b/steer/steer.go
@@ -68,21 +68,16 @@
 	link struct {
 		view   wset.View
 		cancel context.CancelFunc
-		// home is the model that the engine is meant for, told what its process was told
-		// of that.
-		home, told string
-
+		// home is the model that the engine is meant for.
+		home  string
 		wants map[string]giver.Want
 		dirty chan struct{}
 	}
 
 	request struct {
 		Wants []giver.Want `json:"wants"`
-		// Home is the model that the planner has in mind for Endpoint; "" from others.
-		Home     string `json:"home,omitempty"`
-		Endpoint string `json:"endpoint,omitempty"`
-		Seen     int64  `json:"seen"`
-		Wait     int64  `json:"waitMs"`
+		Seen  int64        `json:"seen"`
+		Wait  int64        `json:"waitMs"`
 	}
 )
 
@@ -113,9 +108,6 @@
 		for _, w := range in.Wants {
 			g.Want(w)
 		}
-		if in.Home != "" {
-			g.Home(in.Endpoint, in.Home)
-		}
 		ctx, cancel := context.WithTimeout(ctx, min(waitMost, time.Duration(in.Wait)*time.Millisecond))
 		defer cancel()
 		state := g.State(ctx, in.Seen)
@@ -240,11 +232,7 @@
 	}
 	plan := wplan.New(state)
 	for id, model := range plan.Home {
-		if l := p.links[id]; l.home != model {
-			l.home = model
-			l.poke()
-			p.set.Home(l.view.Endpoint, model)
-		}
+		p.links[id].home = model
 	}
 	for _, load := range plan.Loads {
 		p.want(p.links[load.Engine], load.Model, p.named[load.Model])
@@ -274,11 +262,6 @@
 		Keep:     !p.pure(model),
 	}
 	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running)
-	l.poke()
-}
-
-// poke has the process beside the engine asked at once, with what is new.
-func (l *link) poke() {
 	select {
 	case l.dirty <- struct{}{}:
 	default:
@@ -333,11 +316,6 @@
 	for w := range maps.Values(l.wants) {
 		in.Wants = append(in.Wants, w)
 	}
-	// Told once: of two instances that take themselves for the planner for a moment, each
-	// would otherwise answer the other's change with its own, as fast as the network goes.
-	if !p.plansSince.IsZero() && l.home != l.told {
-		in.Home, in.Endpoint = l.home, l.view.ID
-	}
 	p.mu.Unlock()
 	type answer struct {
 		state *giver.State
@@ -350,36 +328,12 @@
 	}()
 	select {
 	case a := <-done:
-		if a.err == nil && in.Home != "" {
-			p.mu.Lock()
-			l.told = in.Home
-			p.mu.Unlock()
-		}
 		return a.state, a.err
 	case <-l.dirty:
 		return nil, nil
 	}
 }
 
-// takeHome takes which model the engine is meant for. A planner that has just begun goes on
-// with what the one before had in mind, and a process that knows of nothing is told again.
-func (p *Pilot) takeHome(v wset.View, state *giver.State) {
-	known := state.HomeOf == v.ID
-	if known {
-		p.set.Home(v.Endpoint, state.Home)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l, ok := p.links[v.ID]
-	switch {
-	case !ok:
-	case !known:
-		l.told = ""
-	case l.home == "":
-		l.home, l.told = state.Home, state.Home
-	}
-}
-
 func (p *Pilot) take(v wset.View, state *giver.State) {
 	if state.Gone == v.ID {
 		p.logger.Info("Engine gone.", "endpoint", v.ID, "addr", v.Addr)
@@ -389,7 +343,6 @@
 			p.set.Version(v.Endpoint, model, version)
 		}
 		p.set.Loading(v.Endpoint, state.Loading)
-		p.takeHome(v, state)
 	}
 	select {
 	case p.changed <- struct{}{}:
--- a/wset/wset.go
+++ b/wset/wset.go
@@ -57,8 +57,6 @@
 		SuspectUntil time.Time
 		// Loading has the models whose weights are being changed.
 		Loading map[string]bool
-		// Home is the model that the planner has in mind for the engine; "" is unknown.
-		Home string
 	}
 
 	state struct {
@@ -280,11 +278,6 @@
 	s.changed()
 }
 
-// Home takes which model e is meant for.
-func (s *Set) Home(e endpt.Endpoint, model string) {
-	s.with(e, func(st *state) { st.Home = model })
-}
-
 func (s *Set) with(e endpt.Endpoint, f func(*state)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
