--- a/leader/leader.go
+++ b/leader/leader.go
@@ -229,8 +229,8 @@
 	return now.Sub(l.vacant) >= vacantFor && len(order) > 0 && order[0].Name == l.mesh.Self().Name
 }
 
-// inOrder puts the instances first that should lead: those without callers, as none of
-// them waits while its instance leads or is struck down for it, then the strong ones.
+// inOrder puts the instances first that should lead: those without callers, as no caller
+// waits there while the instance leads, or fails, then the strong ones.
 func inOrder(nodes []mesh.Node) []mesh.Node {
 	callers := func(n mesh.Node) int {
 		if n.Plans {
