Operators list and clear requests that are held back; trace follows all attempts

Cause: nobody could see what an instance holds back, or let a request through once its service is mended, before its time was over.

--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -24,6 +24,7 @@
 	Side      sideCommand      `cmd:"" group:"Programs" help:"Run the process beside an endpoint."`
 	Node      nodeCommand      `cmd:"" group:"Programs" help:"Run a process of a deployment, with the settings of the machine it is on."`
 	Instances instancesCommand `cmd:"" group:"Programs" help:"Show what the processes of a deployment believe, and where they differ."`
+	Held      heldCommand      `cmd:"" group:"Programs" help:"List the requests under which endpoints ended, or let one through again."`
 	Trace     traceCommand     `cmd:"" group:"Programs" help:"Print the story of one request, item or batch from the logs of several processes."`
 	Copies    copiesCommand    `cmd:"" group:"Programs" help:"Look at the copies of results on a data instance's disk."`
 	Settings  settingsCommand  `cmd:"" group:"Programs" help:"Look at settings files."`
--- a/cmd/lavendermux/trace.go
+++ b/cmd/lavendermux/trace.go
@@ -10,15 +10,19 @@
 )
 
 type traceCommand struct {
-	ID    string   `arg:"" help:"Id of a request, an item or a batch submission."`
-	Files []string `arg:"" type:"existingfile" help:"Logs of the processes."`
+	Attempts bool     `help:"Also the lines about other attempts of the same request, by its fingerprint."`
+	ID       string   `arg:"" help:"Id of a request, an item or a batch submission, or the fingerprint of a request."`
+	Files    []string `arg:"" type:"existingfile" help:"Logs of the processes."`
 }
 
 // Run prints the story of one id from several logs, in the order of time.
 func (c *traceCommand) Run(s *session) error {
-	story := trace.New(c.ID)
-	for _, name := range c.Files {
-		if err := readLog(name, story.Read); err != nil {
+	story, err := c.read(trace.New(c.ID))
+	if err != nil {
+		return err
+	}
+	if prints := story.Prints(); c.Attempts && len(prints) > 0 {
+		if story, err = c.read(trace.New(c.ID, prints...)); err != nil {
 			return err
 		}
 	}
@@ -28,6 +32,15 @@
 	return story.Write(s.out)
 }
 
+func (c *traceCommand) read(story *trace.Story) (*trace.Story, error) {
+	for _, name := range c.Files {
+		if err := readLog(name, story.Read); err != nil {
+			return nil, err
+		}
+	}
+	return story, nil
+}
+
 // readLog has a report read one log.
 func readLog(name string, read func(io.Reader) error) error {
 	f, err := os.Open(name)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -3,6 +3,7 @@
 package guard
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/lavendermux/lavendermux/poison"
 	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/strike"
+	"github.com/lavendermux/lavendermux/views"
 )
 
 const (
@@ -322,6 +324,24 @@
 	return g.table.Records(time.Now())
 }
 
+// List returns the requests under which endpoints ended, those with the most first.
+func (g *Guard) List() []views.Held {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	var out []views.Held
+	for _, r := range g.table.Records(now) {
+		h := views.Held{Print: r.Print.String(), Strikes: g.table.Strikes(r.Print), Ended: r.Ended}
+		var held *poison.HeldError
+		if errors.As(g.table.Held(r.Print, now), &held) {
+			h.RetryMs = held.RetryAfter.Milliseconds()
+		}
+		out = append(out, h)
+	}
+	slices.SortStableFunc(out, func(a, b views.Held) int { return cmp.Compare(b.Strikes, a.Strikes) })
+	return out
+}
+
 // Digest is the same at two instances that know the same, and 0 where nothing is known.
 func (g *Guard) Digest() uint64 {
 	g.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,7 @@
 	"github.com/lavendermux/lavendermux/usage"
 	"github.com/lavendermux/lavendermux/views"
 	"github.com/lavendermux/lavendermux/walog"
+	"github.com/lavendermux/lavendermux/warden"
 	"github.com/lavendermux/lavendermux/wset"
 )
 
@@ -242,6 +243,9 @@
 		router := mux.NewRouter()
 		n.meter.Register(router)
 		router.HandleFunc(views.Path, n.serveView).Methods(http.MethodGet)
+		if n.guard != nil {
+			warden.New(n.guard).Register(router)
+		}
 		n.serve(gctx, g, n.cfg.Metrics, router)
 	}
 	g.Go(func() error {
--- a/node/view.go
+++ b/node/view.go
@@ -44,6 +44,7 @@
 	for _, e := range n.beliefs.Set.All() {
 		v.Endpoints = append(v.Endpoints, viewEndpoint(e, now))
 	}
+	v.Held = n.guard.List()
 	return v
 }
 
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -25,7 +25,7 @@
 type (
 	// Story is the lines about one id. See New.
 	Story struct {
-		id    string
+		ids   []string
 		lines []line
 	}
 
@@ -37,11 +37,11 @@
 	}
 )
 
-// New returns an empty story about id.
+// New returns an empty story about id, and about what else goes by one of the others.
 //
 //	s := trace.New("9c41d07be2a35f68")
 //	err := s.Read(file)
-func New(id string) *Story { return &Story{id: id} }
+func New(id string, others ...string) *Story { return &Story{ids: append([]string{id}, others...)} }
 
 // Read takes the lines of one log that name the id. Lines that aren't a logger's,
 // and those in which another writer's text got mixed, are passed over.
@@ -57,7 +57,8 @@
 }
 
 func (s *Story) parse(text string) (line, bool) {
-	if !strings.Contains(text, s.id) {
+	isCandidate := slices.ContainsFunc(s.ids, func(id string) bool { return strings.Contains(text, id) })
+	if !isCandidate {
 		return line{}, false
 	}
 	var l line
@@ -77,13 +78,28 @@
 		case "instance":
 			l.instance = value
 		default:
-			named = named || slices.Contains(strings.Fields(strings.Trim(value, "[]")), s.id)
+			named = named || slices.ContainsFunc(strings.Fields(strings.Trim(value, "[]")), s.isNamed)
 			l.rest = append(l.rest, m[0])
 		}
 	}
 	return l, named && !l.at.IsZero()
 }
 
+func (s *Story) isNamed(word string) bool { return slices.Contains(s.ids, word) }
+
+// Prints returns the fingerprints of the requests in the story.
+func (s *Story) Prints() []string {
+	var out []string
+	for _, l := range s.lines {
+		for _, f := range l.rest {
+			if p, ok := strings.CutPrefix(f, "print="); ok && !slices.Contains(out, p) {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
 // Write prints the story in the order of time, each line with the time since the
 // first.
 func (s *Story) Write(w io.Writer) error {
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -35,3 +35,18 @@
 	g.Expect(s.Read(strings.NewReader("time=2026-01-02T03:04:05Z msg=x batches=\"[cd34 ab12]\"\n"))).To(Succeed())
 	g.Expect(s.Len()).To(Equal(1))
 }
+
+// Guards against a failed attempt whose cause stands in the lines of other attempts only:
+// they go by the request's fingerprint.
+func TestOtherAttempts(t *testing.T) {
+	g := NewWithT(t)
+	log := "time=2026-01-02T03:04:05Z msg=\"Request done.\" request=a1 print=5f0c outcome=held\n" +
+		"time=2026-01-02T03:04:04Z msg=\"Endpoint broke off.\" request=a0 print=5f0c outcome=ended\n" +
+		"time=2026-01-02T03:04:04Z msg=\"Request done.\" request=b0 print=77aa outcome=answered\n"
+	s := New("a1")
+	g.Expect(s.Read(strings.NewReader(log))).To(Succeed())
+	g.Expect(s.Prints()).To(Equal([]string{"5f0c"}))
+	s = New("a1", s.Prints()...)
+	g.Expect(s.Read(strings.NewReader(log))).To(Succeed())
+	g.Expect(s.Len()).To(Equal(2))
+}
--- a/views/views.go
+++ b/views/views.go
@@ -5,13 +5,18 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
+	"time"
 )
 
 const (
 	// Path is where a process serves its view, on its metrics address.
 	Path = "/view"
+	// HeldPath is where a process clears a request that it holds back, whose fingerprint
+	// follows.
+	HeldPath = "/held/"
 
 	// RoleEntry is an instance that callers reach.
 	RoleEntry = "entry"
@@ -45,12 +50,26 @@
 		// Batches are the submissions held here, with the epoch of each.
 		Batches   map[string]int64 `json:"batches,omitempty"`
 		Endpoints []Endpoint       `json:"endpoints,omitempty"`
+		// Held are the requests under which endpoints ended, those with the most first.
+		Held []Held `json:"held,omitempty"`
 		// Engine is the endpoint beside the process, and Versions what it serves.
 		Engine   string           `json:"engine,omitempty"`
 		Versions map[string]int64 `json:"versions,omitempty"`
 		Loading  []string         `json:"loading,omitempty"`
 	}
 
+	// Held is a request under which endpoints ended.
+	Held struct {
+		Print string `json:"print"`
+		// Strikes are the boots that count against it, Ended all that ended, with how long
+		// ago in milliseconds.
+		Strikes int              `json:"strikes"`
+		Ended   map[string]int64 `json:"ended"`
+		// RetryMs is the time until it is sent again, in milliseconds; 0 where it isn't
+		// held back.
+		RetryMs int64 `json:"retryMs,omitempty"`
+	}
+
 	// Endpoint is what a process believes about one endpoint.
 	Endpoint struct {
 		ID       string           `json:"id"`
@@ -122,6 +141,24 @@
 	return out
 }
 
+// HeldRows returns a line of cells for each request that an instance knows to end
+// endpoints, with the headings first.
+func HeldRows(all []View) [][]string {
+	rows := [][]string{{"PRINT", "INSTANCE", "STRIKES", "HELD FOR", "ENDED"}}
+	for _, v := range all {
+		for _, h := range v.Held {
+			state := "-"
+			if h.RetryMs > 0 {
+				state = (time.Duration(h.RetryMs) * time.Millisecond).Round(time.Second).String()
+			}
+			boots := slices.Sorted(maps.Keys(h.Ended))
+			rows = append(rows, []string{h.Print, v.Instance, number(int64(h.Strikes)), state, strings.Join(boots, " ")})
+		}
+	}
+	slices.SortStableFunc(rows[1:], func(a, b []string) int { return strings.Compare(a[0]+a[1], b[0]+b[1]) })
+	return rows
+}
+
 // Rows returns a line of cells for each view, in the order of roles and names, with
 // the headings first.
 func Rows(all []View) [][]string {
--- a/views/views_test.go
+++ b/views/views_test.go
@@ -47,3 +47,18 @@
 	g.Expect(rows[1][8]).To(Equal("m=3"))
 	g.Expect(rows[4]).To(Equal([]string{"entry-1", "entry", "", "7", "ok", "-", "-", "1 of 2", "-"}))
 }
+
+// Guards against an operator who can't see which instance still holds a request back.
+func TestHeldRows(t *testing.T) {
+	g := NewWithT(t)
+	ended := map[string]int64{"b/2": 1500, "a/1": 9000}
+	rows := HeldRows([]View{
+		{Instance: "entry-2", Held: []Held{{Print: "5f0c", Strikes: 2, Ended: ended}}},
+		{Instance: "entry-1", Held: []Held{{Print: "5f0c", Strikes: 3, Ended: ended, RetryMs: 599_800}, {Print: "11aa", Strikes: 1}}},
+	})
+	g.Expect(rows[1:]).To(Equal([][]string{
+		{"11aa", "entry-1", "1", "-", ""},
+		{"5f0c", "entry-1", "3", "10m0s", "a/1 b/2"},
+		{"5f0c", "entry-2", "2", "-", "a/1 b/2"},
+	}))
+}
