The product's own interface holds back requests that end endpoints

Cause: the same as behind the platform's face: retry budgets and ejection look at doors, and nothing at the request. A door's 'cut off' didn't say whether its endpoint had ended. Change: a door says which boot of its endpoint ended (demise: nothing listens any more; refusals carry it), the relay asks the one guard before each send, also of samples, and tells it the end of each. Ruled out: counting at the door alone, which would end each endpoint of a service once, however many there are.

--- a/calls/calls.go
+++ b/calls/calls.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/demise"
 	"github.com/lavendermux/lavendermux/drain"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/keymem"
@@ -58,6 +59,7 @@
 		service caller
 		keys    *keymem.Memory
 		home    func(key string) (bool, time.Time)
+		demise  *demise.Demise
 
 		mu     sync.Mutex
 		active int
@@ -95,6 +97,12 @@
 	return func(d *Door) { d.home = home }
 }
 
+// WithDemise tells whether the endpoint ended while it ran a call. By default nobody can
+// tell.
+func WithDemise(w *demise.Demise) Option {
+	return func(d *Door) { d.demise = w }
+}
+
 // Describe fills in what the door knows of its endpoint.
 func (d *Door) Describe(st *wire.EndpointState) {
 	d.mu.Lock()
@@ -240,7 +248,7 @@
 	case ctx.Err() != nil:
 		return nil, &fault.UnknownOutcomeError{Cause: CauseDeadline, Reason: "the deadline passed while the service was at it"}
 	}
-	return nil, &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: err.Error()}
+	return nil, &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: err.Error(), Ended: d.demise.Ended(ctx)}
 }
 
 func isFirst(req *wire.CallRequest) bool {
--- /dev/null
+++ b/demise/demise_test.go
@@ -0,0 +1,42 @@
+package demise
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// Guards against a lost answer or a silent path that passes for a crash, and against one
+// crash that passes for several: only a closed port counts, and once for all who see it.
+func TestEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		var err error
+		d, made := New("side-1/7", "http://10.0.0.1:8080/base", func(_ context.Context, _, addr string) (net.Conn, error) {
+			g.Expect(addr).To(Equal("10.0.0.1:8080"))
+			if err == nil {
+				near, far := net.Pipe()
+				_ = far.Close()
+				return near, nil
+			}
+			return nil, err
+		})
+		g.Expect(made).NotTo(HaveOccurred())
+		g.Expect(d.Ended(t.Context())).To(BeEmpty())
+		err = syscall.ETIMEDOUT
+		g.Expect(d.Ended(t.Context())).To(BeEmpty())
+		err = &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		g.Expect(d.Ended(t.Context())).To(Equal("side-1/7/1"))
+		time.Sleep(together / 2)
+		g.Expect(d.Ended(t.Context())).To(Equal("side-1/7/1"))
+		time.Sleep(2 * together)
+		g.Expect(d.Ended(t.Context())).To(Equal("side-1/7/2"))
+		var none *Demise
+		g.Expect(none.Ended(t.Context())).To(BeEmpty())
+	})
+}
--- a/door/door.go
+++ b/door/door.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/lavendermux/lavendermux/attrib"
+	"github.com/lavendermux/lavendermux/demise"
 	"github.com/lavendermux/lavendermux/drain"
 	"github.com/lavendermux/lavendermux/engst"
 	"github.com/lavendermux/lavendermux/fault"
@@ -65,6 +66,7 @@
 		gate   entrance
 		log    *log.Logger
 		poll   time.Duration
+		demise *demise.Demise
 
 		track attrib.Tracker
 		// orders lets one order through at a time.
@@ -129,6 +131,12 @@
 	return func(d *Door) { d.log = l }
 }
 
+// WithDemise tells whether the engine ended while it ran a request. By default nobody can
+// tell.
+func WithDemise(w *demise.Demise) Option {
+	return func(d *Door) { d.demise = w }
+}
+
 // Watch asks the engine what it holds, again and again, until ctx ends.
 func (d *Door) Watch(ctx context.Context) {
 	tick := time.NewTicker(d.poll)
--- a/door/run.go
+++ b/door/run.go
@@ -280,6 +280,8 @@
 	if errors.As(err, &rejected) {
 		return &fault.NotRunError{Cause: CauseRejected, Reason: rejected.Reason, RetryAfter: notReadyRetry}
 	}
+	// Asked first: the cancel of a request may wait for an engine that is gone.
+	ended := s.door.demise.Ended(ctx)
 	s.cancel(ctx)
 	if !s.held() {
 		if flushErr := s.flush(ctx, false); flushErr != nil {
@@ -289,7 +291,7 @@
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &fault.UnknownOutcomeError{Cause: CauseDeadline, Reason: "the deadline passed while the engine was at it"}
 	}
-	return &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: "the engine's stream broke off: " + err.Error()}
+	return &fault.UnknownOutcomeError{Cause: CauseCutOff, Reason: "the engine's stream broke off: " + err.Error(), Ended: ended}
 }
 
 // cancel outlives the request's own context, which is often what ended.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,8 @@
 	"github.com/lavendermux/lavendermux/ecfg"
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/front"
+	"github.com/lavendermux/lavendermux/gossip"
+	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/holder"
 	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/insts"
@@ -70,6 +72,9 @@
 		beats   *beats.Client
 		hub     *hubs.Hub
 		relay   *relay.Relay
+		meter   *meter.Meter
+		guard   *guard.Guard
+		gossip  *gossip.Gossip
 		front   *front.Front
 		train   *train.Train
 		ops     *opapi.API
@@ -104,12 +109,13 @@
 		boot:    time.Now().UnixNano(),
 		conf:    confs.New(),
 		view:    fleet.New(),
+		meter:   meter.New(),
 		holders: map[string]*holder.Holder{},
 	}
 	for _, opt := range opts {
 		opt(e)
 	}
-	e.seen = observ.New(e.conf, counts.New(cfg.Instance, e.conf), meter.New(),
+	e.seen = observ.New(e.conf, counts.New(cfg.Instance, e.conf), e.meter,
 		reason.New(cfg.Instance, reason.WithLog(e.log)))
 	e.clients()
 	e.membership()
@@ -161,8 +167,10 @@
 }
 
 func (e *Entry) faces() {
+	e.guard = guard.New(e.log, e.meter, guard.WithProbe(relay.Told))
+	e.gossip = gossip.New(&neighbours{entry: e}, e.guard, e.log, gossip.WithPoll(gossipPoll))
 	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
-		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare))
+		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare), relay.WithGuard(e.guard))
 	e.front = front.New(e.relay, e.conf,
 		front.WithCount(e.seen), front.WithLog(e.log), front.WithMaxBody(int64(e.cfg.MaxBody)),
 		front.WithTimeout(time.Duration(e.cfg.LiveTimeout)))
@@ -230,6 +238,8 @@
 func (e *Entry) start(ctx, background context.Context) <-chan struct{} {
 	go e.beats.Run(background)
 	go e.hub.Run(background)
+	go e.guard.Run(background)
+	go e.gossip.Run(background)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -284,6 +294,7 @@
 	m := http.NewServeMux()
 	m.Handle(wireconnect.NewPeerServiceHandler(&peerHandler{Hub: e.hub, entry: e},
 		connect.WithCompressMinBytes(compressFrom)))
+	m.Handle(e.gossip.Handler())
 	return m
 }
 
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -28,6 +28,9 @@
 		Cause string
 		// Reason is a sentence for people.
 		Reason string
+		// Ended names the boot of the endpoint that ended while it ran the request;
+		// "" where it lives, or nobody can tell.
+		Ended string
 	}
 
 	// FieldError says which field of an input is wrong, and why.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -37,18 +37,32 @@
 type (
 	// Gossip tells peers what a guard knows. See New.
 	Gossip struct {
-		mesh   *mesh.Mesh
+		peers  peers
 		guard  *guard.Guard
 		logger *log.Logger
+		// poll is the time between two questions to a peer whose digest nobody tells; 0 asks
+		// none.
+		poll time.Duration
 		// differing has the last peer whose digest was another one.
 		differing chan mesh.Node
 	}
 
+	// Option changes a Gossip as New makes it.
+	Option func(*Gossip)
+
+	// peers are the instances in touch, such as a *mesh.Mesh.
+	peers interface {
+		Self() mesh.Node
+		Alive() []mesh.Node
+		Client() *http.Client
+	}
+
 	message struct {
 		From    string          `json:"from"`
 		Records []strike.Record `json:"records,omitempty"`
-		// All asks for everything that the other one knows.
-		All bool `json:"all,omitempty"`
+		// All asks for everything that the other one knows, if its digest is another one.
+		All    bool   `json:"all,omitempty"`
+		Digest uint64 `json:"digest,omitempty"`
 	}
 )
 
@@ -56,8 +70,18 @@
 //
 //	g := gossip.New(mesh, guard, logger)
 //	go g.Run(ctx)
-func New(m *mesh.Mesh, g *guard.Guard, logger *log.Logger) *Gossip {
-	return &Gossip{mesh: m, guard: g, logger: logger, differing: make(chan mesh.Node, 1)}
+func New(p peers, g *guard.Guard, logger *log.Logger, opts ...Option) *Gossip {
+	out := &Gossip{peers: p, guard: g, logger: logger, differing: make(chan mesh.Node, 1)}
+	for _, opt := range opts {
+		opt(out)
+	}
+	return out
+}
+
+// WithPoll has a peer asked in such intervals what it knows, where signs of life carry no
+// digest. The default asks none.
+func WithPoll(every time.Duration) Option {
+	return func(g *Gossip) { g.poll = every }
 }
 
 // Handler serves peers.
@@ -65,8 +89,8 @@
 
 func (g *Gossip) serve(_ context.Context, in *message) (*message, error) {
 	g.guard.Take(in.Records, in.From)
-	out := &message{From: g.mesh.Self().Name}
-	if in.All {
+	out := &message{From: g.peers.Self().Name}
+	if in.All && in.Digest != g.guard.Digest() {
 		out.Records = g.guard.Records()
 	}
 	return out, nil
@@ -107,11 +131,11 @@
 	if len(records) == 0 {
 		return
 	}
-	peers := g.mesh.Alive()
+	peers := g.peers.Alive()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	var wg sync.WaitGroup
 	for _, n := range peers[:min(fanout, len(peers))] {
-		wg.Go(func() { g.exchange(ctx, n, message{From: g.mesh.Self().Name, Records: records}) })
+		wg.Go(func() { g.exchange(ctx, n, message{From: g.peers.Self().Name, Records: records}) })
 	}
 	wg.Wait()
 }
@@ -119,11 +143,19 @@
 // runAll exchanges everything with peers that know something else.
 func (g *Gossip) runAll(ctx context.Context) {
 	for {
+		var poll <-chan time.Time
+		if g.poll > 0 {
+			poll = time.After(g.poll)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case n := <-g.differing:
-			g.exchange(ctx, n, message{From: g.mesh.Self().Name, Records: g.guard.Records(), All: true})
+			g.exchangeAll(ctx, n)
+		case <-poll:
+			if peers := g.peers.Alive(); len(peers) > 0 {
+				g.exchangeAll(ctx, peers[rand.IntN(len(peers))])
+			}
 		}
 		if !sleep.For(ctx, allEvery) {
 			return
@@ -131,10 +163,15 @@
 	}
 }
 
+func (g *Gossip) exchangeAll(ctx context.Context, n mesh.Node) {
+	digest := g.guard.Digest()
+	g.exchange(ctx, n, message{From: g.peers.Self().Name, Records: g.guard.Records(), All: true, Digest: digest})
+}
+
 func (g *Gossip) exchange(ctx context.Context, n mesh.Node, m message) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	res, err := mesh.Call[message, message](ctx, g.mesh.Client(), n.Addr, path, &m)
+	res, err := mesh.Call[message, message](ctx, g.peers.Client(), n.Addr, path, &m)
 	if err != nil {
 		// Its digest will differ in its next sign of life.
 		g.logger.Info("Crashes not told.", "peer", n.Name, "records", len(m.Records), "error", err)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -181,7 +181,7 @@
 // closed after the first look at its address: until then the request shouldn't be sent again.
 func (g *Guard) Broke(request string, p finger.Print, e endpt.Endpoint, err error) (looked <-chan struct{}) {
 	g.mu.Lock()
-	beside := g.table.Running(e.Boot()) - 1
+	beside := max(0, g.table.Running(e.Boot())-1)
 	g.mu.Unlock()
 	if !g.known(e) {
 		g.noteBroken(request, p, e, beside, "leaving", err)
--- a/refuse/refuse.go
+++ b/refuse/refuse.go
@@ -37,6 +37,7 @@
 			Outcome: wire.Outcome_OUTCOME_UNKNOWN,
 			Cause:   unknown.Cause,
 			Reason:  unknown.Reason,
+			Ended:   unknown.Ended,
 			Load:    load,
 		}
 	case errors.As(err, &notRun):
@@ -79,7 +80,7 @@
 	case r == nil:
 		return nil
 	case r.GetOutcome() != wire.Outcome_OUTCOME_NOT_RUN:
-		return &fault.UnknownOutcomeError{Cause: r.GetCause(), Reason: r.GetReason()}
+		return &fault.UnknownOutcomeError{Cause: r.GetCause(), Reason: r.GetReason(), Ended: r.GetEnded()}
 	case r.GetCause() == CauseBadField:
 		return &fault.FieldError{Field: r.GetField(), Problem: r.GetReason()}
 	case r.GetCause() == CauseOldFence:
--- a/relay/call.go
+++ b/relay/call.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/refuse"
 	"github.com/lavendermux/lavendermux/tenure"
 	"github.com/lavendermux/lavendermux/wire"
@@ -52,11 +52,7 @@
 // callAgain decides whether a failed call is sent once more. A refusal with
 // another endpoint to ask needs no wait.
 func (r *Relay) callAgain(ctx context.Context, req *wire.CallRequest, err error, attempt int) (time.Duration, bool) {
-	var notRun *fault.NotRunError
-	if errors.As(err, &notRun) && notRun.Cause == CauseNoEndpoint {
-		return 0, false
-	}
-	if ctx.Err() != nil {
+	if isFinal(err) || ctx.Err() != nil {
 		return 0, false
 	}
 	if r.second(req.GetService(), err, attempt) {
@@ -109,6 +105,10 @@
 func (r *Relay) callDoor(ctx context.Context, req *wire.CallRequest, door *wire.EndpointState) (*wire.CallResponse, error) {
 	req.TimeoutMs = timeLeft(ctx)
 	id := door.GetInstance()
+	p := finger.Of(req.GetCaller(), req.GetService(), req.GetPath(), req.GetBody())
+	if err := r.begin(p, door); err != nil {
+		return nil, err
+	}
 	r.sent(req.GetService(), id)
 	resp, err := r.dial.Door(door.GetAddress()).Call(ctx, connect.NewRequest(req))
 	var load *wire.DoorLoad
@@ -128,5 +128,6 @@
 		}
 	}
 	r.outcome(ctx, req.GetService(), id, load, err)
+	r.end(ctx, req.GetRequestId(), p, door, err)
 	return out, err
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/finger"
+	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/refuse"
 	"github.com/lavendermux/lavendermux/wire"
 	"google.golang.org/protobuf/proto"
@@ -28,6 +30,8 @@
 		each    func(*wire.Segment) error
 		started func(door string)
 		prefix  uint64
+		// print tells whether another request is the same one.
+		print finger.Print
 		// made is what has been passed on, all doors together.
 		made []*wire.Segment
 		// ran is true once a door has taken the request in: from then on its
@@ -56,6 +60,7 @@
 		each:    each,
 		started: started,
 		prefix:  prefixKey(req),
+		print:   finger.Of(req.GetCaller(), service, req.GetModel(), []byte(req.GetPrompt())),
 		made:    req.GetPrior(),
 		tried:   map[string]bool{},
 	}
@@ -109,7 +114,7 @@
 			return end, nil
 		}
 		var notRun *fault.NotRunError
-		if !errors.As(err, &notRun) {
+		if !errors.As(err, &notRun) || isFinal(err) {
 			return nil, err
 		}
 	}
@@ -126,7 +131,7 @@
 	if ctx.Err() != nil || (!errors.As(err, &notRun) && !errors.As(err, &unknown)) {
 		return 0, false
 	}
-	if notRun != nil && notRun.Cause == CauseNoEndpoint {
+	if isFinal(err) {
 		return 0, false
 	}
 	wait, allowed := p.relay.again(p.service, err, true, p.attempt)
@@ -152,8 +157,18 @@
 	return err
 }
 
-// through runs the rest of the work at one door.
+// through runs the rest of the work at one door, unless it is held back.
 func (p *passage) through(ctx context.Context, door *wire.EndpointState) (*wire.End, error) {
+	if err := p.relay.begin(p.print, door); err != nil {
+		return nil, err
+	}
+	end, err := p.stream(ctx, door)
+	p.relay.end(ctx, p.req.GetRequestId(), p.print, door, err)
+	return end, err
+}
+
+// stream asks one door and reads what it sends.
+func (p *passage) stream(ctx context.Context, door *wire.EndpointState) (*wire.End, error) {
 	id := door.GetInstance()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -204,6 +219,7 @@
 	ctx context.Context, id, requestID string, stream *connect.ServerStreamForClient[wire.RunEvent],
 ) (*wire.End, *wire.DoorLoad, error) {
 	var load *wire.DoorLoad
+	start, isProven := time.Now(), false
 	for stream.Receive() {
 		ev := stream.Msg()
 		if ev.GetRequestId() != requestID {
@@ -219,6 +235,10 @@
 			}
 		case *wire.RunEvent_Segment:
 			p.made = append(p.made, what.Segment)
+			if !isProven && time.Since(start) >= guard.Proven {
+				isProven = true
+				p.relay.guard.Answered(p.print)
+			}
 			if err := p.each(what.Segment); err != nil {
 				return nil, load, &eachError{cause: err}
 			}
--- /dev/null
+++ b/relay/held_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/poison"
+	"github.com/lavendermux/lavendermux/refuse"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+// ending is the error of a door whose endpoint ended under the nth request.
+func ending(n int) error {
+	return &fault.UnknownOutcomeError{Cause: CauseCutOff, Ended: fmt.Sprintf("endpoint/%d", n)}
+}
+
+// Guards against a call that crashes every endpoint of a service: it comes again from its
+// caller and must not go on to the next one for ever.
+func TestDeadlyCallIsHeldBack(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			d := &doors{}
+			for n := range 20 {
+				d.calls = append(d.calls, func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+					return &wire.CallResponse{RequestId: req.GetRequestId(), Refusal: refuse.Wire(ending(n), nil)}, nil
+				})
+			}
+			r := newRelay(d)
+			var err error
+			for n := range 10 {
+				_, err = r.Call(t.Context(), &wire.CallRequest{RequestId: fmt.Sprint(n), Service: service, Path: "/book",
+					Body: []byte("deadly"), Idempotent: idempotent}, nil)
+				time.Sleep(10 * time.Second)
+			}
+			g.Expect(d.asked).To(HaveLen(poison.Limit))
+			g.Expect(causeOf(err)).To(Equal("not run " + CauseHeld))
+		})
+	}
+}
+
+// Guards against a generation that crashes every engine, which is resumed at one after the
+// other.
+func TestDeadlyGenerationIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := &doors{}
+		for n := range 20 {
+			d.runs = append(d.runs, plays(nil, accepted, refuses(ending(n))))
+		}
+		r := newRelay(d)
+		var err error
+		for range 10 {
+			_, err = generate(t.Context(), r)
+			time.Sleep(10 * time.Second)
+		}
+		g.Expect(d.asked).To(HaveLen(poison.Limit))
+		g.Expect(causeOf(err)).To(Equal("not run " + CauseHeld))
+	})
+}
+
+// Guards against callers that are held back for answers that were merely lost.
+func TestLostAnswersHoldNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := &doors{}
+		for range 10 {
+			d.calls = append(d.calls, func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+				return &wire.CallResponse{RequestId: req.GetRequestId(), Refusal: refuse.Wire(&fault.UnknownOutcomeError{Cause: CauseCutOff}, nil)}, nil
+			})
+		}
+		r := newRelay(d)
+		for n := range 10 {
+			_, err := r.Call(t.Context(), &wire.CallRequest{RequestId: fmt.Sprint(n), Service: service, Path: "/book"}, nil)
+			g.Expect(causeOf(err)).To(Equal("unknown " + CauseCutOff))
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
+
+// Guards against "not run" for a call that had run: an endpoint ended under it before it
+// was held back.
+func TestHeldAfterItRanIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := &doors{}
+		for n := range 20 {
+			d.calls = append(d.calls, func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+				return &wire.CallResponse{RequestId: req.GetRequestId(), Refusal: refuse.Wire(ending(n), nil)}, nil
+			})
+		}
+		r := newRelay(d)
+		for n, asked := 0, 0; len(d.asked) < poison.Limit; n++ {
+			_, err := r.Call(t.Context(), &wire.CallRequest{RequestId: fmt.Sprint(n), Service: service, Path: "/book", Idempotent: true}, nil)
+			if len(d.asked) > asked {
+				g.Expect(causeOf(err)).To(HavePrefix("unknown"))
+			}
+			asked = len(d.asked)
+			time.Sleep(10 * time.Second)
+		}
+	})
+}
--- a/relay/options.go
+++ b/relay/options.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 
+	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/route"
 )
 
@@ -26,3 +27,9 @@
 func WithSeed(seed uint64) Option {
 	return func(r *Relay) { r.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
+
+// WithGuard sets who holds back requests under which endpoints end. Its probe must be Told.
+// The default is a guard that no other instance hears of.
+func WithGuard(g *guard.Guard) Option {
+	return func(r *Relay) { r.guard = g }
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,14 +9,21 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/poison"
 	"github.com/lavendermux/lavendermux/retry"
 	"github.com/lavendermux/lavendermux/route"
 	"github.com/lavendermux/lavendermux/subset"
@@ -37,6 +44,8 @@
 	CauseCount = "count"
 	// CauseDeadline says that the deadline passed.
 	CauseDeadline = "deadline"
+	// CauseHeld says that a request is held back, since endpoints ended under it.
+	CauseHeld = "held"
 
 	// defaultSubset is how many endpoints of a service one entry talks to. With
 	// 350 entries before 700 workers each worker then hears from 12 entries, and
@@ -48,6 +57,9 @@
 	// longestWait is the longest that a request waits here before it is sent
 	// again; a longer one is the caller's to wait, who is told so at once.
 	longestWait = 250 * time.Millisecond
+	// lookMost bounds the wait until the end of an endpoint counts against the request that
+	// ran there; sent on before, it would take the next endpoint.
+	lookMost = 40 * time.Millisecond
 	// answerMargin is kept of each deadline for the way back, so that a door's
 	// refusal still reaches the caller.
 	answerMargin = 10 * time.Millisecond
@@ -62,6 +74,7 @@
 		place []route.Option
 		size  int
 		share func() float64
+		guard *guard.Guard
 
 		mu       sync.Mutex
 		rng      *rand.Rand
@@ -100,6 +113,7 @@
 		dial:     dial,
 		size:     defaultSubset,
 		share:    func() float64 { return defaultShare },
+		guard:    guard.New(log.New(io.Discard), meter.New(), guard.WithProbe(Told)),
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		services: map[string]*target{},
 	}
@@ -212,6 +226,46 @@
 	}
 }
 
+// Told is the look at an endpoint that its door has seen end: there is nothing to look at.
+func Told(context.Context, endpt.Endpoint) bool { return true }
+
+// begin counts a request that goes to a door, unless it is held back.
+func (r *Relay) begin(p finger.Print, door *wire.EndpointState) error {
+	err := r.guard.Begin(p, endpt.Endpoint{ID: door.GetInstance()})
+	var held *poison.HeldError
+	if errors.As(err, &held) {
+		return &fault.NotRunError{Cause: CauseHeld, Reason: held.Error(), RetryAfter: held.RetryAfter}
+	}
+	return err
+}
+
+// end takes how a request ended at a door.
+func (r *Relay) end(ctx context.Context, id string, p finger.Print, door *wire.EndpointState, err error) {
+	var unknown *fault.UnknownOutcomeError
+	switch {
+	case err == nil:
+		r.guard.Answered(p)
+	case errors.As(err, &unknown) && unknown.Ended != "":
+		r.await(ctx, r.guard.Broke(id, p, endpt.Endpoint{ID: unknown.Ended, Service: door.GetService()}, err))
+	}
+	r.guard.End(p, endpt.Endpoint{ID: door.GetInstance()})
+}
+
+func (r *Relay) await(ctx context.Context, looked <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, lookMost)
+	defer cancel()
+	select {
+	case <-looked:
+	case <-ctx.Done():
+	}
+}
+
+// isFinal reports whether no other door would do better.
+func isFinal(err error) bool {
+	var notRun *fault.NotRunError
+	return errors.As(err, &notRun) && (notRun.Cause == CauseNoEndpoint || notRun.Cause == CauseHeld)
+}
+
 func (r *Relay) first(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/side/side.go
+++ b/side/side.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -19,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/beats"
 	"github.com/lavendermux/lavendermux/calls"
 	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/demise"
 	"github.com/lavendermux/lavendermux/dial"
 	"github.com/lavendermux/lavendermux/door"
 	"github.com/lavendermux/lavendermux/engine"
@@ -125,12 +127,22 @@
 func (s *Side) doors() {
 	if s.cfg.PlainService != "" {
 		service := plain.New(s.cfg.PlainService, plain.WithHTTP(s.net.Client()))
-		s.calls = calls.New(service, keymem.New(), calls.WithHome(s.isHome))
+		s.calls = calls.New(service, keymem.New(), calls.WithHome(s.isHome), calls.WithDemise(s.watch(s.cfg.PlainService)))
 		return
 	}
 	s.gate = gate.New(slots.New(s.cfg.Slots))
 	model := engine.New(s.cfg.Engine, engine.WithHTTP(s.net.Client()))
-	s.engine = door.New(model, s.gate, door.WithLog(s.log))
+	s.engine = door.New(model, s.gate, door.WithLog(s.log), door.WithDemise(s.watch(s.cfg.Engine)))
+}
+
+// watch returns the watch of the endpoint at base.
+func (s *Side) watch(base string) *demise.Demise {
+	w, err := demise.New(fmt.Sprintf("%s/%d", s.cfg.Instance, s.boot), base, s.net.Dial)
+	if err != nil {
+		s.log.Error("crashes of the endpoint not told from lost answers", "address", base, "err", err)
+		return nil
+	}
+	return w
 }
 
 func (s *Side) drainer() drainer {
