A call that one endpoint may have run isn't answered as not run

What callers saw: a call that may be repeated lost its answer at one door, the next refused it, and the caller was told that it had not run. Cause: the last attempt's error was passed on whatever came before; generations already kept that promise, calls didn't. Evidence: TestRefusalAfterALostAnswerIsUnknown fails before ('not run saturated'). Change: both use one verdict.

--- a/relay/call.go
+++ b/relay/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/refuse"
@@ -34,21 +35,34 @@
 		return r.callHome(ctx, req, homes)
 	}
 	tried := map[string]bool{}
+	ran := false
 	for attempt := 1; ; attempt++ {
 		resp, err := r.callOnce(ctx, req, tried)
 		if err == nil {
 			return resp, nil
 		}
+		var unknown *fault.UnknownOutcomeError
+		ran = ran || errors.As(err, &unknown)
 		wait, more := r.callAgain(ctx, req, err, attempt)
-		if !more {
-			return nil, err
-		}
-		if pause(ctx, wait) != nil {
-			return nil, err
+		if !more || pause(ctx, wait) != nil {
+			return nil, verdict(ran, err)
 		}
 	}
 }
 
+// verdict keeps a door's "not run" from being passed on when another door may have begun
+// the work before.
+func verdict(ran bool, err error) error {
+	var notRun *fault.NotRunError
+	if !ran || !errors.As(err, &notRun) {
+		return err
+	}
+	return &fault.UnknownOutcomeError{
+		Cause:  notRun.Cause,
+		Reason: "the work may have begun, broke off and found no other endpoint: " + notRun.Reason,
+	}
+}
+
 // callAgain decides whether a failed call is sent once more. A refusal with
 // another endpoint to ask needs no wait.
 func (r *Relay) callAgain(ctx context.Context, req *wire.CallRequest, err error, attempt int) (time.Duration, bool) {
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -84,10 +84,10 @@
 		}
 		wait, more := p.next(ctx, err)
 		if !more {
-			return nil, p.verdict(err)
+			return nil, verdict(p.ran, err)
 		}
 		if err := pause(ctx, wait); err != nil {
-			return nil, p.verdict(err)
+			return nil, verdict(p.ran, err)
 		}
 	}
 }
@@ -144,19 +144,6 @@
 	return wait, true
 }
 
-// verdict keeps a door's "not run" from being passed on when another door had
-// begun the work before.
-func (p *passage) verdict(err error) error {
-	var notRun *fault.NotRunError
-	if p.ran && errors.As(err, &notRun) {
-		return &fault.UnknownOutcomeError{
-			Cause:  notRun.Cause,
-			Reason: "the work began, broke off and found no other endpoint: " + notRun.Reason,
-		}
-	}
-	return err
-}
-
 // through runs the rest of the work at one door, unless it is held back.
 func (p *passage) through(ctx context.Context, door *wire.EndpointState) (*wire.End, error) {
 	if err := p.relay.begin(p.print, door); err != nil {
--- a/relay/held_test.go
+++ b/relay/held_test.go
@@ -106,3 +106,26 @@
 		}
 	})
 }
+
+// Guards against "not run" for a call that may be repeated, which one endpoint may have run
+// before the others refused it.
+func TestRefusalAfterALostAnswerIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		errs := []error{
+			&fault.UnknownOutcomeError{Cause: CauseCutOff},
+			&fault.NotRunError{Cause: "saturated", RetryAfter: time.Minute},
+			&fault.NotRunError{Cause: "saturated", RetryAfter: time.Minute},
+			&fault.NotRunError{Cause: "saturated", RetryAfter: time.Minute},
+		}
+		d := &doors{}
+		for _, err := range errs {
+			d.calls = append(d.calls, func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+				return &wire.CallResponse{RequestId: req.GetRequestId(), Refusal: refuse.Wire(err, nil)}, nil
+			})
+		}
+		_, err := newRelay(d).Call(t.Context(), &wire.CallRequest{RequestId: "r", Service: service, Path: "/book", Idempotent: true}, nil)
+		g.Expect(len(d.asked)).To(BeNumerically(">", 1))
+		g.Expect(causeOf(err)).To(HavePrefix("unknown"))
+	})
+}
