--- a/poison/poison.go
+++ b/poison/poison.go
@@ -41,7 +41,8 @@
 	// defaultMemory is how long a crash counts, and how long a request that was held back
 	// is watched: until then one more crash holds it back again.
 	defaultMemory = 10 * time.Minute
-	// defaultMost bounds the requests that are remembered: some 300 KB.
+	// defaultMost bounds the requests that are remembered. With the answered ones a full
+	// table takes 1.6 MB.
 	defaultMost = 512
 	// strikesMost bounds the boots remembered of one request, and with them the time for
 	// which it is held back: 32 times the first one.
