--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -88,6 +88,7 @@
 		table.Answered(honest, start)
 	}
 	g.Expect(table.Strikes(deadly)).To(Equal(Limit))
+	g.Expect(table.Strikes(popular)).To(BeZero())
 	g.Expect(table.Held(popular, start)).To(Succeed())
 	g.Expect(table.Held(honest, start)).To(Succeed())
 	g.Expect(table.Strikes(honest)).To(BeZero())
@@ -260,3 +261,28 @@
 	g.Expect(table.Held(honest, over)).To(Succeed())
 	g.Expect(table.Held(deadly, over.Add(defaultHold))).NotTo(Succeed())
 }
+
+// Guards against an honest request that adds up to three crashes at instances that answered
+// it: who has just answered a request knows better than whoever saw a crash beside it.
+func TestToldOfARequestThatWasAnsweredHere(t *testing.T) {
+	g := NewWithT(t)
+	saw, answered := New(), New()
+	answered.Answered(honest, start)
+	for n := range Limit {
+		endUnder(saw, boot(n), start, honest)
+	}
+	answered.Merge(saw.Records(start), start)
+	g.Expect(answered.Held(honest, start)).To(Succeed())
+	saw.Merge(answered.Records(start), start)
+	g.Expect(saw.Held(honest, start)).To(Succeed())
+}
+
+// Guards against requests that are struck for an endpoint that broke them off long before
+// it ended.
+func TestBrokenOffLongBefore(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	table.Broke(honest, boot(0), start)
+	table.Broke(deadly, boot(0), start.Add(2*together))
+	g.Expect(table.Ended(boot(0), start.Add(2*together))).To(Equal([]finger.Print{deadly}))
+}
--- a/relay/held_test.go
+++ b/relay/held_test.go
@@ -84,6 +84,28 @@
 	})
 }
 
+// Guards against a call that is held back although it was answered after each crash.
+func TestAnswersClear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := &doors{}
+		for n := range 12 {
+			d.calls = append(d.calls, func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+				if n%2 == 1 {
+					return &wire.CallResponse{RequestId: req.GetRequestId(), Status: 200}, nil
+				}
+				return &wire.CallResponse{RequestId: req.GetRequestId(), Refusal: refuse.Wire(ending(n), nil)}, nil
+			})
+		}
+		r := newRelay(d)
+		for n := range 12 {
+			_, _ = r.Call(t.Context(), &wire.CallRequest{RequestId: fmt.Sprint(n), Service: service, Path: "/book"}, nil) // every other one fails
+			time.Sleep(70 * time.Second)
+		}
+		g.Expect(d.asked).To(HaveLen(12))
+	})
+}
+
 // Guards against "not run" for a call that had run: an endpoint ended under it before it
 // was held back.
 func TestHeldAfterItRanIsUnknown(t *testing.T) {
