A caller that comes back at the pace of the turns meets one that is free

What callers saw: an honest request that had run beside each crash of a deadly one came back each second, to one entry after the other, and was refused for 20 s. Cause: entries take turns of 1 s at trying a request that is no longer held, in a fixed order; the caller's order was the same, out of step. And a request whose strikes are all explained by another one's waited for turns as well. Evidence: TestDeadlyCopiesInOneMoment failed once in some 30 runs; traced by reading; TestTurnsAtACallersPace fails with the fixed order. Change: the order shifts with each round; a request that another explains doesn't wait.

--- a/poison/poison.go
+++ b/poison/poison.go
@@ -10,9 +10,10 @@
 // What runs beside such a request at the moment of a crash is suspected with it. An answer
 // clears a request, and one that was answered a moment ago isn't suspected while another
 // explains the crash. Requests with two strikes don't run together, so that the third tells
-// which of them it was; where it doesn't, they are held back for a moment only, and the next
-// strike of one clears the other. Strikes are a set of request and boot, so that instances
-// that tell each other agree whatever the order, and two that see one crash count it once.
+// which of them it was; where it doesn't, they are held back for a moment only, and the
+// next strike of one lets the other through. Strikes are a set of request and boot, so that
+// instances that tell each other agree whatever the order, and two that see one crash count
+// it once.
 //
 // The package has no clock and no network.
 package poison
@@ -184,19 +185,11 @@
 	if !ok {
 		return nil
 	}
-	n, last := s.n, s.last
+	n := s.n
 	if n == 0 {
 		return nil
 	}
-	hold := t.holdTime(n)
-	switch t.explanation(p, s) {
-	case elsewhere:
-		hold = 0
-	case tied:
-		hold = tieHold
-	case none:
-	}
-	if wait := t.wait(p, n, last.Add(hold), now); wait > 0 {
+	if wait := t.wait(p, s, now); wait > 0 {
 		return &HeldError{Print: p, Strikes: n, RetryAfter: wait}
 	}
 	if t.copies[p] > 0 {
@@ -207,21 +200,36 @@
 	return nil
 }
 
-// wait is how long a request with n strikes waits for its hold to end, and for this
-// instance's turn after that.
-func (t *Table) wait(p finger.Print, n int, until, now time.Time) time.Duration {
-	past := now.Sub(until)
-	if n < Limit || past < 0 {
+// wait is how long a suspect waits for its hold to end, and for this instance's turn after
+// that.
+func (t *Table) wait(p finger.Print, s *suspect, now time.Time) time.Duration {
+	if s.n < Limit {
+		return 0
+	}
+	hold := t.holdTime(s.n)
+	switch t.explanation(p, s) {
+	case elsewhere:
+		return 0
+	case tied:
+		hold = tieHold
+	case none:
+	}
+	past := now.Sub(s.last.Add(hold))
+	if past < 0 {
 		return -past
 	}
 	slot, of := t.turn(p)
-	current := int(past/turnTime) % of
-	if current == slot {
-		return 0
+	turn := int(past / turnTime)
+	for whose(turn, of) != slot {
+		turn++
 	}
-	return time.Duration((slot-current+of)%of)*turnTime - past%turnTime
+	return time.Duration(turn)*turnTime - past
 }
 
+// whose returns the slot whose turn it is. The order shifts with each round, or a caller
+// that comes back at the pace of the turns would always meet instances whose turn it isn't.
+func whose(turn, of int) int { return (turn + turn/of) % of }
+
 // explanation compares the strikes of a request with those of all others at the limit.
 func (t *Table) explanation(p finger.Print, s *suspect) explanation {
 	found := none
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -223,6 +223,33 @@
 	}
 }
 
+// Guards against a caller that comes back at the pace of the turns, to one instance after
+// the other, and never meets the one whose turn it is.
+func TestTurnsAtACallersPace(t *testing.T) {
+	const of = 3
+	for phase := range of {
+		g := NewWithT(t)
+		var tables []*Table
+		for slot := range of {
+			tables = append(tables, New(WithTurns(func(finger.Print) (int, int) { return slot, of })))
+		}
+		for n := range Limit {
+			endUnder(tables[0], boot(n), start, honest)
+		}
+		for _, table := range tables[1:] {
+			table.Merge(tables[0].Records(start), start)
+		}
+		served := 0
+		for n := range of * of {
+			now := start.Add(defaultHold + time.Duration(n)*turnTime + time.Millisecond)
+			if tables[(n+phase)%of].Held(honest, now) == nil {
+				served++
+			}
+		}
+		g.Expect(served).To(BeNumerically(">", 0), "phase %d", phase)
+	}
+}
+
 // Guards against a batch whose honest items are refused with the deadly one, since all run
 // together at one engine after the other: with two strikes they are told apart.
 func TestGraveSuspectsRunApart(t *testing.T) {
