--- a/guard/guard.go
+++ b/guard/guard.go
@@ -32,6 +32,8 @@
 	lookAfter   = 5 * time.Millisecond
 	lookAgain   = 500 * time.Millisecond
 	lookTimeout = 400 * time.Millisecond
+	// lookMost bounds the wait for the first look: several round trips between data centres.
+	lookMost = 40 * time.Millisecond
 	// sweepEvery is how often endpoints that broke off are looked up among the known ones,
 	// and what is over is forgotten.
 	sweepEvery = 250 * time.Millisecond
@@ -226,6 +228,17 @@
 	return first
 }
 
+// Await waits until an endpoint that broke off a send was looked at. Sent again before that,
+// the request would take the next endpoint before the crash of this one counts.
+func Await(ctx context.Context, looked <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, lookMost)
+	defer cancel()
+	select {
+	case <-looked:
+	case <-ctx.Done():
+	}
+}
+
 // look reports whether nothing listens at an endpoint's address, once all connections that
 // broke with it are known.
 func (g *Guard) look(e endpt.Endpoint) bool {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -41,9 +41,6 @@
 	// comeBack is how long a caller that was refused should wait: a few times
 	// the work of one request.
 	comeBack = 100 * time.Millisecond
-	// lookMost bounds the wait for a look at an endpoint that broke off: several round trips
-	// between data centres.
-	lookMost = 40 * time.Millisecond
 	// notRunMost bounds the endpoints that are asked in vain.
 	notRunMost = 6
 )
@@ -299,22 +296,11 @@
 	case ctx.Err() == nil:
 		f.set.Failed(e, time.Now())
 		if upstr.IsBroken(err) && !errors.As(err, &notRun) {
-			f.await(ctx, f.guard.Broke(r.ID, r.print, e, err))
+			guard.Await(ctx, f.guard.Broke(r.ID, r.print, e, err))
 		}
 	}
 }
 
-// await waits until the endpoint that broke off a send was looked at. Without that the
-// request would go on to the next endpoint before its crash counts.
-func (f *Forwarder) await(ctx context.Context, looked <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(ctx, lookMost)
-	defer cancel()
-	select {
-	case <-looked:
-	case <-ctx.Done():
-	}
-}
-
 // pick returns the endpoint for the next send, not one that was used already if
 // there is another.
 func (f *Forwarder) pick(service string, used []string) (endpt.Endpoint, bool) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,9 +57,6 @@
 	// longestWait is the longest that a request waits here before it is sent
 	// again; a longer one is the caller's to wait, who is told so at once.
 	longestWait = 250 * time.Millisecond
-	// lookMost bounds the wait until the end of an endpoint counts against the request that
-	// ran there; sent on before, it would take the next endpoint.
-	lookMost = 40 * time.Millisecond
 	// answerMargin is kept of each deadline for the way back, so that a door's
 	// refusal still reaches the caller.
 	answerMargin = 10 * time.Millisecond
@@ -243,20 +240,11 @@
 	case err == nil:
 		r.guard.Answered(p)
 	case errors.As(err, &unknown) && unknown.Ended != "":
-		r.await(ctx, r.guard.Broke(id, p, endpt.Endpoint{ID: unknown.Ended, Service: door.GetService()}, err))
+		guard.Await(ctx, r.guard.Broke(id, p, endpt.Endpoint{ID: unknown.Ended, Service: door.GetService()}, err))
 	}
 	r.guard.End(p, endpt.Endpoint{ID: door.GetInstance()})
 }
 
-func (r *Relay) await(ctx context.Context, looked <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(ctx, lookMost)
-	defer cancel()
-	select {
-	case <-looked:
-	case <-ctx.Done():
-	}
-}
-
 // isFinal reports whether no other door would do better.
 func isFinal(err error) bool {
 	var notRun *fault.NotRunError
