--- a/demise/demise.go
+++ b/demise/demise.go
@@ -41,7 +41,7 @@
 // New returns the watch of the endpoint whose requests go to base, a URL. name is that of
 // this watch and no other one's, also after a restart.
 //
-//	d, err := demise.New("side-3/1700000000", "http://127.0.0.1:8080", net.Dial)
+//	d, err := demise.New("side-3/1700000000", "http://127.0.0.1:8080", new(net.Dialer).DialContext)
 func New(name, base string, dial func(ctx context.Context, network, addr string) (net.Conn, error)) (*Demise, error) {
 	u, err := url.Parse(base)
 	if err != nil {
