--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -25,8 +25,7 @@
 
 	// collect is how long news is gathered before it is told.
 	collect = 20 * time.Millisecond
-	// fanout is how many peers are told at once. In a fleet of 350, where each passes on
-	// what is new, all but one in 3,000 hear of it so.
+	// fanout is how many peers are told at once; each passes on what is new to it.
 	fanout = 8
 	// timeout bounds one call.
 	timeout = 500 * time.Millisecond
