Pulls end at a holder that lost its job

The trainer's pull reached the paused entry's socket after SIGSTOP and was taken in at SIGCONT, milliseconds before the entry learnt that its lease had passed on. The pull then waited its whole 40 s for samples at a feed that nobody filled any more, longer than the trainer's own deadline (45 s from its sending, 17 s of which the entry slept): no step in 55 s. Feed.await looked neither at the end of the job nor at "overtaken"; a pull that came before the pause did the same, but its wait ended within the trainer's deadline, so the test passed by luck of order.

Ruled out: the new holder (weights switched at 41.8 s, nobody asked it), a lost wake-up of the ready samples, the busy machine (no late timers in the logs).

Change: Feed.Close with a reason; the holder closes its feeds when the job ends (before the last save) and a feed whose subscription is deleted; finding out that one is overtaken wakes the pull. Ready samples are still delivered on closing.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -76,7 +76,9 @@
 		begun     time.Time
 		pulled    time.Time
 		overtaken error
-		stats     stats
+		// closed is why no pull may wait here any longer; nil while the job runs.
+		closed error
+		stats  stats
 
 		// revision of the record, and the identities of writes whose outcome is
 		// unknown; guarded by saving.
@@ -260,6 +262,28 @@
 	return f.overtaken
 }
 
+// Close ends the pulls that wait here, and those still to come, with the reason why
+// this holder delivers nothing any more. What is unrecorded can still be saved.
+func (f *Feed) Close(reason error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed == nil {
+		f.closed = reason
+		f.log.Info("subscription closed", "subscription", f.name, "fence", f.fence, "open", f.book.Open(), "reason", reason)
+		f.announce()
+	}
+}
+
+// ended returns why a pull must not wait here, or nil.
+func (f *Feed) ended() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.overtaken != nil {
+		return f.overtaken
+	}
+	return f.closed
+}
+
 // Stats returns figures for the subscription's status.
 func (f *Feed) Stats() any {
 	f.mu.Lock()
--- a/feed/pull.go
+++ b/feed/pull.go
@@ -57,7 +57,7 @@
 	if picked == nil {
 		picked = f.await(ctx, most, wait)
 		if len(picked) == 0 {
-			return f.nothing(c), f.Overtaken()
+			return f.nothing(c), f.ended()
 		}
 		f.mu.Lock()
 		f.book.Make(ids(picked))
@@ -149,6 +149,7 @@
 	var overtaken *ledger.OvertakenError
 	if errors.As(err, &overtaken) {
 		f.overtaken = overtaken
+		f.announce()
 	}
 	if err != nil {
 		return c, err
@@ -207,7 +208,14 @@
 		picked, lacking := f.pick(most)
 		lost := len(picked) == 0 && len(f.missing()) > 0
 		changed := f.changed
+		overtaken, closed := f.overtaken != nil, f.closed != nil
 		f.mu.Unlock()
+		if overtaken {
+			return nil
+		}
+		if closed {
+			return picked
+		}
 		if lost {
 			// The trainer must submit again before anything can get ready.
 			return nil
--- a/feed/record.go
+++ b/feed/record.go
@@ -158,6 +158,7 @@
 	var overtaken *ledger.OvertakenError
 	if errors.As(err, &overtaken) && f.overtaken == nil {
 		f.overtaken = overtaken
+		f.announce()
 		f.log.Warn("overtaken", "subscription", f.name, "fence", f.fence, "later", overtaken.Later)
 	}
 	var down *fault.UnavailableError
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -27,6 +27,8 @@
 	// CauseTakingOver says that this entry holds the job and has not read the
 	// subscription's ledger yet.
 	CauseTakingOver = "takingOver"
+	// CauseHandedOn says that this entry no longer holds the job.
+	CauseHandedOn = "handedOn"
 	// takingOverRetry is how long that takes when the service answers.
 	takingOverRetry = time.Second
 
@@ -154,6 +156,7 @@
 	}
 	defer wg.Wait()
 	defer cancel()
+	defer h.close()
 	open := time.NewTicker(openEvery)
 	defer open.Stop()
 	save := time.NewTicker(saveEvery)
@@ -162,6 +165,7 @@
 		h.openMissing(ctx)
 		select {
 		case <-ctx.Done():
+			h.close()
 			return h.finish()
 		case <-h.conf.Changed():
 		case <-open.C:
@@ -182,8 +186,9 @@
 		}
 	}
 	h.mu.Lock()
-	for name := range h.feeds {
+	for name, f := range h.feeds {
 		if !wanted[name] {
+			f.Close(&fault.NotFoundError{What: "subscription " + name})
 			delete(h.feeds, name)
 		}
 	}
@@ -228,6 +233,17 @@
 	return nil
 }
 
+// close sends the trainers that wait here to the next holder.
+func (h *Holder) close() {
+	for _, f := range h.Feeds() {
+		f.Close(&fault.NotRunError{
+			Cause:      CauseHandedOn,
+			Reason:     "this entry no longer holds the pool's job",
+			RetryAfter: takingOverRetry,
+		})
+	}
+}
+
 // finish records what is left, since this entry stops and its successor reads.
 func (h *Holder) finish() error {
 	ctx, cancel := context.WithTimeout(context.Background(), saveEvery)
--- /dev/null
+++ b/holder/holder_test.go
@@ -0,0 +1,143 @@
+package holder_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/confs"
+	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/feed"
+	"github.com/lavendermux/lavendermux/grpreq"
+	"github.com/lavendermux/lavendermux/holder"
+	"github.com/lavendermux/lavendermux/ledger"
+	"github.com/lavendermux/lavendermux/object"
+	"github.com/lavendermux/lavendermux/record"
+	"github.com/lavendermux/lavendermux/subscr"
+	"github.com/lavendermux/lavendermux/wire"
+)
+
+const (
+	pullWait = time.Minute
+	// soon is within the time that the holder takes to record what is left.
+	soon = 3 * time.Second
+)
+
+type (
+	// shelf is the key-value service: one record.
+	shelf struct{ rec record.Record }
+
+	answer struct {
+		err   error
+		after time.Duration
+	}
+)
+
+func (s *shelf) Get(context.Context, string) (record.Record, error) {
+	if s.rec.Revision == 0 {
+		return record.Record{}, &fault.NotFoundError{What: "ledger"}
+	}
+	return s.rec, nil
+}
+
+func (s *shelf) Put(_ context.Context, key string, value []byte, expect, _ int64) (int64, error) {
+	if max(expect, 0) != s.rec.Revision {
+		return 0, &fault.ConflictError{Key: key, Revision: s.rec.Revision}
+	}
+	s.rec = record.Record{Key: key, Value: value, Revision: s.rec.Revision + 1}
+	return s.rec.Revision, nil
+}
+
+func subscription(deleted bool) *wire.Resource {
+	r := &wire.Resource{Kind: object.KindSubscription, Name: "drafts", Revision: 1}
+	if r.Deleted = deleted; deleted {
+		r.Revision++
+		return r
+	}
+	r.Body = fmt.Appendf(nil, `{"apiVersion":%q,"kind":%q,"name":%q,"operation":"o","spec":{"pool":"tutor","model":"m"}}`,
+		object.APIVersion, r.Kind, r.Name)
+	return r
+}
+
+// waiting runs a job with one subscription, whose trainer waits at it for a sample
+// that nobody makes, and returns that pull's answer once end has been called.
+func waiting(t *testing.T, end func(stop context.CancelFunc, conf *confs.Cache, s *shelf, f *feed.Feed)) answer {
+	t.Helper()
+	g := NewWithT(t)
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	s, conf := &shelf{}, confs.New()
+	conf.Learn(subscription(false))
+	h := holder.New("tutor", 6, conf, func(ctx context.Context, name string, config func() subscr.Subscription) (*feed.Feed, error) {
+		return feed.Open(ctx, name, 6, config, s)
+	})
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx) }()
+	synctest.Wait()
+	f, err := h.Feed("drafts")
+	g.Expect(err).NotTo(HaveOccurred())
+	_, _, err = f.Submit(t.Context(), []grpreq.Group{{ID: "g", Prompt: "p", Samples: 1, MaxTokens: 9}})
+	g.Expect(err).NotTo(HaveOccurred())
+	pulled := make(chan error, 1)
+	go func() {
+		_, err := f.Pull(t.Context(), "", 0, 1, pullWait)
+		pulled <- err
+	}()
+	synctest.Wait()
+	begun := time.Now()
+	end(stop, conf, s, f)
+	out := answer{err: <-pulled, after: time.Since(begun)}
+	stop()
+	<-ended
+	return out
+}
+
+// An entry that was paused wakes up, takes in the pull that came meanwhile, and then
+// learns that its lease has passed on: the trainer must not wait there for samples
+// that only the new holder can deliver.
+func TestLostJobEndsWaitingPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got := waiting(t, func(stop context.CancelFunc, _ *confs.Cache, _ *shelf, _ *feed.Feed) { stop() })
+		var notRun *fault.NotRunError
+		g.Expect(errors.As(got.err, &notRun)).To(BeTrue(), "%v", got.err)
+		g.Expect(notRun.Cause).To(Equal(holder.CauseHandedOn))
+		g.Expect(got.after).To(BeNumerically("<", soon))
+	})
+}
+
+// A later holder has taken the subscription over before this one's lease was seen to
+// end; what shows it is a record that can't be written.
+func TestOvertakenFeedEndsWaitingPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got := waiting(t, func(_ context.CancelFunc, _ *confs.Cache, s *shelf, f *feed.Feed) {
+			later, err := feed.Open(t.Context(), "drafts", 16, func() subscr.Subscription { return subscr.Default() }, s)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(later.Overtaken()).To(Succeed())
+			_, _, err = f.Submit(t.Context(), []grpreq.Group{{ID: "h", Prompt: "p", Samples: 1, MaxTokens: 9}})
+			g.Expect(err).To(HaveOccurred())
+		})
+		var overtaken *ledger.OvertakenError
+		g.Expect(errors.As(got.err, &overtaken)).To(BeTrue(), "%v", got.err)
+		g.Expect(got.after).To(BeNumerically("<", soon))
+	})
+}
+
+// A subscription is deleted while its trainer waits.
+func TestDeletedSubscriptionEndsWaitingPulls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		got := waiting(t, func(_ context.CancelFunc, conf *confs.Cache, _ *shelf, _ *feed.Feed) {
+			conf.Learn(subscription(true))
+		})
+		var missing *fault.NotFoundError
+		g.Expect(errors.As(got.err, &missing)).To(BeTrue(), "%v", got.err)
+		g.Expect(got.after).To(BeNumerically("<", soon))
+	})
+}
