A new holder takes over past an earlier one's last write

An earlier holder that wakes up may write once between the new one's reading and its first write; the write that lost against it was read as a later holder's.

Evidence: TestLastWriteOfEarlierHolder, failed before with "holder 16 was overtaken by holder 6". Ruled out: fences compared wrongly in the ledger (Adopt compares right; reread didn't compare at all).

Change: reread tells an earlier holder from a later one; adopt reads and writes again, three times at most, with a log line.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -325,3 +325,34 @@
 		}
 	}
 }
+
+// The holder that was paused writes once more between the new one's reading and its
+// first write. That is an earlier holder, and the new one takes over all the same.
+func TestLastWriteOfEarlierHolder(t *testing.T) {
+	g := NewWithT(t)
+	s := &fakeStore{}
+	earlier := open(t, s, 6, true)
+	late := &lateWrite{fakeStore: s, write: func() { submit(g, t, earlier) }}
+	f, err := Open(t.Context(), "drafts", 16, func() subscr.Subscription { return subscr.Default() }, late)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f.Overtaken()).To(Succeed())
+	g.Expect(f.book.Open()).To(Equal(3))
+	var overtaken *ledger.OvertakenError
+	g.Expect(errors.As(earlier.Publish(t.Context(), 9), &overtaken)).To(BeTrue())
+	g.Expect(overtaken.Later).To(Equal(int64(16)))
+}
+
+// lateWrite lets another write come in after the first reading.
+type lateWrite struct {
+	*fakeStore
+	write func()
+}
+
+func (s *lateWrite) Get(ctx context.Context, key string) (record.Record, error) {
+	rec, err := s.fakeStore.Get(ctx, key)
+	if write := s.write; write != nil {
+		s.write = nil
+		write()
+	}
+	return rec, err
+}
--- a/feed/record.go
+++ b/feed/record.go
@@ -26,9 +26,24 @@
 	maxTries = 3
 )
 
-// adopt reads the ledger and writes it back under this holder's fence. That
-// write is what makes every later one of an earlier holder fail.
+// adopt takes the ledger over, also when an earlier holder writes once more just
+// then.
 func (f *Feed) adopt(ctx context.Context) error {
+	var err error
+	for range maxTries {
+		err = f.claim(ctx)
+		var conflict *fault.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+		f.log.Info("an earlier holder wrote meanwhile", "subscription", f.name, "fence", f.fence, "revision", conflict.Revision)
+	}
+	return err
+}
+
+// claim reads the ledger and writes it back under this holder's fence. That
+// write is what makes every later one of an earlier holder fail.
+func (f *Feed) claim(ctx context.Context) error {
 	rec, err := f.store.Get(ctx, f.key())
 	var missing *fault.NotFoundError
 	switch {
@@ -135,7 +150,8 @@
 	return nil
 }
 
-// reread finds out who moved the key.
+// reread finds out who moved the key. A *fault.ConflictError says that it was an
+// earlier holder, which can happen only before this one's first write.
 func (f *Feed) reread(ctx context.Context) error {
 	rec, err := f.store.Get(ctx, f.key())
 	if err != nil {
@@ -146,6 +162,9 @@
 		return err
 	}
 	if !slices.Contains(f.pending, stored.Operation) {
+		if stored.Fence < f.fence {
+			return &fault.ConflictError{Key: f.key(), Revision: rec.Revision}
+		}
 		return &ledger.OvertakenError{Fence: f.fence, Later: stored.Fence}
 	}
 	f.revision = rec.Revision
