A request leaves a holder whose job has passed on

Ruled out: following by the connection's end, since a paused process keeps it open.

Change: while it waits the entry looks twice a second whether a later fencing number is known, and answers "outcome unknown"; all actions are idempotent.

--- a/train/train.go
+++ b/train/train.go
@@ -34,8 +34,13 @@
 	maxBody = 64 << 20
 	// actionTimeout bounds all but a pull, which adds its own wait.
 	actionTimeout = 30 * time.Second
+	// holderEvery is how often a request that waits at the holder looks whether the
+	// job has passed on.
+	holderEvery = 500 * time.Millisecond
 )
 
+var errPassedOn = errors.New("the job has passed on to another entry")
+
 type (
 	// Train is the HTTP face towards trainers. See New.
 	Train struct {
@@ -117,19 +122,26 @@
 	if status, answer, held := t.local.Answer(ctx, job, action, body); held {
 		return status, answer, nil
 	}
-	entry, _ := t.fleet.Holder(job)
+	entry, fence := t.fleet.Holder(job)
 	if entry == nil {
 		return 0, nil, &fault.NotRunError{Cause: CauseNoHolder, Reason: "no entry holds the pool's job now", RetryAfter: noHolderRetry}
 	}
 	timeout := actionTimeout + pullWait(body)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	ctx, passedOn := context.WithCancelCause(ctx)
+	defer passedOn(nil)
+	go t.follow(ctx, job, fence, passedOn)
 	resp, err := t.dial.Peer(entry.GetAddress()).Relay(ctx, connect.NewRequest(&wire.RelayRequest{
 		Job:       job,
 		Action:    action,
 		Body:      body,
 		TimeoutMs: timeout.Milliseconds(),
 	}))
+	if err != nil && errors.Is(context.Cause(ctx), errPassedOn) {
+		err = errPassedOn
+		t.log.Info("the holder is given up", "job", job, "action", action, "holder", entry.GetInstance(), "fence", fence)
+	}
 	if err != nil {
 		return 0, nil, unanswered(err)
 	}
@@ -139,6 +151,24 @@
 	return int(resp.Msg.GetStatus()), resp.Msg.GetBody(), nil
 }
 
+// follow ends a request at the holder when a later one is known: an earlier one that
+// is paused or cut off would answer only much later, or not at all.
+func (t *Train) follow(ctx context.Context, job string, fence int64, passedOn context.CancelCauseFunc) {
+	tick := time.NewTicker(holderEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			if _, later := t.fleet.Holder(job); later > fence {
+				passedOn(errPassedOn)
+				return
+			}
+		}
+	}
+}
+
 // unanswered says what is known when the holder gave no answer: nothing ran if no
 // connection to it could be opened.
 func unanswered(err error) error {
