Stand-ins and the soak lie in a folder of their own

Cause: a newcomer found the stand-ins of one ground at the root and those of the other inside the adapter, which made platform/ look twice its size.

--- a/cmd/measure/making.go
+++ b/cmd/measure/making.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/grid"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // makingWithin bounds one size.
--- a/cmd/measure/path.go
+++ b/cmd/measure/path.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/grid"
-	"github.com/lavendermux/lavendermux/simcal"
+	"github.com/lavendermux/lavendermux/sims/simcal"
 	"github.com/lavendermux/lavendermux/tally"
 )
 
--- a/cmd/standin/clients.go
+++ b/cmd/standin/clients.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simscr"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simscr"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 type (
--- a/cmd/standin/main_test.go
+++ b/cmd/standin/main_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/lavendermux/lavendermux/simscr"
+	"github.com/lavendermux/lavendermux/sims/simscr"
 	. "github.com/onsi/gomega"
 )
 
--- a/cmd/standin/site.go
+++ b/cmd/standin/site.go
@@ -7,7 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/lavendermux/lavendermux/platform/simsit"
+	"github.com/lavendermux/lavendermux/sims/simsit"
 )
 
 type siteCommand struct {
--- a/hubs/hub_test.go
+++ b/hubs/hub_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/insts"
-	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/sims/simkv"
 )
 
 const (
--- a/hubs/world_test.go
+++ b/hubs/world_test.go
@@ -21,7 +21,7 @@
 	"github.com/lavendermux/lavendermux/hubs"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/keyval"
-	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/sims/simkv"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
 )
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/lease"
-	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/sims/simkv"
 )
 
 const (
--- a/matrix/engine_test.go
+++ b/matrix/engine_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // full is a deployment of each kind of endpoint.
--- a/matrix/minimum_test.go
+++ b/matrix/minimum_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // Live requests come without end, more than all engines can carry. The pool's
--- a/matrix/order_test.go
+++ b/matrix/order_test.go
@@ -18,7 +18,7 @@
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/lease"
 	"github.com/lavendermux/lavendermux/refuse"
-	"github.com/lavendermux/lavendermux/simeng"
+	"github.com/lavendermux/lavendermux/sims/simeng"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
--- a/matrix/path_test.go
+++ b/matrix/path_test.go
@@ -8,9 +8,9 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simscr"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simscr"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // trainer returns a trainer that checks every sample it gets.
--- a/matrix/play_test.go
+++ b/matrix/play_test.go
@@ -15,8 +15,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/types"
 
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 const (
--- a/matrix/shift_test.go
+++ b/matrix/shift_test.go
@@ -12,8 +12,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/engst"
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // Live requests come in a burst that the slots kept for them cannot carry, while
--- a/matrix/store_test.go
+++ b/matrix/store_test.go
@@ -6,7 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/lavendermux/lavendermux/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
 )
 
 // The platform's key-value service is down for ten minutes. A trainer whose
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -19,12 +19,12 @@
 	"github.com/lavendermux/lavendermux/netset"
 	"github.com/lavendermux/lavendermux/scfg"
 	"github.com/lavendermux/lavendermux/side"
-	"github.com/lavendermux/lavendermux/simeng"
-	"github.com/lavendermux/lavendermux/simkv"
-	"github.com/lavendermux/lavendermux/simlst"
-	"github.com/lavendermux/lavendermux/simscr"
-	"github.com/lavendermux/lavendermux/simsvc"
-	"github.com/lavendermux/lavendermux/simwts"
+	"github.com/lavendermux/lavendermux/sims/simeng"
+	"github.com/lavendermux/lavendermux/sims/simkv"
+	"github.com/lavendermux/lavendermux/sims/simlst"
+	"github.com/lavendermux/lavendermux/sims/simscr"
+	"github.com/lavendermux/lavendermux/sims/simsvc"
+	"github.com/lavendermux/lavendermux/sims/simwts"
 	"github.com/lavendermux/lavendermux/span"
 )
 
--- a/opapi/opapi_test.go
+++ b/opapi/opapi_test.go
@@ -19,7 +19,7 @@
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/opapi"
-	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/sims/simkv"
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/wire"
 )
--- a/simcal/request.go
+++ b/sims/simcal/request.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/genreq"
-	"github.com/lavendermux/lavendermux/simsrv"
-	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
 )
 
 const (
--- a/simcal/simcal_test.go
+++ b/sims/simcal/simcal_test.go
@@ -12,11 +12,11 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/memnet"
-	"github.com/lavendermux/lavendermux/simcal"
-	"github.com/lavendermux/lavendermux/simeng"
-	"github.com/lavendermux/lavendermux/simsrv"
-	"github.com/lavendermux/lavendermux/simsvc"
-	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simcal"
+	"github.com/lavendermux/lavendermux/sims/simeng"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsvc"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
 	. "github.com/onsi/gomega"
 )
 
--- a/simeng/counts.go
+++ b/sims/simeng/counts.go
@@ -4,7 +4,7 @@
 	"maps"
 	"net/http"
 
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 const (
--- a/simeng/handlers.go
+++ b/sims/simeng/handlers.go
@@ -9,7 +9,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/genreq"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 	"github.com/lavendermux/lavendermux/token"
 )
 
--- a/simeng/orders.go
+++ b/sims/simeng/orders.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/order"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 type (
--- a/simeng/orders_test.go
+++ b/sims/simeng/orders_test.go
@@ -8,7 +8,7 @@
 	"github.com/lavendermux/lavendermux/engine"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/order"
-	"github.com/lavendermux/lavendermux/simeng"
+	"github.com/lavendermux/lavendermux/sims/simeng"
 	. "github.com/onsi/gomega"
 )
 
--- a/simeng/simeng_test.go
+++ b/sims/simeng/simeng_test.go
@@ -14,9 +14,9 @@
 	"github.com/lavendermux/lavendermux/genreq"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/order"
-	"github.com/lavendermux/lavendermux/simeng"
-	"github.com/lavendermux/lavendermux/simtxt"
-	"github.com/lavendermux/lavendermux/simwts"
+	"github.com/lavendermux/lavendermux/sims/simeng"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simwts"
 	"github.com/lavendermux/lavendermux/token"
 	. "github.com/onsi/gomega"
 )
--- a/simeng/stream.go
+++ b/sims/simeng/stream.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/lavendermux/lavendermux/genreq"
-	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
 	"github.com/lavendermux/lavendermux/token"
 )
 
--- a/simkv/handlers.go
+++ b/sims/simkv/handlers.go
@@ -7,7 +7,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/record"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 const (
--- a/simkv/simkv_test.go
+++ b/sims/simkv/simkv_test.go
@@ -14,7 +14,7 @@
 	"github.com/lavendermux/lavendermux/keyval"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/record"
-	"github.com/lavendermux/lavendermux/simkv"
+	"github.com/lavendermux/lavendermux/sims/simkv"
 	. "github.com/onsi/gomega"
 )
 
--- a/simlst/simlst.go
+++ b/sims/simlst/simlst.go
@@ -11,7 +11,7 @@
 
 	"github.com/gorilla/mux"
 	"github.com/lavendermux/lavendermux/insts"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 const (
--- a/simlst/simlst_test.go
+++ b/sims/simlst/simlst_test.go
@@ -11,7 +11,7 @@
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/roster"
-	"github.com/lavendermux/lavendermux/simlst"
+	"github.com/lavendermux/lavendermux/sims/simlst"
 	. "github.com/onsi/gomega"
 )
 
--- a/simscr/simscr.go
+++ b/sims/simscr/simscr.go
@@ -9,7 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 const (
--- a/simscr/simscr_test.go
+++ b/sims/simscr/simscr_test.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/scorer"
-	"github.com/lavendermux/lavendermux/simscr"
+	"github.com/lavendermux/lavendermux/sims/simscr"
 	. "github.com/onsi/gomega"
 )
 
--- a/simsrv/simsrv_test.go
+++ b/sims/simsrv/simsrv_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 	. "github.com/onsi/gomega"
 )
 
--- a/simsvc/simsvc.go
+++ b/sims/simsvc/simsvc.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 )
 
 const (
--- a/simsvc/simsvc_test.go
+++ b/sims/simsvc/simsvc_test.go
@@ -11,7 +11,7 @@
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/plain"
-	"github.com/lavendermux/lavendermux/simsvc"
+	"github.com/lavendermux/lavendermux/sims/simsvc"
 	"github.com/lavendermux/lavendermux/wire"
 	. "github.com/onsi/gomega"
 )
--- a/simtrn/check.go
+++ b/sims/simtrn/check.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strconv"
 
-	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
 )
 
 type (
--- a/simtrn/simtrn.go
+++ b/sims/simtrn/simtrn.go
@@ -16,7 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/rest"
-	"github.com/lavendermux/lavendermux/simsrv"
+	"github.com/lavendermux/lavendermux/sims/simsrv"
 	"github.com/lavendermux/lavendermux/tally"
 )
 
--- a/simtrn/simtrn_test.go
+++ b/sims/simtrn/simtrn_test.go
@@ -14,10 +14,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/memnet"
-	"github.com/lavendermux/lavendermux/simscr"
-	"github.com/lavendermux/lavendermux/simtrn"
-	"github.com/lavendermux/lavendermux/simtxt"
-	"github.com/lavendermux/lavendermux/simwts"
+	"github.com/lavendermux/lavendermux/sims/simscr"
+	"github.com/lavendermux/lavendermux/sims/simtrn"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simwts"
 	. "github.com/onsi/gomega"
 )
 
--- a/simtxt/simtxt_test.go
+++ b/sims/simtxt/simtxt_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"github.com/lavendermux/lavendermux/simtxt"
+	"github.com/lavendermux/lavendermux/sims/simtxt"
 	. "github.com/onsi/gomega"
 )
 
--- a/simwts/simwts_test.go
+++ b/sims/simwts/simwts_test.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/memnet"
-	"github.com/lavendermux/lavendermux/simwts"
+	"github.com/lavendermux/lavendermux/sims/simwts"
 	"github.com/lavendermux/lavendermux/weight"
 	. "github.com/onsi/gomega"
 )
--- a/platform/soak/book.go
+++ b/sims/soak/book.go
@@ -8,8 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/lavendermux/lavendermux/platform/simcfg"
-	"github.com/lavendermux/lavendermux/platform/simwkr"
+	"github.com/lavendermux/lavendermux/sims/simcfg"
+	"github.com/lavendermux/lavendermux/sims/simwkr"
 )
 
 const (
