Entries that don't reach each other add up crashes in the store

Cause: gossip was the only way in which strikes spread; what the store keeps was read at a start, and written from the third strike on, over what others wrote.

Ruled out: polling the store while parted (a list a second and instance, for 10 min after each lost machine); writing each strike always (calls to the store on each crash of an engine, times its items, though gossip had told all).

Change: mesh.Parted; docket merges (get, union, expected revision) each strike of this instance while it is parted, and when it becomes so; a struck request waits for that, at most 250 ms, before it is sent again. Nothing else waits, and while all are in touch nothing is written below three strikes, as before.

--- a/docket/docket.go
+++ b/docket/docket.go
@@ -1,16 +1,21 @@
 // Package docket keeps in the metadata store which requests are held back, so that they
-// still are when all instances have started again. Nothing waits for it: requests are
-// decided by what an instance and its peers know.
+// still are when all instances have started again. Instances that don't reach each other
+// find out here what the others saw: before a request that was struck is sent again it waits
+// for that, and no other request does.
 package docket
 
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/poison"
@@ -24,6 +29,12 @@
 	retryPause = time.Second
 	// collect gathers changes, since a request is struck by several crashes in a row.
 	collect = 100 * time.Millisecond
+	// lookEvery is how often it is looked whether peers are out of reach, shareSpan how old
+	// the strikes are that are written down then.
+	lookEvery = time.Second
+	shareSpan = time.Minute
+	// triesMost bounds the tries at a record that others write at the same time.
+	triesMost = 4
 	// keepMost is how long a record stays in the store: as long as a request can be held
 	// back and watched.
 	keepMost = 24 * time.Hour
@@ -32,13 +43,22 @@
 )
 
 type (
-	// Docket keeps what a guard holds back. See New.
+	// Docket keeps what a guard holds back; safe for concurrent use. See New.
 	Docket struct {
 		store  kvst.Store
 		guard  *guard.Guard
 		logger *log.Logger
+		parted func() bool
+
+		mu sync.Mutex
+		// own are the requests that this instance has struck or cleared itself, each with
+		// whether it was written down: what changes about it then has to follow.
+		own map[finger.Print]bool
 	}
 
+	// Option changes a Docket as New makes it.
+	Option func(*Docket)
+
 	// kept is a record as the store has it.
 	kept struct {
 		strike.Record
@@ -52,8 +72,19 @@
 //
 //	d := docket.New(store, guard, logger)
 //	go d.Run(ctx)
-func New(store kvst.Store, g *guard.Guard, logger *log.Logger) *Docket {
-	return &Docket{store: store, guard: g, logger: logger}
+func New(store kvst.Store, g *guard.Guard, logger *log.Logger, opts ...Option) *Docket {
+	d := &Docket{store: store, guard: g, logger: logger, parted: func() bool { return false }, own: make(map[finger.Print]bool)}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// WithParted sets how to find out that some peers are out of reach. Single crashes are
+// then written down too, and read before a request that was struck is sent again. By
+// default all are in reach.
+func WithParted(f func() bool) Option {
+	return func(d *Docket) { d.parted = f }
 }
 
 // Run tells the guard what is kept, and then keeps what it holds back until ctx ends.
@@ -68,16 +99,26 @@
 			return
 		}
 	}
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	wasParted := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-look.C:
+			isParted := d.parted()
+			if isParted && !wasParted {
+				d.share(ctx)
+			}
+			wasParted = isParted
+			d.forget()
 		case <-d.guard.OwnChanged():
+			if !sleep.For(ctx, collect) {
+				return
+			}
+			d.keepAll(ctx)
 		}
-		if !sleep.For(ctx, collect) {
-			return
-		}
-		d.keepAll(ctx)
 	}
 }
 
@@ -93,21 +134,26 @@
 			d.logger.Error("Held request unreadable.", "key", it.Key, "error", err)
 			continue
 		}
-		past := max(0, time.Since(time.UnixMilli(k.AtMs)))
-		if past > keepMost {
+		if time.Since(time.UnixMilli(k.AtMs)) > keepMost {
 			d.remove(ctx, it)
 			continue
 		}
-		for boot := range k.Ended {
-			k.Ended[boot] += past.Milliseconds()
-		}
-		records = append(records, k.Record)
+		records = append(records, k.aged(time.Now()))
 	}
 	d.logger.Info("Held requests read.", "requests", len(records))
 	d.guard.Take(records, itself)
 	return nil
 }
 
+// aged returns the record with its ages as they are now.
+func (k kept) aged(now time.Time) strike.Record {
+	past := max(0, now.Sub(time.UnixMilli(k.AtMs)))
+	for boot := range k.Ended {
+		k.Ended[boot] += past.Milliseconds()
+	}
+	return k.Record
+}
+
 func decode(raw []byte) (kept, error) {
 	var k kept
 	err := json.Unmarshal(raw, &k)
@@ -122,26 +168,107 @@
 	d.logger.Info("Held request removed.", "key", it.Key, "error", err) // the next start tries again
 }
 
+// share writes down what this instance saw lately, when peers get out of reach: gossip may
+// not have told it to everybody.
+func (d *Docket) share(ctx context.Context) {
+	d.mu.Lock()
+	own := slices.Collect(maps.Keys(d.own))
+	d.mu.Unlock()
+	for _, p := range own {
+		r, ok := d.guard.Record(p)
+		isRecent := func(ms int64) bool { return time.Duration(ms)*time.Millisecond < shareSpan }
+		if ok && slices.ContainsFunc(slices.Collect(maps.Values(r.Ended)), isRecent) {
+			d.sync(ctx, p)
+		}
+	}
+}
+
+// forget drops the requests about which nothing counts any more.
+func (d *Docket) forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.own, func(p finger.Print, _ bool) bool {
+		_, ok := d.guard.Record(p)
+		return !ok
+	})
+}
+
 func (d *Docket) keepAll(ctx context.Context) {
 	for _, r := range d.guard.Own() {
-		if len(r.Ended) < poison.Limit {
-			continue
-		}
-		for {
-			err := d.keep(ctx, r)
-			if err == nil || !sleep.For(ctx, retryPause) {
-				break
+		if d.note(r.Print) || len(r.Ended) >= poison.Limit || d.parted() {
+			for !d.sync(ctx, r.Print) && sleep.For(ctx, retryPause) {
 			}
 		}
 	}
 }
 
-func (d *Docket) keep(ctx context.Context, r strike.Record) error {
+// note remembers a request of this instance, and reports whether it was written down.
+func (d *Docket) note(p finger.Print) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isWritten := d.own[p]
+	d.own[p] = isWritten
+	return isWritten
+}
+
+// Share merges what this instance and the store know of a request, if gossip doesn't reach
+// everybody.
+func (d *Docket) Share(ctx context.Context, p finger.Print) {
+	if d.parted() {
+		d.sync(ctx, p)
+	}
+}
+
+// sync merges what this instance and the store know of a request, and reports whether both
+// have it.
+func (d *Docket) sync(ctx context.Context, p finger.Print) bool {
+	var err error
+	for range triesMost {
+		err = d.merge(ctx, p)
+		var conflict *kvst.ConflictError
+		if !errors.As(err, &conflict) {
+			break
+		}
+	}
+	if err != nil {
+		d.logger.Warn("Held request not kept.", "print", p, "error", err)
+	}
+	return err == nil
+}
+
+func (d *Docket) merge(ctx context.Context, p finger.Print) error {
+	it, err := d.store.Get(ctx, prefix+p.String())
+	if err != nil {
+		return err
+	}
+	var before strike.Record
+	if it.Revision > 0 {
+		k, err := decode(it.Value)
+		if err != nil {
+			d.logger.Error("Held request unreadable.", "key", it.Key, "error", err)
+		} else {
+			before = k.aged(time.Now())
+			d.guard.Take([]strike.Record{before}, itself)
+		}
+	}
+	r, ok := d.guard.Record(p)
+	if !ok || (len(r.Ended) == len(before.Ended) && len(r.Cleared) == len(before.Cleared)) {
+		return nil
+	}
 	raw, err := json.Marshal(kept{Record: r, AtMs: time.Now().UnixMilli()})
 	if err != nil {
 		return errors.Wrap(err, "encoding a held request")
 	}
-	_, err = d.store.Commit(ctx, kvst.Txn{Puts: []kvst.Put{{Key: prefix + r.Print.String(), Value: raw}}})
-	d.logger.Info("Held request kept.", "print", r.Print, "strikes", len(r.Ended)-len(r.Cleared), "error", err)
-	return err
+	_, err = d.store.Commit(ctx, kvst.Txn{
+		Expect: map[string]int64{prefix + p.String(): it.Revision},
+		Puts:   []kvst.Put{{Key: prefix + p.String(), Value: raw}},
+	})
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.own[p] = true
+	d.mu.Unlock()
+	d.logger.Info("Held request kept.", "print", p, "strikes", len(r.Ended)-len(r.Cleared), "merged", len(before.Ended))
+	return nil
 }
--- a/docket/docket_test.go
+++ b/docket/docket_test.go
@@ -38,10 +38,25 @@
 	return out, 1, nil
 }
 
+func (m *memory) Get(_ context.Context, key string) (kvst.Item, error) {
+	if m.down {
+		return kvst.Item{}, &kvst.RefusedError{Status: 503}
+	}
+	if v, ok := m.items[key]; ok {
+		return kvst.Item{Key: key, Value: v, Revision: 1}, nil
+	}
+	return kvst.Item{Key: key}, nil
+}
+
 func (m *memory) Commit(_ context.Context, t kvst.Txn) (int64, error) {
 	if m.down {
 		return 0, &kvst.RefusedError{Status: 503}
 	}
+	for key, revision := range t.Expect {
+		if _, ok := m.items[key]; ok != (revision > 0) {
+			return 0, &kvst.ConflictError{}
+		}
+	}
 	for _, p := range t.Puts {
 		m.items[p.Key] = p.Value
 	}
@@ -57,13 +72,18 @@
 
 func condemn(g *guard.Guard) {
 	for n := range poison.Limit {
-		e := endpt.Endpoint{ID: "w", Born: int64(n)}
-		_ = g.Begin(request, e) // nothing is held back yet
-		<-g.Broke("id", request, e, io.EOF)
-		g.End(request, e)
+		crash(g, n)
 	}
 }
 
+// crash has a boot of an endpoint end under the request.
+func crash(g *guard.Guard, boot int) {
+	e := endpt.Endpoint{ID: "w", Born: int64(boot)}
+	_ = g.Begin(request, e) // nothing is held back yet
+	<-g.Broke("id", request, e, io.EOF)
+	g.End(request, e)
+}
+
 // Guards against instances that all start at once, also while the store is away and with a
 // record that nobody can read, and forget what they held back.
 func TestKeptOverStarts(t *testing.T) {
@@ -107,3 +127,61 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against instances that reach the store and not each other, and each count a request
+// from one on.
+func TestPartedInstancesAddUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &memory{items: make(map[string][]byte)}
+		parted := false
+		var guards []*guard.Guard
+		var dockets []*Docket
+		for range poison.Limit {
+			one := newGuard()
+			d := New(store, one, log.New(io.Discard), WithParted(func() bool { return parted }))
+			go d.Run(ctx)
+			guards, dockets = append(guards, one), append(dockets, d)
+		}
+		crash(guards[0], 0)
+		time.Sleep(2 * time.Second)
+		g.Expect(store.items).To(BeEmpty(), "gossip tells all")
+		parted = true
+		time.Sleep(2 * time.Second)
+		g.Expect(store.items).To(HaveLen(1))
+		for n := 1; n < poison.Limit; n++ {
+			crash(guards[n], n)
+			dockets[n].Share(ctx, request)
+			r, _ := guards[n].Record(request) // empty if nothing is known
+			g.Expect(r.Ended).To(HaveLen(n + 1))
+		}
+		g.Expect(guards[poison.Limit-1].Held(request)).NotTo(Succeed())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an answer that clears a request here and leaves it written down as struck.
+func TestClearedFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &memory{items: make(map[string][]byte)}
+		parted := true
+		first, second := newGuard(), newGuard()
+		go New(store, first, log.New(io.Discard), WithParted(func() bool { return parted })).Run(ctx)
+		crash(first, 0)
+		time.Sleep(time.Second)
+		parted = false
+		first.Answered(request)
+		time.Sleep(time.Second)
+		go New(store, second, log.New(io.Discard)).Run(ctx)
+		time.Sleep(time.Second)
+		g.Expect(second.IsSuspect(request)).To(BeFalse())
+		r, _ := second.Record(request) // empty if nothing is known
+		g.Expect(r.Cleared).To(HaveLen(1))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -34,6 +34,8 @@
 	lookTimeout = 400 * time.Millisecond
 	// lookMost bounds the wait for the first look: several round trips between data centres.
 	lookMost = 40 * time.Millisecond
+	// shareMost bounds the wait for the strikes of instances that are out of reach.
+	shareMost = 250 * time.Millisecond
 	// sweepEvery is how often endpoints that broke off are looked up among the known ones,
 	// and what is over is forgotten.
 	sweepEvery = 250 * time.Millisecond
@@ -46,6 +48,7 @@
 		meter  *meter.Meter
 		closed func(ctx context.Context, e endpt.Endpoint) bool
 		listed func(e endpt.Endpoint) (ok, leaving bool)
+		share  func(ctx context.Context, p finger.Print)
 		opts   []poison.Option
 
 		mu    sync.Mutex
@@ -73,6 +76,7 @@
 		meter:      m,
 		closed:     func(context.Context, endpt.Endpoint) bool { return false },
 		listed:     func(endpt.Endpoint) (ok, leaving bool) { return true, false },
+		share:      func(context.Context, finger.Print) {},
 		broken:     make(map[string]endpt.Endpoint),
 		fresh:      make(map[finger.Print]bool),
 		own:        make(map[finger.Print]bool),
@@ -104,6 +108,13 @@
 	return func(g *Guard) { g.listed = f }
 }
 
+// WithShare sets what brings in the strikes of instances that gossip doesn't reach, before
+// a request that was struck is sent again. It is called without a lock. The default brings
+// none.
+func WithShare(f func(ctx context.Context, p finger.Print)) Option {
+	return func(g *Guard) { g.share = f }
+}
+
 // WithTable changes what is held back and for how long. The default is that of package
 // poison. What an option calls must not call the guard.
 func WithTable(opts ...poison.Option) Option {
@@ -228,15 +239,24 @@
 	return first
 }
 
-// Await waits until an endpoint that broke off a send was looked at. Sent again before that,
+// BrokeAndWait is Broke, and waits until the endpoint was looked at. Sent again before that,
 // the request would take the next endpoint before the crash of this one counts.
-func Await(ctx context.Context, looked <-chan struct{}) {
-	ctx, cancel := context.WithTimeout(ctx, lookMost)
-	defer cancel()
+func (g *Guard) BrokeAndWait(ctx context.Context, request string, p finger.Print, e endpt.Endpoint, err error) {
+	looked := g.Broke(request, p, e, err)
+	timer := time.NewTimer(lookMost)
+	defer timer.Stop()
 	select {
 	case <-looked:
+	case <-timer.C:
 	case <-ctx.Done():
+		return
 	}
+	if !g.IsSuspect(p) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareMost)
+	defer cancel()
+	g.share(ctx, p)
 }
 
 // look reports whether nothing listens at an endpoint's address, once all connections that
@@ -345,6 +365,13 @@
 	return out
 }
 
+// Record returns what is known about a request.
+func (g *Guard) Record(p finger.Print) (r strike.Record, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Record(p, time.Now())
+}
+
 // Records returns all that is known.
 func (g *Guard) Records() []strike.Record {
 	g.mu.Lock()
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -167,6 +167,22 @@
 	return m.nodes(func(p *peer) bool { return p.Reaches })
 }
 
+// Parted reports whether this instance is out of touch with some of the others, or with all
+// of them: what these learn doesn't reach it.
+func (m *Mesh) Parted() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	alive := 0
+	for _, p := range m.peers {
+		if m.lives(p) {
+			alive++
+		} else if !p.Stopping {
+			return true
+		}
+	}
+	return alive == 0 || len(m.missing) > 0
+}
+
 // Settled waits until the peers that live are known, and reports whether they are.
 // Instances that come up together would otherwise take each other for lost.
 func (m *Mesh) Settled(ctx context.Context) bool {
--- a/node/held.go
+++ b/node/held.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/guard"
@@ -15,6 +17,7 @@
 // newGuard returns the guard against requests under which endpoints end.
 func (n *Node) newGuard() *guard.Guard {
 	return guard.New(n.logger, n.meter, guard.WithProbe(n.out.Closed), guard.WithListed(n.isListed),
+		guard.WithShare(func(ctx context.Context, p finger.Print) { n.docket.Share(ctx, p) }),
 		guard.WithTable(poison.WithTurns(n.turn)))
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -122,6 +122,7 @@
 		forward *proxy.Forwarder
 		guard   *guard.Guard
 		gossip  *gossip.Gossip
+		docket  *docket.Docket
 		runner  *brun.Runner
 		desk    *bdesk.Desk
 		pilot   *steer.Pilot
@@ -292,7 +293,7 @@
 	g.Go(func() error { n.store.Run(ctx); return nil })
 	g.Go(func() error { n.guard.Run(ctx); return nil })
 	g.Go(func() error { n.gossip.Run(ctx); return nil })
-	g.Go(func() error { docket.New(n.store, n.guard, n.logger).Run(ctx); return nil })
+	g.Go(func() error { n.docket.Run(ctx); return nil })
 	g.Go(func() error { n.runner.Run(ctx); return nil })
 	g.Go(func() error { n.out.Follow(ctx, n.store, n.fan, n.beliefs); return nil })
 	g.Go(func() error { n.sweep(ctx); return nil })
@@ -354,6 +355,7 @@
 			n.gossip.Told(p, s.Crashes)
 		}))
 	n.gossip = gossip.New(n.mesh, n.guard, n.logger)
+	n.docket = docket.New(n.store, n.guard, n.logger, docket.WithParted(n.mesh.Parted))
 	if n.isMetered() || n.isScaling() {
 		n.leader = leader.New(n.mesh, n.store, book, clock, n.out.ReportUsage, n.logger, leader.WithLease(n.cfg.Lease),
 			leader.WithLate(n.cfg.UsageLate), leader.WithDue(n.isKeyed), leader.WithSteady(n.steady), leader.WithMeter(n.meter),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -296,7 +296,7 @@
 	case ctx.Err() == nil:
 		f.set.Failed(e, time.Now())
 		if upstr.IsBroken(err) && !errors.As(err, &notRun) {
-			guard.Await(ctx, f.guard.Broke(r.ID, r.print, e, err))
+			f.guard.BrokeAndWait(ctx, r.ID, r.print, e, err)
 		}
 	}
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -240,7 +240,7 @@
 	case err == nil:
 		r.guard.Answered(p)
 	case errors.As(err, &unknown) && unknown.Ended != "":
-		guard.Await(ctx, r.guard.Broke(id, p, endpt.Endpoint{ID: unknown.Ended, Service: door.GetService()}, err))
+		r.guard.BrokeAndWait(ctx, id, p, endpt.Endpoint{ID: unknown.Ended, Service: door.GetService()}, err)
 	}
 	r.guard.End(p, endpt.Endpoint{ID: door.GetInstance()})
 }
