The product's own interface keeps, lists and clears held requests

Callers saw: after a start of all entries a booking that ends instances is sent on once more by each; operators had neither list nor clear there.

Cause: docket and warden knew the platform's store and metrics address only.

--- a/cmd/lavendermux/held.go
+++ b/cmd/lavendermux/held.go
@@ -1,14 +1,14 @@
 package main
 
 import (
-	"context"
-	"encoding/json"
-	"net/http"
+	"fmt"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/grid"
+	"github.com/lavendermux/lavendermux/opclnt"
 	"github.com/lavendermux/lavendermux/views"
 )
 
@@ -20,12 +20,12 @@
 	}
 
 	heldListCommand struct {
-		Addrs []string `arg:"" name:"address" help:"Metrics addresses of the processes, IP:PORT."`
+		Addrs []string `arg:"" optional:"" name:"address" help:"Metrics addresses of the processes, IP:PORT; the entries of --entry when left out."`
 	}
 
 	heldClearCommand struct {
 		Print string `arg:"" help:"Fingerprint of the request, from the list or a log."`
-		Addr  string `arg:"" name:"address" help:"Metrics address of one process, IP:PORT; it tells the others."`
+		Addr  string `arg:"" optional:"" name:"address" help:"Metrics address of one process, IP:PORT, which tells the others; the entry of --entry when left out."`
 	}
 )
 
@@ -39,8 +39,24 @@
 func (c *heldListCommand) Run(s *session) error {
 	ctx, cancel := s.patience()
 	defer cancel()
-	all, silent := lookAll(ctx, c.Addrs)
-	rows := views.HeldRows(all)
+	names, clients, err := s.processes(c.Addrs)
+	if err != nil {
+		return err
+	}
+	found := make([]views.View, len(clients))
+	errs := make([]error, len(clients))
+	var wg sync.WaitGroup
+	for i, client := range clients {
+		wg.Go(func() { found[i], errs[i] = client.Held(ctx) })
+	}
+	wg.Wait()
+	var silent []string
+	for i, err := range errs {
+		if err != nil {
+			silent = append(silent, fmt.Sprintf("%s: %v", names[i], err))
+		}
+	}
+	rows := views.HeldRows(found)
 	g := grid.New(rows[0]...)
 	for _, row := range rows[1:] {
 		g.Add(row...)
@@ -60,35 +76,40 @@
 	}
 	ctx, cancel := s.patience()
 	defer cancel()
-	strikes, err := clearHeld(ctx, c.Addr, p)
+	var addrs []string
+	if c.Addr != "" {
+		addrs = []string{c.Addr}
+	}
+	names, clients, err := s.processes(addrs)
 	if err != nil {
-		return errors.Wrap(err, c.Addr)
+		return err
+	}
+	strikes, err := clients[0].Release(ctx, p)
+	if err != nil {
+		return errors.Wrap(err, names[0])
 	}
 	if strikes == 0 {
-		return errors.Newf("nothing counts against %s at %s", p, c.Addr)
+		return errors.Newf("nothing counts against %s at %s", p, names[0])
 	}
 	s.print("cleared\n")
 	return nil
 }
 
-func clearHeld(ctx context.Context, addr string, p finger.Print) (strikes int, err error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr+views.HeldPath+p.String(), nil)
-	if err != nil {
-		return 0, errors.Wrap(err, "address")
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return 0, errors.Wrap(err, "no answer")
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return 0, errors.Newf("status %d", resp.StatusCode)
+// processes returns clients of the processes at metrics addresses, and of the entries that
+// the flags name where there are none.
+func (s *session) processes(addrs []string) (names []string, clients []*opclnt.Client, err error) {
+	for _, addr := range addrs {
+		names, clients = append(names, addr), append(clients, opclnt.New("http://"+addr))
 	}
-	var answer struct {
-		Strikes int `json:"strikes"`
+	if len(addrs) > 0 {
+		return names, clients, nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
-		return 0, errors.Wrap(err, "answer")
+	for _, url := range s.flags.Entries {
+		client, err := s.clientOf(url)
+		if err != nil {
+			return nil, nil, err
+		}
+		names, clients = append(names, url), append(clients, client)
 	}
-	return answer.Strikes, nil
+	return names, clients, nil
 }
--- a/docket/docket.go
+++ b/docket/docket.go
@@ -45,7 +45,7 @@
 type (
 	// Docket keeps what a guard holds back; safe for concurrent use. See New.
 	Docket struct {
-		store  kvst.Store
+		store  store
 		guard  *guard.Guard
 		logger *log.Logger
 		parted func() bool
@@ -59,6 +59,14 @@
 	// Option changes a Docket as New makes it.
 	Option func(*Docket)
 
+	// store is the metadata store. Its errors are those of a kvst.Store.
+	store interface {
+		Get(ctx context.Context, key string) (kvst.Item, error)
+		List(ctx context.Context, prefix string) ([]kvst.Item, int64, error)
+		// Commit writes or removes one key.
+		Commit(ctx context.Context, t kvst.Txn) (int64, error)
+	}
+
 	// kept is a record as the store has it.
 	kept struct {
 		strike.Record
@@ -72,8 +80,8 @@
 //
 //	d := docket.New(store, guard, logger)
 //	go d.Run(ctx)
-func New(store kvst.Store, g *guard.Guard, logger *log.Logger, opts ...Option) *Docket {
-	d := &Docket{store: store, guard: g, logger: logger, parted: func() bool { return false }, own: make(map[finger.Print]bool)}
+func New(s store, g *guard.Guard, logger *log.Logger, opts ...Option) *Docket {
+	d := &Docket{store: s, guard: g, logger: logger, parted: func() bool { return false }, own: make(map[finger.Print]bool)}
 	for _, opt := range opts {
 		opt(d)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,9 @@
 	"github.com/lavendermux/lavendermux/confs"
 	"github.com/lavendermux/lavendermux/counts"
 	"github.com/lavendermux/lavendermux/dial"
+	"github.com/lavendermux/lavendermux/docket"
 	"github.com/lavendermux/lavendermux/ecfg"
+	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/front"
 	"github.com/lavendermux/lavendermux/gossip"
@@ -46,6 +48,7 @@
 	"github.com/lavendermux/lavendermux/spread"
 	"github.com/lavendermux/lavendermux/tokens"
 	"github.com/lavendermux/lavendermux/train"
+	"github.com/lavendermux/lavendermux/warden"
 	"github.com/lavendermux/lavendermux/weight"
 	"github.com/lavendermux/lavendermux/wire"
 	"github.com/lavendermux/lavendermux/wire/wireconnect"
@@ -75,6 +78,7 @@
 		meter   *meter.Meter
 		guard   *guard.Guard
 		gossip  *gossip.Gossip
+		docket  *docket.Docket
 		front   *front.Front
 		train   *train.Train
 		ops     *opapi.API
@@ -167,7 +171,10 @@
 }
 
 func (e *Entry) faces() {
-	e.guard = guard.New(e.log, e.meter, guard.WithoutProbe())
+	e.guard = guard.New(e.log, e.meter, guard.WithoutProbe(),
+		guard.WithShare(func(ctx context.Context, p finger.Print) { e.docket.Share(ctx, p) }))
+	// Entries don't tell who is out of touch with whom, so that crashes are always shared.
+	e.docket = docket.New(&shelf{kv: e.store}, e.guard, e.log, docket.WithParted(func() bool { return true }))
 	e.gossip = gossip.New(&neighbours{entry: e}, e.guard, e.log, gossip.WithPoll(gossipPoll))
 	e.relay = relay.New(e.cfg.Instance, e.view, e.dial,
 		relay.WithPlace(e.cfg.DataCentre, e.cfg.Region), relay.WithRetryShare(e.retryShare), relay.WithGuard(e.guard))
@@ -240,6 +247,7 @@
 	go e.hub.Run(background)
 	go e.guard.Run(background)
 	go e.gossip.Run(background)
+	go e.docket.Run(background)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -272,6 +280,7 @@
 	e.train.Register(r)
 	e.ops.Register(r)
 	e.seen.Register(r, e.values)
+	warden.New(e.cfg.Instance, e.guard).Register(r)
 	if e.keys == nil {
 		return r
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -242,7 +242,7 @@
 		n.meter.Register(router)
 		router.HandleFunc(views.Path, n.serveView).Methods(http.MethodGet)
 		if n.guard != nil {
-			warden.New(n.guard).Register(router)
+			warden.New(n.cfg.Instance, n.guard).Register(router)
 		}
 		n.serve(gctx, g, n.cfg.Metrics, router)
 	}
--- a/opclnt/opclnt.go
+++ b/opclnt/opclnt.go
@@ -20,11 +20,13 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/finger"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/opapi"
 	"github.com/lavendermux/lavendermux/reply"
 	"github.com/lavendermux/lavendermux/span"
 	"github.com/lavendermux/lavendermux/status"
+	"github.com/lavendermux/lavendermux/views"
 )
 
 const (
@@ -149,6 +151,23 @@
 	return c.readQuietly(ctx, path, out)
 }
 
+// Held returns the requests that the asked process holds back, in a view with its name.
+func (c *Client) Held(ctx context.Context) (views.View, error) {
+	var v views.View
+	err := c.readQuietly(ctx, views.HeldPath, &v)
+	return v, err
+}
+
+// Release lets a request through again that is held back, and returns how many crashes
+// counted against it. Asked again it does no harm.
+func (c *Client) Release(ctx context.Context, p finger.Print) (strikes int, err error) {
+	var out struct {
+		Strikes int `json:"strikes"`
+	}
+	err = c.do(ctx, request{method: http.MethodDelete, path: views.HeldPath + "/" + p.String()}, &out)
+	return out.Strikes, err
+}
+
 // Put creates a resource, when its revision is 0, or replaces it.
 func (c *Client) Put(ctx context.Context, o object.Object) (object.Object, error) {
 	o.Operation = ""
--- a/tokens/tokens.go
+++ b/tokens/tokens.go
@@ -179,6 +179,8 @@
 		return h.right(third) != ""
 	case "watch":
 		return h.right(r.URL.Query().Get("kind")) != ""
+	case "held":
+		return h.mayResource(r.Method, anyKind)
 	case "burn", "metrics":
 		return len(h.Kinds) > 0
 	case "subscriptions":
--- a/views/views.go
+++ b/views/views.go
@@ -14,9 +14,9 @@
 const (
 	// Path is where a process serves its view, on its metrics address.
 	Path = "/view"
-	// HeldPath is where a process clears a request that it holds back, whose fingerprint
-	// follows.
-	HeldPath = "/held/"
+	// HeldPath is where a process lists the requests that it holds back. With a fingerprint
+	// after it, it is where one is cleared.
+	HeldPath = "/v1/held"
 
 	// RoleEntry is an instance that callers reach.
 	RoleEntry = "entry"
--- a/warden/warden_test.go
+++ b/warden/warden_test.go
@@ -14,6 +14,14 @@
 
 type held map[finger.Print]int
 
+func (h held) List() []views.Held {
+	var out []views.Held
+	for p, n := range h {
+		out = append(out, views.Held{Print: p.String(), Strikes: n})
+	}
+	return out
+}
+
 func (h held) Clear(p finger.Print) int {
 	n := h[p]
 	delete(h, p)
@@ -25,12 +33,15 @@
 	g := NewWithT(t)
 	p := finger.Of("", "h", "/p", nil)
 	router := mux.NewRouter()
-	New(held{p: 3}).Register(router)
-	ask := func(text string) (int, string) {
+	New("entry-1", held{p: 3}).Register(router)
+	call := func(method, path string) (int, string) {
 		rec := httptest.NewRecorder()
-		router.ServeHTTP(rec, httptest.NewRequest(http.MethodDelete, views.HeldPath+text, nil))
+		router.ServeHTTP(rec, httptest.NewRequest(method, path, nil))
 		return rec.Code, rec.Body.String()
 	}
+	ask := func(text string) (int, string) { return call(http.MethodDelete, views.HeldPath+"/"+text) }
+	_, body := call(http.MethodGet, views.HeldPath)
+	g.Expect(body).To(MatchJSON(`{"instance":"entry-1","held":[{"print":"` + p.String() + `","strikes":3,"ended":null}]}`))
 	status, body := ask(p.String())
 	g.Expect(status).To(Equal(http.StatusOK))
 	g.Expect(body).To(MatchJSON(`{"strikes":3}`))
@@ -39,4 +50,6 @@
 	status, body = ask("5f0c")
 	g.Expect(status).To(Equal(http.StatusBadRequest))
 	g.Expect(body).To(ContainSubstring("5f0c"))
+	_, body = call(http.MethodGet, views.HeldPath)
+	g.Expect(body).To(MatchJSON(`{"instance":"entry-1","held":[]}`))
 }
