Who is out of touch with whom is known as long as it lasts

Cause: Parted looked at the announced instances that were missing at the last list, so that in the first minute of a fleet everybody took himself for parted (peers announced and not yet asked), and between forgetting a silent peer (30 s) and the next list (60 s) nobody did. An instance buried by another one stayed missing for good.

Evidence: TestPartedIsKnown failed before at 35 s of a cut; TestPartedIsKnown and all of mesh pass after.

Change: missing instances count only while no sign of life came since; forgotten peers are missing at once; those whose announcement is gone aren't.

--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -250,6 +251,7 @@
 	for _, n := range m.Alive() {
 		alive = append(alive, n.Name)
 	}
+	m.keepMissing(items)
 	for _, it := range items {
 		var n Node
 		if err := json.Unmarshal(it.Value, &n); err != nil {
@@ -265,6 +267,17 @@
 	return nil
 }
 
+// keepMissing forgets missing instances whose announcements are gone.
+func (m *Mesh) keepMissing(items []kvst.Item) {
+	announced := make(map[string]bool, len(items))
+	for _, it := range items {
+		announced[it.Key[len(prefix):]] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.missing, func(name string, _ time.Time) bool { return !announced[name] })
+}
+
 // isMissingLong reports whether an announced instance has been out of touch for
 // buryAfter.
 func (m *Mesh) isMissingLong(name string) bool {
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -294,6 +294,38 @@
 	})
 }
 
+// An instance that doesn't reach another must know it, also when it has long forgotten the
+// other one, as what that one learns reaches it no more; and in calm nobody is taken for
+// parted.
+func TestPartedIsKnown(t *testing.T) {
+	inDeployment(t, small, func(d *deployment) {
+		parted := func() (names []string) {
+			for _, m := range d.members {
+				if m.Parted() {
+					names = append(names, m.self.Name)
+				}
+			}
+			return names
+		}
+		d.g.Expect(parted()).To(BeEmpty())
+		cut := d.members[3]
+		for _, m := range d.members {
+			if m != cut {
+				d.net.Cut(cut.ip, m.ip)
+			}
+		}
+		for range 24 {
+			time.Sleep(5 * time.Second)
+			d.g.Expect(parted()).To(HaveLen(small))
+		}
+		for _, m := range d.members {
+			d.net.Heal(cut.ip, m.ip)
+		}
+		time.Sleep(3 * time.Second)
+		d.g.Expect(parted()).To(BeEmpty())
+	})
+}
+
 // Half of a fleet loses power in one moment, neighbours of each other among them. All
 // that are left must know all that are lost.
 func TestHalfIsLost(t *testing.T) {
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -218,6 +218,9 @@
 			p.cancel()
 		}
 		delete(m.peers, name)
+		if _, ok := m.missing[name]; !ok && !p.Stopping {
+			m.missing[name] = time.Now() // its announcement is looked up with the next list
+		}
 		dropped = true
 	}
 	if dropped {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -180,7 +180,12 @@
 			return true
 		}
 	}
-	return alive == 0 || len(m.missing) > 0
+	for name := range m.missing {
+		if p, ok := m.peers[name]; !ok || !m.lives(p) && !p.Stopping {
+			return true
+		}
+	}
+	return alive == 0
 }
 
 // Settled waits until the peers that live are known, and reports whether they are.
