A worker's own failure doesn't clear a request

Callers saw: nothing yet; found by asking what could clear a request that ends workers. Workers that fail part of what they are sent without running it let such a request start from nothing each time.

Cause: every answer of an endpoint counted as proof that the request runs there, a status of 500 too.

Ruled out: clearing after two answers (grey workers fail part of all requests for seconds); taking a failure for a strike (a service that fails would be held back).

Change: status 500 and above clears nothing, for plain requests, items and the product's own calls; streams never were cleared by one. The stand-in fails before it runs anything. An honest request that only ever gets failures, and runs beside three crashes, is held for 5 s as others without an answer are.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"slices"
 	"time"
 
@@ -183,7 +184,9 @@
 		r.noteRefusal(call.Endpoint, notRun, now)
 		return "not run"
 	case errors.As(err, &status):
-		r.guard.Answered(it.print)
+		if status.Status < http.StatusInternalServerError {
+			r.guard.Answered(it.print)
+		}
 		return r.settleStatus(h, it, route, status)
 	case errors.Is(err, errMoved):
 		return "moved"
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -189,7 +189,8 @@
 	g.table.End(p, e.Boot())
 }
 
-// Answered takes that an endpoint has run a request and lives.
+// Answered takes that an endpoint has run a request and lives. A failure of the endpoint is
+// no such answer: it may have failed before it ran any of it.
 func (g *Guard) Answered(p finger.Print) {
 	g.mu.Lock()
 	cleared := g.table.Answered(p, time.Now())
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -279,7 +279,9 @@
 		return try{endpoint: e, err: err}
 	}
 	f.set.Worked(e, time.Since(start))
-	f.guard.Answered(r.print)
+	if a.Status < http.StatusInternalServerError {
+		f.guard.Answered(r.print)
+	}
 	return try{endpoint: e, answer: &Answer{Status: a.Status, Header: a.Header, Body: body, Receipt: a.Receipt, Endpoint: e.ID}}
 }
 
--- a/relay/call.go
+++ b/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -142,6 +143,6 @@
 		}
 	}
 	r.outcome(ctx, req.GetService(), id, load, err)
-	r.end(ctx, req.GetRequestId(), p, door, err)
+	r.end(ctx, req.GetRequestId(), p, door, err, out.GetStatus() >= http.StatusInternalServerError)
 	return out, err
 }
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -150,7 +150,7 @@
 		return nil, err
 	}
 	end, err := p.stream(ctx, door)
-	p.relay.end(ctx, p.req.GetRequestId(), p.print, door, err)
+	p.relay.end(ctx, p.req.GetRequestId(), p.print, door, err, false)
 	return end, err
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -233,10 +233,12 @@
 	return err
 }
 
-// end takes how a request ended at a door.
-func (r *Relay) end(ctx context.Context, id string, p finger.Print, door *wire.EndpointState, err error) {
+// end takes how a request ended at a door. An endpoint's own failure may come before it ran
+// any of the request.
+func (r *Relay) end(ctx context.Context, id string, p finger.Print, door *wire.EndpointState, err error, hasFailed bool) {
 	var unknown *fault.UnknownOutcomeError
 	switch {
+	case hasFailed:
 	case err == nil:
 		r.guard.Answered(p)
 	case errors.As(err, &unknown) && unknown.Ended != "":
--- a/sims/simwkr/simwkr.go
+++ b/sims/simwkr/simwkr.go
@@ -346,7 +346,7 @@
 	lose, garble, fail, never, slow := w.lose > 0, w.garble > 0, w.fail > 0, w.never[id], w.slow
 	w.lose, w.garble, w.fail = max(0, w.lose-1), max(0, w.garble-1), max(0, w.fail-1)
 	w.mu.Unlock()
-	if deadly {
+	if deadly && !fail {
 		wait(r, w.work)
 		w.crash()
 		panic(http.ErrAbortHandler)
