Orders need no window of usage

Callers would see: an instance that ends as soon as it leads, one after the other, on a platform that takes orders for endpoints and wants no usage.

Cause: without `metering` the settings name no window; the leader numbers its windows all the same, and divides by it.

Evidence: TestEndpointsFollowTheLoadUnmetered, before "integer divide by zero" in leader.claim, after passes; nothing is reported there.

Change: a book without a window has the default one. Where usage is asked for, nothing changes.

--- a/usage/usage.go
+++ b/usage/usage.go
@@ -13,9 +13,12 @@
 	"time"
 )
 
-// windowsMost bounds the windows that are kept: five minutes of five seconds each, far
-// longer than anybody is without a reader of its counts.
-const windowsMost = 60
+const (
+	// windowsMost bounds the windows that are kept: five minutes of five seconds each, far
+	// longer than anybody is without a reader of its counts.
+	windowsMost   = 60
+	defaultWindow = 5 * time.Second
+)
 
 // Book has the counts of one instance; safe for concurrent use. See New.
 type Book struct {
@@ -29,11 +32,15 @@
 	changes int64
 }
 
-// New returns an empty book with windows of that length.
+// New returns an empty book with windows of that length; 0, where nobody asks for usage, is
+// defaultWindow.
 //
 //	b := usage.New(5 * time.Second)
 //	w := b.Began("huka270", now)
 func New(window time.Duration) *Book {
+	if window <= 0 {
+		window = defaultWindow
+	}
 	return &Book{window: window, counts: make(map[int64]map[string]int)}
 }
 
