An instance that leads again forgets what it saw before

A leader that had lost the lead and has it again went by loads and orders of before, and could give up at once what another had ordered since.

Evidence: TestGapIsForgotten, before 4 endpoints of 7 left, after 7. Change: after 5 s without a look the scaler starts anew from what is there.

--- a/scaler/scaler.go
+++ b/scaler/scaler.go
@@ -30,6 +30,8 @@
 	defaultSmooth = 2 * time.Second
 	// trendSpan is the time over which the load's growth is measured.
 	trendSpan = 5 * time.Second
+	// gapMost is how long the load may go unseen: after that others may have ordered.
+	gapMost = 5 * time.Second
 	// sampleEvery bounds how closely the load is remembered.
 	sampleEvery = 250 * time.Millisecond
 )
@@ -108,6 +110,10 @@
 // Wanted returns how many endpoints each data centre should have in which the service
 // runs. Before endpoints are known it is empty.
 func (s *Scaler) Wanted(l Limits, st State) map[string]int {
+	if len(s.loads) > 0 && st.Now-s.noted > gapMost {
+		s.loads, s.level = nil, 0
+		clear(s.wanted)
+	}
 	if st.Partial {
 		st.Load = max(st.Load, s.level)
 	}
--- a/scaler/scaler_test.go
+++ b/scaler/scaler_test.go
@@ -119,3 +119,14 @@
 		g.Expect(s.Wanted(l, scaler.State{Now: at, Load: 1, Partial: true, Slots: 4, Have: have})).To(Equal(have))
 	}
 }
+
+// An instance decides again after others did for a while. What it saw before must not give
+// up what they have ordered since.
+func TestGapIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	l := scaler.Limits{Min: 1, Max: 9, Boot: time.Second}
+	s := scaler.New()
+	g.Expect(play(s, l, map[string]int{"a": 2}, 0, 30*time.Second, flat(1))).To(Equal(map[string]int{"a": 2}))
+	since := map[string]int{"a": 7}
+	g.Expect(play(s, l, since, 50*time.Second, 70*time.Second, flat(8))).To(Equal(since))
+}
