--- a/cmd/standin/site.go
+++ b/cmd/standin/site.go
@@ -7,7 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/lavendermux/lavendermux/sims/simsit"
+	"github.com/lavendermux/lavendermux/platform/sims/simsit"
 )
 
 type siteCommand struct {
--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -12,7 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
-	"github.com/lavendermux/lavendermux/sims/soak"
+	"github.com/lavendermux/lavendermux/platform/sims/soak"
 )
 
 type soakCommand struct {
