beats, hubs: log from whom a configuration came, and at which revision

An instance applied the configuration of a hub, of another data centre's hub or of the metadata store without a line in its log, and a failed fetch left none either. After an answer by an older configuration, the logs could not tell whether the instance went back, or started with an old one, or from whom.

Each change of the configuration in use now logs its source and the revisions before and after; each failed fetch logs the hub and the error.

--- a/beats/round.go
+++ b/beats/round.go
@@ -176,9 +176,15 @@
 	if c.config.Loaded() && resp.GetRevision() <= c.config.Revision() {
 		return
 	}
-	req := connect.NewRequest(&wire.FetchRequest{AfterRevision: c.config.Revision()})
-	if got, err := c.peer(target).Fetch(ctx, req); err == nil {
-		c.config.Apply(got.Msg)
+	before := c.config.Revision()
+	req := connect.NewRequest(&wire.FetchRequest{AfterRevision: before})
+	got, err := c.peer(target).Fetch(ctx, req)
+	if err != nil {
+		c.log.Warn("Configuration not fetched.", "hub", target.ID, "hubRevision", resp.GetRevision(), "revision", before, "error", err)
+		return
+	}
+	if c.config.Apply(got.Msg) {
+		c.log.Info("Configuration updated.", "source", target.ID, "before", before, "revision", got.Msg.GetRevision())
 	}
 }
 
--- a/hubs/exchange.go
+++ b/hubs/exchange.go
@@ -99,10 +99,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !h.config.Loaded() || resp.GetRevision() > h.config.Revision() {
-		req := connect.NewRequest(&wire.FetchRequest{AfterRevision: h.config.Revision()})
-		if got, err := h.peer(c.Address).Fetch(ctx, req); err == nil {
-			h.config.Apply(got.Msg)
-		}
+		h.fetchConfig(ctx, c)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -126,3 +123,16 @@
 		h.table.Merge(time.Now(), c.DataCentre, got.Msg)
 	}
 }
+
+// fetchConfig fetches the changes that another hub has and this one lacks.
+func (h *Hub) fetchConfig(ctx context.Context, c insts.Instance) {
+	before := h.config.Revision()
+	got, err := h.peer(c.Address).Fetch(ctx, connect.NewRequest(&wire.FetchRequest{AfterRevision: before}))
+	if err != nil {
+		h.log.Warn("Configuration not fetched.", "hub", c.ID, "revision", before, "error", err)
+		return
+	}
+	if h.config.Apply(got.Msg) {
+		h.log.Info("Configuration updated.", "source", c.ID, "before", before, "revision", got.Msg.GetRevision())
+	}
+}
--- a/hubs/follow.go
+++ b/hubs/follow.go
@@ -75,7 +75,7 @@
 			resp.Resources = append(resp.Resources, res)
 		}
 	}
-	h.config.Apply(resp)
+	h.applyFromStore(resp)
 	return revision, nil
 }
 
@@ -95,7 +95,14 @@
 		}
 	}
 	if len(records) > 0 {
-		h.config.Apply(resp)
+		h.applyFromStore(resp)
 	}
 	return max(after, next), nil
 }
+
+func (h *Hub) applyFromStore(resp *wire.FetchResponse) {
+	before := h.config.Revision()
+	if h.config.Apply(resp) {
+		h.log.Info("Configuration updated.", "source", "keyValue", "before", before, "revision", resp.GetRevision())
+	}
+}
