beats, hubs: the first configuration of a process needs a proof

What callers saw: an entry that started while the metadata store was down answered by revision 8 after 9 had been in force at all others; an accepted change was undone for some seconds. Until an entry had a configuration, callers and trainers got 404 for each model and subscription, and a list or watch of resources was answered with none.

Cause: revisions only grow within one process, but one that starts holds nothing to compare with. It took what the first hub of its data centre had, which may have been cut off since before the change, and was ready after one round of heartbeats.

Change: the first configuration comes from a hub that reads, after it was asked, what the store has accepted since its last watch (FetchRequest.confirm, FetchResponse.confirmed), or from a quorum of all entries that are listed or known (package quorum): half of them, rounded up, intersect each majority, and a process without a proof does not answer. A hub without configuration takes none from hubs of other data centres. Until then the process has no configuration at all, so no part of it can use an old one: 503, not run, at once, with Retry-After.

Why it works: a revision in use on a majority of the entries is known to one of any such quorum that has not forgotten it; TestMajorityIsNeverMissed goes through every majority and every set of answers of up to seven instances.

If the only live peer is outdated, the entry now refuses until the store is back.

--- a/beats/beats.go
+++ b/beats/beats.go
@@ -2,6 +2,9 @@
 // of the instance's data centre, and fetches configuration and membership from them
 // when its own copies are out of date.
 //
+// The first configuration of an instance needs a proof that it is not older than one that
+// was in force; later ones only have to be newer than the one in use.
+//
 // The client selects the hubs, and so also decides whether an entry should itself act
 // as hub: all instances use the same rendezvous order of the data centre's entries, and
 // skip those that don't answer.
@@ -56,10 +59,13 @@
 		// leaving is the value last passed to onLeaving; only Run's goroutine uses it.
 		leaving bool
 
-		mu       sync.Mutex
-		rand     *rand.Rand
-		listed   []insts.Instance
-		relistAt time.Time
+		mu   sync.Mutex
+		rand *rand.Rand
+		// listedEntries holds all entries of the instance list, listed those that are not
+		// leaving.
+		listedEntries []insts.Instance
+		listed        []insts.Instance
+		relistAt      time.Time
 		// failedRounds counts the consecutive rounds in which no hub answered.
 		failedRounds int
 		hubOrders    []*hubsel.Candidates
@@ -159,9 +165,8 @@
 	}
 }
 
-// Ready reports whether the instance may serve: it has a configuration, and has
-// completed one round of heartbeats. The round keeps it from starting with the
-// configuration of a hub that was cut off while the other one has a later one.
+// Ready reports whether the instance may serve: it has a configuration that was proved
+// current, and has completed one round of heartbeats.
 func (c *Client) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/beats/round.go
+++ b/beats/round.go
@@ -63,6 +63,9 @@
 			reached[target.ID] = true
 		}
 	}
+	if !c.config.Loaded() {
+		c.loadConfig(ctx)
+	}
 	c.finishRound(len(reached))
 }
 
@@ -117,7 +120,11 @@
 	if n := resp.Msg.GetSiblings(); c.onSiblings != nil && n > 0 {
 		c.onSiblings(n)
 	}
-	c.fetchConfig(callCtx, target, resp.Msg)
+	if c.config.Loaded() {
+		c.fetchConfig(callCtx, target, resp.Msg)
+	} else {
+		c.loadConfirmed(callCtx, target)
+	}
 	c.readMembers(callCtx, target, resp.Msg)
 	return true
 }
@@ -173,7 +180,7 @@
 // fetchConfig updates the configuration to the hub's revision. The cache itself rejects
 // older revisions, such as those of a hub that was cut off.
 func (c *Client) fetchConfig(ctx context.Context, target insts.Instance, resp *wire.BeatResponse) {
-	if c.config.Loaded() && resp.GetRevision() <= c.config.Revision() {
+	if resp.GetRevision() <= c.config.Revision() {
 		return
 	}
 	before := c.config.Revision()
@@ -292,8 +299,9 @@
 	}
 	c.relistAt = time.Now().Add(wait)
 	if err == nil {
-		c.listed = slices.DeleteFunc(listed, func(i insts.Instance) bool {
-			return i.Role != insts.RoleEntry || i.State == insts.StateLeaving
+		c.listedEntries = slices.DeleteFunc(listed, func(i insts.Instance) bool { return i.Role != insts.RoleEntry })
+		c.listed = slices.DeleteFunc(slices.Clone(c.listedEntries), func(i insts.Instance) bool {
+			return i.State == insts.StateLeaving
 		})
 		c.candidatesUntil = time.Time{}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"github.com/lavendermux/lavendermux/dial"
 	"github.com/lavendermux/lavendermux/discov"
 	"github.com/lavendermux/lavendermux/ecfg"
+	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/front"
 	"github.com/lavendermux/lavendermux/gossip"
@@ -53,9 +54,16 @@
 	"github.com/lavendermux/lavendermux/wstore"
 )
 
-// minCompressBytes is the size from which responses to peers are compressed. The
-// response to a heartbeat has 20 bytes and would grow.
-const minCompressBytes = 512
+const (
+	// minCompressBytes is the size from which responses to peers are compressed. The
+	// response to a heartbeat has 20 bytes and would grow.
+	minCompressBytes = 512
+	// causeNotLoaded means that the instance has no configuration that is proved current.
+	causeNotLoaded = "notLoaded"
+	// notLoadedRetry is the Retry-After of such a rejection. Other entries can serve the
+	// request at once; this one tries to load the configuration every three seconds.
+	notLoadedRetry = 3 * time.Second
+)
 
 type (
 	// Entry is one entry instance. See New and Run.
@@ -276,8 +284,10 @@
 	r.UseEncodedPath()
 	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	r.HandleFunc("/readyz", e.ready)
-	e.front.Register(r)
-	e.train.Register(r)
+	configured := r.NewRoute().Subrouter()
+	configured.Use(e.requireConfig)
+	e.front.Register(configured)
+	e.train.Register(configured)
 	e.operatorAPI.Register(r)
 	e.observer.Register(r, e.setMetrics)
 	qadmin.New(e.cfg.Instance, e.guard).Register(r)
@@ -299,6 +309,22 @@
 	}
 }
 
+// requireConfig rejects the requests of callers and trainers while this instance has no
+// configuration. Without it they would be told that their model, service or subscription
+// does not exist, and would not come back.
+func (e *Entry) requireConfig(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !e.conf.Loaded() {
+			e.log.Debug("Request rejected: no configuration proved current yet.", "path", r.URL.Path)
+			front.WriteError(w, "", &fault.NotRunError{
+				Cause: causeNotLoaded, Reason: "this entry has no configuration yet", RetryAfter: notLoadedRetry,
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (e *Entry) peerHandler() http.Handler {
 	m := http.NewServeMux()
 	m.Handle(wireconnect.NewPeerServiceHandler(&peerHandler{Hub: e.hub, entry: e},
--- a/hubs/exchange.go
+++ b/hubs/exchange.go
@@ -98,7 +98,9 @@
 func (h *Hub) syncFrom(ctx context.Context, c insts.Instance, resp *wire.BeatResponse) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !h.config.Loaded() || resp.GetRevision() > h.config.Revision() {
+	// The first configuration comes from the store, or from the heartbeat client once it is
+	// proved: the other hub may have been cut off itself.
+	if h.config.Loaded() && resp.GetRevision() > h.config.Revision() {
 		h.fetchConfig(ctx, c)
 	}
 	h.mu.Lock()
--- a/hubs/follow.go
+++ b/hubs/follow.go
@@ -21,6 +21,9 @@
 	failureJitter = 0.5
 	// normalJitter is the relative jitter of delays in normal operation.
 	normalJitter = 0.1
+	// confirmTimeout bounds a check with the store, which answers in milliseconds. The
+	// instance that waits for it has time left to ask the other entries instead.
+	confirmTimeout = 500 * time.Millisecond
 )
 
 // followConfig applies the configuration from the metadata store until ctx ends: one
@@ -35,7 +38,10 @@
 			after, err = h.listConfig(ctx)
 			listed = err == nil
 		} else {
-			after, err = h.watchConfig(ctx, after)
+			after, err = h.watchConfig(ctx, after, h.jitter(h.watchWait, normalJitter))
+		}
+		if err == nil {
+			h.setCursor(after)
 		}
 		var gap *fault.CompactedError
 		if errors.As(err, &gap) {
@@ -82,8 +88,8 @@
 // watchConfig waits for changes and applies them. The revision in force is that of the
 // last change of a resource and not the store's, which each renewal of a lease may
 // advance: otherwise every write of any key would make all instances fetch nothing.
-func (h *Hub) watchConfig(ctx context.Context, after int64) (int64, error) {
-	records, next, err := h.store.Watch(ctx, object.KeyPrefix, after, h.jitter(h.watchWait, normalJitter))
+func (h *Hub) watchConfig(ctx context.Context, after int64, wait time.Duration) (int64, error) {
+	records, next, err := h.store.Watch(ctx, object.KeyPrefix, after, wait)
 	if err != nil {
 		return after, err
 	}
@@ -106,3 +112,26 @@
 		h.log.Info("Configuration updated.", "source", "keyValue", "before", before, "revision", resp.GetRevision())
 	}
 }
+
+// confirmConfig asks the metadata store for the changes that the last watch has not
+// returned yet and applies them. On success the configuration holds every change that was
+// accepted before the call. A watch that is still waiting proves nothing: its connection
+// may be cut.
+func (h *Hub) confirmConfig(ctx context.Context) error {
+	h.mu.Lock()
+	after := h.cursor
+	h.mu.Unlock()
+	if after == nil {
+		return errNotHub
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	_, err := h.watchConfig(ctx, *after, 0)
+	return err
+}
+
+func (h *Hub) setCursor(after int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cursor = &after
+}
--- a/hubs/hub.go
+++ b/hubs/hub.go
@@ -69,9 +69,12 @@
 		// leaving holds the instances that are leaving according to the instance list.
 		leaving    map[string]bool
 		lastWanted time.Time
-		stop       context.CancelFunc
-		done       sync.WaitGroup
-		peers      map[string]peer
+		// cursor is the store's revision up to which this hub last read it; the
+		// configuration holds every change up to there. It is nil before the first list.
+		cursor *int64
+		stop   context.CancelFunc
+		done   sync.WaitGroup
+		peers  map[string]peer
 	}
 
 	// configuration is the instance's copy of the resources, such as confs.Cache. Its
@@ -182,12 +185,22 @@
 // instance has no configuration: an empty response would mean that all resources were
 // deleted.
 func (h *Hub) Fetch(
-	_ context.Context, req *connect.Request[wire.FetchRequest],
+	ctx context.Context, req *connect.Request[wire.FetchRequest],
 ) (*connect.Response[wire.FetchResponse], error) {
 	if !h.config.Loaded() {
 		return nil, connect.NewError(connect.CodeUnavailable, errNoConfig)
 	}
-	return connect.NewResponse(h.config.Fetch(req.Msg.GetAfterRevision())), nil
+	confirmed := false
+	if req.Msg.GetConfirm() {
+		err := h.confirmConfig(ctx)
+		if err != nil {
+			h.log.Info("Configuration not confirmed for a peer.", "revision", h.config.Revision(), "error", err)
+		}
+		confirmed = err == nil
+	}
+	resp := h.config.Fetch(req.Msg.GetAfterRevision())
+	resp.Confirmed = confirmed
+	return connect.NewResponse(resp), nil
 }
 
 // Members implements wireconnect.PeerServiceHandler.
--- a/matrix/rows.go
+++ b/matrix/rows.go
@@ -63,6 +63,8 @@
 	{"two regions cut", map[string][]string{"TestRegionsCut": slices.Concat(loadSteps, []string{"spread"})}, nil},
 	{"key-value service down", map[string][]string{"TestKeyValueDown": loadSteps, "TestKeyValueDownLong": slices.Concat(loadSteps, weights),
 		"TestConfigurationNeverBack": {"spread", "apply"}}, nil},
+	{"an entry starts while the key-value service is down", map[string][]string{
+		"TestRollingRestartInAnOutage": {"accept", "spread", "apply"}, "TestOnlyPeerIsOutdated": {"accept", "spread", "apply"}}, nil},
 	{"key-value service slow", map[string][]string{"TestKeyValueSlow": slices.Concat(loadSteps, weights)}, nil},
 	{"answer lost after the write took effect", map[string][]string{"TestWriteAnswersLost": rollout, "TestOperatorsRace": {"write configuration"}},
 		map[string][]string{noStore: live}},
--- a/matrix/world_test.go
+++ b/matrix/world_test.go
@@ -325,6 +325,12 @@
 // do sends one request and returns its body and status; the status is 0 when no
 // complete response arrived.
 func (w *world) do(method, url string, in any, header map[string]string) (int, []byte) {
+	status, _, body := w.exchange(method, url, in, header)
+	return status, body
+}
+
+// exchange is do with the header of the response.
+func (w *world) exchange(method, url string, in any, header map[string]string) (int, http.Header, []byte) {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
@@ -347,14 +353,14 @@
 	}
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return 0, []byte(err.Error())
+		return 0, nil, []byte(err.Error())
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return 0, []byte(err.Error())
+		return 0, nil, []byte(err.Error())
 	}
-	return resp.StatusCode, raw
+	return resp.StatusCode, resp.Header, raw
 }
 
 func (w *world) generate(i int, prompt string, maxTokens int) (int, []byte) {
--- a/opapi/opapi.go
+++ b/opapi/opapi.go
@@ -158,7 +158,7 @@
 	resp.Items, resp.Revision, err = a.writer.List(r.Context(), kind)
 	if isUnavailable(err) {
 		resp.Source, resp.Revision = SourceLocal, a.cache.Revision()
-		resp.Items, err = a.cache.Objects(kind), nil
+		resp.Items, err = a.cache.Objects(kind), a.checkLoaded()
 	}
 	if err != nil {
 		apierr.WriteError(w, err)
@@ -197,18 +197,27 @@
 		}
 		return o, SourceKeyValue, err
 	}
+	if err := a.checkLoaded(); err != nil {
+		return object.Object{}, SourceLocal, err
+	}
 	if o, ok := a.cache.Object(kind, name); ok {
 		return o, SourceLocal, nil
 	}
 	if revision, ok := a.cache.Tombstone(kind, name); ok {
 		return object.Object{Kind: kind, Name: name, Revision: revision, Deleted: true}, SourceLocal, nil
 	}
-	if !a.cache.Loaded() {
-		return object.Object{}, SourceLocal, apierr.Busy("notLoaded", "this entry has no configuration yet, and the key-value service gives no answer", retryAfter)
-	}
 	return object.Object{}, SourceLocal, notFoundError(kind, name)
 }
 
+// checkLoaded returns an error while this entry has no configuration to answer from. An
+// empty answer would mean that there are no resources.
+func (a *API) checkLoaded() error {
+	if a.cache.Loaded() {
+		return nil
+	}
+	return apierr.Busy("notLoaded", "this entry has no configuration yet, and the key-value service gives no answer", retryAfter)
+}
+
 func (a *API) setSourceHeaders(w http.ResponseWriter, source string) {
 	w.Header().Set(HeaderSource, source)
 	if source == SourceLocal {
--- a/opapi/watch.go
+++ b/opapi/watch.go
@@ -46,6 +46,10 @@
 		apierr.WriteError(w, err)
 		return
 	}
+	if err := a.checkLoaded(); err != nil {
+		apierr.WriteError(w, err)
+		return
+	}
 	select {
 	case a.watchSlots <- struct{}{}:
 		defer func() { <-a.watchSlots }()
