side: take a job's fencing number from a quorum of the entries

What users would see: in an outage of the metadata store, the sidecar of an engine that ignores fencing numbers starts and obeys a holder that was overtaken while it was cut off. Two holders switch one engine's weights, and samples can name weights that the trainer has replaced.

A sidecar that starts has forgotten the number; with the store away it asked the entries one after the other and believed the first that named the job.

Change: an entry remembers the greatest number of each job, also when its holder is lost (fleet.View.Fence), and returns it (PeerService.Fence); the sidecar takes the greatest of a quorum of all known entries (beats.Client.QuorumRead, shared with the first configuration). Without a quorum it carries out no order, as it did before its first answer.

--- a/beats/load.go
+++ b/beats/load.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +43,7 @@
 // is in use on a quorum of the entries. A single peer proves nothing, since it may have
 // been cut off while a later revision came into force.
 func (c *Client) loadConfig(ctx context.Context) {
-	entries := c.knownEntries()
-	read := c.readRevisions(ctx, entries)
+	read := c.QuorumRead(ctx, c.askRevision)
 	source, revision, ok := read.Result()
 	if !ok {
 		c.log.Warn("No configuration proved current; requests are rejected.",
@@ -51,7 +52,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := c.fetchFrom(ctx, entries[source], &wire.FetchRequest{})
+	resp, err := c.fetchFrom(ctx, c.knownEntries()[source], &wire.FetchRequest{})
 	if err != nil || resp.GetRevision() < revision {
 		c.log.Warn("Configuration not fetched.", "source", source, "sourceRevision", revision,
 			"revision", resp.GetRevision(), "error", err)
@@ -60,45 +61,51 @@
 	c.applyFirst(resp, "source", source, "proof", "quorum", "answers", read.Answers(), "entries", read.Voters())
 }
 
-// readRevisions asks all other entries for the revisions that they use. All are asked,
-// even when a quorum has answered, since a revision may be in force on fewer entries than
-// a majority while the others are cut off.
-func (c *Client) readRevisions(ctx context.Context, entries map[string]insts.Instance) *quorum.Read {
+// QuorumRead asks all other entries that are known for a number that only grows, such as a
+// revision or a fencing token. All are asked, even when a quorum has answered, since the
+// greatest one may be known to fewer entries than a majority while the others are cut off.
+//
+//	read := c.QuorumRead(ctx, askRevision)
+//	source, revision, ok := read.Result()
+func (c *Client) QuorumRead(
+	ctx context.Context, ask func(ctx context.Context, entry insts.Instance) (int64, error),
+) *quorum.Read {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	entries := c.knownEntries()
+	read := quorum.New(slices.Collect(maps.Keys(entries)))
+	own, _ := identity(c.self())
+	delete(entries, own)
 	var (
-		ids   []string
 		mu    sync.Mutex
 		calls sync.WaitGroup
 	)
-	for id := range entries {
-		ids = append(ids, id)
-	}
-	read := quorum.New(ids)
-	own, _ := identity(c.self())
 	slots := make(chan struct{}, readParallel)
-	for id, e := range entries {
-		if id == own {
-			continue
-		}
+	for id, entry := range entries {
 		calls.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			ctx, cancel := context.WithTimeout(ctx, voterTimeout)
 			defer cancel()
-			resp, err := c.fetchFrom(ctx, e, &wire.FetchRequest{AfterRevision: revisionOnly})
+			n, err := ask(ctx, entry)
 			if err != nil {
-				return // Counted as missing in the result.
+				return // A missing answer; the result counts those that came.
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			read.Add(id, resp.GetRevision())
+			read.Add(id, n)
 		})
 	}
 	calls.Wait()
 	return read
 }
 
+// askRevision returns the revision that an entry uses.
+func (c *Client) askRevision(ctx context.Context, entry insts.Instance) (int64, error) {
+	resp, err := c.fetchFrom(ctx, entry, &wire.FetchRequest{AfterRevision: revisionOnly})
+	return resp.GetRevision(), err
+}
+
 // knownEntries returns all entries, by ID, that may have had a configuration in use: those
 // of the instance list, leaving ones too, of the membership, and this one if it is an
 // entry.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -11,6 +11,8 @@
 	"github.com/lavendermux/lavendermux/wire"
 )
 
+var errNotLoaded = errors.New("this instance has no configuration yet")
+
 // peerHandler serves the RPCs between entry instances: heartbeats through the hub,
 // requests for the leader of a job, and replicas on disk.
 type peerHandler struct {
@@ -30,6 +32,24 @@
 	}), nil
 }
 
+// Fence implements wireconnect.PeerServiceHandler. It returns an error while the instance
+// has no configuration: it has just started and has seen no holder of any job.
+func (h *peerHandler) Fence(
+	_ context.Context, req *connect.Request[wire.FenceRequest],
+) (*connect.Response[wire.FenceResponse], error) {
+	if !h.entry.conf.Loaded() {
+		return nil, connect.NewError(connect.CodeUnavailable, errNotLoaded)
+	}
+	job := req.Msg.GetJob()
+	fence := h.entry.view.Fence(job)
+	for _, j := range h.entry.jobs.Held() {
+		if j.GetJob() == job {
+			fence = max(fence, j.GetFence())
+		}
+	}
+	return connect.NewResponse(&wire.FenceResponse{Fence: fence}), nil
+}
+
 // Keep implements wireconnect.PeerServiceHandler.
 func (h *peerHandler) Keep(
 	_ context.Context, req *connect.Request[wire.KeepRequest],
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,8 +32,11 @@
 		// sortedEntries holds the entries, sorted by instance.
 		sortedEntries []*wire.EntryState
 		holders       map[string]jobHolder
-		digests       []*wire.DataCentreDigest
-		missingUntil  map[string]time.Time
+		// fences holds the greatest fencing token seen of each job; it only grows, also
+		// when the job's holder is lost.
+		fences       map[string]int64
+		digests      []*wire.DataCentreDigest
+		missingUntil map[string]time.Time
 	}
 
 	jobHolder struct {
@@ -51,6 +54,7 @@
 		endpoints:    map[string]*wire.EndpointState{},
 		entries:      map[string]*wire.EntryState{},
 		holders:      map[string]jobHolder{},
+		fences:       map[string]int64{},
 		missingUntil: map[string]time.Time{},
 	}
 }
@@ -150,6 +154,14 @@
 	return h.entry, h.job.GetFence()
 }
 
+// Fence returns the greatest fencing token of job that any entry has reported, also one
+// that is gone; 0 if there is none.
+func (v *View) Fence(job string) int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.fences[job]
+}
+
 // ConfirmedHolder returns the entry that holds job and has recently renewed its lease. While
 // there is one, no other entry needs to try to acquire the job. A holder in doubt is
 // still called, but may be cut off and its lease expired.
@@ -172,6 +184,7 @@
 			if j.GetFence() > v.holders[j.GetJob()].job.GetFence() {
 				v.holders[j.GetJob()] = jobHolder{entry: e, job: j}
 			}
+			v.fences[j.GetJob()] = max(v.fences[j.GetJob()], j.GetFence())
 		}
 	}
 }
--- a/matrix/rows.go
+++ b/matrix/rows.go
@@ -65,6 +65,9 @@
 		"TestConfigurationNeverBack": {"spread", "apply"}}, nil},
 	{"an entry starts while the key-value service is down", map[string][]string{
 		"TestRollingRestartInAnOutage": {"accept", "spread", "apply"}, "TestOnlyPeerIsOutdated": {"accept", "spread", "apply"}}, nil},
+	{"a process beside an engine starts while the key-value service is down", map[string][]string{
+		"TestOldFenceAfterRestartInAnOutage": {"switch"}},
+		map[string][]string{noOrder: slices.Concat(noEngineSteps, []string{"admit", "queue"})}},
 	{"key-value service slow", map[string][]string{"TestKeyValueSlow": slices.Concat(loadSteps, weights)}, nil},
 	{"answer lost after the write took effect", map[string][]string{"TestWriteAnswersLost": rollout, "TestOperatorsRace": {"write configuration"}},
 		map[string][]string{noStore: live}},
--- a/matrix/startup_test.go
+++ b/matrix/startup_test.go
@@ -1,13 +1,23 @@
 package matrix
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/dial"
+	"github.com/lavendermux/lavendermux/jobs"
+	"github.com/lavendermux/lavendermux/keyval"
+	"github.com/lavendermux/lavendermux/lease"
+	"github.com/lavendermux/lavendermux/sims/simeng"
+	"github.com/lavendermux/lavendermux/wire"
 )
 
 // rejectedAtOnce is how long a rejection may take that needs no answer of the store.
@@ -130,3 +140,50 @@
 		t.Logf("%d of %d calls refused", refused, calls)
 	})
 }
+
+// A sidecar restarts while the metadata store is down and has forgotten the fencing number.
+// The entries that it asks include the holder that was overtaken while it was cut off. If it
+// believed that one, an engine that ignores fencing numbers would obey both holders.
+func TestOldFenceAfterRestartInAnOutage(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(t, size{entries: 4, engines: 1, engine: []simeng.Option{simeng.WithoutFence()}})
+		defer w.close()
+		overtaken := w.jobHolder()
+		old := w.record(lease.KeyPrefix + jobs.Pool(pool)).Created
+		peers := []string{kvIP, sideIP(0)}
+		for _, p := range w.entries {
+			if p != overtaken {
+				peers = append(peers, p.ip)
+			}
+		}
+		for _, peer := range peers {
+			w.net.Partition(overtaken.ip, peer)
+		}
+		store := keyval.New("http://"+kvIP+":80", keyval.WithHTTP(w.client))
+		w.until("another entry holds the job", time.Minute, func() bool {
+			rec, err := store.Get(t.Context(), lease.KeyPrefix+jobs.Pool(pool))
+			return err == nil && rec.Created > old
+		})
+		time.Sleep(20 * time.Second)
+		w.kv.SetDown(true)
+		for _, peer := range peers {
+			w.net.Heal(overtaken.ip, peer)
+		}
+		doors := dial.New(w.netOf(clientIP).PeerClient())
+		defer doors.Close()
+		w.restart(w.sides, 0, w.startSide)
+		for n := range 300 {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			resp, err := doors.Door(sideIP(0)+":80").Order(ctx, connect.NewRequest(&wire.OrderRequest{
+				OrderId: fmt.Sprintf("old-%d", n), Pool: pool, Fence: old, Kind: wire.OrderKind_ORDER_KIND_SWITCH, Model: model,
+				Version: "1", TimeoutMs: 1000,
+			}))
+			cancel()
+			g.Expect(err != nil || !resp.Msg.GetDone()).To(BeTrue(), "order %d of the overtaken holder", n)
+			time.Sleep(50 * time.Millisecond)
+		}
+		g.Expect(strings.Count(w.log.String(), "fencing number learnt")).To(Equal(2), "at the first start and after the restart")
+	})
+}
--- a/quorum/quorum.go
+++ b/quorum/quorum.go
@@ -1,5 +1,6 @@
 // Package quorum decides whether the answers of some instances prove that a versioned
-// state is not older than what a majority of them had in use.
+// state, such as the configuration's revision or a job's fencing token, is not older than
+// what a majority of them had in use.
 //
 // It is the read side of majority voting: a revision that was in use on a majority of n
 // instances is known to at least one of any (n+1)/2 of them, so the highest revision
@@ -30,11 +31,10 @@
 	return &Read{voters: slices.Compact(voters), answers: make(map[string]int64)}
 }
 
-// Add records the revision that a voter has proved and uses. Answers of others are
-// ignored.
+// Add records the revision that a voter knows. Answers of others are ignored.
 func (r *Read) Add(id string, revision int64) {
 	if _, found := slices.BinarySearch(r.voters, id); found {
-		r.answers[id] = revision
+		r.answers[id] = max(r.answers[id], revision)
 	}
 }
 
--- a/side/fence.go
+++ b/side/fence.go
@@ -7,6 +7,7 @@
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/jobs"
 	"github.com/lavendermux/lavendermux/lease"
 	"github.com/lavendermux/lavendermux/wire"
@@ -17,8 +18,6 @@
 	// after its start. It accepts no orders before it knows the token, which delays
 	// a weight switch but loses nothing.
 	fenceRetryInterval = time.Second
-	// peerTimeout bounds one query to a peer.
-	peerTimeout = 2 * time.Second
 )
 
 // learnFence determines the greatest fencing token after a start: the sidecar has
@@ -70,23 +69,19 @@
 	return s.fenceFromPeers(ctx, job)
 }
 
-// fenceFromPeers queries the entry instances one after the other for the fencing
-// token of the job's leader.
+// fenceFromPeers queries the entry instances for the fencing token of the job's leader. It
+// takes a quorum of them: one may be a leader that was overtaken while it was cut off.
 func (s *Sidecar) fenceFromPeers(ctx context.Context, job string) (int64, bool) {
-	for _, c := range s.beats.Candidates() {
-		peerCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		resp, err := s.dial.Peer(c.Address).Members(peerCtx, connect.NewRequest(&wire.MembersRequest{}))
-		cancel()
+	read := s.beats.QuorumRead(ctx, func(ctx context.Context, entry insts.Instance) (int64, error) {
+		resp, err := s.dial.Peer(entry.Address).Fence(ctx, connect.NewRequest(&wire.FenceRequest{Job: job}))
 		if err != nil {
-			continue
+			return 0, err
 		}
-		for _, e := range resp.Msg.GetEntries() {
-			for _, j := range e.GetJobs() {
-				if j.GetJob() == job {
-					return j.GetFence(), true
-				}
-			}
-		}
-	}
-	return 0, false
+		return resp.Msg.GetFence(), nil
+	})
+	source, fence, ok := read.Result()
+	known := ok && fence > 0
+	s.log.Info("fencing number asked of entries", "job", job, "known", known, "fence", fence, "source", source,
+		"answers", read.Answers(), "needed", read.Needed(), "entries", read.Voters())
+	return fence, known
 }
--- a/wire/wireconnect/wire.connect.go
+++ b/wire/wireconnect/wire.connect.go
@@ -49,6 +49,8 @@
 	PeerServiceFetchProcedure = "/lavendermux.v1.PeerService/Fetch"
 	// PeerServiceMembersProcedure is the fully-qualified name of the PeerService's Members RPC.
 	PeerServiceMembersProcedure = "/lavendermux.v1.PeerService/Members"
+	// PeerServiceFenceProcedure is the fully-qualified name of the PeerService's Fence RPC.
+	PeerServiceFenceProcedure = "/lavendermux.v1.PeerService/Fence"
 	// PeerServiceRelayProcedure is the fully-qualified name of the PeerService's Relay RPC.
 	PeerServiceRelayProcedure = "/lavendermux.v1.PeerService/Relay"
 	// PeerServiceKeepProcedure is the fully-qualified name of the PeerService's Keep RPC.
@@ -200,6 +202,8 @@
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
 	// Members returns the endpoints and entries that changed after a version.
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	// Fence returns the greatest fencing token of a job that the entry has seen.
+	Fence(context.Context, *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceResponse], error)
 	// Relay forwards a trainer's or an operator's request to the instance that holds the
 	// job that must answer it.
 	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error)
@@ -238,6 +242,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Members")),
 			connect.WithClientOptions(opts...),
 		),
+		fence: connect.NewClient[wire.FenceRequest, wire.FenceResponse](
+			httpClient,
+			baseURL+PeerServiceFenceProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Fence")),
+			connect.WithClientOptions(opts...),
+		),
 		relay: connect.NewClient[wire.RelayRequest, wire.RelayResponse](
 			httpClient,
 			baseURL+PeerServiceRelayProcedure,
@@ -264,6 +274,7 @@
 	beat    *connect.Client[wire.BeatRequest, wire.BeatResponse]
 	fetch   *connect.Client[wire.FetchRequest, wire.FetchResponse]
 	members *connect.Client[wire.MembersRequest, wire.MembersResponse]
+	fence   *connect.Client[wire.FenceRequest, wire.FenceResponse]
 	relay   *connect.Client[wire.RelayRequest, wire.RelayResponse]
 	keep    *connect.Client[wire.KeepRequest, wire.KeepResponse]
 	kept    *connect.Client[wire.KeptRequest, wire.KeptResponse]
@@ -284,6 +295,11 @@
 	return c.members.CallUnary(ctx, req)
 }
 
+// Fence calls lavendermux.v1.PeerService.Fence.
+func (c *peerServiceClient) Fence(ctx context.Context, req *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceResponse], error) {
+	return c.fence.CallUnary(ctx, req)
+}
+
 // Relay calls lavendermux.v1.PeerService.Relay.
 func (c *peerServiceClient) Relay(ctx context.Context, req *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error) {
 	return c.relay.CallUnary(ctx, req)
@@ -308,6 +324,8 @@
 	Fetch(context.Context, *connect.Request[wire.FetchRequest]) (*connect.Response[wire.FetchResponse], error)
 	// Members returns the endpoints and entries that changed after a version.
 	Members(context.Context, *connect.Request[wire.MembersRequest]) (*connect.Response[wire.MembersResponse], error)
+	// Fence returns the greatest fencing token of a job that the entry has seen.
+	Fence(context.Context, *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceResponse], error)
 	// Relay forwards a trainer's or an operator's request to the instance that holds the
 	// job that must answer it.
 	Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error)
@@ -342,6 +360,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Members")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFenceHandler := connect.NewUnaryHandler(
+		PeerServiceFenceProcedure,
+		svc.Fence,
+		connect.WithSchema(peerServiceMethods.ByName("Fence")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceRelayHandler := connect.NewUnaryHandler(
 		PeerServiceRelayProcedure,
 		svc.Relay,
@@ -368,6 +392,8 @@
 			peerServiceFetchHandler.ServeHTTP(w, r)
 		case PeerServiceMembersProcedure:
 			peerServiceMembersHandler.ServeHTTP(w, r)
+		case PeerServiceFenceProcedure:
+			peerServiceFenceHandler.ServeHTTP(w, r)
 		case PeerServiceRelayProcedure:
 			peerServiceRelayHandler.ServeHTTP(w, r)
 		case PeerServiceKeepProcedure:
@@ -395,6 +421,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lavendermux.v1.PeerService.Members is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Fence(context.Context, *connect.Request[wire.FenceRequest]) (*connect.Response[wire.FenceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lavendermux.v1.PeerService.Fence is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Relay(context.Context, *connect.Request[wire.RelayRequest]) (*connect.Response[wire.RelayResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lavendermux.v1.PeerService.Relay is not implemented"))
 }
