sighup: ignore SIGHUP from before the Go runtime starts

What users saw: a SIGHUP, which the platform sends when a settings file has changed, ended a node that had just started; in TestSoak beside load "entry-0 ended by itself: signal: hangup".

Cause: the Go runtime ends a program at SIGHUP until signal.Notify, and main comes after the initialization of all packages.

Change: a constructor, which the C library runs before the Go runtime, ignores SIGHUP in services. A signal that is ignored when the runtime starts stays so until signal.Notify, and the settings are read after that. What is left, from exec to the constructor, only the starter can close: a child inherits that SIGHUP is ignored. The soak starts its processes so; its check is the same.

TestIgnoredBeforeMain starts the test program as a service and as an operator's command; the former ignored no signal before. TestHangupAtTheStart moved here from cmd/lavendermux, with the same checks and one more.

catchSIGHUP -> sighup.Catch.

--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"github.com/lavendermux/lavendermux/sighup"
 )
 
 // commands are the subcommands; each is in its own file.
@@ -32,23 +34,10 @@
 }
 
 func main() {
-	hangups := catchSIGHUP(os.Args[1:])
+	hangups := sighup.Catch(os.Args[1:])
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	s := &session{ctx: ctx, hangups: hangups, in: os.Stdin, out: os.Stdout, errOut: os.Stderr}
 	code := run(s, os.Args[1:])
 	stop()
 	os.Exit(code)
 }
-
-// catchSIGHUP starts to catch SIGHUP if args run a node, and returns nil otherwise. It
-// is called first in main: a SIGHUP to all processes, to reload their settings, can
-// reach one in its first milliseconds and would kill it. The operators' commands still
-// end with their terminal.
-func catchSIGHUP(args []string) chan os.Signal {
-	if len(args) == 0 || args[0] != "node" {
-		return nil
-	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	return hangups
-}
--- a/cmd/lavendermux/node.go
+++ b/cmd/lavendermux/node.go
@@ -5,7 +5,6 @@
 	"os"
 	"runtime/debug"
 
-	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/logs"
@@ -13,7 +12,6 @@
 	"github.com/lavendermux/lavendermux/node"
 	"github.com/lavendermux/lavendermux/platform/conf"
 	"github.com/lavendermux/lavendermux/platform/wiring"
-	"github.com/lavendermux/lavendermux/procfg"
 	"github.com/lavendermux/lavendermux/spool"
 )
 
@@ -42,27 +40,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(cfg.MemoryBytes)))
 	}
 	logger := logs.New(spool.New(os.Stdout), logs.WithLevel(c.LogLevel), logs.WithField(logs.FieldInstance, cfg.Instance))
-	go followSettings(ctx, s.hangups, cfg, logger)
+	go followSettings(ctx, s.hangups, cfg, conf.Load, logger)
 	m := meter.New()
 	return node.New(cfg, wiring.New(cfg, logger, wiring.WithMeter(m)), logger, node.WithMeter(m)).Run(ctx)
 }
-
-// followSettings reads the settings file again at each SIGHUP and logs whether it has
-// changed. A process uses the settings that it started with; the log line tells the
-// operator that a restart is needed for a change to take effect.
-func followSettings(ctx context.Context, hangups <-chan os.Signal, old procfg.Config, logger *log.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		cfg, err := conf.Load()
-		if err != nil {
-			logger.Error("Settings not reloaded.", "error", err)
-			continue
-		}
-		logger.Info("Settings reloaded.", "changed", cfg != old, "needsRestart", cfg != old)
-		old = cfg
-	}
-}
