entry, side: read the settings again at SIGHUP instead of ending

What users saw: a SIGHUP, from a terminal that closes or as the reload signal that other servers know, ended an entry or a sidecar at any time, with the requests in flight.

Cause: only node caught the signal.

Change: both read their settings file again and log whether it has changed, as node does (followSettings, now for any settings).

--- a/cmd/lavendermux/entry.go
+++ b/cmd/lavendermux/entry.go
@@ -18,17 +18,14 @@
 }
 
 // Run serves until a signal and then shuts down gracefully.
-func (c *entryCommand) Run(ctx context.Context) error {
-	raw, err := os.ReadFile(c.Settings)
+func (c *entryCommand) Run(ctx context.Context, s *session) error {
+	cfg, err := c.load()
 	if err != nil {
-		return errors.Wrap(err, "reading the settings")
-	}
-	cfg, err := ecfg.Parse(raw)
-	if err != nil {
-		return errors.Wrapf(err, "settings %s", c.Settings)
+		return err
 	}
 	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
 		logs.WithField(logs.FieldInstance, cfg.Instance))
+	go followSettings(ctx, s.hangups, cfg, c.load, logger)
 	opts := []entry.Option{entry.WithLog(logger)}
 	serverTLS, err := cfg.TLS.TLSConfig()
 	if err != nil {
@@ -49,6 +46,15 @@
 	return entry.New(cfg, opts...).Run(ctx)
 }
 
+func (c *entryCommand) load() (ecfg.Settings, error) {
+	raw, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return ecfg.Settings{}, errors.Wrap(err, "reading the settings")
+	}
+	cfg, err := ecfg.Parse(raw)
+	return cfg, errors.Wrapf(err, "settings %s", c.Settings)
+}
+
 func loadKeys(name string) (*auth.TokenSet, error) {
 	raw, err := os.ReadFile(name)
 	if err != nil {
--- a/cmd/lavendermux/side.go
+++ b/cmd/lavendermux/side.go
@@ -17,20 +17,26 @@
 }
 
 // Run serves until a signal and then drains.
-func (c *sidecarCommand) Run(ctx context.Context) error {
-	raw, err := os.ReadFile(c.Settings)
+func (c *sidecarCommand) Run(ctx context.Context, s *session) error {
+	cfg, err := c.load()
 	if err != nil {
-		return errors.Wrap(err, "reading the settings")
-	}
-	cfg, err := scfg.Parse(raw)
-	if err != nil {
-		return errors.Wrapf(err, "settings %s", c.Settings)
+		return err
 	}
 	logger := logs.New(os.Stderr, logs.WithLevel(cfg.LogLevel), logs.WithFormat(cfg.LogFormat),
 		logs.WithField(logs.FieldInstance, cfg.Instance))
+	go followSettings(ctx, s.hangups, cfg, c.load, logger)
 	peerTLS, err := cfg.PeerTLS.TLSConfig()
 	if err != nil {
 		return errors.Wrap(err, "settings: peerTLS")
 	}
 	return side.New(cfg, side.WithLog(logger), side.WithNet(netset.New(netset.WithPeerTLS(peerTLS)))).Run(ctx)
 }
+
+func (c *sidecarCommand) load() (scfg.Settings, error) {
+	raw, err := os.ReadFile(c.Settings)
+	if err != nil {
+		return scfg.Settings{}, errors.Wrap(err, "reading the settings")
+	}
+	cfg, err := scfg.Parse(raw)
+	return cfg, errors.Wrapf(err, "settings %s", c.Settings)
+}
--- a/sighup/constructor.c
+++ b/sighup/constructor.c
@@ -3,7 +3,7 @@
 #include <signal.h>
 #include <string.h>
 
-static const char *services[] = {"node"};
+static const char *services[] = {"entry", "node", "side"};
 
 /* Runs before the Go runtime. glibc passes the arguments of main to constructors. */
 __attribute__((constructor)) static void ignoreHangup(int argc, char **argv) {
--- a/sighup/sighup.go
+++ b/sighup/sighup.go
@@ -19,7 +19,7 @@
 
 // Services are the subcommands that run until they are stopped and so survive a SIGHUP. The
 // constructor in constructor.c has the same list.
-var Services = []string{"node"}
+var Services = []string{"entry", "node", "side"}
 
 // Catch returns a channel that receives each SIGHUP from now on, or nil if args are not
 // those of a service. Call it first in main.
--- a/sighup/sighup_test.go
+++ b/sighup/sighup_test.go
@@ -19,7 +19,7 @@
 	g := NewWithT(t)
 	g.Expect(sighup.Catch([]string{"get", "pool"})).To(BeNil())
 	g.Expect(sighup.Catch(nil)).To(BeNil())
-	for _, service := range []string{"node"} {
+	for _, service := range []string{"node", "entry", "side"} {
 		hangups := sighup.Catch([]string{service})
 		g.Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(Succeed())
 		g.Eventually(hangups, 5*time.Second).Should(Receive(Equal(syscall.SIGHUP)))
