brun: equal items run at three endpoints at most until one is answered

What users would see: a submission of equal items that crash their engines ends all engines of the service at once, and every other caller of the service waits for them.

Cause: a request is limited to one copy in flight only after its first strike. A batch starts as many items as there are free slots, so equal items were at all engines before the first crash counted.

Change: while no copy was answered recently, copies of an item may be in flight at three endpoints, as many as quarantine it (poison.Table.CopyLimit); others go to these or wait. Items that differ are not touched.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -48,8 +48,14 @@
 			continue
 		}
 		views := r.candidates(route.PickService(it.ID), b.sub, it, route, now)
+		views, limited := r.limitCopies(views, it)
 		i, ok := r.picker.Pick(candidates(views, r.dataCentre, now))
-		if !ok {
+		switch {
+		case !ok && limited:
+			r.meter.Count("item_copies_waiting_total", 1)
+			r.logger.Debug("Item waits for a copy to be answered.", "batch", b.sub.ID, "item", it.ID, "print", it.fp, "endpoints", len(views))
+			continue
+		case !ok:
 			return
 		}
 		r.startItem(ctx, b, it, route, views[i])
@@ -74,6 +80,16 @@
 	return slices.DeleteFunc(suitable, avoided)
 }
 
+// limitCopies excludes endpoints that must not get one more copy of an item, and reports whether
+// there is a limit.
+func (r *Runner) limitCopies(views []epset.View, it *item) (allowed []epset.View, limited bool) {
+	incarnations, limited := r.guard.CopyLimit(it.fp)
+	if !limited {
+		return views, false
+	}
+	return slices.DeleteFunc(views, func(v epset.View) bool { return !incarnations[v.Incarnation()] }), true
+}
+
 func candidates(views []epset.View, centre string, now time.Time) []place.Candidate {
 	out := make([]place.Candidate, len(views))
 	for i, v := range views {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -185,6 +185,14 @@
 	return g.table.Begin(fp, e.Incarnation(), time.Now())
 }
 
+// CopyLimit returns the incarnations to which one more copy of a request may be sent, and
+// whether there is such a limit; see [poison.Table.CopyLimit].
+func (g *Tracker) CopyLimit(fp reqfp.Fingerprint) (incarnations map[string]bool, limited bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.CopyLimit(fp, time.Now())
+}
+
 // End counts the end of a send to e.
 func (g *Tracker) End(fp reqfp.Fingerprint, e endpt.Endpoint) {
 	g.mu.Lock()
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -279,6 +279,23 @@
 	return s.count
 }
 
+// CopyLimit returns the incarnations to which one more copy of a request may be sent, and
+// whether there is such a limit: copies of a request that was not answered recently are in
+// flight at as many as it takes to quarantine it. A submission may have hundreds of equal
+// items; if poison, they would crash all endpoints of a service before the first crash counts.
+func (t *Table) CopyLimit(fp reqfp.Fingerprint, now time.Time) (incarnations map[string]bool, limited bool) {
+	if t.inFlightTotal[fp] < StrikeLimit || t.answered.Has(fp, now) {
+		return nil, false
+	}
+	incarnations = make(map[string]bool)
+	for incarnation, sends := range t.inFlight {
+		if sends[fp] > 0 {
+			incarnations[incarnation] = true
+		}
+	}
+	return incarnations, len(incarnations) >= StrikeLimit
+}
+
 // Begin counts a send of a request to an incarnation, or returns a [*QuarantineError] if it must
 // not be sent now.
 func (t *Table) Begin(fp reqfp.Fingerprint, incarnation string, now time.Time) error {
