beats, hubs: bound what the start of a whole fleet costs hubs and store

What was seen: since an instance's first configuration needs a proof, the start of all 1,050 instances at once made 5,173 calls a second between instances for a minute where there had been 38; a hub carried 23,321 bytes a second (26,787 at most) where it had carried 17,695 (19,640), over its 20 KB/s; the store's busiest second had 490 calls where it had had 91 (TestMeasureRecovery, 7 x (50 + 100), both builds beside other work).

Cause: an instance asked all 349 other entries while none had a configuration yet, and each confirmation of a hub was a call of its own to the store.

A hub gathers the instances that start within 100 ms into one check with the store (package gather: a caller never gets the result of a check that began before it asked).

TestConfigurationNeverBack, TestOnlyPeerIsOutdated, TestRollingRestartInAnOutage and TestOldFenceAfterRestartInAnOutage: 30 of 30 runs each pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -315,6 +315,7 @@
 func (e *Entry) requireConfig(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !e.conf.Loaded() {
+			e.meter.Count("not_loaded_rejections_total", 1)
 			e.log.Debug("Request rejected: no configuration proved current yet.", "path", r.URL.Path)
 			front.WriteError(w, "", &fault.NotRunError{
 				Cause: causeNotLoaded, Reason: "this entry has no configuration yet", RetryAfter: notLoadedRetry,
--- a/hubs/follow.go
+++ b/hubs/follow.go
@@ -24,6 +24,10 @@
 	// confirmTimeout bounds a check with the store, which answers in milliseconds. The
 	// instance that waits for it has time left to ask the other entries instead.
 	confirmTimeout = 500 * time.Millisecond
+	// confirmDelay is how long such a check waits for more instances that start. When all of a
+	// large fleet start, each hub calls the store ten times a second instead of once for each
+	// of its members.
+	confirmDelay = 100 * time.Millisecond
 )
 
 // followConfig applies the configuration from the metadata store until ctx ends: one
--- a/hubs/hub.go
+++ b/hubs/hub.go
@@ -20,6 +20,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/fleet"
+	"github.com/lavendermux/lavendermux/gather"
 	"github.com/lavendermux/lavendermux/insts"
 	"github.com/lavendermux/lavendermux/member"
 	"github.com/lavendermux/lavendermux/record"
@@ -59,6 +60,8 @@
 		linger        time.Duration
 		watchWait     time.Duration
 		log           *log.Logger
+		// confirm is confirmConfig, shared by the instances that start at the same time.
+		confirm *gather.Func
 
 		mu    sync.Mutex
 		rand  *rand.Rand
@@ -130,6 +133,7 @@
 	for _, opt := range opts {
 		opt(h)
 	}
+	h.confirm = gather.New(h.confirmConfig, gather.WithDelay(confirmDelay))
 	h.rand = rand.New(rand.NewPCG(h.seed, h.seed))
 	return h
 }
@@ -192,7 +196,7 @@
 	}
 	confirmed := false
 	if req.Msg.GetConfirm() {
-		err := h.confirmConfig(ctx)
+		err := h.confirm.Do(ctx)
 		if err != nil {
 			h.log.Info("Configuration not confirmed for a peer.", "revision", h.config.Revision(), "error", err)
 		}
--- a/matrix/startup_test.go
+++ b/matrix/startup_test.go
@@ -23,9 +23,9 @@
 // rejectedAtOnce is how long a rejection may take that needs no answer of the store.
 const rejectedAtOnce = 100 * time.Millisecond
 
-// outdatedEntry leaves the last entry with the configuration before the last change, which
-// it returns the revision of: the entry is cut off during the change, and healed once the
-// metadata store is down.
+// outdatedEntry changes the configuration while the last entry is cut off, takes the metadata
+// store down and heals the entry, which therefore still has the configuration before the
+// change. It returns the revision of the change.
 func (w *world) outdatedEntry(g *WithT) int64 {
 	last := len(w.entries) - 1
 	w.apply("policy", "fair", map[string]any{"callers": []any{map[string]any{"caller": "a", "weight": 1}}})
