--- a/procs/hangup_test.go
+++ b/procs/hangup_test.go
@@ -117,7 +117,7 @@
 	return map[string]service{
 		"entry": {command: []string{"entry", "--settings", entryFile}, settings: entryFile, addr: addrs[0]},
 		"side":  {command: []string{"side", "--settings", sideFile}, settings: sideFile, addr: addrs[2]},
-		"node": {command: []string{"node"}, env: "LAVENDERMUX_NODE_FILE=" + nodeFile, settings: nodeFile,
+		"node": {command: []string{"node"}, env: simcfg.SettingsEnv(nodeFile), settings: nodeFile,
 			addr: net.JoinHostPort(ip, nodeMetricsPort)},
 	}
 }
