brun, lineup: a holder reads the engines once in a pass, not once for each run

Cause: each look for a faster engine (ten a second and run) and each start of an item copied, sorted and scored all endpoints of the service. With 224 runs on 428 engines that is more than half a processor of a holder for looks alone, and events are then read late, so that healthy engines look slow and runs are moved in vain.

Change: the endpoints that suit a batch are read once in a pass (brun/choice.go) and handed out by a heap of their scores (package lineup, which chooses what place.Picker chooses). Runs that may only use some endpoints still scan them.

TestSweepReadsEnginesOnce fails before: allocations of a look grow with the runs.

--- /dev/null
+++ b/brun/choice.go
@@ -0,0 +1,167 @@
+package brun
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/lineup"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/place"
+)
+
+type (
+	// choices are the endpoints that the items of a batch may use, as they are in one pass
+	// over the items. They are read from the registry once: with hundreds of engines a copy
+	// for each item would take a holder longer than the items do.
+	choices struct {
+		// suitable has the endpoints whose weights suit the batch, with the runs that were
+		// started in this pass.
+		suitable []epset.View
+		// preferred has the indices in suitable of those that lineup chooses from, and
+		// preferredAt the position in it of each endpoint, by ID.
+		preferred   []int
+		preferredAt map[string]int
+		lineup      *lineup.Lineup
+	}
+
+	// moves are the choices for runs that may go on elsewhere, as they are in one sweep.
+	moves struct {
+		byBatch map[moveKey]*choices
+		// incoming counts the runs that this sweep has cancelled in favor of each endpoint, by
+		// its ID. They don't run there yet; without the count all slow runs would go to the
+		// one fastest endpoint, be refused there, and lose more time than they gain.
+		incoming map[string]int
+	}
+
+	moveKey struct {
+		batch   *tracked
+		service string
+	}
+)
+
+func newMoves() *moves {
+	return &moves{byBatch: make(map[moveKey]*choices), incoming: make(map[string]int)}
+}
+
+// choices returns the endpoints with a known speed to which runs of a batch may move.
+func (m *moves) choices(r *Runner, b *tracked, service string, now time.Time) *choices {
+	key := moveKey{batch: b, service: service}
+	c := m.byBatch[key]
+	if c == nil {
+		c = r.newChoices(service, b.sub, now, func(v epset.View) bool { return v.UnitTime > 0 && !now.Before(v.AvoidUntil) }, m.incoming)
+		m.byBatch[key] = c
+	}
+	return c
+}
+
+// newChoices returns the choices of a batch at a service among the endpoints that keep
+// accepts. incoming counts the runs that are on their way to an endpoint, by its ID.
+func (r *Runner) newChoices(service string, sub *batch.Submission, now time.Time, keep func(epset.View) bool, incoming map[string]int) *choices {
+	c := &choices{suitable: slices.DeleteFunc(r.endpoints.Available(service), func(v epset.View) bool {
+		return v.Loading[sub.Model] || v.Versions[sub.Model] < sub.MinVersion
+	})}
+	for i := range c.suitable {
+		c.suitable[i].Running += incoming[c.suitable[i].ID]
+	}
+	avoidsFailed := hasUnfailed(c.suitable, now)
+	c.preferredAt = make(map[string]int, len(c.suitable))
+	views := make([]epset.View, 0, len(c.suitable))
+	for i, v := range c.suitable {
+		if !keep(v) || avoidsFailed && now.Before(v.AvoidUntil) {
+			continue
+		}
+		c.preferredAt[v.ID] = len(c.preferred)
+		c.preferred = append(c.preferred, i)
+		views = append(views, v)
+	}
+	c.lineup = lineup.New(r.picker, candidates(views, r.dataCentre, now))
+	return c
+}
+
+// hasUnfailed reports whether any endpoint hasn't failed recently. Those that have are then
+// excluded, even if all others are full: a slot becomes free several times a second, while
+// a run at a silent endpoint is lost for maxSilence, as others just were.
+func hasUnfailed(views []epset.View, now time.Time) bool {
+	return slices.ContainsFunc(views, func(v epset.View) bool { return !now.Before(v.AvoidUntil) })
+}
+
+// take returns the best endpoint with a free slot for an item, and counts a run there.
+// limited reports whether the item may run at some endpoints only.
+func (r *Runner) take(c *choices, sub *batch.Submission, it *item, route *manif.Route, now time.Time) (v epset.View, ok, limited bool) {
+	incarnations, limited := r.guard.CopyLimit(it.fp)
+	if !limited && !isPinned(it, route) {
+		i, ok := c.lineup.Take()
+		if !ok {
+			return epset.View{}, false, false
+		}
+		i = c.preferred[i]
+		c.suitable[i].Running++
+		return c.suitable[i], true, false
+	}
+	allowed := slices.DeleteFunc(slices.Clone(c.suitable), func(v epset.View) bool {
+		return isPinned(it, route) && v.Versions[sub.Model] != it.versions[0]
+	})
+	if hasUnfailed(allowed, now) {
+		allowed = slices.DeleteFunc(allowed, func(v epset.View) bool { return now.Before(v.AvoidUntil) })
+	}
+	if limited {
+		allowed = slices.DeleteFunc(allowed, func(v epset.View) bool { return !incarnations[v.Incarnation()] })
+	}
+	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now))
+	if !ok {
+		return epset.View{}, false, limited
+	}
+	c.count(allowed[i].ID)
+	return allowed[i], true, limited
+}
+
+// other returns the best endpoint with a free slot to which a running item could move.
+func (c *choices) other(it *item, model string, route *manif.Route) (epset.View, bool) {
+	except, ok := c.preferredAt[it.endpoint.ID]
+	if !ok {
+		except = -1
+	}
+	i, ok := c.lineup.Best(except)
+	if !ok {
+		return epset.View{}, false
+	}
+	v := c.suitable[c.preferred[i]]
+	return v, !isPinned(it, route) || v.Versions[model] == it.versions[0]
+}
+
+// count counts a run at an endpoint that the lineup didn't choose.
+func (c *choices) count(id string) {
+	if at, ok := c.preferredAt[id]; ok {
+		c.lineup.Add(at)
+	}
+	i := slices.IndexFunc(c.suitable, func(v epset.View) bool { return v.ID == id })
+	c.suitable[i].Running++
+}
+
+// isPinned reports whether an item may only go on under the version that it began with.
+func isPinned(it *item, route *manif.Route) bool {
+	return route.SingleVersion && len(it.versions) > 0
+}
+
+func candidates(views []epset.View, centre string, now time.Time) []place.Candidate {
+	out := make([]place.Candidate, len(views))
+	for i, v := range views {
+		out[i] = place.Candidate{
+			Slots:    v.Slots,
+			Running:  v.Running,
+			UnitTime: eventInterval(v),
+			Remote:   v.DataCentre != centre,
+			Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
+		}
+	}
+	return out
+}
+
+func eventInterval(v epset.View) float64 {
+	if v.UnitTime == 0 {
+		return defaultEventInterval.Seconds()
+	}
+	return v.UnitTime.Seconds()
+}
--- /dev/null
+++ b/brun/choice_test.go
@@ -0,0 +1,97 @@
+package brun
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/upstr"
+)
+
+// A holder looks ten times a second whether one of its runs would end sooner elsewhere. If each
+// run reads all engines of the fleet for itself, the looks of one step on 400 engines take half
+// a processor, and the holder reads events so late that it takes healthy engines for slow ones.
+func TestSweepReadsEnginesOnce(t *testing.T) {
+	for _, engines := range []int{50, 400} {
+		t.Run(fmt.Sprintf("engines=%d", engines), func(t *testing.T) {
+			few, many := allocsOfSweep(t, engines, 14), allocsOfSweep(t, engines, 8*14)
+			NewWithT(t).Expect(many).To(BeNumerically("<", 2*few), "allocations of a sweep over 8 times as many runs")
+		})
+	}
+}
+
+// allocsOfSweep returns the number of allocations of one sweep over a step that runs.
+func allocsOfSweep(t *testing.T, engines, items int) (allocs float64) {
+	t.Helper()
+	interval := make(map[string]time.Duration)
+	for i := range engines {
+		interval[fmt.Sprint("engine-", i)] = 20 * time.Millisecond
+	}
+	withRunner(t, interval, func(ctx context.Context, g *WithT, r *Runner, _ *fakeEngines, set *epset.Registry) {
+		for _, v := range set.All() {
+			for range 3 {
+				set.ObserveUnitTime(v.Endpoint, 20*time.Millisecond)
+			}
+		}
+		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
+		for i := range items { // equal items would run at three engines only
+			sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
+		}
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+		time.Sleep(minRunTimeBeforeMove + sweepInterval)
+		g.Expect(attempts(r)).To(Equal(items))
+		const sweeps = 5
+		allocs = testing.AllocsPerRun(sweeps, func() { r.sweep(ctx, time.Now()) })
+	})
+	return allocs
+}
+
+// blockedSender never answers.
+type blockedSender struct{}
+
+// Send implements upstr.Sender.
+func (blockedSender) Send(ctx context.Context, _ upstr.Call) (*upstr.Response, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// BenchmarkSweep is one look of a holder at a step of 224 runs, ten of which it makes a second.
+func BenchmarkSweep(b *testing.B) {
+	for _, engines := range []int{50, 400, 800} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			set := epset.New(func() {})
+			for i := range engines {
+				e := endpt.Endpoint{ID: fmt.Sprint("engine-", i), Service: "lm", Slots: 6, Versions: map[string]int64{"m": 1}}
+				set.Put(e)
+				for range 3 {
+					set.ObserveUnitTime(e, 20*time.Millisecond)
+				}
+			}
+			m := &manif.Manifest{
+				Routes:   []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.WeightedService{{Service: "lm", Weight: 1}}}},
+				Services: map[string]manif.Service{"lm": {Name: "lm", Stride: stride}},
+			}
+			r := New(bstore.New(&fakeStore{}), set, blockedSender{}, nil, func() *manif.Manifest { return m }, logs.New(io.Discard))
+			sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
+			for i := range 224 {
+				sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
+			}
+			r.Add(b.Context(), bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+			r.schedule(b.Context(), time.Now())
+			now := time.Now().Add(minRunTimeBeforeMove) // fixed, so that no run ever counts as silent
+			for b.Loop() {
+				r.sweep(b.Context(), now)
+			}
+		})
+	}
+}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -13,7 +13,6 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/manif"
-	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/poison"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -43,72 +42,28 @@
 }
 
 func (r *Runner) startItems(ctx context.Context, b *tracked, route *manif.Route, now time.Time) {
+	passes := make(map[string]*choices)
 	for _, it := range b.startOrder {
 		if it.done || it.complete || it.cancel != nil || now.Before(it.notBefore) {
 			continue
 		}
-		views := r.candidates(route.PickService(it.ID), b.sub, it, route, now)
-		views, limited := r.limitCopies(views, it)
-		i, ok := r.picker.Pick(candidates(views, r.dataCentre, now))
+		service := route.PickService(it.ID)
+		c := passes[service]
+		if c == nil {
+			c = r.newChoices(service, b.sub, now, func(epset.View) bool { return true }, nil)
+			passes[service] = c
+		}
+		v, ok, limited := r.take(c, b.sub, it, route, now)
 		switch {
 		case !ok && limited:
 			r.meter.Count("item_copies_waiting_total", 1)
-			r.logger.Debug("Item waits for a copy to be answered.", "batch", b.sub.ID, "item", it.ID, "print", it.fp, "endpoints", len(views))
+			r.logger.Debug("Item waits for a copy to be answered.", "batch", b.sub.ID, "item", it.ID, "print", it.fp)
 			continue
 		case !ok:
 			return
 		}
-		r.startItem(ctx, b, it, route, views[i])
-	}
-}
-
-// candidates returns the endpoints whose weights suit the item. Those that failed recently are
-// excluded while others suit, even if all of these are full: a slot becomes free several times
-// a second, while a run at a silent endpoint is lost for maxSilence, as others just were.
-func (r *Runner) candidates(service string, sub *batch.Submission, it *item, route *manif.Route, now time.Time) []epset.View {
-	suitable := slices.DeleteFunc(r.endpoints.Available(service), func(v epset.View) bool {
-		version := v.Versions[sub.Model]
-		if v.Loading[sub.Model] || version < sub.MinVersion {
-			return true
-		}
-		return route.SingleVersion && len(it.versions) > 0 && it.versions[0] != version
-	})
-	avoided := func(v epset.View) bool { return now.Before(v.AvoidUntil) }
-	if slices.IndexFunc(suitable, func(v epset.View) bool { return !avoided(v) }) < 0 {
-		return suitable
-	}
-	return slices.DeleteFunc(suitable, avoided)
-}
-
-// limitCopies excludes endpoints that must not get one more copy of an item, and reports whether
-// there is a limit.
-func (r *Runner) limitCopies(views []epset.View, it *item) (allowed []epset.View, limited bool) {
-	incarnations, limited := r.guard.CopyLimit(it.fp)
-	if !limited {
-		return views, false
-	}
-	return slices.DeleteFunc(views, func(v epset.View) bool { return !incarnations[v.Incarnation()] }), true
-}
-
-func candidates(views []epset.View, centre string, now time.Time) []place.Candidate {
-	out := make([]place.Candidate, len(views))
-	for i, v := range views {
-		out[i] = place.Candidate{
-			Slots:    v.Slots,
-			Running:  v.Running,
-			UnitTime: eventInterval(v),
-			Remote:   v.DataCentre != centre,
-			Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
-		}
-	}
-	return out
-}
-
-func eventInterval(v epset.View) float64 {
-	if v.UnitTime == 0 {
-		return defaultEventInterval.Seconds()
+		r.startItem(ctx, b, it, route, v)
 	}
-	return v.UnitTime.Seconds()
 }
 
 // startItem sends an item to an endpoint. The caller holds r.mu.
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/bstore"
-	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/migr"
 )
@@ -18,7 +16,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.excusePause(now)
-	incoming := make(map[string]int)
+	moves := newMoves()
 	for _, b := range r.tracked {
 		if b.ended {
 			continue
@@ -39,7 +37,7 @@
 			case it.cancel != nil && now.Sub(it.lastEventAt) > r.silenceLimit(b, it):
 				it.cancel(errSilent)
 			case it.cancel != nil && ok && !r.stopping:
-				r.migrateIfFaster(b, it, route, now, incoming)
+				r.migrateIfFaster(b, it, route, now, moves)
 			}
 		}
 	}
@@ -76,31 +74,23 @@
 }
 
 // migrateIfFaster cancels a run that is expected to end sooner elsewhere; it then resumes
-// there after its last event. incoming counts the runs that this sweep has cancelled in favor
-// of each endpoint. They don't run there yet; without the count all slow runs would go to the
-// one fastest endpoint, be refused there, and lose more time than they gain.
-func (r *Runner) migrateIfFaster(b *tracked, it *item, route *manif.Route, now time.Time, incoming map[string]int) {
+// there after its last event.
+func (r *Runner) migrateIfFaster(b *tracked, it *item, route *manif.Route, now time.Time, m *moves) {
 	current, ok := r.endpoints.Lookup(it.endpoint)
-	if !ok || now.Sub(it.startedAt) < minRunTimeBeforeMove {
+	if !ok || now.Sub(it.startedAt) < minRunTimeBeforeMove || current.UnitTime == 0 {
 		return
 	}
-	views := r.candidates(it.endpoint.Service, b.sub, it, route, now)
-	views = slices.DeleteFunc(views, func(v epset.View) bool {
-		return v.ID == it.endpoint.ID || v.UnitTime == 0 || now.Before(v.AvoidUntil)
-	})
-	for i := range views {
-		views[i].Running += incoming[views[i].ID]
-	}
-	cands := candidates(views, r.dataCentre, now)
-	i, ok := r.picker.Pick(cands)
+	c := m.choices(r, b, it.endpoint.Service, now)
+	target, ok := c.other(it, b.sub.Model, route)
 	if !ok {
 		return
 	}
-	run := migr.Run{Generated: len(it.texts), ExpectedTotal: r.expectedOutput(it, it.endpoint.Service), EventTimeHere: current.UnitTime, EventTimeThere: views[i].UnitTime, Migrations: it.migrations}
+	run := migr.Run{Generated: len(it.texts), ExpectedTotal: r.expectedOutput(it, it.endpoint.Service), EventTimeHere: current.UnitTime, EventTimeThere: target.UnitTime, Migrations: it.migrations}
 	if run.ShouldMigrate() {
-		r.logger.Info("Item moved.", "batch", b.sub.ID, "item", it.ID, "from", it.endpoint.ID, "to", views[i].ID,
+		r.logger.Info("Item moved.", "batch", b.sub.ID, "item", it.ID, "from", it.endpoint.ID, "to", target.ID,
 			"made", run.Generated, "expected", run.ExpectedTotal, "here", run.EventTimeHere, "there", run.EventTimeThere)
-		incoming[views[i].ID]++
+		m.incoming[target.ID]++
+		c.count(target.ID)
 		it.migrations++
 		it.cancel(errMigrated)
 	}
