kvrepl, wctrl: heartbeats of endpoints are not passed on

Cause: each endpoint rewrites its entry every few seconds, and readers passed each rewrite on to all instances: endpoints x instances, the square of the fleet. At 448 endpoints that is 90 entries a second to each of 431 instances.

Who sends work or plans loads learns versions from the sidecars; so links are opened at once when a batch is added, are kept for 30 s after the last one, and a planner leaves out engines whose sidecar hasn't reported yet (1.5 s at most). An endpoint that was taken for gone is no longer brought back by its next heartbeat, so the sidecar names the incarnation that is gone, not the id, which the next start may share.

Measured: TestHeartbeatsAreNotPassedOn, a minute with 50 and 400 endpoints: no change passed on (before: each heartbeat).

--- a/brun/brun.go
+++ b/brun/brun.go
@@ -52,6 +52,7 @@
 		meter      *meter.Meter
 		guard      *guard.Tracker
 		replicas   Replicas
+		onAdd      func()
 		// retention is how long results stay readable after the submission.
 		retention time.Duration
 
@@ -124,6 +125,7 @@
 		meter:          meter.New(),
 		guard:          guard.New(logger, meter.New()),
 		replicas:       noReplicas{},
+		onAdd:          func() {},
 
 		retention: defaultRetention,
 	}
@@ -150,6 +152,11 @@
 	return func(r *Runner) { r.guard = g }
 }
 
+// WithOnAdd sets f, which is called when an open batch is added. The default does nothing.
+func WithOnAdd(f func()) Option {
+	return func(r *Runner) { r.onAdd = f }
+}
+
 // WithMeter sets the meter that counts runs. By default the counts are discarded.
 func WithMeter(m *meter.Meter) Option {
 	return func(r *Runner) { r.meter = m }
@@ -209,6 +216,7 @@
 	if !record.Ended {
 		go r.flush(ctx, b)
 		r.Wake()
+		r.onAdd()
 	}
 }
 
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -65,6 +65,7 @@
 		onReset     func(items []kvst.Item)
 		onChange    func(it kvst.Item)
 		onReconnect func()
+		equivalent  func(a, b kvst.Item) bool
 
 		mu    sync.Mutex
 		byKey map[string]kvst.Item
@@ -94,6 +95,7 @@
 		onReset:      func([]kvst.Item) {},
 		onChange:     func(kvst.Item) {},
 		onReconnect:  func() {},
+		equivalent:   func(kvst.Item, kvst.Item) bool { return false },
 		byKey:        make(map[string]kvst.Item),
 		changed:      make(chan struct{}),
 	}
@@ -120,6 +122,14 @@
 	return func(r *Replica) { r.onReconnect = f }
 }
 
+// WithEquivalent sets f, which reports whether two values of a key mean the same, as those
+// of heartbeats do. A change between them is neither reported nor served to followers:
+// otherwise each instance of a fleet would get each heartbeat of each endpoint. By default
+// no two values do.
+func WithEquivalent(f func(a, b kvst.Item) bool) Option {
+	return func(r *Replica) { r.equivalent = f }
+}
+
 // WithMinInterval sets the minimum interval between two watches of the store, which batches
 // frequent changes into fewer calls. The default is none.
 func WithMinInterval(d time.Duration) Option {
@@ -225,29 +235,38 @@
 		r.onReconnect()
 	}
 	r.mu.Lock()
+	applied := make([]kvst.Item, 0, len(changes.Items))
 	for _, it := range changes.Items {
-		r.apply(it)
+		if r.apply(it) {
+			applied = append(applied, it)
+		}
 	}
 	r.revision = max(r.revision, changes.Revision)
 	r.confirm(answered, c)
 	r.mu.Unlock()
-	for _, it := range changes.Items {
+	for _, it := range applied {
 		r.onChange(it)
 	}
 	return nil
 }
 
-func (r *Replica) apply(it kvst.Item) {
+// apply records a change and reports whether it means anything new.
+func (r *Replica) apply(it kvst.Item) bool {
+	old, known := r.byKey[it.Key]
 	if it.Deleted {
 		delete(r.byKey, it.Key)
 	} else {
 		r.byKey[it.Key] = it
+		if known && r.equivalent(old, it) {
+			return false
+		}
 	}
 	r.recent = append(r.recent, it)
 	if len(r.recent) > maxRecentChanges {
 		r.floor = r.recent[len(r.recent)/2-1].Revision
 		r.recent = slices.Clone(r.recent[len(r.recent)/2:])
 	}
+	return true
 }
 
 // confirm records when the replica was known to be current. The caller holds the lock.
--- a/kvrepl/kvrepl_test.go
+++ b/kvrepl/kvrepl_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +66,105 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// beatingStore holds endpoints that each write a heartbeat every five seconds.
+type beatingStore struct {
+	endpoints int
+	revision  int64
+	events    []kvst.Item
+	changed   chan struct{}
+	mu        sync.Mutex
+}
+
+// write changes a key; a nil value deletes it.
+func (s *beatingStore) write(key, value string, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.events = append(s.events, kvst.Item{Key: key, Value: []byte(value), Revision: s.revision, Deleted: deleted})
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *beatingStore) beat(ctx context.Context) {
+	for beat := 0; ctx.Err() == nil; beat++ {
+		for i := range s.endpoints {
+			s.write(fmt.Sprint("p/", i), fmt.Sprint("slots 6, beat ", beat), false)
+		}
+		time.Sleep(5 * time.Second)
+	}
+}
+
+func (s *beatingStore) List(context.Context, string) ([]kvst.Item, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.events, s.revision, nil
+}
+
+func (s *beatingStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kvst.Changes, error) {
+	end := time.After(wait)
+	for {
+		s.mu.Lock()
+		events, changed, revision := s.events[min(int(after), len(s.events)):], s.changed, s.revision
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return kvst.Changes{Items: events, Revision: revision}, nil
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return kvst.Changes{Revision: after}, nil
+		case <-ctx.Done():
+			return kvst.Changes{}, ctx.Err()
+		}
+	}
+}
+
+// equalSlots compares what an endpoint declares, without its heartbeat.
+func equalSlots(a, b kvst.Item) bool {
+	x, _, _ := strings.Cut(string(a.Value), ",")
+	y, _, _ := strings.Cut(string(b.Value), ",")
+	return x == y
+}
+
+// Each endpoint of a fleet writes a heartbeat every few seconds, and a reader serves what it
+// reads to all instances. If it passed heartbeats on, each instance of a fleet would receive
+// more the more endpoints there are: the bytes of all would grow with the square of the fleet.
+func TestHeartbeatsAreNotPassedOn(t *testing.T) {
+	for _, endpoints := range []int{50, 400} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			store := &beatingStore{endpoints: endpoints, changed: make(chan struct{})}
+			var reported []kvst.Item
+			r := New(store, "p/", logs.New(io.Discard), WithEquivalent(equalSlots), WithOnChange(func(it kvst.Item) { reported = append(reported, it) }))
+			go store.beat(ctx)
+			time.Sleep(time.Second)
+			go r.Run(ctx)
+			time.Sleep(time.Second)
+			after := r.Revision()
+			received := func() []kvst.Item {
+				time.Sleep(time.Millisecond)
+				done, cancelWait := context.WithTimeout(ctx, time.Millisecond)
+				defer cancelWait()
+				changes, err := r.ChangesSince(done, after)
+				g.Expect(err).NotTo(HaveOccurred())
+				after = changes.Revision
+				return changes.Items
+			}
+			time.Sleep(time.Minute)
+			g.Expect(received()).To(BeEmpty(), "%d endpoints", endpoints)
+			g.Expect(r.Revision()).To(BeNumerically(">", 10*endpoints), "the reader itself follows")
+
+			store.write("p/7", "slots 3, beat 0", false)
+			g.Expect(received()).To(HaveLen(1), "a change")
+			store.write("p/7", "", true)
+			g.Expect(received()).To(HaveLen(1), "an endpoint that leaves")
+			store.write("p/7", "slots 3, beat 1", false)
+			g.Expect(received()).To(HaveLen(1), "an endpoint that comes back as it was")
+			g.Expect(reported).To(HaveLen(3))
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -53,9 +53,10 @@
 
 	// Order is an order to load weights.
 	Order struct {
-		Endpoint string
-		Model    string
-		Version  int64
+		Endpoint    string
+		Incarnation string
+		Model       string
+		Version     int64
 		// Keep lets running requests continue with the new version.
 		Keep bool
 		// Holder is the name of the sender, and Fence its fencing token.
@@ -77,7 +78,10 @@
 		Model    string `json:"model"`
 		Version  int64  `json:"version"`
 		Endpoint string `json:"endpoint"`
-		Keep     bool   `json:"keep"`
+		// Incarnation identifies the start of the endpoint: one that starts again may have the
+		// ID that it had.
+		Incarnation string `json:"incarnation"`
+		Keep        bool   `json:"keep"`
 	}
 
 	// State is what remote controllers need to know about the engine.
@@ -86,8 +90,8 @@
 		Serial   int64            `json:"serial"`
 		Versions map[string]int64 `json:"versions"`
 		Loading  map[string]bool  `json:"loading"`
-		// Gone is an endpoint that was addressed recently and no longer runs here; "" is
-		// none.
+		// Gone is an incarnation of an endpoint that was addressed recently and no longer runs
+		// here; "" is none.
 		Gone string `json:"gone,omitempty"`
 		// Known is false until the first report of the engine.
 		Known bool `json:"known"`
@@ -132,7 +136,7 @@
 func (g *Loader) Want(w Want) {
 	g.mu.Lock()
 	old, ok := g.wants[w.Model]
-	newer := !ok || w.Version > old.Version || (w.Version == old.Version && w.Endpoint != old.Endpoint)
+	newer := !ok || w.Version > old.Version || (w.Version == old.Version && w.Incarnation != old.Incarnation)
 	if newer {
 		g.wants[w.Model] = w
 	}
@@ -203,7 +207,7 @@
 	accepted, err := g.engine.Load(ctx, o)
 	var gone *GoneError
 	if errors.As(err, &gone) {
-		g.dropEndpoint(gone.Endpoint)
+		g.dropEndpoint(o)
 		return busyPollInterval
 	}
 	g.mu.Lock()
@@ -218,12 +222,12 @@
 // that it is gone. Its orders would be rejected forever, alternate with those for the
 // present engine, and count as a load under way: after a power loss three such orders
 // blocked all other loads for six seconds.
-func (g *Loader) dropEndpoint(endpoint string) {
+func (g *Loader) dropEndpoint(o Order) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	maps.DeleteFunc(g.wants, func(_ string, w Want) bool { return w.Endpoint == endpoint })
-	g.logger.Info("Requested engine was replaced by another.", "wanted", endpoint)
-	g.state.Gone = endpoint
+	maps.DeleteFunc(g.wants, func(_ string, w Want) bool { return w.Incarnation == o.Incarnation })
+	g.logger.Info("Requested engine was replaced by another.", "wanted", o.Endpoint, "incarnation", o.Incarnation)
+	g.state.Gone = o.Incarnation
 	g.state.Loading = nil
 	g.state.Serial++
 	close(g.changed)
@@ -246,13 +250,14 @@
 			continue
 		}
 		return Order{
-			Endpoint: w.Endpoint,
-			Model:    w.Model,
-			Version:  w.Version,
-			Keep:     w.Keep,
-			Holder:   g.name,
-			Fence:    constantFencingToken,
-			Expected: rep.Orders,
+			Endpoint:    w.Endpoint,
+			Incarnation: w.Incarnation,
+			Model:       w.Model,
+			Version:     w.Version,
+			Keep:        w.Keep,
+			Holder:      g.name,
+			Fence:       constantFencingToken,
+			Expected:    rep.Orders,
 		}, true
 	}
 	return Order{}, false
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -97,8 +97,8 @@
 // after the previous load is done.
 func TestOneAtATime(t *testing.T) {
 	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
-		ld.Want(Want{Model: "a", Version: 3, Endpoint: "e"})
-		ld.Want(Want{Model: "b", Version: 2, Endpoint: "e"})
+		ld.Want(Want{Model: "a", Version: 3, Endpoint: "e", Incarnation: "e/1"})
+		ld.Want(Want{Model: "b", Version: 2, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(4 * time.Second)
 		g.Expect(e.versions).To(Equal(map[string]int64{"a": 3, "b": 2}))
 		g.Expect(e.received).To(HaveLen(2))
@@ -111,7 +111,7 @@
 func TestAnswerLost(t *testing.T) {
 	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
 		e.answersToLose = 1
-		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e"})
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(4 * time.Second)
 		g.Expect(e.received).To(HaveLen(1))
 		g.Expect(e.versions["a"]).To(BeEquivalentTo(2))
@@ -123,9 +123,9 @@
 func TestLateOrder(t *testing.T) {
 	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
 		e.ordersToDelay = 1
-		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e"})
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(100 * time.Millisecond)
-		ld.Want(Want{Model: "a", Version: 3, Endpoint: "e"})
+		ld.Want(Want{Model: "a", Version: 3, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(10 * time.Second)
 		g.Expect(e.versions["a"]).To(BeEquivalentTo(3))
 	})
@@ -137,12 +137,12 @@
 // processes' orders apart.
 func TestFenceAfterRestart(t *testing.T) {
 	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
-		ld.Want(Want{Model: "b", Version: 9, Endpoint: "e"})
+		ld.Want(Want{Model: "b", Version: 9, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(3 * time.Second)
 		restarted := New("side-1", e, logs.New(io.Discard))
 		ctx, cancel := context.WithCancel(context.Background())
 		go restarted.Run(ctx)
-		restarted.Want(Want{Model: "a", Version: 2, Endpoint: "e"})
+		restarted.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/1"})
 		time.Sleep(3 * time.Second)
 		cancel()
 		for i := 1; i < len(e.received); i++ {
@@ -158,7 +158,7 @@
 	runLoader(t, func(g *WithT, _ *fakeEngine, ld *Loader) {
 		time.Sleep(time.Second)
 		st := ld.State(context.Background(), 0)
-		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e"})
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/1"})
 		st = ld.State(context.Background(), st.Serial)
 		g.Expect(st.Loading).To(Equal(map[string]bool{"a": true}))
 		st = ld.State(context.Background(), st.Serial)
@@ -174,13 +174,29 @@
 func TestWantsOfAnEngineThatIsGone(t *testing.T) {
 	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
 		e.id = "new"
-		ld.Want(Want{Model: "a", Version: 2, Endpoint: "old"})
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "old", Incarnation: "old/1"})
 		time.Sleep(time.Second)
-		g.Expect(ld.Snapshot().Gone).To(Equal("old"))
+		g.Expect(ld.Snapshot().Gone).To(Equal("old/1"))
 		g.Expect(ld.Snapshot().Loading).To(BeEmpty())
-		ld.Want(Want{Model: "b", Version: 5, Endpoint: "new"})
+		ld.Want(Want{Model: "b", Version: 5, Endpoint: "new", Incarnation: "new/1"})
 		time.Sleep(2 * time.Second)
 		g.Expect(e.versions).To(Equal(map[string]int64{"a": 1, "b": 5}))
 		g.Expect(e.received).To(HaveLen(2))
 	})
 }
+
+// A worker starts again under the ID that it had. Controllers must not take the new start for
+// gone because the old one is, or the worker would get no work for good.
+func TestGoneIsOneStartOfAnEngine(t *testing.T) {
+	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
+		e.id = "other"
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/1"})
+		time.Sleep(time.Second)
+		g.Expect(ld.Snapshot().Gone).To(Equal("e/1"))
+		e.id = "e"
+		ld.Want(Want{Model: "a", Version: 2, Endpoint: "e", Incarnation: "e/2"})
+		time.Sleep(2 * time.Second)
+		g.Expect(e.versions).To(HaveKeyWithValue("a", BeEquivalentTo(2)))
+		g.Expect(ld.Snapshot().Gone).NotTo(Equal("e/2"))
+	})
+}
--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -38,6 +38,13 @@
 	initialVersion = 1
 	// maxVersionLag is how many versions old samples may be.
 	maxVersionLag = 1
+	// linkLinger is how long links are kept that this instance no longer needs. A trainer
+	// submits a step every few seconds, to the same instance; without the linger each step
+	// would set up all links anew.
+	linkLinger = 30 * time.Second
+	// reportTimeout is how long plans leave out an engine whose sidecar hasn't reported yet:
+	// what the list of endpoints says of its weights may be many versions old.
+	reportTimeout = 1500 * time.Millisecond
 )
 
 type (
@@ -57,6 +64,8 @@
 		changed   chan struct{}
 		// plannerSince is when this instance became the planner; zero while it isn't.
 		plannerSince time.Time
+		// neededAt is when the links were last needed.
+		neededAt time.Time
 	}
 
 	announced struct {
@@ -69,6 +78,10 @@
 	link struct {
 		view   epset.View
 		cancel context.CancelFunc
+		// openedAt is when the link was opened; reported is set once the sidecar has said
+		// which weights the engine has.
+		openedAt time.Time
+		reported bool
 		// assigned is the model that the plan assigns to the engine.
 		assigned     string
 		wants        map[string]loader.Want
@@ -128,10 +141,15 @@
 	p.mu.Unlock()
 	if newer {
 		p.logger.Info("Version named.", "model", model, "version", version, "revision", revision)
-		select {
-		case p.changed <- struct{}{}:
-		default:
-		}
+		p.Wake()
+	}
+}
+
+// Wake has the controller plan and open missing links at once.
+func (p *Controller) Wake() {
+	select {
+	case p.changed <- struct{}{}:
+	default:
 	}
 }
 
@@ -148,7 +166,7 @@
 		}
 		isPlanner := p.Plans()
 		p.trackPlanner(isPlanner)
-		p.connect(ctx, isPlanner || p.sendsWork())
+		p.connect(ctx, p.needsLinks(isPlanner || p.sendsWork(), time.Now()))
 		if isPlanner {
 			p.plan()
 		}
@@ -185,6 +203,14 @@
 	}
 }
 
+// needsLinks reports whether links are needed now or were until linkLinger ago.
+func (p *Controller) needsLinks(needed bool, now time.Time) bool {
+	if needed {
+		p.neededAt = now
+	}
+	return !p.neededAt.IsZero() && now.Sub(p.neededAt) < linkLinger
+}
+
 // connect keeps one link to each engine while this instance needs them. Connections
 // from all instances to all engines would be a thousand and more in a fleet of thirty
 // instances and fifty engines.
@@ -204,7 +230,7 @@
 			l.cancel()
 		}
 		linkCtx, cancel := context.WithCancel(ctx)
-		l := &link{view: v, cancel: cancel, wants: make(map[string]loader.Want), wantsChanged: make(chan struct{}, 1)}
+		l := &link{view: v, cancel: cancel, openedAt: time.Now(), wants: make(map[string]loader.Want), wantsChanged: make(chan struct{}, 1)}
 		p.links[v.ID] = l
 		go p.watch(linkCtx, l, v)
 	}
@@ -230,7 +256,7 @@
 		state.Latest[model] = max(state.Latest[model], initialVersion)
 	}
 	for _, id := range slices.Sorted(maps.Keys(p.links)) {
-		if l := p.links[id]; !l.view.Draining {
+		if l := p.links[id]; !l.view.Draining && l.isKnown(time.Now()) {
 			state.Engines = append(state.Engines, l.engine())
 		}
 	}
@@ -243,6 +269,12 @@
 	}
 }
 
+// isKnown reports whether the engine's weights are known, or its sidecar is unlikely to
+// report them soon.
+func (l *link) isKnown(now time.Time) bool {
+	return l.reported || now.Sub(l.openedAt) > reportTimeout
+}
+
 // engine returns the planner's input for the engine. A version that was requested and
 // isn't there yet counts as loading.
 func (l *link) engine() wplan.Engine {
@@ -260,10 +292,11 @@
 
 func (p *Controller) requestLoad(l *link, model string, n announced) {
 	l.wants[model] = loader.Want{
-		Model:    model,
-		Version:  n.version,
-		Endpoint: l.view.ID,
-		Keep:     !p.singleVersion(model),
+		Model:       model,
+		Version:     n.version,
+		Endpoint:    l.view.ID,
+		Incarnation: l.view.Incarnation(),
+		Keep:        !p.singleVersion(model),
 	}
 	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running)
 	select {
@@ -303,7 +336,7 @@
 			continue
 		}
 		seen = state.Serial
-		p.apply(v, state)
+		p.apply(l, v, state)
 	}
 }
 
@@ -338,8 +371,8 @@
 	}
 }
 
-func (p *Controller) apply(v epset.View, state *loader.State) {
-	if state.Gone == v.ID {
+func (p *Controller) apply(l *link, v epset.View, state *loader.State) {
+	if state.Gone == v.Incarnation() {
 		p.logger.Info("Engine is gone.", "endpoint", v.ID, "addr", v.Addr)
 		p.set.Forget(v.Endpoint)
 	} else {
@@ -348,8 +381,8 @@
 		}
 		p.set.SetLoading(v.Endpoint, state.Loading)
 	}
-	select {
-	case p.changed <- struct{}{}:
-	default:
-	}
+	p.mu.Lock()
+	l.reported = true
+	p.mu.Unlock()
+	p.Wake()
 }
