tiers, fanout: relays in all data centres, and followers read nearby

Cause: readers and relays were the first strong machines by name, all in one or two data centres. Four fifths of the instances read elsewhere, so that the bytes between data centres grew with the fleet; the loss of one data centre took all readers.

Change: readers stand in different data centres, relays in all of them in proportion to the entries there, and a follower takes turns between its own data centre and others. The sources of an instance are computed ten times a second at most.

TestSourcesInSeveralDataCentres.

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -35,6 +35,9 @@
 	// the timeout beyond that.
 	maxHoldTime   = 500 * time.Millisecond
 	requestMargin = 400 * time.Millisecond
+	// sourcesTTL is how long the sources of this instance are kept: finding them takes longer
+	// than answering a follower.
+	sourcesTTL = 100 * time.Millisecond
 )
 
 var errStale = errors.New("the reader has lost its connection to the store")
@@ -47,6 +50,9 @@
 
 		mu       sync.Mutex
 		replicas map[string]*kvrepl.Replica
+		// cached are the sources as of cachedAt.
+		cached   []mesh.Node
+		cachedAt time.Time
 		// failedCalls counts answers that were stale or missing, and so rotates among the
 		// sources.
 		failedCalls int
@@ -137,11 +143,20 @@
 // sources returns the sources of this instance among the entries that reach the store; if
 // none does, among all entries, since somebody has to notice when the store is back.
 func (d *Distributor) sources() []mesh.Node {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now := time.Now(); d.cachedAt.IsZero() || now.Sub(d.cachedAt) >= sourcesTTL {
+		d.cached, d.cachedAt = d.findSources(), now
+	}
+	return d.cached
+}
+
+func (d *Distributor) findSources() []mesh.Node {
 	nodes := d.mesh.Entries(true)
 	if len(nodes) == 0 {
 		nodes = d.mesh.Entries(false)
 	}
-	return tiers.Upstreams(d.mesh.Self().Name, nodes)
+	return tiers.Upstreams(d.mesh.Self(), nodes)
 }
 
 func (d *Distributor) serve(ctx context.Context, in *request) (*response, error) {
--- a/tiers/tiers.go
+++ b/tiers/tiers.go
@@ -7,6 +7,9 @@
 // it would spend a quarter of a processor on them. Therefore the readers serve relays,
 // and the relays serve the others: at 350 instances nobody serves more than 20.
 //
+// The relays stand in all data centres and serve their neighbours, so that what all
+// instances read crosses to another data centre once for each relay, not for each instance.
+//
 // Each tier adds a round trip to an answer. The staleness after a partition does not add
 // up over the tiers: each tier reports the age of its own replica, and an instance that
 // gets too old an answer asks another upstream at once.
@@ -39,16 +42,14 @@
 // it reads the store itself. All instances that know the same entries compute the same
 // tree.
 //
-//	sources := tiers.Upstreams("entry-9", entries)
-func Upstreams(self string, entries []mesh.Node) []mesh.Node {
-	order := sortByPower(entries)
-	readers := order[:min(readerCount, len(order))]
-	isSelf := func(n mesh.Node) bool { return n.Name == self }
+//	sources := tiers.Upstreams(self, entries)
+func Upstreams(self mesh.Node, entries []mesh.Node) []mesh.Node {
+	readers, others := chooseReaders(entries)
+	isSelf := func(n mesh.Node) bool { return n.Name == self.Name }
 	if slices.ContainsFunc(readers, isSelf) {
 		return nil
 	}
-	others := order[len(readers):]
-	relays := others[:relayCount(len(entries))]
+	relays := chooseRelays(others, relayCount(len(entries)))
 	if len(relays) == 0 || slices.ContainsFunc(relays, isSelf) {
 		return orderFor(self, readers)
 	}
@@ -64,25 +65,75 @@
 	return min(n-readerCount, int(math.Ceil(math.Sqrt(float64(n)))))
 }
 
-// sortByPower sorts entries so that strong machines come first, then by name.
-func sortByPower(entries []mesh.Node) []mesh.Node {
-	strongest := 0.0
+// chooseReaders returns the readers, strong machines of different data centres if possible,
+// and the other entries.
+func chooseReaders(entries []mesh.Node) (readers, others []mesh.Node) {
+	order := spread(entries, func(rank, _ int) float64 { return float64(rank) })
+	n := min(readerCount, len(order))
+	return order[:n], order[n:]
+}
+
+// chooseRelays returns n relays among entries, strong machines if possible, from each data
+// centre in proportion to its entries: most then have one nearby, and only the relays read
+// from another data centre.
+func chooseRelays(entries []mesh.Node, n int) []mesh.Node {
+	// The quotients of the Sainte-Laguë method give each data centre its share of seats.
+	order := spread(entries, func(rank, size int) float64 { return (float64(rank) + 0.5) / float64(size) })
+	return order[:min(n, len(order))]
+}
+
+// spread sorts entries so that strong machines come first, and those of equal strength by
+// turn, which is computed from the rank of an entry among the equally strong ones of its data
+// centre and the number of entries there.
+func spread(entries []mesh.Node, turn func(rank, size int) float64) []mesh.Node {
+	type group struct {
+		class      int
+		dataCentre string
+	}
+	strongest, size := 0.0, make(map[string]int)
 	for _, n := range entries {
 		strongest = max(strongest, n.Power)
+		size[n.DataCentre]++
 	}
-	powerClass := func(n mesh.Node) int {
+	groupOf := func(n mesh.Node) group {
 		if n.Power >= strongPowerRatio*strongest {
-			return 0
+			return group{class: 0, dataCentre: n.DataCentre}
 		}
-		return 1
+		return group{class: 1, dataCentre: n.DataCentre}
 	}
-	return slices.SortedFunc(slices.Values(entries), func(a, b mesh.Node) int {
-		return cmp.Or(cmp.Compare(powerClass(a), powerClass(b)), cmp.Compare(a.Name, b.Name))
+	byName := slices.SortedFunc(slices.Values(entries), func(a, b mesh.Node) int { return cmp.Compare(a.Name, b.Name) })
+	ranks, turns := make(map[group]int), make(map[string]float64, len(entries))
+	for _, n := range byName {
+		g := groupOf(n)
+		turns[n.Name] = turn(ranks[g], size[n.DataCentre])
+		ranks[g]++
+	}
+	slices.SortStableFunc(byName, func(a, b mesh.Node) int {
+		return cmp.Or(cmp.Compare(groupOf(a).class, groupOf(b).class), cmp.Compare(turns[a.Name], turns[b.Name]))
 	})
+	return byName
 }
 
 // orderFor gives each follower its own order of sources, so that the load is spread over
-// them.
-func orderFor(self string, sources []mesh.Node) []mesh.Node {
-	return rendez.Order(self, sources, func(n mesh.Node) string { return n.Name })
+// them. Sources of its data centre and others take turns: the first is nearby, and if a whole
+// data centre doesn't answer, the second is elsewhere.
+func orderFor(self mesh.Node, sources []mesh.Node) []mesh.Node {
+	near, far := make([]mesh.Node, 0, len(sources)), make([]mesh.Node, 0, len(sources))
+	for _, n := range rendez.Order(self.Name, sources, func(n mesh.Node) string { return n.Name }) {
+		if n.DataCentre == self.DataCentre {
+			near = append(near, n)
+		} else {
+			far = append(far, n)
+		}
+	}
+	out := make([]mesh.Node, 0, len(sources))
+	for i := range max(len(near), len(far)) {
+		if i < len(near) {
+			out = append(out, near[i])
+		}
+		if i < len(far) {
+			out = append(out, far[i])
+		}
+	}
+	return out
 }
--- a/tiers/tiers_test.go
+++ b/tiers/tiers_test.go
@@ -14,7 +14,7 @@
 func fleet(n int) []mesh.Node {
 	nodes := make([]mesh.Node, n)
 	for i := range nodes {
-		nodes[i] = mesh.Node{Name: fmt.Sprintf("entry-%03d", i), Power: 0.144}
+		nodes[i] = mesh.Node{Name: fmt.Sprintf("entry-%03d", i), Power: 0.144, DataCentre: dataCentre(i)}
 		if i%4 == 3 {
 			nodes[i].Power = 0.8
 		}
@@ -22,6 +22,18 @@
 	return nodes
 }
 
+// dataCentre returns the data centre of entry i: one has twice as many entries as each of
+// the other four.
+func dataCentre(i int) string {
+	const centres = 6
+	return fmt.Sprint("dc-", max(1, i/4%centres))
+}
+
+// follower returns entry i, or an instance of the same data centre that isn't an entry.
+func follower(i int) mesh.Node {
+	return mesh.Node{Name: fmt.Sprintf("entry-%03d", i), DataCentre: dataCentre(i)}
+}
+
 // A fleet grows to 350 entries and some data instances. Instances that serve others must
 // not be overloaded by their requests, and small machines must not serve at all while
 // there are large ones: their own callers would wait behind the fleet's requests.
@@ -30,8 +42,7 @@
 		g := NewWithT(t)
 		nodes, followers := fleet(n), make(map[string]int)
 		for i := range n + 5 {
-			self := fmt.Sprintf("entry-%03d", i) // the last five are not entries
-			if sources := Upstreams(self, nodes); len(sources) > 0 {
+			if sources := Upstreams(follower(i), nodes); len(sources) > 0 { // the last five are not entries
 				followers[sources[0].Name]++
 			}
 		}
@@ -54,16 +65,16 @@
 		g := NewWithT(t)
 		nodes := fleet(n)
 		for i := range n + 2 {
-			name, hops := fmt.Sprintf("entry-%03d", i), 0
-			for sources := Upstreams(name, nodes); len(sources) > 0; sources = Upstreams(name, nodes) {
-				name = sources[0].Name
+			at, hops := follower(i), 0
+			for sources := Upstreams(at, nodes); len(sources) > 0; sources = Upstreams(at, nodes) {
+				at = sources[0]
 				hops++
 				g.Expect(hops).To(BeNumerically("<=", 2), "from %d of %d", i, n)
 			}
 		}
 		direct := 0
 		for _, m := range nodes {
-			if len(Upstreams(m.Name, nodes)) == 0 {
+			if len(Upstreams(m, nodes)) == 0 {
 				direct++
 			}
 		}
@@ -76,8 +87,41 @@
 	for _, n := range []int{5, 27, 28, 350} {
 		g := NewWithT(t)
 		for _, m := range fleet(n) {
-			sources := Upstreams(m.Name, fleet(n))
+			sources := Upstreams(m, fleet(n))
 			g.Expect(len(sources) == 0 || len(sources) >= 3).To(BeTrue())
 		}
 	}
 }
+
+// All instances of a fleet read the same. If most of them read in another data centre, the
+// bytes between data centres grow with the fleet; they may grow with the relays only.
+func TestOnlyRelaysReadElsewhere(t *testing.T) {
+	for _, n := range []int{50, 400, 800} {
+		g := NewWithT(t)
+		nodes, elsewhere := fleet(n), 0
+		for _, m := range nodes {
+			if sources := Upstreams(m, nodes); len(sources) > 0 && sources[0].DataCentre != m.DataCentre {
+				elsewhere++
+			}
+		}
+		g.Expect(elsewhere).To(BeNumerically("<=", readerCount+relayCount(n)), "of %d", n)
+	}
+}
+
+// A data centre loses power. The readers must not all stand there, and whoever reads from a
+// relay there must not try all of its relays first.
+func TestSourcesInSeveralDataCentres(t *testing.T) {
+	for _, n := range []int{50, 400} {
+		g := NewWithT(t)
+		nodes, readers := fleet(n), make(map[string]bool)
+		for _, m := range nodes {
+			sources := Upstreams(m, nodes)
+			if len(sources) == 0 {
+				readers[m.DataCentre] = true
+				continue
+			}
+			g.Expect(sources[0].DataCentre == sources[1].DataCentre && sources[1].DataCentre == sources[2].DataCentre).To(BeFalse(), m.Name)
+		}
+		g.Expect(readers).To(HaveLen(readerCount))
+	}
+}
