brun: a run that is moving is not moved again

Cause: between the moment in which a run is cancelled for a faster engine and its end, each further look cancelled it again and counted one more migration. A run with a migration behind it needs a greater gain for the next.

Change: item.moving. TestMoveCountsOnce fails before (2 instead of 1).

--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -56,6 +56,28 @@
 	return allocs
 }
 
+// A run is cancelled to go on elsewhere, and the holder looks again before the run has ended.
+// The run must not count as moved once more, as later moves need a greater gain.
+func TestMoveCountsOnce(t *testing.T) {
+	withRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond, "b": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, _ *fakeEngines, set *epset.Registry) {
+		addBatch(ctx, r, "b", 1)
+		time.Sleep(minRunTimeBeforeMove + sweepInterval/2)
+		it := r.tracked["b"].items[0]
+		for _, v := range set.All() {
+			interval := 10 * time.Millisecond
+			if v.ID == it.endpoint.ID {
+				interval = time.Second
+			}
+			for range 20 {
+				set.ObserveUnitTime(v.Endpoint, interval)
+			}
+		}
+		r.sweep(ctx, time.Now())
+		r.sweep(ctx, time.Now())
+		g.Expect(it.migrations).To(Equal(1))
+	})
+}
+
 // blockedSender never answers.
 type blockedSender struct{}
 
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -74,6 +74,7 @@
 	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	it.cancel = cancel
+	it.moving = false
 	it.endpoint = v.Endpoint
 	it.startedAt = time.Now()
 	it.lastEventAt = it.startedAt
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -36,7 +36,7 @@
 				r.giveUp(b, it, "queue time over")
 			case it.cancel != nil && now.Sub(it.lastEventAt) > r.silenceLimit(b, it):
 				it.cancel(errSilent)
-			case it.cancel != nil && ok && !r.stopping:
+			case it.cancel != nil && ok && !r.stopping && !it.moving:
 				r.migrateIfFaster(b, it, route, now, moves)
 			}
 		}
@@ -92,6 +92,7 @@
 		m.incoming[target.ID]++
 		c.count(target.ID)
 		it.migrations++
+		it.moving = true
 		it.cancel(errMigrated)
 	}
 }
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -87,9 +87,11 @@
 		startedAt   time.Time
 		lastEventAt time.Time
 		notBefore   time.Time
-		attempts    int
-		failures    int
-		migrations  int
+		// moving is set once the run was cancelled to go on at another endpoint.
+		moving     bool
+		attempts   int
+		failures   int
+		migrations int
 		// resubmitted marks an item whose group was part of an earlier batch; priorEvents is the
 		// number of events generated there, all of them if lengthKnown.
 		resubmitted bool
