mesh, ring: news is pushed along a tree and offered, not flooded

Cause: each instance sent each change to each of its 2 log2(n) neighbours, with the whole status. A change cost n log n messages and a start of the fleet n^2 log n entries; the order of the ring was sorted anew for each peer that was found (n^2 log n).

Change: an instance that changes, or notices a loss, pushes the update along the ring's doubling distances, each neighbour passing it on in its share (ring.Ring.Split): once to each instance, after log2(n) hops. All neighbours are offered what they may lack with their next probe (name, boot, version) and request it, so that a push that is lost on the way is made up for within a probe interval. The first push to a neighbour in 50 ms goes at once. Requests over 1 KB are compressed. The ring is kept sorted.

TestSplitReachesAllOnce at 33 to 800 instances.

--- a/mesh/calls.go
+++ b/mesh/calls.go
@@ -7,6 +7,10 @@
 	"connectrpc.com/connect"
 )
 
+// minGzipBytes is the size from which on requests are compressed; responses are in any case.
+// Probes without updates are smaller.
+const minGzipBytes = 1 << 10
+
 // Handle returns a handler for a typed unary call between instances.
 func Handle[Req, Res any](path string, f func(context.Context, *Req) (*Res, error)) http.Handler {
 	return connect.NewUnaryHandler(path, func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
@@ -20,7 +24,7 @@
 
 // Call makes a typed unary call to the instance at addr.
 func Call[Req, Res any](ctx context.Context, client *http.Client, addr, path string, in *Req) (*Res, error) {
-	c := connect.NewClient[Req, Res](client, "http://"+addr+path, connect.WithCodec(codec{}))
+	c := connect.NewClient[Req, Res](client, "http://"+addr+path, connect.WithCodec(codec{}), connect.WithSendGzip(), connect.WithCompressMinBytes(minGzipBytes))
 	res, err := c.CallUnary(ctx, connect.NewRequest(in))
 	if err != nil {
 		return nil, err
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -23,6 +23,7 @@
 	"github.com/lavendermux/lavendermux/clocks"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/ring"
 	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/uptime"
 )
@@ -80,6 +81,12 @@
 		// neighbour has sent its full state.
 		updates int64
 		synced  bool
+		// ring has this instance and the peers that aren't lost, and neighbours those of them
+		// that this instance probes.
+		ring       *ring.Ring
+		neighbours []string
+		// wasSparse reports whether the ring was sparse at its last change.
+		wasSparse bool
 		// joined and left are the peers for the next log line about membership changes.
 		joined, left []string
 		// missing maps announced instances that are unreachable to the time since when.
@@ -128,6 +135,7 @@
 		client:   client,
 		logger:   logger,
 		peers:    make(map[string]*peer),
+		ring:     ring.New(self.Name),
 		missing:  make(map[string]time.Time),
 		updates:  initialUpdates,
 		status:   func() Status { return Status{} },
@@ -195,6 +203,9 @@
 		m.logger.Warn("Instance not registered yet; retrying.", "error", err)
 		sleep.For(ctx, registerRetryDelay)
 	}
+	m.mu.Lock()
+	m.announce() // the first status had no neighbours to go to
+	m.mu.Unlock()
 	sleep.For(ctx, settleDelay)
 	close(m.settled)
 	m.requestFullSync()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -255,7 +255,7 @@
 		for _, n := range d.members[0].Alive() {
 			names = append(names, n.Name)
 		}
-		near, far := ring.Neighbours(names[0], names)
+		near, far := ring.New(names...).Neighbours(names[0])
 		for _, m := range d.members[1:] {
 			if !slices.Contains(near, m.self.Name) && !slices.Contains(far, m.self.Name) {
 				continue
@@ -408,6 +408,47 @@
 	g.Expect(at120.bytes).To(BeNumerically("<", 10_000))
 }
 
+// A whole fleet starts at once, on small machines. Each instance has to hear of each other one;
+// if all its neighbours tell it, what it receives grows with the square of the fleet and more.
+func TestStartTellsEachOnce(t *testing.T) {
+	// An announcement has some 350 bytes; each may come twice.
+	const maxBytesPerPeer = 700
+	for _, n := range []int{50, 100} {
+		withDeployment(t, n, func(d *deployment) {
+			each := float64(d.bytes.Load()) / float64(n)
+			t.Logf("%d instances: %.0f bytes each", n, each)
+			d.g.Expect(each / float64(n)).To(BeNumerically("<", maxBytesPerPeer))
+		})
+	}
+}
+
+// Owners open and close batches several times a second, and hundreds of instances change at
+// once when the store turns them away. The messages for one change must not grow with the
+// number of neighbours, of which a larger fleet has more.
+func TestChangeIsToldOnce(t *testing.T) {
+	const (
+		changes  = 15
+		interval = 300 * time.Millisecond
+		// A change needs one message to each instance; some come while others are sent.
+		maxCalls = 2
+	)
+	for _, n := range []int{50, 100} {
+		withDeployment(t, n, func(d *deployment) {
+			time.Sleep(3 * time.Second)
+			d.calls.Store(0)
+			time.Sleep(changes * interval)
+			calm := d.calls.Swap(0)
+			for i := range changes {
+				d.members[i].hold(fmt.Sprint("b", i))
+				time.Sleep(interval)
+			}
+			each := float64(d.calls.Load()-calm) / changes / float64(n)
+			t.Logf("%d instances: %.2f calls each for a change", n, each)
+			d.g.Expect(each).To(BeNumerically("<", maxCalls))
+		})
+	}
+}
+
 // An instance of a large fleet is paused, and receives a request right after it
 // resumes. It must still treat its peers as alive: it would take over their batches
 // otherwise.
--- a/mesh/news.go
+++ b/mesh/news.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// updateBatchDelay is how long updates are collected before they are sent: when a
-	// whole fleet starts, hundreds arrive each second.
-	updateBatchDelay = 50 * time.Millisecond
-	// maxUpdates bounds the updates in one probe or response; the rest goes with the
-	// next.
+	// minPushInterval is the minimum interval between two pushes to a neighbour, in which
+	// updates are collected: when a whole fleet starts, hundreds arrive each second.
+	minPushInterval = 50 * time.Millisecond
+	// maxUpdates bounds the updates and the offers in one probe or response; the rest goes
+	// with the next.
 	maxUpdates = 400
 	// maintainInterval is how often this instance checks for a change of its own status
 	// to send, and for silent peers to drop.
@@ -25,59 +25,142 @@
 	maxLogNames = 8
 )
 
-// peerUpdate is what the sender knows about another instance.
-type peerUpdate struct {
-	Node    Node  `json:"node"`
-	Version int64 `json:"version"`
-	// Lost says that a neighbour missed the instance at this version of its status. The
-	// instance refutes this with a later version.
-	Lost   bool   `json:"lost,omitempty"`
-	Status Status `json:"status"`
-}
+type (
+	// peerUpdate is what the sender knows about another instance.
+	peerUpdate struct {
+		Node    Node  `json:"node"`
+		Version int64 `json:"version"`
+		// Lost says that a neighbour missed the instance at this version of its status. The
+		// instance refutes this with a later version.
+		Lost   bool   `json:"lost,omitempty"`
+		Status Status `json:"status"`
+		// Span is the number of ring positions, starting with the receiver's own, for which
+		// the receiver passes the update on; 0 if the sender doesn't rely on it.
+		Span int `json:"span,omitempty"`
+	}
+
+	// offer names an update that the sender has, without its content.
+	offer struct {
+		Name        string `json:"name"`
+		Boot        string `json:"boot"`
+		Incarnation int64  `json:"incarnation"`
+		Version     int64  `json:"version"`
+		Lost        bool   `json:"lost,omitempty"`
+	}
+)
 
 // recordChange counts a change of what is known about a peer, received from the peer
-// changedBy, and gossips it. m.mu is held.
-func (m *Mesh) recordChange(p *peer, changedBy string) {
+// changedBy, and passes it on over span ring positions. m.mu is held.
+func (m *Mesh) recordChange(p *peer, changedBy string, span int) {
 	m.updates++
-	p.changedSeq, p.changedBy = m.updates, changedBy
-	m.wakeProbes()
+	p.changedSeq, p.changedBy, p.span = m.updates, changedBy, 0
+	m.passOn(p, span)
+}
+
+// passOn has an update pushed to the successors of this instance that are to pass it on to
+// all of span ring positions. m.mu is held.
+func (m *Mesh) passOn(p *peer, span int) {
+	before := m.successorSpans(p.span)
+	for name, n := range m.successorSpans(span) {
+		if to := m.peers[name]; n > before[name] && to != nil {
+			to.push[p.Name] = max(to.push[p.Name], n)
+			to.wakeUp()
+		}
+	}
+	p.span = max(p.span, span)
 }
 
-// wakeProbes makes the probe loops of all neighbours send new updates. m.mu is held.
-func (m *Mesh) wakeProbes() {
+// announce pushes this instance's own status to all others, unless it probes all of them
+// anyway. m.mu is held.
+func (m *Mesh) announce() {
 	if !m.isSparse() {
 		return
 	}
-	for _, p := range m.peers {
-		if p.stopProbes == nil {
-			continue
-		}
-		select {
-		case p.wake <- struct{}{}:
-		default:
+	for name, n := range m.successorSpans(m.ring.Len()) {
+		if to := m.peers[name]; to != nil {
+			to.pushSelf = n
+			to.wakeUp()
 		}
 	}
 }
 
-// hasUpdates reports whether there are updates or a status that a peer doesn't have
-// yet.
-func (m *Mesh) hasUpdates(p *peer) bool {
+// successorSpans divides span positions among the neighbours that follow this instance on the
+// ring, as a broadcast tree: each instance gets an update once, after log2(span) hops at most.
+// m.mu is held.
+func (m *Mesh) successorSpans(span int) map[string]int {
+	out := make(map[string]int)
+	for name, n := range m.ring.Split(m.self.Name, span) {
+		out[name] = n
+	}
+	return out
+}
+
+// wakeUp makes the probe loop of a neighbour send at once.
+func (p *peer) wakeUp() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// hasPush reports whether there is something to push to a peer or to request from it.
+func (m *Mesh) hasPush(p *peer) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.isSparse() || !p.alive {
-		return false
+	return p.alive && (p.pushSelf > 0 || len(p.push) > 0 || len(p.want) > 0)
+}
+
+// takePush returns the updates to push to a peer, maxUpdates at most, and removes them from
+// those that wait. m.mu is held.
+func (m *Mesh) takePush(p *peer) (updates []peerUpdate, span int) {
+	for name, n := range p.push {
+		if len(updates) == maxUpdates {
+			break
+		}
+		delete(p.push, name)
+		if about, ok := m.peers[name]; ok && about.isTold() {
+			updates = append(updates, about.update(n))
+		}
 	}
-	updates, _ := m.updatesFor(p.Name, p.sentSeq)
-	return len(updates) > 0 || p.sentVersion < m.statusVersion
+	span, p.pushSelf = p.pushSelf, 0
+	return append(updates, p.refutable()...), span
 }
 
-// updatesFor returns the changes after a sequence number that the peer itself didn't
-// send, and the number up to which they are complete. m.mu is held.
-func (m *Mesh) updatesFor(name string, after int64) (updates []peerUpdate, upto int64) {
+// isTold reports whether others are told about a peer: not before it was heard from.
+func (p *peer) isTold() bool { return p.Incarnation > 0 && (p.alive || p.lost) }
+
+// update returns what is known about a peer.
+func (p *peer) update(span int) peerUpdate {
+	return peerUpdate{Node: p.Node, Version: p.version, Lost: p.lost, Status: p.withAge(time.Since(p.statusAt)), Span: span}
+}
+
+// refutable returns the claim that the peer is lost if it was declared so and hasn't refuted
+// that yet: others may still believe it. It is meant for the peer itself.
+func (p *peer) refutable() []peerUpdate {
+	if p.lostVersion == 0 || p.version > p.lostVersion {
+		return nil
+	}
+	return []peerUpdate{{Node: p.Node, Version: p.lostVersion, Lost: true}}
+}
+
+// allUpdates returns what is known about all instances but the one with the name. m.mu is
+// held.
+func (m *Mesh) allUpdates(name string) []peerUpdate {
+	var out []peerUpdate
+	for _, p := range m.peers {
+		if p.isTold() && p.Name != name {
+			out = append(out, p.update(0))
+		}
+	}
+	return out
+}
+
+// offersFor returns the changes after a sequence number that the peer itself didn't send, and
+// the number up to which they are complete. m.mu is held.
+func (m *Mesh) offersFor(name string, after int64) (offers []offer, upto int64) {
 	var changed []*peer
 	for _, p := range m.peers {
-		isKnown := p.alive || p.lost
-		if p.changedSeq > after && p.changedBy != name && p.Incarnation > 0 && isKnown && p.Name != name {
+		if p.changedSeq > after && p.changedBy != name && p.isTold() && p.Name != name {
 			changed = append(changed, p)
 		}
 	}
@@ -88,13 +171,35 @@
 		upto = changed[maxUpdates-1].changedSeq
 	}
 	for _, p := range changed {
-		updates = append(updates, peerUpdate{Node: p.Node, Version: p.version, Lost: p.lost, Status: p.withAge(time.Since(p.statusAt))})
+		offers = append(offers, offer{Name: p.Name, Boot: p.Boot, Incarnation: p.Incarnation, Version: p.version, Lost: p.lost})
+	}
+	return offers, upto
+}
+
+// missingOf returns the names of the offered updates that this instance doesn't have.
+func (m *Mesh) missingOf(offers []offer) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for _, o := range offers {
+		p, ok := m.peers[o.Name]
+		u := peerUpdate{Node: Node{Name: o.Name, Boot: o.Boot, Incarnation: o.Incarnation}, Version: o.Version, Lost: o.Lost}
+		if o.Name != m.self.Name && (!ok && !o.Lost || ok && p.isSupersededBy(u)) {
+			out = append(out, o.Name)
+		}
 	}
-	if p, ok := m.peers[name]; ok && p.lostVersion > 0 && p.version <= p.lostVersion {
-		// The peer was declared lost; others may still believe that until it refutes.
-		updates = append(updates, peerUpdate{Node: p.Node, Version: p.lostVersion, Lost: true})
+	return out
+}
+
+// updatesAbout returns what is known about the named instances. m.mu is held.
+func (m *Mesh) updatesAbout(names []string) []peerUpdate {
+	var out []peerUpdate
+	for _, name := range names[:min(len(names), maxUpdates)] {
+		if p, ok := m.peers[name]; ok && p.isTold() {
+			out = append(out, p.update(0))
+		}
 	}
-	return updates, upto
+	return out
 }
 
 // applyUpdates merges what a peer knows about other instances.
@@ -107,7 +212,9 @@
 func (m *Mesh) applyUpdate(from string, u peerUpdate) {
 	m.mu.Lock()
 	if u.Node.Name == m.self.Name {
-		m.refute(u)
+		if u.Lost {
+			m.refute(u)
+		}
 		m.mu.Unlock()
 		return
 	}
@@ -117,10 +224,13 @@
 		return
 	}
 	if !ok {
-		p = &peer{wake: make(chan struct{}, 1)}
+		p = newPeer(Node{})
 		m.peers[u.Node.Name] = p
 	}
 	if !p.isSupersededBy(u) {
+		if p.Boot == u.Node.Boot && p.version == u.Version && p.lost == u.Lost {
+			m.passOn(p, u.Span) // known from elsewhere, but not passed on so far
+		}
 		m.mu.Unlock()
 		return
 	}
@@ -133,16 +243,16 @@
 	if u.Lost {
 		p.lostVersion = u.Version
 	}
-	m.recordChange(p, from)
 	switch {
 	case !old.alive && p.alive:
 		m.joined = append(m.joined, p.Name)
 	case old.alive && !p.alive:
 		m.left = append(m.left, p.Name)
 	}
-	if old.alive != p.alive || old.lost != p.lost {
-		m.updateProbes()
+	if !ok || old.alive != p.alive || old.lost != p.lost {
+		m.updateRing(p)
 	}
+	m.recordChange(p, from, u.Span)
 	m.mu.Unlock()
 	hasEnded := old.alive && u.Lost || old.Boot != "" && old.Boot != u.Node.Boot
 	switch {
@@ -164,7 +274,7 @@
 func (m *Mesh) refute(u peerUpdate) {
 	if u.Lost && u.Node.Incarnation == m.self.Incarnation && u.Version >= m.statusVersion {
 		m.statusVersion = u.Version + 1
-		m.wakeProbes()
+		m.announce()
 	}
 }
 
@@ -212,7 +322,6 @@
 
 // dropSilent removes peers that haven't been heard from for forgetAfter. m.mu is held.
 func (m *Mesh) dropSilent() {
-	dropped := false
 	for name, p := range m.peers {
 		if p.alive || time.Since(p.statusAt) < forgetAfter || time.Since(p.lastContact) < forgetAfter {
 			continue
@@ -224,10 +333,7 @@
 		if _, ok := m.missing[name]; !ok && !p.Stopping {
 			m.missing[name] = time.Now() // checked against its announcement at the next list
 		}
-		dropped = true
-	}
-	if dropped {
-		m.updateProbes()
+		m.updateRing(p)
 	}
 }
 
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -47,15 +47,22 @@
 		// heard from.
 		statusAt, lastContact time.Time
 		// changedSeq is the mesh's count of updates at the last change, changedBy the
-		// peer that sent it.
+		// peer that sent it, and span the ring positions over which it was passed on.
 		changedSeq int64
 		changedBy  string
+		span       int
 		// near is set for near neighbours, which are probed often. stopProbes ends the
 		// probe loop; nil while there is none.
 		near       bool
 		stopProbes context.CancelFunc
 		// wake makes the probe loop send at once.
 		wake chan struct{}
+		// push maps the updates to push to the peer, by instance, to their spans; pushSelf
+		// is the span of this instance's own status, 0 if it isn't to be pushed. want has
+		// the instances whose updates are to be requested from the peer.
+		push     map[string]int
+		pushSelf int
+		want     []string
 		// receivedSeq is how far this instance has received the peer's updates, sentSeq
 		// how far the peer has those of this instance, and sentVersion the version of
 		// this instance's status that the peer has. All three belong to the peer's
@@ -64,6 +71,10 @@
 	}
 )
 
+func newPeer(n Node) *peer {
+	return &peer{Node: n, statusAt: time.Now(), wake: make(chan struct{}, 1), push: make(map[string]int)}
+}
+
 // equal reports whether two statuses are the same but for ages and the crash digest.
 func (s Status) equal(o Status) bool {
 	return maps.Equal(s.OpenEpochs, o.OpenEpochs) && maps.Equal(s.Demand, o.Demand) &&
--- a/mesh/touch.go
+++ b/mesh/touch.go
@@ -51,10 +51,16 @@
 		// WallMicros is the sender's wall clock in microseconds since the Unix epoch. It only
 		// serves to estimate clock offsets.
 		WallMicros int64 `json:"wall,omitempty"`
-		// Updates holds the sender's updates about other instances, up to the sequence
-		// number UpdatesSeq of the sender.
+		// Span is the number of ring positions, starting with the receiver's own, for which
+		// the receiver passes the sender's status on.
+		Span int `json:"span,omitempty"`
+		// Updates are about other instances. Offers name those that the receiver may lack,
+		// up to the sequence number UpdatesSeq of the sender, and Want those that the sender
+		// lacks of the receiver's offers.
 		Updates    []peerUpdate `json:"news,omitempty"`
+		Offers     []offer      `json:"offers,omitempty"`
 		UpdatesSeq int64        `json:"upto,omitempty"`
+		Want       []string     `json:"want,omitempty"`
 		// AckedSeq is how far the sender of a probe has received the updates of its target;
 		// FullSync asks for the target's full state.
 		AckedSeq int64 `json:"seen,omitempty"`
@@ -84,8 +90,28 @@
 		}
 		return
 	}
-	m.peers[n.Name] = &peer{Node: n, statusAt: time.Now(), wake: make(chan struct{}, 1)}
+	p := newPeer(n)
+	m.peers[n.Name] = p
+	m.updateRing(p)
+}
+
+// updateRing adds a peer to the ring, or removes it if it is lost or dropped, and updates the
+// probe loops. m.mu is held.
+func (m *Mesh) updateRing(p *peer) {
+	if _, known := m.peers[p.Name]; known && !p.lost {
+		m.ring.Add(p.Name)
+	} else {
+		m.ring.Remove(p.Name)
+	}
 	m.updateProbes()
+	if sparse := m.isSparse(); sparse != m.wasSparse {
+		// What this instance and its neighbours learned while all probed all wasn't passed on.
+		m.wasSparse, m.synced = sparse, false
+		for _, name := range m.neighbours {
+			m.peers[name].sentSeq = initialUpdates
+		}
+		m.announce()
+	}
 }
 
 // updateProbes starts probe loops for the neighbours and stops the others. Lost
@@ -95,34 +121,42 @@
 	if m.runCtx == nil {
 		return
 	}
-	var names []string
-	for _, p := range m.peers {
-		if !p.lost {
-			names = append(names, p.Name)
+	near, far := m.ring.Neighbours(m.self.Name)
+	neighbours := slices.Concat(near, far)
+	var lost []string
+	for _, name := range m.neighbours {
+		p, ok := m.peers[name]
+		switch {
+		case !ok || slices.Contains(neighbours, name):
+		case p.lost:
+			lost = append(lost, name)
+		default:
+			p.near = false
+			p.stopProbes()
+			p.stopProbes = nil
 		}
 	}
-	near, far := ring.Neighbours(m.self.Name, names)
-	for _, p := range m.peers {
-		p.near = slices.Contains(near, p.Name)
-		switch wanted := p.near || p.lost || slices.Contains(far, p.Name); {
-		case wanted && p.stopProbes == nil && !p.lost:
+	for _, name := range neighbours {
+		p := m.peers[name]
+		p.near = slices.Contains(near, name)
+		if p.stopProbes == nil {
 			ctx, stopProbes := context.WithCancel(m.runCtx)
 			p.stopProbes = stopProbes
 			go m.probeLoop(ctx, p)
-		case !wanted && p.stopProbes != nil:
-			p.stopProbes()
-			p.stopProbes = nil
 		}
 	}
+	m.neighbours = slices.Concat(neighbours, lost)
 }
 
 // isSparse reports whether some peers are known by gossip only. m.mu is held.
-func (m *Mesh) isSparse() bool { return len(m.peers) >= ring.MaxFullMesh }
+func (m *Mesh) isSparse() bool { return m.ring.Len() > ring.MaxFullMesh }
 
 func (m *Mesh) probeLoop(ctx context.Context, p *peer) {
+	var sentAt time.Time
 	for ctx.Err() == nil {
 		every := m.interval(p)
-		if m.sinceContact(p) >= every*9/10 || m.hasUpdates(p) {
+		if m.sinceContact(p) >= every*9/10 || m.hasPush(p) {
+			sentAt = time.Now()
 			m.probe(ctx, p)
 		}
 		t := time.NewTimer(every)
@@ -130,7 +164,7 @@
 		case <-ctx.Done():
 		case <-t.C:
 		case <-p.wake:
-			sleep.For(ctx, updateBatchDelay)
+			sleep.For(ctx, minPushInterval-time.Since(sentAt))
 		}
 		t.Stop()
 	}
@@ -147,7 +181,7 @@
 	case err == nil:
 		m.clock.Observe(res.Node.Name, time.UnixMicro(res.WallMicros), sentAt, m.clock.Monotonic())
 		m.handleProbe(*res)
-		m.recordExchange(p, req, *res)
+		m.recordExchange(p, req, *res, m.missingOf(res.Offers))
 	case ctx.Err() == nil && time.Since(start) > probeTimeout+minPause:
 		m.resetTimeout(p)
 	case ctx.Err() == nil:
@@ -160,19 +194,24 @@
 	m.addPeer(in.Node)
 	m.handleProbe(*in)
 	out := m.newProbe()
+	out.Want = m.missingOf(in.Offers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if p, ok := m.peers[in.Node.Name]; ok {
-		m.initSentSeq(p)
+	p, ok := m.peers[in.Node.Name]
+	if !ok {
+		return &out, nil
 	}
+	m.initSentSeq(p)
 	switch {
 	case in.FullSync:
-		out.Updates, out.UpdatesSeq = m.updatesFor(in.Node.Name, 0)
+		out.Updates, out.UpdatesSeq = m.allUpdates(p.Name), m.updates
 	case in.AckedSeq > 0:
-		out.Updates, out.UpdatesSeq = m.updatesFor(in.Node.Name, in.AckedSeq)
+		out.Updates = m.updatesAbout(in.Want)
+		out.Offers, out.UpdatesSeq = m.offersFor(p.Name, in.AckedSeq)
 	case m.isSparse():
 		out.UpdatesSeq = m.updates
 	}
+	out.Updates = append(out.Updates, p.refutable()...)
 	return &out, nil
 }
 
@@ -184,7 +223,7 @@
 	if m.statusVersion == 0 || !st.equal(m.lastStatus) {
 		m.statusVersion++
 		m.lastStatus = st
-		m.wakeProbes()
+		m.announce()
 	}
 	return probeMsg{Node: m.self, Version: m.statusVersion, Status: st, WallMicros: time.Now().UnixMicro()}
 }
@@ -193,11 +232,16 @@
 	out := m.newProbe()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	out.Updates, out.Span = m.takePush(p)
+	out.Want, p.want = p.want, nil
 	if !m.isSparse() {
 		return out
 	}
 	m.initSentSeq(p)
-	out.Updates, out.UpdatesSeq = m.updatesFor(p.Name, p.sentSeq)
+	out.Offers, out.UpdatesSeq = m.offersFor(p.Name, p.sentSeq)
+	out.Offers = slices.DeleteFunc(out.Offers, func(o offer) bool {
+		return slices.ContainsFunc(out.Updates, func(u peerUpdate) bool { return u.Node.Name == o.Name })
+	})
 	out.AckedSeq, out.FullSync = p.receivedSeq, !m.synced
 	return out
 }
@@ -210,17 +254,30 @@
 	}
 }
 
-// recordExchange records which updates this instance and a peer have of each other.
-func (m *Mesh) recordExchange(p *peer, req, res probeMsg) {
+// recordExchange records which updates this instance and a peer have of each other. missing
+// are the instances whose updates the peer offered and this one lacks. Neither side counts as
+// up to date before it has what it lacks, so that a lost message is made up for.
+func (m *Mesh) recordExchange(p *peer, req, res probeMsg, missing []string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if p.Boot != res.Node.Boot {
 		return
 	}
-	p.sentSeq = max(p.sentSeq, req.UpdatesSeq)
 	p.sentVersion = max(p.sentVersion, req.Version)
-	p.receivedSeq = max(p.receivedSeq, res.UpdatesSeq)
+	if len(res.Want) == 0 {
+		p.sentSeq = max(p.sentSeq, req.UpdatesSeq)
+	}
+	if len(missing) == 0 || len(req.Want) > 0 {
+		p.receivedSeq = max(p.receivedSeq, res.UpdatesSeq)
+	}
 	m.synced = m.synced || (req.FullSync && res.UpdatesSeq > 0)
+	for _, name := range res.Want {
+		p.push[name] = max(p.push[name], 0)
+	}
+	p.want = missing
+	if len(res.Want)+len(missing) > 0 {
+		p.wakeUp()
+	}
 }
 
 func (m *Mesh) peerAddr(p *peer) string {
@@ -288,12 +345,14 @@
 	if p.Boot != t.Node.Boot || t.Version >= p.version {
 		p.Node, p.Status, p.version, p.statusAt = t.Node, t.Status, t.Version, now
 	}
-	if !old.alive || old.Boot != p.Boot || old.version != p.version || old.Incarnation != p.Incarnation {
-		m.recordChange(p, p.Name)
-	}
 	if !old.alive {
 		m.joined = append(m.joined, p.Name)
-		m.updateProbes()
+		m.updateRing(p)
+	}
+	if !old.alive || old.Boot != p.Boot || old.version != p.version || old.Incarnation != p.Incarnation {
+		m.recordChange(p, p.Name, t.Span)
+	} else {
+		m.passOn(p, t.Span)
 	}
 	m.mu.Unlock()
 	if old.Boot != "" && old.Boot != t.Node.Boot && len(old.OpenEpochs) > 0 {
@@ -333,8 +392,8 @@
 	m.isolated = m.isolated || isolated
 	if !isolated {
 		p.lost, p.lostVersion = true, p.version
-		m.recordChange(p, "")
-		m.updateProbes()
+		m.updateRing(p)
+		m.recordChange(p, "", m.ring.Len())
 	}
 	m.left = append(m.left, p.Name)
 	old := *p
@@ -375,13 +434,7 @@
 func (m *Mesh) selectWitnesses(name string) []Node {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := []string{m.self.Name}
-	for _, p := range m.peers {
-		if !p.lost {
-			names = append(names, p.Name)
-		}
-	}
-	near, far := ring.Neighbours(name, names)
+	near, far := m.ring.Neighbours(name)
 	var out []Node
 	for _, n := range append(near, far...) {
 		if p, ok := m.peers[n]; ok && p.alive && len(out) < maxWitnesses {
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -14,7 +14,7 @@
 package ring
 
 import (
-	"cmp"
+	"iter"
 	"slices"
 
 	"github.com/lavendermux/lavendermux/rendez"
@@ -34,26 +34,74 @@
 	ringKey = "ring"
 )
 
-// Neighbours returns the near and the far neighbours of self among names, which
-// may include self.
+// Ring is a set of instances in the order of their scores. It is not safe for concurrent use.
+// See New.
+type Ring struct {
+	names  []string
+	scores []uint64
+}
+
+// New returns the ring of the names.
 //
-//	near, far := ring.Neighbours("entry-1", names)
-func Neighbours(self string, names []string) (near, far []string) {
-	others := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == self })
-	if len(others) < MaxFullMesh {
-		return others, nil
+//	r := ring.New("entry-1", "entry-2")
+//	near, far := r.Neighbours("entry-1")
+func New(names ...string) *Ring {
+	r := &Ring{}
+	for _, name := range names {
+		r.Add(name)
+	}
+	return r
+}
+
+// Len returns the number of instances.
+func (r *Ring) Len() int { return len(r.names) }
+
+// Add adds an instance unless it is there.
+func (r *Ring) Add(name string) {
+	at, ok := r.find(name)
+	if !ok {
+		r.names = slices.Insert(r.names, at, name)
+		r.scores = slices.Insert(r.scores, at, rendez.Score(ringKey, name))
+	}
+}
+
+// Remove removes an instance if it is there.
+func (r *Ring) Remove(name string) {
+	at, ok := r.find(name)
+	if ok {
+		r.names = slices.Delete(r.names, at, at+1)
+		r.scores = slices.Delete(r.scores, at, at+1)
+	}
+}
+
+// find returns the position of an instance, or that at which it would be inserted.
+func (r *Ring) find(name string) (at int, ok bool) {
+	score := rendez.Score(ringKey, name)
+	at, _ = slices.BinarySearch(r.scores, score)
+	for at < len(r.names) && r.scores[at] == score && r.names[at] < name {
+		at++
+	}
+	return at, at < len(r.names) && r.names[at] == name
+}
+
+// Neighbours returns the near and the far neighbours of an instance.
+func (r *Ring) Neighbours(name string) (near, far []string) {
+	at, ok := r.find(name)
+	n := len(r.names)
+	if !ok {
+		return nil, nil
 	}
-	order := ringOrder(append(others, self))
-	at := slices.Index(order, self)
-	n := len(order)
-	seen := map[string]bool{self: true}
+	if n <= MaxFullMesh {
+		return slices.Concat(r.names[:at], r.names[at+1:]), nil
+	}
+	seen := map[string]bool{name: true}
 	add := func(to []string, i int) []string {
-		name := order[(i%n+n)%n]
-		if seen[name] {
+		neighbour := r.names[(i%n+n)%n]
+		if seen[neighbour] {
 			return to
 		}
-		seen[name] = true
-		return append(to, name)
+		seen[neighbour] = true
+		return append(to, neighbour)
 	}
 	for d := 1; d <= nearPerSide; d++ {
 		near = add(add(near, at+d), at-d)
@@ -64,22 +112,27 @@
 	return near, far
 }
 
-// ringOrder returns the names in the order of their score for ringKey.
-func ringOrder(names []string) []string {
-	type scored struct {
-		name  string
-		score uint64
-	}
-	all := make([]scored, len(names))
-	for i, name := range names {
-		all[i] = scored{name: name, score: rendez.Score(ringKey, name)}
-	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.name, b.name))
-	})
-	out := make([]string, len(all))
-	for i, s := range all {
-		out[i] = s.name
+// Split divides span positions of the ring, the first of which is that of the named instance,
+// among those of its neighbours that follow it. It yields the first instance of each share and
+// the number of positions in it. If each of them divides its share in the same way, a message
+// reaches all positions once, after log2(span) hops at most.
+//
+//	for name, n := range r.Split("entry-1", r.Len()) {
+//		send(name, n)
+//	}
+func (r *Ring) Split(name string, span int) iter.Seq2[string, int] {
+	return func(yield func(string, int) bool) {
+		at, ok := r.find(name)
+		n := len(r.names)
+		span = min(span, n)
+		for d, end := 1, 0; ok && d < span && end < span; d *= 2 {
+			end = span
+			if next := 2 * d; next <= n/2 { // a neighbour is at most half a ring away
+				end = min(end, next)
+			}
+			if !yield(r.names[(at+d)%n], end-d) {
+				return
+			}
+		}
 	}
-	return out
 }
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -23,15 +24,16 @@
 	for _, n := range []int{2, 3, 31, 32, 33, 68, 350} {
 		g := NewWithT(t)
 		names := numberedEntries(n)
+		r := New(names...)
 		for _, a := range names {
-			near, far := Neighbours(a, names)
+			near, far := r.Neighbours(a)
 			g.Expect(near).NotTo(ContainElement(a))
 			for _, b := range near {
-				back, _ := Neighbours(b, names)
+				back, _ := r.Neighbours(b)
 				g.Expect(back).To(ContainElement(a), "%s and %s of %d", a, b, n)
 			}
 			for _, b := range far {
-				_, back := Neighbours(b, names)
+				_, back := r.Neighbours(b)
 				g.Expect(back).To(ContainElement(a), "%s and %s of %d", a, b, n)
 			}
 		}
@@ -43,7 +45,7 @@
 func TestNeighboursGrowSlowly(t *testing.T) {
 	g := NewWithT(t)
 	count := func(n int) int {
-		near, far := Neighbours("entry-0", numberedEntries(n))
+		near, far := New(numberedEntries(n)...).Neighbours("entry-0")
 		return len(near) + len(far)
 	}
 	g.Expect(count(32)).To(Equal(31))
@@ -75,11 +77,12 @@
 // takes names for the fleet. It returns how many hear the news, and after how
 // many hops.
 func spread(left, names []string) (reached, hops int) {
+	r := New(names...)
 	heard, wave := map[string]bool{left[0]: true}, left[:1]
 	for ; len(wave) > 0; hops++ {
 		var next []string
 		for _, a := range wave {
-			near, far := Neighbours(a, names)
+			near, far := r.Neighbours(a)
 			for _, b := range append(near, far...) {
 				if slices.Contains(left, b) && !heard[b] {
 					heard[b] = true
@@ -91,3 +94,55 @@
 	}
 	return len(heard), hops
 }
+
+// Instances join and leave a ring in any order. All must find the same neighbours, or some are
+// monitored by nobody.
+func TestOrderDoesNotDependOnHistory(t *testing.T) {
+	g := NewWithT(t)
+	names := numberedEntries(68)
+	r := New(append(numberedEntries(100), names...)...)
+	for _, name := range numberedEntries(100)[68:] {
+		r.Remove(name)
+		r.Remove(name)
+	}
+	slices.Reverse(names)
+	other := New(names...)
+	g.Expect(r.Len()).To(Equal(68))
+	for _, name := range names {
+		near, far := r.Neighbours(name)
+		otherNear, otherFar := other.Neighbours(name)
+		g.Expect(near).To(Equal(otherNear))
+		g.Expect(far).To(Equal(otherFar))
+	}
+}
+
+// News is passed on along a tree. Each instance must get it once, and nobody may have to send
+// it to more than its neighbours, whatever the size of the fleet.
+func TestSplitReachesAllOnce(t *testing.T) {
+	for _, n := range []int{33, 50, 64, 65, 127, 400, 800} {
+		g := NewWithT(t)
+		names := numberedEntries(n)
+		r, received, hops := New(names...), make(map[string]int), 0
+		type share struct {
+			name string
+			span int
+		}
+		for wave := []share{{name: names[0], span: n}}; len(wave) > 0; hops++ {
+			var next []share
+			for _, s := range wave {
+				received[s.name]++
+				near, far := r.Neighbours(s.name)
+				for name, span := range r.Split(s.name, s.span) {
+					g.Expect(append(near, far...)).To(ContainElement(name))
+					next = append(next, share{name: name, span: span})
+				}
+			}
+			wave = next
+		}
+		g.Expect(received).To(HaveLen(n), "of %d", n)
+		for name, times := range received {
+			g.Expect(times).To(Equal(1), "%s of %d", name, n)
+		}
+		g.Expect(hops).To(BeNumerically("<=", 1+bits.Len(uint(n))), "of %d", n)
+	}
+}
