wctrl: the polls of an instance do not grow with the engines

Cause: an owner of steps, and the planner, keep a poll of 1.5 s open at each engine: 285 a second at 428 engines, and two thousand by all owners together.

Change: a poll waits 20 ms for each engine, 1.5 s at least and 30 s at most. A new load cuts it short, as before, and a change is answered at once.

At 856 engines 17 s, 50 a second.

--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -26,10 +26,14 @@
 	// rpcPath is the path of the RPC at a sidecar.
 	rpcPath = "/lavendermux.Steer/Steer"
 
-	// maxWait is how long a poll waits for the state to change, and pollMargin how
-	// much longer its response may take.
-	maxWait    = 1500 * time.Millisecond
-	pollMargin = 800 * time.Millisecond
+	// A poll waits for the state to change for pollWaitPerEngine times the number of engines,
+	// so that an instance makes at most fifty polls a second however many there are.
+	// minPollWait and maxPollWait bound that, and pollMargin is how much longer the response
+	// may take.
+	pollWaitPerEngine = 20 * time.Millisecond
+	minPollWait       = 1500 * time.Millisecond
+	maxPollWait       = 30 * time.Second
+	pollMargin        = 800 * time.Millisecond
 	// retryDelay is the delay before a failed poll is repeated.
 	retryDelay = 300 * time.Millisecond
 	// planInterval is how often the plan is recomputed without a change.
@@ -123,7 +127,7 @@
 		for _, w := range in.Wants {
 			g.Want(w)
 		}
-		ctx, cancel := context.WithTimeout(ctx, min(maxWait, time.Duration(in.Wait)*time.Millisecond))
+		ctx, cancel := context.WithTimeout(ctx, min(maxPollWait, time.Duration(in.Wait)*time.Millisecond))
 		defer cancel()
 		state := g.State(ctx, in.Seen)
 		return &state, nil
@@ -342,18 +346,19 @@
 
 // poll returns the next state, or nil if a new load request cut it short.
 func (p *Controller) poll(ctx context.Context, l *link, addr string, seen int64) (*loader.State, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxWait+pollMargin)
-	defer cancel()
 	p.mu.Lock()
+	wait := pollWait(len(p.links))
 	select {
 	case <-l.wantsChanged:
 	default:
 	}
-	in := &request{Seen: seen, Wait: maxWait.Milliseconds()}
+	in := &request{Seen: seen, Wait: wait.Milliseconds()}
 	for w := range maps.Values(l.wants) {
 		in.Wants = append(in.Wants, w)
 	}
 	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+pollMargin)
+	defer cancel()
 	type answer struct {
 		state *loader.State
 		err   error
@@ -371,6 +376,11 @@
 	}
 }
 
+// pollWait returns how long a poll waits while there are links to that many engines.
+func pollWait(engines int) time.Duration {
+	return min(maxPollWait, max(minPollWait, time.Duration(engines)*pollWaitPerEngine))
+}
+
 func (p *Controller) apply(l *link, v epset.View, state *loader.State) {
 	if state.Gone == v.Incarnation() {
 		p.logger.Info("Engine is gone.", "endpoint", v.ID, "addr", v.Addr)
--- /dev/null
+++ b/wctrl/wctrl_test.go
@@ -0,0 +1,142 @@
+package wctrl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/loader"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/mesh"
+)
+
+type (
+	// idleEngine has one version of one model.
+	idleEngine struct{ version int64 }
+
+	// sidecars serves the sidecars of all engines without a network, by host, and counts
+	// their polls.
+	sidecars struct {
+		handlers map[string]http.Handler
+		polls    atomic.Int64
+	}
+)
+
+// Report implements loader.Engine.
+func (e idleEngine) Report(context.Context) (loader.Report, error) {
+	return loader.Report{Versions: map[string]int64{"m": e.version}}, nil
+}
+
+// Load implements loader.Engine.
+func (idleEngine) Load(context.Context, loader.Order) (bool, error) { return false, nil }
+
+// RoundTrip implements http.RoundTripper.
+func (s *sidecars) RoundTrip(r *http.Request) (*http.Response, error) {
+	s.polls.Add(1)
+	w := httptest.NewRecorder()
+	s.handlers[r.URL.Hostname()].ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// withController runs f with a controller of n engines, which the list of endpoints has with
+// version 1 and which have version 7. It sends work while needed is set.
+func withController(t *testing.T, n int, f func(g *WithT, s *sidecars, set *epset.Registry, needed *atomic.Bool)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		set, logger := epset.New(func() {}), logs.New(io.Discard)
+		s := &sidecars{handlers: make(map[string]http.Handler)}
+		for i := range n {
+			host := fmt.Sprintf("10.1.%d.%d", i/200, i%200)
+			ld := loader.New(host, idleEngine{version: 7}, logger)
+			_, s.handlers[host] = Handler(ld)
+			wg.Go(func() { ld.Run(ctx) })
+			set.Put(endpt.Endpoint{ID: fmt.Sprint("e", i), Addr: host + ":80", Service: "lm", Slots: 6, Versions: map[string]int64{"m": 1}})
+		}
+		var needed atomic.Bool
+		needed.Store(true)
+		client := &http.Client{Transport: s}
+		m := mesh.New(mesh.Node{Name: "entry"}, client, logger)
+		c := New(set, m, client, 7720, logger, func(string) bool { return false }, needed.Load)
+		wg.Go(func() { c.Run(ctx) })
+		f(NewWithT(t), s, set, &needed)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// An owner of a step keeps a poll open at each engine of the fleet. The polls that it makes in
+// a second must not grow with the engines.
+func TestPollsDoNotGrowWithEngines(t *testing.T) {
+	const seconds, maxPerSecond = 30, 60
+	for _, n := range []int{50, 400} {
+		withController(t, n, func(g *WithT, s *sidecars, set *epset.Registry, _ *atomic.Bool) {
+			time.Sleep(20 * time.Second)
+			for _, v := range set.All() {
+				g.Expect(v.Versions["m"]).To(BeEquivalentTo(7))
+			}
+			s.polls.Store(0)
+			time.Sleep(seconds * time.Second)
+			g.Expect(s.polls.Load()).To(BeNumerically("<", maxPerSecond*seconds), "%d engines", n)
+		})
+	}
+}
+
+// A trainer's steps follow each other with short pauses, in which the owner has none. It must
+// not drop its links to all engines in each pause and set them up again, but in the end it must.
+func TestLinksLinger(t *testing.T) {
+	withController(t, 50, func(g *WithT, s *sidecars, _ *epset.Registry, needed *atomic.Bool) {
+		time.Sleep(10 * time.Second)
+		for range 5 {
+			s.polls.Store(0)
+			needed.Store(false)
+			time.Sleep(time.Second)
+			needed.Store(true)
+			time.Sleep(200 * time.Millisecond)
+			g.Expect(s.polls.Load()).To(BeNumerically("<", 80))
+		}
+		needed.Store(false)
+		time.Sleep(linkLinger + minPollWait + time.Second)
+		s.polls.Store(0)
+		time.Sleep(time.Minute)
+		g.Expect(s.polls.Load()).To(BeZero())
+	})
+}
+
+// The list of endpoints doesn't follow which weights an engine has. A new planner must not order
+// loads by it, which would move engines to models that others are loaded for.
+func TestPlannerWaitsForReports(t *testing.T) {
+	g := NewWithT(t)
+	logger := logs.New(io.Discard)
+	client := &http.Client{Transport: &sidecars{}}
+	c := New(epset.New(func() {}), mesh.New(mesh.Node{Name: "entry"}, client, logger), client, 7720, logger, func(string) bool { return false }, nil)
+	c.Announce("m", 7, 1)
+	newLink := func(openedAt time.Time, reported bool) *link {
+		e := endpt.Endpoint{ID: "e", Versions: map[string]int64{"m": 1}}
+		return &link{view: epset.View{Endpoint: e}, openedAt: openedAt, reported: reported, wants: make(map[string]loader.Want), wantsChanged: make(chan struct{}, 1)}
+	}
+	for _, tc := range []struct {
+		link *link
+		want int
+	}{
+		{newLink(time.Now(), false), 0},
+		{newLink(time.Now(), true), 1},
+		{newLink(time.Now().Add(-2*reportTimeout), false), 1},
+	} {
+		c.links["e"] = tc.link
+		c.plan()
+		g.Expect(tc.link.wants).To(HaveLen(tc.want))
+	}
+}
