--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -50,6 +50,8 @@
 
 		mu       sync.Mutex
 		replicas map[string]*kvrepl.Replica
+		// lists has the lists in flight and the latest ones, by prefix.
+		lists map[string]*list
 		// cached are the sources as of cachedAt.
 		cached   []mesh.Node
 		cachedAt time.Time
@@ -95,7 +97,7 @@
 //	f := fanout.New(m, store)
 //	r := kvrepl.New(store, "op/", logger, kvrepl.WithSourceSelector(f.SelectSource))
 func New(m *mesh.Mesh, store kvrepl.Source) *Distributor {
-	return &Distributor{mesh: m, store: store, replicas: make(map[string]*kvrepl.Replica)}
+	return &Distributor{mesh: m, store: store, replicas: make(map[string]*kvrepl.Replica), lists: make(map[string]*list)}
 }
 
 // Register makes the replica of a prefix available to peers that ask for it.
@@ -168,6 +170,9 @@
 	}
 	out := &response{}
 	if in.List {
+		waitCtx, cancel := context.WithTimeout(ctx, maxHoldTime)
+		defer cancel()
+		replica.WaitKnown(waitCtx) // when a whole fleet starts, this instance has just started, too
 		out.Items, out.Revision = replica.Snapshot()
 	} else {
 		waitCtx, cancel := context.WithTimeout(ctx, min(maxHoldTime, time.Duration(in.WaitMs)*time.Millisecond))
@@ -191,7 +196,7 @@
 
 // List implements kvrepl.Source.
 func (s *peerSource) List(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
-	res, err := s.call(ctx, request{Prefix: prefix, List: true})
+	res, err := s.call(ctx, request{Prefix: prefix, List: true, WaitMs: maxHoldTime.Milliseconds()})
 	if err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/fanout/list.go
@@ -0,0 +1,123 @@
+package fanout
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/sleep"
+)
+
+const (
+	// listPath is the HTTP path at which instances list for those that read from them.
+	listPath = "/lavendermux.Follow/List"
+	// listTTL is how long a list is used for further requests. Instances that start together
+	// ask within some hundred milliseconds.
+	listTTL = 250 * time.Millisecond
+	// upstreamListTimeout bounds a list through an upstream; after that the store is asked.
+	upstreamListTimeout = 800 * time.Millisecond
+	// maxListHops is the number of instances through which a list may go. Instances that know
+	// different peers may take each other for the one closer to the store.
+	maxListHops = 3
+	// sourcePollInterval is how often WaitSources looks for a source, and maxSourceWait how
+	// long: an instance hears from a live peer within a few round trips of its start.
+	sourcePollInterval = 5 * time.Millisecond
+	maxSourceWait      = 300 * time.Millisecond
+)
+
+type (
+	// list is a list of a prefix. The fields after done are set before it is closed.
+	list struct {
+		done     chan struct{}
+		items    []kvst.Item
+		revision int64
+		err      error
+		at       time.Time
+	}
+
+	listRequest struct {
+		Prefix string `json:"prefix"`
+		Hops   int    `json:"hops"`
+	}
+
+	listResponse struct {
+		Items    []kvst.Item `json:"items,omitempty"`
+		Revision int64       `json:"revision"`
+	}
+)
+
+// WaitSources waits until this instance knows from whom to read, or it is clear that there is
+// nobody. Without the wait each instance that starts would read all from the store.
+func (d *Distributor) WaitSources(ctx context.Context) {
+	for start := time.Now(); time.Since(start) < maxSourceWait && !d.mesh.IsSettled(); {
+		if d.mesh.IsFirst() || len(d.mesh.Entries(true)) > 1 || !sleep.For(ctx, sourcePollInterval) {
+			return
+		}
+	}
+}
+
+// List returns the items below a prefix that isn't replicated, up to listTTL old. They are read
+// through the same instances as replicas are, each of which joins the lists of its followers:
+// if all instances of a fleet list at once, only the readers ask the store.
+func (d *Distributor) List(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
+	d.WaitSources(ctx)
+	return d.listOnce(ctx, prefix, maxListHops)
+}
+
+// ListHandler returns the path and the handler that serve the lists of peers.
+func (d *Distributor) ListHandler() (string, http.Handler) {
+	return listPath, mesh.Handle(listPath, func(ctx context.Context, in *listRequest) (*listResponse, error) {
+		items, revision, err := d.listOnce(ctx, in.Prefix, in.Hops)
+		if err != nil {
+			return nil, err
+		}
+		return &listResponse{Items: items, Revision: revision}, nil
+	})
+}
+
+// listOnce joins a list of the prefix that is in flight or recent, or starts one.
+func (d *Distributor) listOnce(ctx context.Context, prefix string, hops int) ([]kvst.Item, int64, error) {
+	d.mu.Lock()
+	l := d.lists[prefix]
+	if l == nil || l.isOutdated() {
+		l = &list{done: make(chan struct{})}
+		d.lists[prefix] = l
+		go d.fill(context.WithoutCancel(ctx), l, prefix, hops)
+	}
+	d.mu.Unlock()
+	select {
+	case <-l.done:
+		return l.items, l.revision, l.err
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// isOutdated reports whether the list has ended and is of no use to further requests.
+func (l *list) isOutdated() bool {
+	select {
+	case <-l.done:
+		return l.err != nil || time.Since(l.at) > listTTL
+	default:
+		return false
+	}
+}
+
+// fill reads the prefix through an upstream, or from the store if there is none or it fails.
+func (d *Distributor) fill(ctx context.Context, l *list, prefix string, hops int) {
+	defer close(l.done)
+	l.at = time.Now()
+	if sources := d.sources(); len(sources) > 0 && hops > 0 {
+		callCtx, cancel := context.WithTimeout(ctx, upstreamListTimeout)
+		defer cancel()
+		in := &listRequest{Prefix: prefix, Hops: hops - 1}
+		res, err := mesh.Call[listRequest, listResponse](callCtx, d.mesh.Client(), sources[0].Addr, listPath, in)
+		if err == nil {
+			l.items, l.revision = res.Items, res.Revision
+			return
+		}
+	}
+	l.items, l.revision, l.err = d.store.List(ctx, prefix)
+}
--- /dev/null
+++ b/fanout/list_test.go
@@ -0,0 +1,104 @@
+package fanout
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/logs"
+	"github.com/lavendermux/lavendermux/mesh"
+)
+
+// listedStore counts its lists, each of which takes 4 ms and fails while fails is set.
+type listedStore struct {
+	cutStore
+	lists int
+	fails bool
+}
+
+func (s *listedStore) List(context.Context, string) ([]kvst.Item, int64, error) {
+	time.Sleep(4 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.fails {
+		return nil, 0, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	return []kvst.Item{{Key: prefix + "a", Revision: s.revision}}, s.revision, nil
+}
+
+// All instances that read through a reader start and list at once. The calls to the store must
+// not grow with their number, and what it holds must not be used for long.
+func TestListsAreJoined(t *testing.T) {
+	for _, followers := range []int{50, 400} {
+		synctest.Test(t, func(t *testing.T) {
+			g, store := NewWithT(t), &listedStore{cutStore: cutStore{revision: 5}}
+			d := New(mesh.New(mesh.Node{Name: "reader", Plans: true}, &http.Client{}, logs.New(io.Discard)), store)
+			listAll := func() {
+				var wg sync.WaitGroup
+				for range followers {
+					wg.Go(func() {
+						items, revision, err := d.listOnce(t.Context(), prefix, maxListHops)
+						g.Expect(err).NotTo(HaveOccurred())
+						g.Expect(items).To(HaveLen(1))
+						g.Expect(revision).To(Equal(store.revision))
+					})
+				}
+				wg.Wait()
+			}
+			listAll()
+			g.Expect(store.lists).To(Equal(1), "%d followers", followers)
+			time.Sleep(listTTL)
+			store.revision = 6
+			listAll()
+			g.Expect(store.lists).To(Equal(2))
+		})
+	}
+}
+
+// The store refuses a list. The refusal must not be handed to those that ask later.
+func TestFailedListIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := NewWithT(t), &listedStore{fails: true}
+		d := New(mesh.New(mesh.Node{Name: "reader", Plans: true}, &http.Client{}, logs.New(io.Discard)), store)
+		_, _, err := d.List(t.Context(), prefix)
+		g.Expect(err).To(HaveOccurred())
+		store.mu.Lock()
+		store.fails = false
+		store.mu.Unlock()
+		_, _, err = d.List(t.Context(), prefix)
+		g.Expect(err).NotTo(HaveOccurred())
+	})
+}
+
+// The upstream of an instance takes that instance for its own upstream, as both know different
+// peers. The list must reach the store all the same.
+func TestListInACircle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, store := NewWithT(t), &listedStore{cutStore: cutStore{revision: 5}}
+		d := New(mesh.New(mesh.Node{Name: "entry"}, &http.Client{Transport: circle{}}, logs.New(io.Discard)), store)
+		for i := range maxListHops + 1 {
+			d.cached = append(d.cached, mesh.Node{Name: fmt.Sprint("entry-", i), Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+		}
+		d.cachedAt = time.Now().Add(time.Hour)
+		items, _, err := d.listOnce(t.Context(), prefix, maxListHops)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(items).To(HaveLen(1))
+	})
+}
+
+// circle is a network in which no call is answered before its caller gives up.
+type circle struct{}
+
+func (circle) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -288,6 +288,23 @@
 	return r.revision
 }
 
+// WaitKnown waits until something has been read, or ctx ends.
+func (r *Replica) WaitKnown(ctx context.Context) {
+	for {
+		r.mu.Lock()
+		known, changed := r.revision > 0, r.changed
+		r.mu.Unlock()
+		if known {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Age returns the time since the store last confirmed the replica.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
--- a/kvst/kvst.go
+++ b/kvst/kvst.go
@@ -23,6 +23,9 @@
 		Commit(ctx context.Context, t Txn) (int64, error)
 	}
 
+	// Lister lists as a Store does.
+	Lister func(ctx context.Context, prefix string) ([]Item, int64, error)
+
 	// Item is a key with its value.
 	Item struct {
 		Key   string `json:"key"`
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -90,9 +90,12 @@
 		// joined and left are the peers for the next log line about membership changes.
 		joined, left []string
 		// missing maps announced instances that are unreachable to the time since when.
-		missing  map[string]time.Time
-		lost     func(Node, Status)
-		onStatus func(Node, Status)
+		missing map[string]time.Time
+		// registered is set once this instance is announced and has listed the others.
+		registered bool
+		lost       func(Node, Status)
+		onStatus   func(Node, Status)
+		relist     kvst.Lister
 		// runCtx bounds the probes of peers; nil before Run.
 		runCtx context.Context //nolint:containedctx // Peers are met by calls that end earlier.
 		// settled is closed once the live peers are known.
@@ -163,6 +166,12 @@
 	return func(m *Mesh) { m.lost = f }
 }
 
+// WithRelist sets how the announced instances are listed after the first time. The default is
+// by the store itself.
+func WithRelist(f kvst.Lister) Option {
+	return func(m *Mesh) { m.relist = f }
+}
+
 // WithClock sets the clock that learns the offsets of peers' wall clocks. The default
 // is a private one that isn't read.
 func WithClock(c *clocks.Clock) Option {
@@ -204,6 +213,7 @@
 		sleep.For(ctx, registerRetryDelay)
 	}
 	m.mu.Lock()
+	m.registered = true
 	m.announce() // the first status had no neighbours to go to
 	m.mu.Unlock()
 	sleep.For(ctx, settleDelay)
@@ -211,8 +221,12 @@
 	m.requestFullSync()
 	sleep.For(ctx, startupDelay)
 	m.requestFullSync()
+	relist := m.relist
+	if relist == nil {
+		relist = store.List
+	}
 	for m.waitRelist(ctx) {
-		if err := m.syncAnnouncements(ctx, store); err != nil {
+		if err := m.syncAnnouncements(ctx, store, relist); err != nil {
 			m.logger.Warn("Listing announced instances failed.", "error", err)
 		}
 		m.requestFullSync()
@@ -257,13 +271,13 @@
 	m.mu.Lock()
 	m.self.Incarnation = revision
 	m.mu.Unlock()
-	return m.syncAnnouncements(ctx, store)
+	return m.syncAnnouncements(ctx, store, store.List)
 }
 
 // syncAnnouncements adds the announced instances as peers, and removes the
 // announcements of those that have been unreachable for long.
-func (m *Mesh) syncAnnouncements(ctx context.Context, store kvst.Store) error {
-	items, _, err := store.List(ctx, keyPrefix)
+func (m *Mesh) syncAnnouncements(ctx context.Context, store kvst.Store, list kvst.Lister) error {
+	items, _, err := list(ctx, keyPrefix)
 	if err != nil {
 		return err
 	}
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -222,6 +222,13 @@
 	}
 }
 
+// IsFirst reports whether this instance has been announced and no other one has.
+func (m *Mesh) IsFirst() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.registered && len(m.peers) == 0
+}
+
 // IsAlive reports whether a live peer has the name.
 func (m *Mesh) IsAlive(name string) bool {
 	m.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -283,6 +283,7 @@
 	n.replicas.Mount(peers)
 	peers.Handle(n.store.Handler())
 	peers.Handle(n.distributor.Handler())
+	peers.Handle(n.distributor.ListHandler())
 	peers.Handle(n.gossip.Handler())
 	peers.Handle(broute.PeerPath, mesh.Handle(broute.PeerPath, n.router.ServePeer))
 	if n.leader != nil {
@@ -330,7 +331,10 @@
 	n.state = &State{retire: make(chan string, maxRetirements)}
 	n.state.Registry = epset.New(func() { n.runner.Wake() })
 	n.store = kvpeer.New(n.adapters.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.ReachingStore() })
-	store := bstore.New(n.store, bstore.WithMaxValueBytes(n.cfg.MaxValueBytes))
+	list := func(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
+		return n.distributor.List(ctx, prefix)
+	}
+	store := bstore.New(n.store, bstore.WithMaxValueBytes(n.cfg.MaxValueBytes), bstore.WithHeadLister(list))
 	clock := clocks.New(time.Now, n.monotonic)
 	counter := usage.New(n.cfg.UsageWindow)
 	n.guard = n.newPoisonTracker()
@@ -350,13 +354,14 @@
 				Strained: n.cpuLag.Strained(), Stopping: n.stopping.Load(), LeaderEpoch: n.leaderEpoch(), CrashDigest: n.guard.Digest()}
 		}),
 		mesh.WithClock(clock),
+		mesh.WithRelist(list),
 		mesh.WithOnLost(func(p mesh.Node, last mesh.Status) { n.router.Lost(p, last.OpenEpochs) }),
 		mesh.WithOnStatus(func(p mesh.Node, s mesh.Status) {
 			n.runner.DropFenced(p.Name, s.OpenEpochs)
 			n.gossip.ObserveDigest(p, s.CrashDigest)
 		}))
 	n.gossip = gossip.New(n.mesh, n.guard, n.logger)
-	n.qstore = qstore.New(n.store, n.guard, n.logger, qstore.WithPartitioned(n.mesh.Partitioned))
+	n.qstore = qstore.New(n.store, n.guard, n.logger, qstore.WithLister(list), qstore.WithPartitioned(n.mesh.Partitioned))
 	if n.reportsUsage() || n.ordersScaling() {
 		n.leader = leader.New(n.mesh, n.store, counter, clock, n.adapters.ReportUsage, n.logger, leader.WithLease(n.cfg.LeaseDuration),
 			leader.WithReportDeadline(n.cfg.UsageDeadline), leader.WithReporting(n.countsCustomers), leader.WithMonotonicClock(n.monotonic), leader.WithMeter(n.meter),
--- a/qstore/qstore.go
+++ b/qstore/qstore.go
@@ -52,6 +52,7 @@
 		guard       *guard.Tracker
 		logger      *log.Logger
 		partitioned func() bool
+		list        kvst.Lister
 
 		mu sync.Mutex
 		// localRequests has the requests that this instance itself struck or cleared, and
@@ -84,7 +85,7 @@
 //	d := qstore.New(store, guard, logger)
 //	go d.Run(ctx)
 func New(s store, g *guard.Tracker, logger *log.Logger, opts ...Option) *Syncer {
-	d := &Syncer{store: s, guard: g, logger: logger, partitioned: func() bool { return false }, localRequests: make(map[reqfp.Fingerprint]bool)}
+	d := &Syncer{store: s, guard: g, logger: logger, partitioned: func() bool { return false }, list: s.List, localRequests: make(map[reqfp.Fingerprint]bool)}
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -98,6 +99,12 @@
 	return func(d *Syncer) { d.partitioned = f }
 }
 
+// WithLister sets how the stored records are listed at the start. The default is by the store
+// itself.
+func WithLister(f kvst.Lister) Option {
+	return func(d *Syncer) { d.list = f }
+}
+
 // Run loads the stored records into the guard, and then stores the guard's changes until
 // ctx ends.
 func (d *Syncer) Run(ctx context.Context) {
@@ -135,7 +142,7 @@
 }
 
 func (d *Syncer) load(ctx context.Context) error {
-	items, _, err := d.store.List(ctx, prefix)
+	items, _, err := d.list(ctx, prefix)
 	if err != nil {
 		return err
 	}
