proxy, brun: among equal endpoints each entry and each model has an order of its own

Cause: ties between endpoints were broken by ID, so that all entries of a data centre, each of which sees its own few requests only, sent them to the same endpoint, and the owners of all models began with the same engines.

Change: rendezvous hashing by the entry's name, or the model, breaks ties.

--- a/brun/choice.go
+++ b/brun/choice.go
@@ -9,6 +9,7 @@
 	"github.com/lavendermux/lavendermux/lineup"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/place"
+	"github.com/lavendermux/lavendermux/rendez"
 )
 
 type (
@@ -66,15 +67,19 @@
 		c.suitable[i].Running += incoming[c.suitable[i].ID]
 	}
 	avoidsFailed := hasUnfailed(c.suitable, now)
-	c.preferredAt = make(map[string]int, len(c.suitable))
-	views := make([]epset.View, 0, len(c.suitable))
 	for i, v := range c.suitable {
-		if !keep(v) || avoidsFailed && now.Before(v.AvoidUntil) {
-			continue
+		if keep(v) && (!avoidsFailed || !now.Before(v.AvoidUntil)) {
+			c.preferred = append(c.preferred, i)
 		}
-		c.preferredAt[v.ID] = len(c.preferred)
-		c.preferred = append(c.preferred, i)
-		views = append(views, v)
+	}
+	// Among equals each model has an order of its own. Otherwise the owners of all models,
+	// which don't know each other's runs, would begin with the same endpoints.
+	c.preferred = rendez.Order(sub.Model, c.preferred, func(i int) string { return c.suitable[i].ID })
+	c.preferredAt = make(map[string]int, len(c.preferred))
+	views := make([]epset.View, len(c.preferred))
+	for at, i := range c.preferred {
+		c.preferredAt[c.suitable[i].ID] = at
+		views[at] = c.suitable[i]
 	}
 	c.lineup = lineup.New(r.picker, candidates(views, r.dataCentre, now))
 	return c
--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -78,6 +78,30 @@
 	})
 }
 
+// The owners of several models start a step each on the same idle engines, and none knows of the
+// others' runs. They must not begin with the same engines, or these get a run of each.
+func TestModelsBeginWithDifferentEngines(t *testing.T) {
+	const models, items = 6, 30
+	for _, engines := range []int{50, 400} {
+		g, runs := NewWithT(t), make(map[string]int)
+		for m := range models {
+			set := epset.New(func() {})
+			model := fmt.Sprint("m", m)
+			for i := range engines {
+				set.Put(endpt.Endpoint{ID: fmt.Sprint("engine-", i), Service: "lm", Slots: 6, Versions: map[string]int64{model: 1}})
+			}
+			r := New(bstore.New(&fakeStore{}), set, blockedSender{}, nil, func() *manif.Manifest { return nil }, logs.New(io.Discard))
+			c := r.newChoices("lm", &batch.Submission{Model: model}, time.Now(), func(epset.View) bool { return true }, nil)
+			for range items {
+				v, ok, _ := r.take(c, &batch.Submission{Model: model}, &item{Item: &batch.Item{}}, &manif.Route{}, time.Now())
+				g.Expect(ok).To(BeTrue())
+				runs[v.ID]++
+			}
+		}
+		g.Expect(len(runs)).To(BeNumerically(">", min(engines*3/4, models*items*3/5)), "engines in use of %d", engines)
+	}
+}
+
 // blockedSender never answers.
 type blockedSender struct{}
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/poison"
+	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/reqfp"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -57,6 +58,7 @@
 		picker     *place.Picker
 		logger     *log.Logger
 		dataCentre string
+		instance   string
 		meter      *meter.Meter
 		countUsage func(customer string) (undo func())
 		guard      *guard.Tracker
@@ -164,6 +166,12 @@
 	return func(fw *Forwarder) { fw.countUsage = f }
 }
 
+// WithInstance sets the name of this instance, which orders endpoints that are equal otherwise.
+// By default it is empty.
+func WithInstance(name string) Option {
+	return func(fw *Forwarder) { fw.instance = name }
+}
+
 // WithGuard sets the detector of poison requests. By default the forwarder has one of its
 // own.
 func WithGuard(g *guard.Tracker) Option {
@@ -317,7 +325,10 @@
 func (f *Forwarder) pick(service string, used []string) (endpt.Endpoint, bool) {
 	now := time.Now()
 	var untried, all []epset.View
-	for _, v := range f.endpoints.Available(service) {
+	// Each entry has an order of its own. Otherwise all entries, each of which sees its own few
+	// requests only, would send them to the same endpoint.
+	views := rendez.Order(f.instance, f.endpoints.Available(service), func(v epset.View) string { return v.ID })
+	for _, v := range views {
 		all = append(all, v)
 		if !contains(used, v.ID) {
 			untried = append(untried, v)
