kvpeer: many instances that are cut off from the store spread over peers, and probe it little

Cause: instances that the store turns away all asked the first peer by name; each probed the store every 0.7 s, 200 calls a second in vain where a third of 431 is cut off, and a call of its own waited 0.8 s for the direct way as often. A peer that was cut off itself, but made no calls, was asked again and again.

Change: each instance orders the peers by rendezvous hashing; calls go through peers while the direct way is known to fail, and only Run probes it: eight probes in 0.7 s by all that are known to be cut off, and one by each as soon as one of them reaches the store again. A peer that fails to serve a call counts as cut off, and the next one is asked.

--- a/kvpeer/kvpeer.go
+++ b/kvpeer/kvpeer.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/rendez"
 )
 
 const (
@@ -32,8 +34,11 @@
 	opWatch  = "watch"
 	opCommit = "commit"
 
-	// directRetryInterval is how long no direct call is made after one has failed.
-	directRetryInterval = 700 * time.Millisecond
+	// probeInterval is the interval between probes of the store while direct calls fail.
+	probeInterval = 700 * time.Millisecond
+	// maxProbes is the number of probes of all instances in one interval. Hundreds may be cut
+	// off at the same time, and the store must not be kept busy by those that it turns away.
+	maxProbes = 8
 	// peerTimeout limits a call through a peer, beyond the time for which a watch waits.
 	peerTimeout = 1500 * time.Millisecond
 )
@@ -50,17 +55,21 @@
 		client *http.Client
 		logger *log.Logger
 		peers  func() []mesh.Node
+		// instance is the name of this instance, and cutOff the number of others that can't
+		// reach the store.
+		instance string
+		cutOff   func() int
 
-		mu sync.Mutex
-		// directRetryAt is the earliest time of the next direct call while the direct
-		// connection is down.
-		directRetryAt time.Time
-		isDirectDown  bool
+		mu           sync.Mutex
+		isDirectDown bool
 		// directRestored is closed and replaced when the direct connection works again.
 		directRestored chan struct{}
 		nextPeer       int
 	}
 
+	// Option configures a Store in New.
+	Option func(*Store)
+
 	request struct {
 		Op     string   `json:"op"`
 		Key    string   `json:"key,omitempty"`
@@ -85,8 +94,24 @@
 //
 //	s := kvpeer.New(direct, client, logger, m.ReachingStore)
 //	it, err := s.Get(ctx, key)
-func New(direct kvst.Store, client *http.Client, logger *log.Logger, peers func() []mesh.Node) *Store {
-	return &Store{direct: direct, client: client, logger: logger, peers: peers, directRestored: make(chan struct{})}
+func New(direct kvst.Store, client *http.Client, logger *log.Logger, peers func() []mesh.Node, opts ...Option) *Store {
+	s := &Store{direct: direct, client: client, logger: logger, peers: peers, cutOff: func() int { return 0 }, directRestored: make(chan struct{})}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// WithInstance sets the name of this instance, by which it chooses peers and the times of its
+// probes. By default it is empty.
+func WithInstance(name string) Option {
+	return func(s *Store) { s.instance = name }
+}
+
+// WithCutOff sets f, which returns how many other instances can't reach the store. The default
+// returns 0.
+func WithCutOff(f func() int) Option {
+	return func(s *Store) { s.cutOff = f }
 }
 
 // Handler returns the path and the handler that serve peers with direct calls.
@@ -126,7 +151,7 @@
 }
 
 func (s *Store) do(ctx context.Context, in request) (response, error) {
-	if s.shouldTryDirect() {
+	if s.DirectAvailable() {
 		res, err := s.callDirectUntilRestored(ctx, in)
 		if !isStoreFailure(err) {
 			s.recordDirect(nil)
@@ -146,25 +171,21 @@
 	return s.callPeer(ctx, in)
 }
 
-// shouldTryDirect reports whether to make a direct call.
-func (s *Store) shouldTryDirect() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.isDirectDown || time.Now().After(s.directRetryAt)
-}
-
-// Run probes the store while direct calls fail; without it an instance that makes no more
-// calls of its own would go through its peers forever.
+// Run probes the store while direct calls fail. Calls don't try the direct way meanwhile: they
+// would wait for its timeout while a peer answers within milliseconds.
 func (s *Store) Run(ctx context.Context) {
-	t := time.NewTicker(directRetryInterval)
+	t := time.NewTicker(probeInterval)
 	defer t.Stop()
-	for {
+	cutOff := 0
+	for tick := 0; ; tick++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		if s.DirectAvailable() || len(s.peers()) == 0 {
+		before := cutOff
+		cutOff = s.cutOff()
+		if s.DirectAvailable() || len(s.peers()) == 0 || !s.isProbeDue(tick, before, cutOff) {
 			continue
 		}
 		if _, err := s.direct.Get(ctx, probeKey); !isStoreFailure(err) {
@@ -173,14 +194,17 @@
 	}
 }
 
+// isProbeDue reports whether this instance probes the store in an interval: as often as maxProbes
+// allows, and at once if one of the others that were cut off reaches the store again.
+func (s *Store) isProbeDue(tick, before, cutOff int) bool {
+	return cutOff < before || rendez.Fraction(s.instance, strconv.Itoa(tick))*float64(cutOff+1) < maxProbes
+}
+
 // recordDirect records the result of a direct call; err is nil if the store was reached.
 func (s *Store) recordDirect(err error) {
 	s.mu.Lock()
 	wasDown := s.isDirectDown
 	s.isDirectDown = err != nil
-	if err != nil {
-		s.directRetryAt = time.Now().Add(directRetryInterval)
-	}
 	if err == nil && wasDown {
 		close(s.directRestored)
 		s.directRestored = make(chan struct{})
@@ -206,18 +230,25 @@
 		return res, err
 	}
 	s.mu.Lock()
-	peer := peers[s.nextPeer%len(peers)]
+	n := s.nextPeer
 	s.mu.Unlock()
+	// Each instance has an order of its own, so that those that are cut off together don't all
+	// ask the same peer.
+	peer := rendez.Order(s.instance, peers, func(n mesh.Node) string { return n.Name })[n%len(peers)]
 	callCtx, cancel := context.WithTimeout(ctx, peerTimeout+time.Duration(in.WaitMs)*time.Millisecond)
 	defer cancel()
 	res, err := mesh.Call[request, response](callCtx, s.client, peer.Addr, path, &in)
 	if err != nil {
+		res, err = &response{}, &kvst.UnknownOutcomeError{Cause: err}
+	} else {
+		err = res.err(in)
+	}
+	if isStoreFailure(err) {
 		s.mu.Lock()
 		s.nextPeer++
 		s.mu.Unlock()
-		return response{}, &kvst.UnknownOutcomeError{Cause: err}
 	}
-	return *res, res.err(in)
+	return *res, err
 }
 
 // callDirectUntilRestored makes a direct call, and repeats it if the direct connection is
@@ -267,6 +298,10 @@
 
 func (s *Store) serve(ctx context.Context, in *request) (*response, error) {
 	res, err := s.callDirect(ctx, *in)
+	if isStoreFailure(err) && ctx.Err() == nil {
+		// This instance makes few calls of its own, and its peers must not go on to ask it.
+		s.recordDirect(err)
+	}
 	var refused *kvst.RefusedError
 	var conflict *kvst.ConflictError
 	var gap *kvst.CompactedError
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -180,6 +180,11 @@
 	return m.filterNodes(func(p *peer) bool { return p.ReachesStore })
 }
 
+// CutOffCount returns the number of live peers that can't reach the metadata store.
+func (m *Mesh) CutOffCount() int {
+	return len(m.filterNodes(func(p *peer) bool { return !p.ReachesStore }))
+}
+
 // Partitioned reports whether this instance is partitioned from some or all of the others,
 // so that it doesn't receive their updates.
 func (m *Mesh) Partitioned() bool {
--- a/node/node.go
+++ b/node/node.go
@@ -330,7 +330,8 @@
 	dir := n.openReplicaDir()
 	n.state = &State{retire: make(chan string, maxRetirements)}
 	n.state.Registry = epset.New(func() { n.runner.Wake() })
-	n.store = kvpeer.New(n.adapters.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.ReachingStore() })
+	n.store = kvpeer.New(n.adapters.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.ReachingStore() },
+		kvpeer.WithInstance(n.cfg.Instance), kvpeer.WithCutOff(func() int { return n.mesh.CutOffCount() }))
 	list := func(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
 		return n.distributor.List(ctx, prefix)
 	}
