brun: a run moves for the typical engine's pace, not for the lowest measurement

Cause: an owner compared each run with the engine whose measured event interval was lowest. Measurements err: an event that is read late shortens the interval after it, and engines that ran short items keep such a value. Of 400 engines the lowest is one that erred.

Change: a run moves where the median of the engines that it could go to would save enough. Engines that have turned slow are left as before.

--- a/brun/choice.go
+++ b/brun/choice.go
@@ -25,6 +25,8 @@
 		preferred   []int
 		preferredAt map[string]int
 		lineup      *lineup.Lineup
+		// typicalTime is the median event interval of the preferred endpoints, if measured.
+		typicalTime time.Duration
 	}
 
 	// moves are the choices for runs that may go on elsewhere, as they are in one sweep.
@@ -81,10 +83,27 @@
 		c.preferredAt[c.suitable[i].ID] = at
 		views[at] = c.suitable[i]
 	}
+	c.typicalTime = medianUnitTime(views)
 	c.lineup = lineup.New(r.picker, candidates(views, r.dataCentre, now))
 	return c
 }
 
+// medianUnitTime returns the median of the measured event intervals, the lower of two; 0 if there
+// are none.
+func medianUnitTime(views []epset.View) time.Duration {
+	var measured []time.Duration
+	for _, v := range views {
+		if v.UnitTime > 0 {
+			measured = append(measured, v.UnitTime)
+		}
+	}
+	if len(measured) == 0 {
+		return 0
+	}
+	slices.Sort(measured)
+	return measured[(len(measured)-1)/2]
+}
+
 // hasUnfailed reports whether any endpoint hasn't failed recently. Those that have are then
 // excluded, even if all others are full: a slot becomes free several times a second, while
 // a run at a silent endpoint is lost for maxSilence, as others just were.
--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -30,6 +31,16 @@
 	}
 }
 
+// addDistinct adds batch b with items of different bodies: equal ones run at three engines only
+// until one of them is answered.
+func addDistinct(ctx context.Context, r *Runner, items int) {
+	sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
+	for i := range items {
+		sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
+	}
+	r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+}
+
 // allocsOfSweep returns the number of allocations of one sweep over a step that runs.
 func allocsOfSweep(t *testing.T, engines, items int) (allocs float64) {
 	t.Helper()
@@ -43,11 +54,7 @@
 				set.ObserveUnitTime(v.Endpoint, 20*time.Millisecond)
 			}
 		}
-		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
-		for i := range items { // equal items would run at three engines only
-			sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
-		}
-		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+		addDistinct(ctx, r, items)
 		time.Sleep(minRunTimeBeforeMove + sweepInterval)
 		g.Expect(attempts(r)).To(Equal(items))
 		const sweeps = 5
@@ -56,6 +63,36 @@
 	return allocs
 }
 
+// All engines are equally fast, but each measurement errs by up to 15 percent. The more engines
+// there are, the lower is the lowest of their measurements; runs must not leave healthy engines
+// for it, each for a new connection and a repeated prompt.
+func TestNoMovesForMeasurementErrors(t *testing.T) {
+	const items = 100
+	for _, engines := range []int{50, 400} {
+		interval := make(map[string]time.Duration)
+		for i := range engines {
+			interval[fmt.Sprint("engine-", i)] = 75 * time.Millisecond
+		}
+		withRunner(t, interval, func(ctx context.Context, g *WithT, r *Runner, _ *fakeEngines, set *epset.Registry) {
+			addDistinct(ctx, r, items)
+			time.Sleep(minRunTimeBeforeMove + sweepInterval/2)
+			random := rand.New(rand.NewPCG(uint64(engines), 1))
+			for _, v := range set.All() {
+				measured := time.Duration((0.85 + 0.3*random.Float64()) * float64(75*time.Millisecond))
+				for range 60 {
+					set.ObserveUnitTime(v.Endpoint, measured)
+				}
+			}
+			r.sweep(ctx, time.Now())
+			moved := 0
+			for _, it := range r.tracked["b"].items {
+				moved += it.migrations
+			}
+			g.Expect(moved).To(BeZero(), "%d engines", engines)
+		})
+	}
+}
+
 // A run is cancelled to go on elsewhere, and the holder looks again before the run has ended.
 // The run must not count as moved once more, as later moves need a greater gain.
 func TestMoveCountsOnce(t *testing.T) {
@@ -128,11 +165,7 @@
 				Services: map[string]manif.Service{"lm": {Name: "lm", Stride: stride}},
 			}
 			r := New(bstore.New(&fakeStore{}), set, blockedSender{}, nil, func() *manif.Manifest { return m }, logs.New(io.Discard))
-			sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
-			for i := range 224 {
-				sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
-			}
-			r.Add(b.Context(), bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+			addDistinct(b.Context(), r, 224)
 			r.schedule(b.Context(), time.Now())
 			now := time.Now().Add(minRunTimeBeforeMove) // fixed, so that no run ever counts as silent
 			for b.Loop() {
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -85,7 +85,9 @@
 	if !ok {
 		return
 	}
-	run := migr.Run{Generated: len(it.texts), ExpectedTotal: r.expectedOutput(it, it.endpoint.Service), EventTimeHere: current.UnitTime, EventTimeThere: target.UnitTime, Migrations: it.migrations}
+	// The lowest of hundreds of measurements is one that erred, rather than a fast engine.
+	there := max(target.UnitTime, c.typicalTime)
+	run := migr.Run{Generated: len(it.texts), ExpectedTotal: r.expectedOutput(it, it.endpoint.Service), EventTimeHere: current.UnitTime, EventTimeThere: there, Migrations: it.migrations}
 	if run.ShouldMigrate() {
 		r.logger.Info("Item moved.", "batch", b.sub.ID, "item", it.ID, "from", it.endpoint.ID, "to", target.ID,
 			"made", run.Generated, "expected", run.ExpectedTotal, "here", run.EventTimeHere, "there", run.EventTimeThere)
