mesh: in a small fleet no news of a loss is passed on

Cause: the tree of news also ran below 33 instances, where each notices a loss by itself and no witness is asked: a link that is broken for one instance only would have been news for all.

Change: the loss is passed on, and the lost one told, only where not all probe all, as before the tree.

--- a/mesh/news.go
+++ b/mesh/news.go
@@ -123,7 +123,7 @@
 		}
 	}
 	span, p.pushSelf = p.pushSelf, 0
-	return append(updates, p.refutable()...), span
+	return updates, span
 }
 
 // isTold reports whether others are told about a peer: not before it was heard from.
--- a/mesh/touch.go
+++ b/mesh/touch.go
@@ -130,7 +130,7 @@
 		case !ok || slices.Contains(neighbours, name):
 		case p.lost:
 			lost = append(lost, name)
-		default:
+		case p.stopProbes != nil:
 			p.near = false
 			p.stopProbes()
 			p.stopProbes = nil
@@ -211,7 +211,9 @@
 	case m.isSparse():
 		out.UpdatesSeq = m.updates
 	}
-	out.Updates = append(out.Updates, p.refutable()...)
+	if m.isSparse() {
+		out.Updates = append(out.Updates, p.refutable()...)
+	}
 	return &out, nil
 }
 
@@ -238,6 +240,7 @@
 		return out
 	}
 	m.initSentSeq(p)
+	out.Updates = append(out.Updates, p.refutable()...)
 	out.Offers, out.UpdatesSeq = m.offersFor(p.Name, p.sentSeq)
 	out.Offers = slices.DeleteFunc(out.Offers, func(o offer) bool {
 		return slices.ContainsFunc(out.Updates, func(u peerUpdate) bool { return u.Node.Name == o.Name })
@@ -393,7 +396,11 @@
 	if !isolated {
 		p.lost, p.lostVersion = true, p.version
 		m.updateRing(p)
-		m.recordChange(p, "", m.ring.Len())
+		span := 0
+		if sparse { // in a small fleet each instance has to notice by itself
+			span = m.ring.Len()
+		}
+		m.recordChange(p, "", span)
 	}
 	m.left = append(m.left, p.Name)
 	old := *p
