--- a/brun/choice.go
+++ b/brun/choice.go
@@ -14,8 +14,8 @@
 
 type (
 	// choices are the endpoints that the items of a batch may use, as they are in one pass
-	// over the items. They are read from the registry once: with hundreds of engines a copy
-	// for each item would take a holder longer than the items do.
+	// over the items. They are read from the registry once: with hundreds of engines, a copy
+	// for each item would take most of the owner's processor.
 	choices struct {
 		// suitable has the endpoints whose weights suit the batch, with the runs that were
 		// started in this pass.
@@ -142,17 +142,29 @@
 }
 
 // other returns the best endpoint with a free slot to which a running item could move.
-func (c *choices) other(it *item, model string, route *manif.Route) (epset.View, bool) {
+func (r *Runner) other(c *choices, it *item, model string, route *manif.Route, now time.Time) (epset.View, bool) {
 	except, ok := c.preferredAt[it.endpoint.ID]
 	if !ok {
 		except = -1
 	}
-	i, ok := c.lineup.Best(except)
+	if !isPinned(it, route) {
+		i, ok := c.lineup.Best(except)
+		if !ok {
+			return epset.View{}, false
+		}
+		return c.suitable[c.preferred[i]], true
+	}
+	var allowed []epset.View
+	for at, i := range c.preferred {
+		if v := c.suitable[i]; at != except && v.Versions[model] == it.versions[0] {
+			allowed = append(allowed, v)
+		}
+	}
+	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now))
 	if !ok {
 		return epset.View{}, false
 	}
-	v := c.suitable[c.preferred[i]]
-	return v, !isPinned(it, route) || v.Versions[model] == it.versions[0]
+	return allowed[i], true
 }
 
 // count counts a run at an endpoint that the lineup didn't choose.
--- a/brun/sweep.go
+++ b/brun/sweep.go
@@ -81,7 +81,7 @@
 		return
 	}
 	c := m.choices(r, b, it.endpoint.Service, now)
-	target, ok := c.other(it, b.sub.Model, route)
+	target, ok := r.other(c, it, b.sub.Model, route, now)
 	if !ok {
 		return
 	}
--- a/fanout/list.go
+++ b/fanout/list.go
@@ -105,19 +105,30 @@
 	}
 }
 
-// fill reads the prefix through an upstream, or from the store if there is none or it fails.
+// fill reads the prefix into l, which is dropped once it is of no use any more.
 func (d *Distributor) fill(ctx context.Context, l *list, prefix string, hops int) {
-	defer close(l.done)
 	l.at = time.Now()
+	l.items, l.revision, l.err = d.readList(ctx, prefix, hops)
+	close(l.done)
+	time.AfterFunc(listTTL, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.lists[prefix] == l {
+			delete(d.lists, prefix)
+		}
+	})
+}
+
+// readList reads the prefix through an upstream, or from the store if there is none or it fails.
+func (d *Distributor) readList(ctx context.Context, prefix string, hops int) ([]kvst.Item, int64, error) {
 	if sources := d.sources(); len(sources) > 0 && hops > 0 {
 		callCtx, cancel := context.WithTimeout(ctx, upstreamListTimeout)
 		defer cancel()
 		in := &listRequest{Prefix: prefix, Hops: hops - 1}
 		res, err := mesh.Call[listRequest, listResponse](callCtx, d.mesh.Client(), sources[0].Addr, listPath, in)
 		if err == nil {
-			l.items, l.revision = res.Items, res.Revision
-			return
+			return res.Items, res.Revision, nil
 		}
 	}
-	l.items, l.revision, l.err = d.store.List(ctx, prefix)
+	return d.store.List(ctx, prefix)
 }
