fanout: while it starts, an instance chooses its source among all announced entries

Cause: an instance that starts hears of its peers a few at a time, and while it knew two or three it took itself for a reader and listed everything from the store.

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -145,6 +145,9 @@
 // sources returns the sources of this instance among the entries that reach the store; if
 // none does, among all entries, since somebody has to notice when the store is back.
 func (d *Distributor) sources() []mesh.Node {
+	if d.mesh.IsStarting() {
+		return d.findSources() // they change from one moment to the next
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if now := time.Now(); d.cachedAt.IsZero() || now.Sub(d.cachedAt) >= sourcesTTL {
@@ -154,6 +157,13 @@
 }
 
 func (d *Distributor) findSources() []mesh.Node {
+	if d.mesh.IsStarting() {
+		// By the few peers that it has heard from so far, each instance of a fleet that starts
+		// would take itself for a reader.
+		if expected, live := d.announcedSources(); len(expected) == 0 || len(live) > 0 {
+			return live
+		}
+	}
 	nodes := d.mesh.Entries(true)
 	if len(nodes) == 0 {
 		nodes = d.mesh.Entries(false)
--- a/fanout/list.go
+++ b/fanout/list.go
@@ -8,6 +8,7 @@
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/sleep"
+	"github.com/lavendermux/lavendermux/tiers"
 )
 
 const (
@@ -21,10 +22,13 @@
 	// maxListHops is the number of instances through which a list may go. Instances that know
 	// different peers may take each other for the one closer to the store.
 	maxListHops = 3
-	// sourcePollInterval is how often WaitSources looks for a source, and maxSourceWait how
-	// long: an instance hears from a live peer within a few round trips of its start.
+	// sourcePollInterval is how often WaitSources looks for a source. It waits for
+	// maxRegisterWait until this instance is announced, which takes two calls of the store,
+	// and for maxSourceWait until it hears from one of its sources: when a whole fleet starts,
+	// machines of a seventh of a processor are that busy.
 	sourcePollInterval = 5 * time.Millisecond
-	maxSourceWait      = 300 * time.Millisecond
+	maxRegisterWait    = 300 * time.Millisecond
+	maxSourceWait      = time.Second
 )
 
 type (
@@ -48,16 +52,35 @@
 	}
 )
 
-// WaitSources waits until this instance knows from whom to read, or it is clear that there is
-// nobody. Without the wait each instance that starts would read all from the store.
+// WaitSources waits until this instance hears from one of its sources, or it is clear that it has
+// none. Without the wait each instance that starts would read all from the store.
 func (d *Distributor) WaitSources(ctx context.Context) {
-	for start := time.Now(); time.Since(start) < maxSourceWait && !d.mesh.IsSettled(); {
-		if d.mesh.IsFirst() || len(d.mesh.Entries(true)) > 1 || !sleep.For(ctx, sourcePollInterval) {
+	for start := time.Now(); d.mesh.IsStarting(); {
+		limit := maxRegisterWait
+		if d.mesh.IsRegistered() {
+			limit = maxSourceWait
+			if expected, live := d.announcedSources(); len(expected) == 0 || len(live) > 0 {
+				return
+			}
+		}
+		if time.Since(start) >= limit || !sleep.For(ctx, sourcePollInterval) {
 			return
 		}
 	}
 }
 
+// announcedSources returns the sources of this instance among all announced entries, and those
+// of them that were heard from.
+func (d *Distributor) announcedSources() (expected, live []mesh.Node) {
+	expected = tiers.Upstreams(d.mesh.Self(), d.mesh.AnnouncedEntries())
+	for _, n := range expected {
+		if d.mesh.IsAlive(n.Name) {
+			live = append(live, n)
+		}
+	}
+	return expected, live
+}
+
 // List returns the items below a prefix that isn't replicated, up to listTTL old. They are read
 // through the same instances as replicas are, each of which joins the lists of its followers:
 // if all instances of a fleet list at once, only the readers ask the store.
--- a/fanout/list_test.go
+++ b/fanout/list_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -84,11 +86,19 @@
 func TestListInACircle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g, store := NewWithT(t), &listedStore{cutStore: cutStore{revision: 5}}
-		d := New(mesh.New(mesh.Node{Name: "entry"}, &http.Client{Transport: circle{}}, logs.New(io.Discard)), store)
-		for i := range maxListHops + 1 {
-			d.cached = append(d.cached, mesh.Node{Name: fmt.Sprint("entry-", i), Addr: fmt.Sprintf("10.0.0.%d:1", i)})
+		m := mesh.New(mesh.Node{Name: "entry"}, &http.Client{Transport: circle{}}, logs.New(io.Discard))
+		mux := http.NewServeMux()
+		m.Mount(mux)
+		for i := range 3 {
+			probe := fmt.Sprintf(`{"node":{"name":"entry-%d","addr":"10.0.0.%d:1","boot":"b","incarnation":1,"plans":true},"version":1,"status":{"reaches":true}}`, i, i)
+			r := httptest.NewRequest(http.MethodPost, "/lavendermux.Mesh/Touch", strings.NewReader(probe))
+			r.Header.Set("Content-Type", "application/json")
+			w := httptest.NewRecorder()
+			mux.ServeHTTP(w, r)
+			g.Expect(w.Code).To(Equal(http.StatusOK))
 		}
-		d.cachedAt = time.Now().Add(time.Hour)
+		d := New(m, store)
+		g.Expect(d.sources()).To(HaveLen(3))
 		items, _, err := d.listOnce(t.Context(), prefix, maxListHops)
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(items).To(HaveLen(1))
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -91,11 +91,13 @@
 		joined, left []string
 		// missing maps announced instances that are unreachable to the time since when.
 		missing map[string]time.Time
-		// registered is set once this instance is announced and has listed the others.
-		registered bool
-		lost       func(Node, Status)
-		onStatus   func(Node, Status)
-		relist     kvst.Lister
+		// registered is set once this instance is announced and has listed the others, and
+		// started once it has heard from all that are alive.
+		registered, started bool
+
+		lost     func(Node, Status)
+		onStatus func(Node, Status)
+		relist   kvst.Lister
 		// runCtx bounds the probes of peers; nil before Run.
 		runCtx context.Context //nolint:containedctx // Peers are met by calls that end earlier.
 		// settled is closed once the live peers are known.
@@ -220,6 +222,9 @@
 	close(m.settled)
 	m.requestFullSync()
 	sleep.For(ctx, startupDelay)
+	m.mu.Lock()
+	m.started = true
+	m.mu.Unlock()
 	m.requestFullSync()
 	relist := m.relist
 	if relist == nil {
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -227,11 +227,36 @@
 	}
 }
 
-// IsFirst reports whether this instance has been announced and no other one has.
-func (m *Mesh) IsFirst() bool {
+// IsRegistered reports whether this instance has been announced and has listed the others.
+func (m *Mesh) IsRegistered() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.registered && len(m.peers) == 0
+	return m.registered
+}
+
+// IsStarting reports whether this instance may not have heard from all live peers yet.
+func (m *Mesh) IsStarting() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.started
+}
+
+// AnnouncedEntries returns the entries that have been announced and aren't lost, whether they
+// were heard from or not, sorted by name and including this instance if it is one.
+func (m *Mesh) AnnouncedEntries() []Node {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Node
+	if m.self.Plans {
+		out = append(out, m.self)
+	}
+	for _, p := range m.peers {
+		if p.Plans && !p.lost && !p.Stopping {
+			out = append(out, p.Node)
+		}
+	}
+	slices.SortFunc(out, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
+	return out
 }
 
 // IsAlive reports whether a live peer has the name.
