Tests of growth also run at twice the size; the moves test looks at the engine that a run left

Traced: a run that is moved starts again in its own goroutine, and the test looked up the engine that it had by then.

800 or 804 instances or engines in the tests of kvpeer, wctrl, fanout, kvrepl, proxy and brun.

--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -23,7 +23,7 @@
 // run reads all engines of the fleet for itself, the looks of one step on 400 engines take half
 // a processor, and the holder reads events so late that it takes healthy engines for slow ones.
 func TestSweepReadsEnginesOnce(t *testing.T) {
-	for _, engines := range []int{50, 400} {
+	for _, engines := range []int{50, 400, 800} {
 		t.Run(fmt.Sprintf("engines=%d", engines), func(t *testing.T) {
 			few, many := allocsOfSweep(t, engines, 14), allocsOfSweep(t, engines, 8*14)
 			NewWithT(t).Expect(many).To(BeNumerically("<", 2*few), "allocations of a sweep over 8 times as many runs")
@@ -89,10 +89,17 @@
 						set.ObserveUnitTime(v.Endpoint, measured)
 					}
 				}
-				typical := medianUnitTime(set.All())
+				typical, before := medianUnitTime(set.All()), make(map[string]endpt.Endpoint)
+				r.mu.Lock()
+				for _, it := range r.tracked["b"].items {
+					before[it.ID] = it.endpoint // a run that moves has another one soon
+				}
+				r.mu.Unlock()
 				r.sweep(ctx, time.Now())
+				r.mu.Lock()
+				defer r.mu.Unlock()
 				for _, it := range r.tracked["b"].items {
-					here, _ := set.Lookup(it.endpoint)
+					here, _ := set.Lookup(before[it.ID])
 					if it.migrations > 0 {
 						g.Expect(here.UnitTime.Seconds()).To(BeNumerically(">=", minSlowdown*typical.Seconds()), "%d engines, spread %.2f", engines, spread)
 					}
@@ -128,7 +135,7 @@
 // others' runs. They must not begin with the same engines, or these get a run of each.
 func TestModelsBeginWithDifferentEngines(t *testing.T) {
 	const models, items = 6, 30
-	for _, engines := range []int{50, 400} {
+	for _, engines := range []int{50, 400, 800} {
 		g, runs := NewWithT(t), make(map[string]int)
 		for m := range models {
 			set := epset.New(func() {})
--- a/fanout/list_test.go
+++ b/fanout/list_test.go
@@ -40,7 +40,7 @@
 // All instances that read through a reader start and list at once. The calls to the store must
 // not grow with their number, and what it holds must not be used for long.
 func TestListsAreJoined(t *testing.T) {
-	for _, followers := range []int{50, 400} {
+	for _, followers := range []int{50, 400, 800} {
 		synctest.Test(t, func(t *testing.T) {
 			g, store := NewWithT(t), &listedStore{cutStore: cutStore{revision: 5}}
 			d := New(mesh.New(mesh.Node{Name: "reader", Plans: true}, &http.Client{}, logs.New(io.Discard)), store)
--- a/kvpeer/fleet_test.go
+++ b/kvpeer/fleet_test.go
@@ -88,7 +88,7 @@
 		writeEvery   = 800 * time.Millisecond
 		maxPerSecond = 2 * maxProbes * float64(time.Second) / float64(probeInterval)
 	)
-	for _, n := range []int{51, 402} {
+	for _, n := range []int{51, 402, 804} {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			ctx, cancel := context.WithCancel(t.Context())
--- a/kvrepl/kvrepl_test.go
+++ b/kvrepl/kvrepl_test.go
@@ -131,7 +131,7 @@
 // reads to all instances. If it passed heartbeats on, each instance of a fleet would receive
 // more the more endpoints there are: the bytes of all would grow with the square of the fleet.
 func TestHeartbeatsAreNotPassedOn(t *testing.T) {
-	for _, endpoints := range []int{50, 400} {
+	for _, endpoints := range []int{50, 400, 800} {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
 			ctx, cancel := context.WithCancel(context.Background())
--- a/proxy/pick_test.go
+++ b/proxy/pick_test.go
@@ -18,7 +18,7 @@
 // away, and the others idle.
 func TestEntriesPreferDifferentEndpoints(t *testing.T) {
 	const endpoints = 4
-	for _, entries := range []int{50, 400} {
+	for _, entries := range []int{50, 400, 800} {
 		g, set, requests := NewWithT(t), epset.New(func() {}), make(map[string]int)
 		for i := range endpoints {
 			set.Put(endpt.Endpoint{ID: fmt.Sprint("desk-", i), Service: "desk", Slots: 6})
--- a/wctrl/wctrl_test.go
+++ b/wctrl/wctrl_test.go
@@ -81,7 +81,7 @@
 // a second must not grow with the engines.
 func TestPollsDoNotGrowWithEngines(t *testing.T) {
 	const seconds, maxPerSecond = 30, 60
-	for _, n := range []int{50, 400} {
+	for _, n := range []int{50, 400, 800} {
 		withController(t, n, func(g *WithT, s *sidecars, set *epset.Registry, _ *atomic.Bool) {
 			time.Sleep(20 * time.Second)
 			for _, v := range set.All() {
