lines: the reader of log lines, out of stages, tells cut-off records apart

Cause: a second report needs the reader of `report steps`. The spool's own lines had no time, so every reader skipped `Log lines dropped.`.

Change: package lines has the reader. A record with a second time or message is malformed; the whole record at the end of such a line is used. It counts skipped and damaged lines. The spool's lines have a time.

--- a/spool/spool.go
+++ b/spool/spool.go
@@ -155,7 +155,7 @@
 		time.Sleep(batchDelay)
 		s.drainQueue(buf)
 		if dropped := s.dropped.Load(); dropped != reported {
-			fmt.Fprintf(buf, "level=warn msg=\"Log lines dropped.\" lines=%d all=%d\n", dropped-reported, dropped)
+			fmt.Fprintf(buf, "time=%s level=warn msg=\"Log lines dropped.\" lines=%d all=%d\n", s.timestamp(), dropped-reported, dropped)
 			reported = dropped
 			s.reportOverBudget(buf)
 		}
@@ -164,6 +164,10 @@
 	}
 }
 
+// timestamp is the time of a line that the writer itself adds, without which readers of logs
+// would skip it.
+func (s *Writer) timestamp() string { return s.now().UTC().Format(time.RFC3339Nano) }
+
 // reportOverBudget adds a line to buf for each message that was over its rate limit
 // since the last report.
 func (s *Writer) reportOverBudget(buf *bytes.Buffer) {
@@ -172,7 +176,8 @@
 	for _, message := range slices.Sorted(maps.Keys(s.buckets)) {
 		b := s.buckets[message]
 		if b.dropped > b.reported {
-			fmt.Fprintf(buf, "level=warn msg=\"Log lines over the rate limit.\" kind=%q lines=%d all=%d\n", message, b.dropped-b.reported, b.dropped)
+			fmt.Fprintf(buf, "time=%s level=warn msg=\"Log lines over the rate limit.\" kind=%q lines=%d all=%d\n", s.timestamp(), message,
+				b.dropped-b.reported, b.dropped)
 			b.reported = b.dropped
 		}
 	}
--- a/stages/stages.go
+++ b/stages/stages.go
@@ -9,20 +9,15 @@
 package stages
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
+	"github.com/lavendermux/lavendermux/lines"
 )
 
 const (
-	// maxLineBytes bounds a line; this program writes no longer ones.
-	maxLineBytes = 1 << 20
-
 	statusAccepted = "202"
 	// firstEpoch is the epoch of a batch that still has its first owner.
 	firstEpoch = "1"
@@ -85,23 +80,17 @@
 // Read adds the log of one process; it may be called once for each of several logs, in
 // any order. Lines that are not valid log lines or are irrelevant are skipped.
 func (r *Report) Read(from io.Reader) error {
-	sc := bufio.NewScanner(from)
-	sc.Buffer(nil, maxLineBytes)
-	for sc.Scan() {
-		if l, ok := parseLine(sc.Bytes()); ok {
-			r.addLine(l)
-		}
-	}
-	return errors.Wrap(sc.Err(), "reading a log")
+	_, _, err := lines.Read(from, wantedMessages, r.addLine)
+	return err
 }
 
-func (r *Report) addLine(l line) {
-	switch l.message {
+func (r *Report) addLine(l lines.Line) {
+	switch l.Message {
 	case "Request done.", "Stream done.":
 		r.addLiveLine(l)
 		return
 	}
-	id := l.fields["batch"]
+	id := l.Fields["batch"]
 	if id == "" {
 		return
 	}
@@ -110,43 +99,43 @@
 		s = &step{id: id}
 		r.steps[id] = s
 	}
-	switch l.message {
+	switch l.Message {
 	case "Batch submitted.":
-		keepEarliest(&s.submitted, l.at.Add(-l.duration()))
-		s.model, s.number = l.fields["model"], l.fields["step"]
-		if l.fields["status"] != statusAccepted {
+		keepEarliest(&s.submitted, l.At.Add(-l.Duration("took")))
+		s.model, s.number = l.Fields["model"], l.Fields["step"]
+		if l.Fields["status"] != statusAccepted {
 			s.rejected++
 		}
 	case "Batch held.":
-		keepEarliest(&s.accepted, l.at)
-		if due, err := time.ParseDuration(l.fields["due"]); err == nil { // absent in logs of earlier versions
+		keepEarliest(&s.accepted, l.At)
+		if due, err := time.ParseDuration(l.Fields["due"]); err == nil { // absent in logs of earlier versions
 			s.due = due
 		}
 	case "Batch taken over.":
-		if l.fields["epoch"] != firstEpoch { // the first epoch is an assignment, not a takeover
+		if l.Fields["epoch"] != firstEpoch { // the first epoch is an assignment, not a takeover
 			s.takeovers++
 		}
 	case "Results not kept yet.":
 		s.unsaved++
 	case "Step begun.":
-		keepEarliest(&s.started, l.at)
+		keepEarliest(&s.started, l.At)
 	case "Step whole.":
-		if keepEarliest(&s.completed, l.at) {
-			s.straggler = l.fields["item"]
+		if keepEarliest(&s.completed, l.At) {
+			s.straggler = l.Fields["item"]
 		}
 	case "Step listed.":
-		keepEarliest(&s.listed, l.at)
+		keepEarliest(&s.listed, l.At)
 	case "Step read.":
-		keepEarliest(&s.read, l.at)
+		keepEarliest(&s.read, l.At)
 	case "Batch ended.":
-		keepEarliest(&s.ended, l.at)
+		keepEarliest(&s.ended, l.At)
 	default:
 		r.addItemLine(l)
 	}
 }
 
-func (r *Report) addItemLine(l line) {
-	key := itemKey{batch: l.fields["batch"], item: l.fields["item"]}
+func (r *Report) addItemLine(l lines.Line) {
+	key := itemKey{batch: l.Fields["batch"], item: l.Fields["item"]}
 	if key.item == "" {
 		return
 	}
@@ -155,21 +144,21 @@
 		it = &item{}
 		r.items[key] = it
 	}
-	switch l.message {
+	switch l.Message {
 	case "Item run.":
-		it.attempts = append(it.attempts, attempt{start: l.at.Add(-l.duration()), end: l.at, outcome: l.fields["outcome"]})
+		it.attempts = append(it.attempts, attempt{start: l.At.Add(-l.Duration("took")), end: l.At, outcome: l.Fields["outcome"]})
 	case "Item scored.":
-		it.scored = l.at
+		it.scored = l.At
 	}
 }
 
-func (r *Report) addLiveLine(l line) {
+func (r *Report) addLiveLine(l lines.Line) {
 	r.liveRequests++
-	outcome := l.fields["outcome"]
+	outcome := l.Fields["outcome"]
 	if outcome == "answered" {
 		return
 	}
-	r.failures[failureKey{outcome: outcome, cause: l.fields["error"], endpoint: lastName(l.fields["endpoints"])}]++
+	r.failures[failureKey{outcome: outcome, cause: l.Fields["error"], endpoint: lastName(l.Fields["endpoints"])}]++
 }
 
 // lastName returns the last name of a list in the format of a log line, or "none".
@@ -208,13 +197,5 @@
 	return out
 }
 
-// wantedPrefixes are the messages that the report uses. All other lines, which are most
-// of a log, are skipped before they are parsed.
-var wantedPrefixes = [][]byte{
-	[]byte(`msg="Step `), []byte(`msg="Batch `), []byte(`msg="Item run."`), []byte(`msg="Item scored."`),
-	[]byte(`msg="Results not kept yet."`), []byte(`msg="Request done."`), []byte(`msg="Stream done."`),
-}
-
-func isWanted(raw []byte) bool {
-	return slices.ContainsFunc(wantedPrefixes, func(w []byte) bool { return bytes.Contains(raw, w) })
-}
+// wantedMessages are the beginnings of the messages that the report uses.
+var wantedMessages = []string{"Step ", "Batch ", "Item run.", "Item scored.", "Results not kept yet.", "Request done.", "Stream done."}
