report load: who was refused or late, and where the work went, from logs

Logs had the answers, one line at a time.

Change: `lavendermux report load LOG...`: requests by customer (the 10 with most requests, the rest as one), route, data centre and endpoint; item runs by model and by endpoint; submissions by model and status. Rows with most refused, late and failed come first; at most 50 rows, the rest as one. Columns have least widths. A request that was sent to several endpoints counts at each, as its line doesn't tell which was slow. `wait` (a duration) in `Request done.` is read once there is such a field.

--- a/cmd/lavendermux/main.go
+++ b/cmd/lavendermux/main.go
@@ -21,7 +21,7 @@
 	Watch     watchCommand      `cmd:"" group:"Resources" help:"Print changes of resources as an entry receives them."`
 	Status    statusCommand     `cmd:"" group:"Resources" help:"Show on which instances a resource is in force, and its conditions."`
 	Explain   explainCommand    `cmd:"" group:"Resources" help:"Show the automatic actions on a resource, and their reasons."`
-	Report    reportCommand     `cmd:"" group:"Resources" help:"Report on the objectives of policies, and on trainers' steps."`
+	Report    reportCommand     `cmd:"" group:"Resources" help:"Report on the objectives of policies, on load, and on trainers' steps."`
 	Entry     entryCommand      `cmd:"" group:"Programs" help:"Run an entry instance."`
 	Side      sidecarCommand    `cmd:"" group:"Programs" help:"Run the sidecar of an endpoint."`
 	Node      nodeCommand       `cmd:"" group:"Programs" help:"Run a process of a deployment with the settings of its machine."`
--- a/cmd/lavendermux/report.go
+++ b/cmd/lavendermux/report.go
@@ -18,6 +18,7 @@
 	// reportCommand groups the reports.
 	reportCommand struct {
 		Burn  burnCommand  `cmd:"" help:"Report the burn rates of the objectives' error budgets, by whom and why."`
+		Load  loadCommand  `cmd:"" help:"Report who was refused or late and where the work went, from the logs of the processes."`
 		Steps stepsCommand `cmd:"" help:"Report the time of trainers' steps by stage, from the logs of the processes."`
 	}
 
--- a/report/report.go
+++ b/report/report.go
@@ -1,5 +1,6 @@
 // Package report formats the error budgets of service-level objectives as a table, as
-// JSON and as one self-contained HTML page.
+// JSON and as one self-contained HTML page, and the load of a deployment, from the logs of
+// its processes, as tables.
 package report
 
 import (
