gate, queue: the gate takes work.Work, and can be paused, resized to nothing, and asked without waiting

An entry is to use the gate for requests that don't come as wire.RunRequest. The conversion moves to package side, which is its only user. The queue gains what an entry needs and a sidecar doesn't set: work that returns with its arrival time, work that has not run after all, a pause, a bound in bytes over several queues, and options for the first estimate, probes and outliers. A plan after the slots have become fewer no longer counts the ones that are gone. Tests of queue and its golden files pass unchanged; those of gate only build their work without the wire type.

--- a/eproxy/eproxy.go
+++ b/eproxy/eproxy.go
@@ -108,7 +108,7 @@
 // New returns a proxy for engine that admits requests through limiter. It rejects
 // all work until a Refresh has read the engine's state.
 //
-//	p := eproxy.New(engine.New(base), gate.New(slots))
+//	p := eproxy.New(engine.New(base), limiter)
 //	go p.Watch(ctx)
 func New(engine engineClient, limiter requestLimiter, opts ...Option) *Proxy {
 	p := &Proxy{
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -1,5 +1,6 @@
-// Package gate limits the concurrency of one endpoint: requests wait for a slot
-// of the engine in a queue and are refused as soon as the queue gives them up.
+// Package gate limits concurrency: requests wait in a queue for a slot and are
+// refused as soon as the queue gives them up. A sidecar has a gate for the slots of
+// its engine, an entry has one for each service.
 //
 // Package queue makes the decisions; this package adds the clock, the lock and
 // the blocking.
@@ -22,10 +23,13 @@
 	// CauseCallerGone is the refusal cause when the caller disconnected while its request
 	// waited.
 	CauseCallerGone = "callerGone"
+	// NotRun is the number of tokens of work that has not run after all: its caller is not
+	// charged for it.
+	NotRun int64 = -1
 )
 
 type (
-	// Limiter admits requests to one engine. It is safe for concurrent use. See New.
+	// Limiter admits work to a number of slots. It is safe for concurrent use. See New.
 	Limiter struct {
 		mu    sync.Mutex
 		queue *queue.Queue[*waiter]
@@ -46,10 +50,10 @@
 	}
 )
 
-// New returns a concurrency limiter for the slots of one engine.
+// New returns a concurrency limiter for the given slots.
 //
 //	g := gate.New(slots.New(32))
-//	leave, err := g.Enter(ctx, req)
+//	leave, err := g.Enter(ctx, w)
 func New(s *slots.Allocator, opts ...Option) *Limiter {
 	g := &Limiter{slots: s, admit: admit.New()}
 	for _, opt := range opts {
@@ -59,16 +63,43 @@
 	return g
 }
 
-// Resize sets the number of slots that the engine reports. It ignores 0 and less.
+// WithQueue configures the queue. By default it has the defaults of package queue.
+func WithQueue(opts ...queue.Option) Option {
+	return func(g *Limiter) { g.opts = append(g.opts, opts...) }
+}
+
+// WithShares configures the fair shares among callers. By default they have the defaults
+// of package admit.
+func WithShares(opts ...admit.Option) Option {
+	return func(g *Limiter) {
+		for _, opt := range opts {
+			opt(g.admit)
+		}
+	}
+}
+
+// Resize sets the number of slots. With 0 all waiting and new work is refused. Negative
+// numbers are ignored.
 func (g *Limiter) Resize(total int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if total > 0 && total != g.slots.Total() {
+	if total >= 0 && total != g.slots.Total() {
 		g.slots.Resize(total)
 		g.dispatch(time.Now())
 	}
 }
 
+// Pause sets whether work may start. While it may not, it waits for as long as it could
+// still finish in time.
+func (g *Limiter) Pause(paused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if paused != g.queue.Paused() {
+		g.queue.Pause(paused)
+		g.dispatch(time.Now())
+	}
+}
+
 // SetSlotOptions changes the division of the slots among the kinds of work from now on.
 func (g *Limiter) SetSlotOptions(opts ...slots.Option) {
 	g.mu.Lock()
@@ -102,51 +133,100 @@
 	return g.queue.Load(time.Now())
 }
 
+// Waiting returns the number of waiting requests.
+func (g *Limiter) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Waiting()
+}
+
+// Backlog returns how long the running and waiting work will occupy every slot.
+func (g *Limiter) Backlog() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.Backlog(time.Now())
+}
+
+// ServiceTime returns the estimated time that the work takes on a slot.
+func (g *Limiter) ServiceTime(w work.Work) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.ServiceTime(w)
+}
+
 // Enter waits for a slot and returns the function that releases it, to be called
-// with the number of tokens generated in it. It returns a *fault.NotRunError as
-// soon as it is certain that no slot becomes free in time, or when ctx ends.
-func (g *Limiter) Enter(ctx context.Context, req *wire.RunRequest) (func(tokens int64), error) {
-	w := &waiter{answer: make(chan error, 1)}
-	if err := g.enqueue(ctx, w, req); err != nil {
+// once with the number of tokens generated in it, 0 if the time that it took says
+// nothing about the work, or NotRun. It returns a *fault.NotRunError as soon as it is
+// certain that no slot becomes free in time, or when ctx ends.
+func (g *Limiter) Enter(ctx context.Context, w work.Work) (leave func(tokens int64), err error) {
+	r := &waiter{answer: make(chan error, 1)}
+	if err := g.enqueue(r, w); err != nil {
 		return nil, err
 	}
 	select {
-	case err := <-w.answer:
+	case err := <-r.answer:
 		if err != nil {
 			return nil, err
 		}
-		return func(tokens int64) { g.release(w, tokens) }, nil
+		return func(tokens int64) { g.release(r, tokens) }, nil
 	case <-ctx.Done():
-		g.cancel(w)
+		g.cancel(r)
 		return nil, &fault.NotRunError{Cause: CauseCallerGone, Reason: "the caller gave up while the request waited"}
 	}
 }
 
-func (g *Limiter) enqueue(ctx context.Context, w *waiter, req *wire.RunRequest) error {
+// TryEnter takes a slot if one is free and nothing waits, and returns the function that
+// releases it, as Enter does.
+func (g *Limiter) TryEnter(w work.Work) (leave func(tokens int64), ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.dispatch(now)
+	if !g.queue.Idle(w) {
+		return nil, false
+	}
+	r := &waiter{answer: make(chan error, 1)}
+	ticket, err := g.queue.Push(r, w, now)
+	if err != nil {
+		return nil, false
+	}
+	r.ticket = ticket
+	if popped, _, ok := g.queue.Pop(now); !ok || popped != r {
+		g.queue.Cancel(ticket, now)
+		return nil, false
+	}
+	return func(tokens int64) { g.release(r, tokens) }, true
+}
+
+func (g *Limiter) enqueue(r *waiter, w work.Work) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	ticket, err := g.queue.Push(w, toWork(ctx, req), now)
-	w.ticket = ticket
+	ticket, err := g.queue.Push(r, w, now)
+	r.ticket = ticket
 	g.dispatch(now)
 	return err
 }
 
-func (g *Limiter) release(w *waiter, tokens int64) {
+func (g *Limiter) release(r *waiter, tokens int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.queue.Done(w.ticket, tokens, now)
+	if tokens == NotRun {
+		g.queue.Withdraw(r.ticket, now)
+	} else {
+		g.queue.Done(r.ticket, tokens, now)
+	}
 	g.dispatch(now)
 }
 
 // cancel removes the request of a caller that has disconnected, waiting or
 // running: its slot may have been granted at the same moment.
-func (g *Limiter) cancel(w *waiter) {
+func (g *Limiter) cancel(r *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.queue.Cancel(w.ticket, now)
+	g.queue.Cancel(r.ticket, now)
 	g.dispatch(now)
 }
 
@@ -185,27 +265,3 @@
 		g.dispatch(time.Now())
 	})
 }
-
-// SlotPartition names the partition of a pool's slots to which work of a kind counts, as
-// when minima are set: the live work and the rollouts of a pool each have their
-// own.
-func SlotPartition(pool string, kind wire.WorkKind) string {
-	if kind == wire.WorkKind_WORK_KIND_ROLLOUT {
-		return pool + "/rollouts"
-	}
-	return pool
-}
-
-func toWork(ctx context.Context, req *wire.RunRequest) work.Work {
-	w := work.Work{
-		Caller:         req.GetCaller(),
-		Pool:           SlotPartition(req.GetPool(), req.GetKind()),
-		Kind:           req.GetKind(),
-		Priority:       req.GetPriority(),
-		ExpectedTokens: req.GetExpectedTokens(),
-	}
-	if deadline, ok := ctx.Deadline(); ok {
-		w.Deadline = deadline
-	}
-	return w
-}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -11,15 +11,16 @@
 	"github.com/lavendermux/lavendermux/queue"
 	"github.com/lavendermux/lavendermux/slots"
 	"github.com/lavendermux/lavendermux/wire"
+	"github.com/lavendermux/lavendermux/work"
 	. "github.com/onsi/gomega"
 )
 
-func live() *wire.RunRequest {
-	return &wire.RunRequest{Pool: "pool", Caller: "user", Kind: wire.WorkKind_WORK_KIND_LIVE, ExpectedTokens: 100}
+func live() work.Work {
+	return work.Work{Pool: "pool", Caller: "user", Kind: wire.WorkKind_WORK_KIND_LIVE, ExpectedTokens: 100}
 }
 
-func rollout() *wire.RunRequest {
-	return &wire.RunRequest{Pool: "pool", Caller: "trainer", Kind: wire.WorkKind_WORK_KIND_ROLLOUT, ExpectedTokens: 100}
+func rollout() work.Work {
+	return work.Work{Pool: "pool/rollouts", Caller: "trainer", Kind: wire.WorkKind_WORK_KIND_ROLLOUT, ExpectedTokens: 100}
 }
 
 func causeOf(err error) string {
@@ -43,7 +44,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), timeout)
 		defer cancel()
 		begin := time.Now()
-		_, err = gate.Enter(ctx, live())
+		late := live()
+		late.Deadline = begin.Add(timeout)
+		_, err = gate.Enter(ctx, late)
 		g.Expect(causeOf(err)).To(Equal(queue.CauseSaturated))
 		g.Expect(ctx.Err()).NotTo(HaveOccurred())
 		g.Expect(time.Since(begin)).To(And(BeNumerically(">", 0), BeNumerically("<", timeout)))
--- a/queue/options.go
+++ b/queue/options.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/lavendermux/lavendermux/admit"
@@ -37,6 +38,15 @@
 		// forecast is the time constant of the arrival rate in seconds.
 		forecast float64
 		admit    *admit.Admit
+		// probeInterval is the least time between probes; see mayProbe.
+		probeInterval time.Duration
+		// maxObservation bounds a measured service time, in multiples of the estimate; 0
+		// means no bound.
+		maxObservation float64
+		// waitingBytes is the size of all waiting work that counts towards maxBytes; nil
+		// means no bound.
+		waitingBytes *atomic.Int64
+		maxBytes     int64
 	}
 )
 
@@ -80,3 +90,31 @@
 func WithForecastWindow(timeConstant time.Duration) Option {
 	return func(s *settings) { s.forecast = timeConstant.Seconds() }
 }
+
+// WithMeanTokens sets the initial estimate of the tokens that work generates. The
+// greater it is, the more finished requests it takes to correct the initial token rate:
+// it counts as one request of that size. The default is 256.
+func WithMeanTokens(n float64) Option {
+	return func(s *settings) { s.meanTokens = n }
+}
+
+// WithProbeInterval sets the least time between two requests that start although the
+// estimate says that they are too long: 0 starts each of them for which a slot is free
+// while nothing waits. The default is 30 s.
+func WithProbeInterval(d time.Duration) Option {
+	return func(s *settings) { s.probeInterval = d }
+}
+
+// WithMaxObservation bounds a measured service time to factor times its estimate. Without
+// it, the requests that run while the process is paused raise the estimate by the length
+// of the pause, and work is refused that could finish in time. The default is no bound.
+func WithMaxObservation(factor float64) Option {
+	return func(s *settings) { s.maxObservation = factor }
+}
+
+// WithMaxBytes bounds the size of the work that waits in all queues that share total.
+// Queues that are used concurrently may exceed it by one request each. The default is no
+// bound.
+func WithMaxBytes(total *atomic.Int64, maxBytes int64) Option {
+	return func(s *settings) { s.waitingBytes, s.maxBytes = total, maxBytes }
+}
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -15,11 +15,11 @@
 	// noSlotDelay is the predicted wait when there is no slot at all: a minute, in
 	// which an operator or the platform may have changed that.
 	noSlotDelay = time.Minute
-	// probeInterval is the minimum time between two requests that are admitted
+	// defaultProbeInterval is the minimum time between two requests that are admitted
 	// although the estimate says they are too long. If all of them were, each holding
 	// a slot for the 10 s of a short deadline, an endpoint of 32 slots would lose 1%
 	// of its capacity.
-	probeInterval = 30 * time.Second
+	defaultProbeInterval = 30 * time.Second
 	// maxRetryAfter limits the retry delay sent with a refusal for saturation. A
 	// forecast of hours is uncertain while the overload lasts and wrong once a burst is
 	// over; delays beyond four minutes did not let more of the returning callers be
@@ -52,6 +52,9 @@
 	if len(q.waiting) >= q.settings.limit && !q.displaceLast(e, now) {
 		return saturated(q.backlog(now), "as much work waits as may wait")
 	}
+	if !q.fitBytes(e, now) {
+		return saturated(q.backlog(now), "the requests that wait take as much memory as they may")
+	}
 	if e.work.Deadline.IsZero() {
 		return nil
 	}
@@ -84,7 +87,7 @@
 // great would refuse everything and never observe the finished work that corrects
 // them.
 func (q *Queue[T]) mayProbe(e *entry[T], now time.Time) bool {
-	if len(q.waiting) > 0 || !q.slots.Fits(e.work) || now.Sub(q.lastProbe) < probeInterval {
+	if !q.Idle(e.work) || now.Sub(q.lastProbe) < q.settings.probeInterval {
 		return false
 	}
 	q.lastProbe = now
@@ -111,6 +114,27 @@
 	return true
 }
 
+// fitBytes reports whether the size of the work is within the bound if it has to wait. It
+// drops waiting work that e outranks if that makes room.
+func (q *Queue[T]) fitBytes(e *entry[T], now time.Time) bool {
+	if q.settings.waitingBytes == nil || q.Idle(e.work) {
+		return true
+	}
+	excess := q.settings.waitingBytes.Load() + e.work.Bytes - q.settings.maxBytes
+	first := len(q.waiting)
+	for first > 0 && excess > 0 && q.outranks(e, q.waiting[first-1]) {
+		first--
+		excess -= q.waiting[first].work.Bytes
+	}
+	if excess > 0 {
+		return false
+	}
+	for len(q.waiting) > first && q.displaceLast(e, now) {
+		continue
+	}
+	return true
+}
+
 // predict returns by how much the work would miss its deadline or, if it meets
 // it, the waiting work that would miss its own because of it.
 func (q *Queue[T]) predict(e *entry[T], now time.Time) (late time.Duration, victims []*entry[T]) {
@@ -142,6 +166,8 @@
 		freeIn = append(freeIn, 0)
 	}
 	slices.Sort(freeIn)
+	// After the slots have become fewer, the work that ends first frees none.
+	freeIn = freeIn[max(0, len(freeIn)-max(q.slots.Total(), 1)):]
 	q.plan.freeIn = freeIn
 	q.arrivals.forecast(&q.plan.remaining, now, q.settings.forecast, float64(q.slots.Total()))
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -56,6 +56,7 @@
 		plan       planner
 		arrivals   arrivals
 		lastProbe  time.Time
+		paused     bool
 	}
 
 	entry[T any] struct {
@@ -90,6 +91,8 @@
 		stretch:    defaultStretch,
 		margin:     defaultMargin,
 		forecast:   defaultForecastWindow.Seconds(),
+
+		probeInterval: defaultProbeInterval,
 	}
 	for _, opt := range opts {
 		opt(&set)
@@ -113,13 +116,16 @@
 // the following Expire.
 func (q *Queue[T]) Push(item T, w work.Work, now time.Time) (uint64, error) {
 	e := &entry[T]{item: item, work: w, pushedAt: now, ticket: q.lastTicket + 1}
+	if !w.Arrived.IsZero() {
+		e.pushedAt = w.Arrived
+	}
 	e.due = q.due(e, now)
 	if err := q.refuse(e, now); err != nil {
 		return 0, err
 	}
 	q.lastTicket++
 	q.insert(e)
-	if q.settings.forecast > 0 {
+	if q.settings.forecast > 0 && w.Arrived.IsZero() {
 		q.arrivals.add(w, e.due.Sub(now), q.estimator.serviceTime(w).Seconds(), now, q.settings.forecast)
 	}
 	if q.settings.admit != nil {
@@ -132,11 +138,15 @@
 // Pop returns the work to start now and counts it as running until Done or
 // Cancel. It returns false when nothing waits or no slot is free for what waits.
 func (q *Queue[T]) Pop(now time.Time) (item T, ticket uint64, ok bool) {
+	if q.paused {
+		return item, 0, false
+	}
 	for i, e := range q.waiting {
 		if q.tooLate(e, now) || !q.slots.Fits(e.work) {
 			continue
 		}
 		q.waiting = slices.Delete(q.waiting, i, i+1)
+		q.resizeWaiting(-e.work.Bytes)
 		q.slots.Start(e.work)
 		e.startedAt = now
 		q.running[e.ticket] = e
@@ -199,9 +209,49 @@
 	}
 	delete(q.running, ticket)
 	q.slots.Finish(e.work)
-	q.estimator.observe(e.work, generated, now.Sub(e.startedAt))
+	took := now.Sub(e.startedAt)
+	if f := q.settings.maxObservation; f > 0 {
+		took = min(took, scale(q.estimator.serviceTime(e.work), f))
+	}
+	q.estimator.observe(e.work, generated, took)
+}
+
+// Withdraw removes running work that has not run after all, and reverses its
+// caller's charge.
+func (q *Queue[T]) Withdraw(ticket uint64, now time.Time) {
+	e, ok := q.running[ticket]
+	if !ok {
+		return
+	}
+	delete(q.running, ticket)
+	q.slots.Finish(e.work)
+	q.refund(e, now)
+}
+
+// Pause sets whether work may start. While it may not, it waits, and is given up
+// as any other work is.
+func (q *Queue[T]) Pause(paused bool) {
+	q.paused = paused
+}
+
+// Paused reports whether Pause keeps work from starting.
+func (q *Queue[T]) Paused() bool { return q.paused }
+
+// Idle reports whether new work would start at once: a slot is open to it and nothing
+// waits.
+func (q *Queue[T]) Idle(w work.Work) bool {
+	return !q.paused && len(q.waiting) == 0 && q.slots.Fits(w)
 }
 
+// Waiting returns the amount of waiting work.
+func (q *Queue[T]) Waiting() int { return len(q.waiting) }
+
+// Backlog returns how long running and waiting work will occupy every slot.
+func (q *Queue[T]) Backlog(now time.Time) time.Duration { return q.backlog(now) }
+
+// ServiceTime returns the estimated time that the work takes on a slot.
+func (q *Queue[T]) ServiceTime(w work.Work) time.Duration { return q.estimator.serviceTime(w) }
+
 // Cancel removes waiting or running work without updating the estimates. It
 // reports whether the work was found.
 func (q *Queue[T]) Cancel(ticket uint64, now time.Time) bool {
@@ -215,6 +265,7 @@
 		return false
 	}
 	q.refund(q.waiting[i], now)
+	q.resizeWaiting(-q.waiting[i].work.Bytes)
 	q.waiting = slices.Delete(q.waiting, i, i+1)
 	return true
 }
@@ -250,6 +301,13 @@
 func (q *Queue[T]) insert(e *entry[T]) {
 	i, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
 	q.waiting = slices.Insert(q.waiting, i, e)
+	q.resizeWaiting(e.work.Bytes)
+}
+
+func (q *Queue[T]) resizeWaiting(bytes int64) {
+	if q.settings.waitingBytes != nil {
+		q.settings.waitingBytes.Add(bytes)
+	}
 }
 
 // excluded reports whether the division of the slots leaves none to the work.
@@ -274,6 +332,7 @@
 
 func (q *Queue[T]) drop(e *entry[T], cause, reason string, after time.Duration, now time.Time) {
 	q.refund(e, now)
+	q.resizeWaiting(-e.work.Bytes)
 	q.dropped = append(q.dropped, rejection[T]{item: e.item, err: &fault.NotRunError{
 		Cause:      cause,
 		Reason:     reason,
--- a/side/side.go
+++ b/side/side.go
@@ -133,7 +133,7 @@
 	}
 	s.gate = gate.New(slots.New(s.cfg.Slots))
 	model := engine.New(s.cfg.Engine, engine.WithHTTP(s.net.Client()))
-	s.engine = eproxy.New(model, s.gate, eproxy.WithLog(s.log), eproxy.WithProber(s.newProber(s.cfg.Engine)))
+	s.engine = eproxy.New(model, engineGate{s.gate}, eproxy.WithLog(s.log), eproxy.WithProber(s.newProber(s.cfg.Engine)))
 }
 
 // newProber returns the crash detector of the endpoint at base, or nil if it cannot
@@ -294,7 +294,7 @@
 		reserve = 1
 	}
 	for name, n := range s.poolMinimums {
-		out = append(out, slots.WithPoolMinimum(gate.SlotPartition(name, wire.WorkKind_WORK_KIND_ROLLOUT), n))
+		out = append(out, slots.WithPoolMinimum(slotPartition(name, wire.WorkKind_WORK_KIND_ROLLOUT), n))
 	}
 	return append(out, slots.WithLiveReserve(reserve))
 }
--- a/work/work.go
+++ b/work/work.go
@@ -23,6 +23,11 @@
 	// ExpectedTokens is the expected output in tokens. A call of a plain service counts 1.
 	// If it is 0, unknown, the queue uses the mean of the work it has seen.
 	ExpectedTokens int64
+	// Arrived is when work arrived that an endpoint has refused and that returns to the
+	// queue; zero for new work.
+	Arrived time.Time
+	// Bytes is the memory that the work takes while it waits; 0 if that is not limited.
+	Bytes int64
 }
 
 // Live reports whether an interactive user waits for the work.
