window: limits of an entry's requests at each endpoint

The limit of an endpoint halves when it refuses a request as it is full and rises with successes; an endpoint that refuses while it has no other request of this entry is closed for one service time, one that can't be connected to for a time that doubles.

--- /dev/null
+++ b/window/window_test.go
@@ -0,0 +1,123 @@
+package window
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const (
+	start   = 12
+	service = 25 * time.Millisecond
+)
+
+func newLimits(ids ...string) *Limits {
+	l := New()
+	for _, id := range ids {
+		l.Put(id, start)
+	}
+	return l
+}
+
+// An endpoint is filled by other entries. Without a limit that falls at once, each request of
+// this entry would first be refused there; with one that never rises again, the endpoint
+// would stay half used once the others have gone.
+func TestLimitFallsWithRefusalsAndRecovers(t *testing.T) {
+	g, l, now := NewWithT(t), newLimits("desk"), time.Unix(1000, 0)
+	l.Refused("desk", 8, service, now)
+	g.Expect(l.Limit("desk", now)).To(Equal(4))
+	l.Refused("desk", 7, service, now)
+	g.Expect(l.Limit("desk", now)).To(Equal(4), "the refusals of one burst halve it once")
+	l.Refused("desk", 1, service, now)
+	g.Expect(l.Limit("desk", now)).To(Equal(1))
+	_, isClosed := l.NextOpening(now)
+	g.Expect(isClosed).To(BeFalse(), "the request that is there shows when the endpoint has room")
+	successes := 0
+	for limit := 1; limit < start; limit++ {
+		for range limit {
+			g.Expect(l.Limit("desk", now)).To(Equal(limit))
+			l.Succeeded("desk")
+			successes++
+		}
+	}
+	g.Expect(successes).To(Equal(start * (start - 1) / 2))
+	for range 100 {
+		l.Succeeded("desk")
+	}
+	g.Expect(l.Limit("desk", now)).To(Equal(start))
+}
+
+// An endpoint that refuses while nothing of this entry is there gets no request for one
+// service time. With a limit of 1 at once, the requests that wait would be sent to it in
+// turn without a pause.
+func TestEndpointWithoutRoomIsClosedForAServiceTime(t *testing.T) {
+	for estimate, closed := range map[time.Duration]time.Duration{
+		service:          service,
+		time.Millisecond: 20 * time.Millisecond,
+		time.Minute:      500 * time.Millisecond,
+	} {
+		g, l, now := NewWithT(t), newLimits("desk", "other"), time.Unix(1000, 0)
+		l.Refused("desk", 0, estimate, now)
+		g.Expect(l.Limit("desk", now)).To(BeZero())
+		at, ok := l.NextOpening(now)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at).To(Equal(now.Add(closed)))
+		g.Expect(l.Limit("desk", at.Add(-1))).To(BeZero())
+		g.Expect(l.Limit("desk", at)).To(Equal(1))
+		g.Expect(l.Limit("other", now)).To(Equal(start))
+		g.Expect(l.Unreachable("desk", now)).To(BeFalse())
+	}
+}
+
+// An endpoint whose process has ended stays listed for a second or two. It must not take a
+// request of the queue each few milliseconds, and is asked again soon if it was only a moment.
+func TestUnreachableEndpointIsAskedLessAndLess(t *testing.T) {
+	g, l, now := NewWithT(t), newLimits("desk"), time.Unix(1000, 0)
+	attempts := 0
+	for begin := now; now.Before(begin.Add(3 * time.Second)); attempts++ {
+		l.Failed("desk", now)
+		g.Expect(l.Unreachable("desk", now)).To(BeTrue())
+		at, ok := l.NextOpening(now)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(at.Sub(now)).To(BeNumerically("<=", 1500*time.Millisecond))
+		now = at
+		g.Expect(l.Unreachable("desk", now)).To(BeFalse())
+		g.Expect(l.Limit("desk", now)).To(Equal(1))
+	}
+	g.Expect(attempts).To(BeNumerically("<=", 9))
+	l.Succeeded("desk")
+	l.Failed("desk", now)
+	at, _ := l.NextOpening(now)
+	g.Expect(at.Sub(now)).To(Equal(20 * time.Millisecond))
+}
+
+// An endpoint leaves, and a new incarnation comes. Results of the first that arrive late must
+// not count for anything, and its limit must not stay in the sum.
+func TestEndpointThatLeaves(t *testing.T) {
+	g, l, now := NewWithT(t), newLimits("desk/1", "other/1"), time.Unix(1000, 0)
+	l.Refused("desk/1", 0, time.Minute, now)
+	l.Retain(func(id string) bool { return id != "desk/1" })
+	g.Expect(l.Limit("desk/1", now)).To(BeZero())
+	_, ok := l.NextOpening(now)
+	g.Expect(ok).To(BeFalse())
+	l.Succeeded("desk/1")
+	l.Failed("desk/1", now)
+	l.Refused("desk/1", 1, service, now)
+	g.Expect(l.Limit("desk/1", now)).To(BeZero())
+	l.Put("desk/2", start)
+	g.Expect(l.Limit("desk/2", now)).To(Equal(start))
+}
+
+// An endpoint declares other slots. A limit above the new capacity would be found out by
+// refusals only.
+func TestEndpointWithOtherSlots(t *testing.T) {
+	g, l, now := NewWithT(t), newLimits("desk"), time.Unix(1000, 0)
+	l.Refused("desk", 8, service, now)
+	l.Put("desk", start)
+	g.Expect(l.Limit("desk", now)).To(Equal(4))
+	l.Put("desk", 2*start)
+	g.Expect(l.Limit("desk", now)).To(Equal(4 + start))
+	l.Put("desk", 2)
+	g.Expect(l.Limit("desk", now)).To(Equal(1))
+}
