proxy: requests wait in one queue for each service, with shares, priorities and deadlines

Where endpoints are full, an entry asked them in turn, and gave up after six refusals with a constant Retry-After. With WithQueue requests wait in a gate whose size is the sum of the endpoints' limits; without it nothing changes. A request that an endpoint refuses returns to the queue with its arrival time. At the limits of the queue, work also displaces work that is due later: otherwise a customer above its share that fills the queue keeps out all others.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,6 +62,8 @@
 		meter      *meter.Meter
 		countUsage func(customer string) (undo func())
 		guard      *guard.Tracker
+		// queues is nil if requests don't wait for capacity.
+		queues *queues
 	}
 
 	// Option configures a Forwarder in New.
@@ -78,6 +80,8 @@
 		Route  *manif.Route
 		// Customer is charged for the request; "" where customers have no API keys.
 		Customer string
+		// Priority orders requests that wait for capacity; 0 is the highest priority.
+		Priority int
 		// Deadline is when the caller stops waiting; zero means never.
 		Deadline time.Time
 		// Internal marks a call that the system itself makes for an item of a batch. It
@@ -218,7 +222,8 @@
 	r.fp = r.fingerprint()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	a := &attempts{f: f, r: r, ctx: ctx, results: make(chan attemptResult, r.Route.MaxAttempts+maxNotRun), usageCounter: f.usageCounter(r)}
+	a := &attempts{f: f, r: r, ctx: ctx, results: make(chan attemptResult, r.Route.MaxAttempts+maxNotRun), usageCounter: f.usageCounter(r),
+		admission: f.newAdmission(&r, deadline)}
 	response, err := a.run()
 	outcome := outcomeOf(err)
 	f.meter.Count("requests_total", 1, "route", r.Route.Name, "outcome", outcome)
@@ -227,8 +232,9 @@
 	if response != nil {
 		status = response.Status
 	}
-	f.logger.Info("Request done.", "request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "status", status,
-		"sent", a.sent, "notRun", a.notRun, "endpoints", a.used, "left", time.Until(deadline).Round(time.Millisecond), "took", time.Since(start).Round(time.Millisecond))
+	f.logger.Info("Request done.", append([]any{"request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "status", status,
+		"sent", a.sent, "notRun", a.notRun, "endpoints", a.used, "left", time.Until(deadline).Round(time.Millisecond),
+		"took", time.Since(start).Round(time.Millisecond)}, a.admission.logFields()...)...)
 	return response, err
 }
 
@@ -253,8 +259,7 @@
 
 // send sends the request to one endpoint and reads the complete answer.
 func (f *Forwarder) send(ctx context.Context, r Request, e endpt.Endpoint, usage *sendUsage) attemptResult {
-	f.endpoints.Begin(e)
-	defer f.endpoints.End(e)
+	defer f.begin(e)()
 	defer f.guard.End(r.fp, e)
 	call := upstr.Call{
 		Endpoint:    e,
@@ -338,7 +343,7 @@
 		candidates := make([]place.Candidate, len(views))
 		for i, v := range views {
 			candidates[i] = place.Candidate{
-				Slots:    v.Slots * requestsPerSlot,
+				Slots:    f.limitAt(v, now),
 				Running:  v.Running,
 				UnitTime: 1,
 				Remote:   v.DataCentre != f.dataCentre,
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -49,7 +49,8 @@
 		attempts int
 		used     []string
 		// usage counts the request for its customer, from its first event on.
-		usage *sendUsage
+		usage     *sendUsage
+		admission *admission
 	}
 )
 
@@ -65,32 +66,37 @@
 	defer cancel()
 	r.fp = r.fingerprint()
 	s := &streamRequest{f: f, r: r, sink: sink, versionLine: versionLine, lastEvent: lastEvent, usage: f.usageCounter(r).send()}
+	s.admission = f.newAdmission(&s.r, deadline)
 	err = s.run(ctx)
 	outcome := outcomeOf(err)
 	f.meter.Count("streams_total", 1, "route", r.Route.Name, "outcome", outcome)
-	f.logger.Info("Stream done.", "request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "runs", s.attempts,
-		"endpoints", s.used, "last", s.lastEvent, "took", time.Since(start).Round(time.Millisecond))
+	f.logger.Info("Stream done.", append([]any{"request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "runs", s.attempts,
+		"endpoints", s.used, "last", s.lastEvent, "took", time.Since(start).Round(time.Millisecond)}, s.admission.logFields()...)...)
 	return s.headSent, err
 }
 
 func (s *streamRequest) run(ctx context.Context) error {
 	var lastErr, quarantineErr error
 	for notRun := 0; s.attempts < s.r.Route.MaxAttempts && notRun < maxNotRun; {
-		e, ok := s.f.pick(s.r.Route.PickService(s.r.ID), s.used)
+		e, room, ok := s.admission.choose(ctx, s.used, false)
 		if !ok {
 			break
 		}
 		if quarantineErr = s.f.guard.Begin(s.r.fp, e); quarantineErr != nil {
+			room.cancel()
 			break
 		}
-		s.used = append(s.used, e.ID)
+		s.used = s.admission.addUsed(s.used, e.ID)
 		err := s.attempt(ctx, e)
+		room.end(ctx, err, true)
 		var refusal *upstr.NotRunError
 		switch {
 		case err == nil:
 			return nil
 		case errors.As(err, &refusal):
-			notRun++
+			if s.admission.countsRefusal(refusal) {
+				notRun++
+			}
 			continue
 		}
 		s.attempts++
@@ -105,7 +111,7 @@
 	if lastErr != nil || s.headSent {
 		return &UnknownOutcomeError{TimedOut: ctx.Err() != nil, Cause: lastErr}
 	}
-	return refusal(quarantineErr, "no endpoint accepts the stream")
+	return s.admission.refusal(quarantineErr, "no endpoint accepts the stream")
 }
 
 // attempt passes on what one endpoint sends.
@@ -117,8 +123,7 @@
 	if s.r.Route.Resumable {
 		idleTimer.Reset(streamIdleTimeout)
 	}
-	s.f.endpoints.Begin(e)
-	defer s.f.endpoints.End(e)
+	defer s.f.begin(e)()
 	defer s.f.guard.End(s.r.fp, e)
 	call := upstr.Call{
 		Endpoint:    e,
--- a/proxy/tries.go
+++ b/proxy/tries.go
@@ -19,6 +19,7 @@
 	results chan attemptResult
 	// usageCounter counts the request for its customer.
 	usageCounter *usageCounter
+	admission    *admission
 	// used has the IDs of the endpoints that were asked, in order.
 	used []string
 	// lastEndpoint is the endpoint of the latest attempt.
@@ -39,7 +40,7 @@
 
 func (a *attempts) run() (*Response, error) {
 	if !a.sendNext() {
-		return nil, refusal(a.quarantineErr, "no endpoint accepts requests")
+		return nil, a.admission.refusal(a.quarantineErr, "no endpoint accepts requests")
 	}
 	for {
 		hedge := time.NewTimer(a.hedgeDelay())
@@ -76,24 +77,29 @@
 	return a.r.mayRepeat() && a.inFlight == 1 && a.sent < a.r.Route.MaxAttempts && !a.f.guard.IsSuspect(a.r.fp)
 }
 
-// sendNext sends the request to one more endpoint. It returns false if the request is
-// quarantined or no endpoint takes it.
+// sendNext sends the request to one more endpoint, after a wait for capacity unless a send
+// is in flight. It returns false if the request is quarantined or no endpoint takes it.
 func (a *attempts) sendNext() bool {
 	if a.quarantineErr = a.f.guard.Check(a.r.fp); a.quarantineErr != nil {
 		return false
 	}
-	e, ok := a.f.pick(a.r.Route.PickService(a.r.ID), a.used)
+	e, room, ok := a.admission.choose(a.ctx, a.used, a.inFlight > 0)
 	if !ok {
 		return false
 	}
 	if a.quarantineErr = a.f.guard.Begin(a.r.fp, e); a.quarantineErr != nil {
+		room.cancel()
 		return false
 	}
-	a.used = append(a.used, e.ID)
+	a.used = a.admission.addUsed(a.used, e.ID)
 	a.lastEndpoint = e
 	a.sent++
 	a.inFlight++
-	go func() { a.results <- a.f.send(a.ctx, a.r, e, a.usageCounter.send()) }()
+	go func() {
+		res := a.f.send(a.ctx, a.r, e, a.usageCounter.send())
+		room.end(a.ctx, res.err, res.err == nil && res.response.Status < http.StatusInternalServerError)
+		a.results <- res
+	}()
 	return true
 }
 
@@ -119,7 +125,9 @@
 		a.errorResponse.ServerErrors = a.serverErrors
 	case errors.As(res.err, &notRun):
 		a.sent--
-		a.notRun++
+		if a.admission.countsRefusal(notRun) {
+			a.notRun++
+		}
 	default:
 		a.lastErr = res.err
 	}
@@ -135,7 +143,7 @@
 	mayHaveRun := a.lastErr != nil || a.errorResponse != nil
 	canRetry := a.sent < a.r.Route.MaxAttempts && (!mayHaveRun || a.r.mayRepeat())
 	if canRetry && a.notRun < maxNotRun {
-		if a.notRun > 0 && a.notRun%2 == 0 && !a.pause(allFullPause) {
+		if a.admission.queue == nil && a.notRun > 0 && a.notRun%2 == 0 && !a.pause(allFullPause) {
 			response, err := a.contextDone()
 			return decision{response: response, err: err, done: true}
 		}
@@ -149,7 +157,7 @@
 	case a.lastErr != nil:
 		return decision{err: &UnknownOutcomeError{Cause: a.lastErr}, done: true}
 	}
-	return decision{err: refusal(a.quarantineErr, "all endpoints are full"), done: true}
+	return decision{err: a.admission.refusal(a.quarantineErr, "all endpoints are full"), done: true}
 }
 
 func (a *attempts) contextDone() (*Response, error) {
--- a/queue/options.go
+++ b/queue/options.go
@@ -47,6 +47,8 @@
 		// means no bound.
 		waitingBytes *atomic.Int64
 		maxBytes     int64
+		// displaceByDue is set if work within the limits displaces work that is due later.
+		displaceByDue bool
 	}
 )
 
@@ -118,3 +120,10 @@
 func WithMaxBytes(total *atomic.Int64, maxBytes int64) Option {
 	return func(s *settings) { s.waitingBytes, s.maxBytes = total, maxBytes }
 }
+
+// WithDisplacementByDue lets work that arrives at a limit displace the last waiting work
+// not only if it outranks it, but also if it is due before it. Otherwise a caller above
+// its share that fills the queue keeps out all others. By default it doesn't.
+func WithDisplacementByDue() Option {
+	return func(s *settings) { s.displaceByDue = true }
+}
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -99,14 +99,19 @@
 	return &fault.NotRunError{Cause: CauseSaturated, Reason: reason, RetryAfter: after}
 }
 
-// displaceLast drops the last waiting work if e outranks it, and reports whether
+// mayDisplace reports whether e takes the place of waiting work at a limit.
+func (q *Queue[T]) mayDisplace(e, waiting *entry[T]) bool {
+	return q.outranks(e, waiting) || (q.settings.displaceByDue && q.compare(e, waiting) < 0)
+}
+
+// displaceLast drops the last waiting work if e may displace it, and reports whether
 // it did.
 func (q *Queue[T]) displaceLast(e *entry[T], now time.Time) bool {
 	if len(q.waiting) == 0 {
 		return false
 	}
 	last := q.waiting[len(q.waiting)-1]
-	if !q.outranks(e, last) {
+	if !q.mayDisplace(e, last) {
 		return false
 	}
 	q.waiting = q.waiting[:len(q.waiting)-1]
@@ -115,14 +120,14 @@
 }
 
 // fitBytes reports whether the size of the work is within the bound if it has to wait. It
-// drops waiting work that e outranks if that makes room.
+// drops waiting work that e may displace if that makes room.
 func (q *Queue[T]) fitBytes(e *entry[T], now time.Time) bool {
 	if q.settings.waitingBytes == nil || q.Idle(e.work) {
 		return true
 	}
 	excess := q.settings.waitingBytes.Load() + e.work.Bytes - q.settings.maxBytes
 	first := len(q.waiting)
-	for first > 0 && excess > 0 && q.outranks(e, q.waiting[first-1]) {
+	for first > 0 && excess > 0 && q.mayDisplace(e, q.waiting[first-1]) {
 		first--
 		excess -= q.waiting[first].work.Bytes
 	}
