proxy, gate: tests of waiting requests, and the cost of the queue

The Retry-After is computed from the number of waiting requests, the service time and the slots. A caller that disconnects while it waits counts as callerGone, as one does whose request runs.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -140,13 +140,6 @@
 	return g.queue.Waiting()
 }
 
-// Backlog returns how long the running and waiting work will occupy every slot.
-func (g *Limiter) Backlog() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.queue.Backlog(time.Now())
-}
-
 // ServiceTime returns the estimated time that the work takes on a slot.
 func (g *Limiter) ServiceTime(w work.Work) time.Duration {
 	g.mu.Lock()
@@ -181,7 +174,6 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	g.dispatch(now)
 	if !g.queue.Idle(w) {
 		return nil, false
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -114,6 +114,8 @@
 		// Quarantine is set if the request is quarantined because endpoints crashed while they
 		// ran it; nil for other causes.
 		Quarantine *poison.QuarantineError
+		// callerGone is set if the caller disconnected while its request waited.
+		callerGone bool
 	}
 
 	// UnknownOutcomeError reports that the request may have run.
@@ -234,7 +236,7 @@
 	}
 	f.logger.Info("Request done.", append([]any{"request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "status", status,
 		"sent", a.sent, "notRun", a.notRun, "endpoints", a.used, "left", time.Until(deadline).Round(time.Millisecond),
-		"took", time.Since(start).Round(time.Millisecond)}, a.admission.logFields()...)...)
+		"took", time.Since(start).Round(time.Millisecond)}, a.admission.finish()...)...)
 	return response, err
 }
 
@@ -247,6 +249,8 @@
 		return "answered"
 	case errors.As(err, &refused) && refused.Quarantine != nil:
 		return "held"
+	case errors.As(err, &refused) && refused.callerGone:
+		return "callerGone"
 	case errors.As(err, &refused):
 		return "refused"
 	case errors.Is(err, context.Canceled):
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -71,7 +71,7 @@
 	outcome := outcomeOf(err)
 	f.meter.Count("streams_total", 1, "route", r.Route.Name, "outcome", outcome)
 	f.logger.Info("Stream done.", append([]any{"request", r.ID, "print", r.fp, "route", r.Route.Name, "outcome", outcome, "error", err, "runs", s.attempts,
-		"endpoints", s.used, "last", s.lastEvent, "took", time.Since(start).Round(time.Millisecond)}, s.admission.logFields()...)...)
+		"endpoints", s.used, "last", s.lastEvent, "took", time.Since(start).Round(time.Millisecond)}, s.admission.finish()...)...)
 	return s.headSent, err
 }
 
--- a/proxy/wait.go
+++ b/proxy/wait.go
@@ -89,8 +89,9 @@
 		running map[string]int
 		// isReachable is set while there is an endpoint to which connections can be made.
 		isReachable bool
-		// room is the present size of the gate.
-		room int
+		// room is the number of requests that may be sent now, including those that are on
+		// their way; size is that of the gate.
+		room, size int
 		// waiters is the number of requests that are about to wait, wait, or have just
 		// done so; the timer runs while there are any.
 		waiters int
@@ -301,15 +302,12 @@
 		q.mu.Unlock()
 		a.waited += time.Since(start)
 	}
-	// The caller may have disconnected, or a paused process missed the deadline, at the
-	// moment of the grant.
-	if err == nil && ctx.Err() != nil {
+	// The caller may have disconnected at the moment of the grant, or the process was paused
+	// until after the deadline.
+	if err == nil && (ctx.Err() != nil || !time.Now().Before(w.Deadline)) {
 		leave(gate.NotRun)
 		return nil, &fault.NotRunError{Cause: gate.CauseCallerGone, Reason: "the caller gave up while the request waited"}
 	}
-	if err == nil {
-		a.f.meter.Observe("queue_wait_seconds", time.Since(start), "service", a.service)
-	}
 	return leave, err
 }
 
@@ -321,16 +319,22 @@
 	if errors.As(err, &notRun) {
 		a.cause, reason = notRun.Cause, notRun.Reason
 	}
+	if a.cause == queue.CauseTooLong && a.returns > 0 {
+		// It was not too long when it came.
+		a.cause = queue.CauseSaturated
+	}
 	a.queue.mu.Lock()
-	isReachable := a.queue.isReachable
+	isReachable, size := a.queue.isReachable, a.queue.size
 	a.queue.mu.Unlock()
+	// How long the slots take for what waits.
+	backlog := time.Duration(a.queue.gate.Waiting()+1) * a.queue.gate.ServiceTime(a.work) / time.Duration(max(size, 1))
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		a.cause = causeExpired
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) || !time.Now().Before(a.work.Deadline):
+		a.cause, reason = causeExpired, "its time was over while it waited"
 	case ctx.Err() == nil && !isReachable:
 		a.cause = causeNoEndpoint
 	}
-	a.refused = &RefusedError{Cause: reason, RetryAfter: retryAfter(a.queue.gate.Backlog(), a.r.ID)}
+	a.refused = &RefusedError{Cause: reason, RetryAfter: retryAfter(backlog, a.r.ID), callerGone: a.cause == gate.CauseCallerGone}
 	if a.cause == causeNoEndpoint {
 		a.refused = refusal(nil, "no endpoint accepts requests")
 	}
@@ -366,9 +370,16 @@
 	return append(used, id)
 }
 
-// logFields returns the log fields of a request that had to wait or was refused.
-func (a *admission) logFields() []any {
-	if a.queue == nil || (a.waited == 0 && a.refused == nil && a.returns == 0) {
+// finish records how long the request has waited if it was sent, and returns the log fields
+// of one that had to wait or was refused.
+func (a *admission) finish() (logFields []any) {
+	if a.queue == nil {
+		return nil
+	}
+	if a.refused == nil && !a.work.Arrived.IsZero() {
+		a.f.meter.Observe("queue_wait_seconds", a.waited, "service", a.service)
+	}
+	if a.waited == 0 && a.refused == nil && a.returns == 0 {
 		return nil
 	}
 	fields := []any{"service", a.service, "customer", a.r.Customer, "priority", a.r.Priority, "waiting", a.waiting, "room", a.room,
@@ -414,15 +425,17 @@
 			room += n
 		}
 	}
-	q.room = room
+	q.room, q.size = room, room
 	switch {
 	case !q.isReachable:
+		q.size = 0
 		q.gate.Resize(0)
 	case room == 0:
 		// Endpoints are there, but may not be asked now. The gate must not start anything;
 		// with a size of 0 it would refuse what waits. Each gets a request before long.
+		q.size = len(views)
 		q.gate.Pause(true)
-		q.gate.Resize(len(views))
+		q.gate.Resize(q.size)
 	default:
 		q.gate.Resize(room)
 		q.gate.Pause(false)
--- a/proxy/wait_test.go
+++ b/proxy/wait_test.go
@@ -281,7 +281,11 @@
 			}
 			synctest.Wait()
 			ctx, disconnect := context.WithCancel(context.Background())
-			go func() { _, _ = w.f.Forward(ctx, deskRequest("leaves")) }()
+			go func() {
+				if _, err := w.f.Forward(ctx, deskRequest("leaves")); err != nil {
+					w.g.Expect(outcomeOf(err)).To(Equal("callerGone"))
+				}
+			}()
 			synctest.Wait()
 			w.g.Expect(w.f.queueOf("desk").gate.Waiting()).To(Equal(1))
 			time.AfterFunc(testService, disconnect)
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -246,9 +246,6 @@
 // Waiting returns the amount of waiting work.
 func (q *Queue[T]) Waiting() int { return len(q.waiting) }
 
-// Backlog returns how long running and waiting work will occupy every slot.
-func (q *Queue[T]) Backlog(now time.Time) time.Duration { return q.backlog(now) }
-
 // ServiceTime returns the estimated time that the work takes on a slot.
 func (q *Queue[T]) ServiceTime(w work.Work) time.Duration { return q.estimator.serviceTime(w) }
 
