--- a/proxy/lines_test.go
+++ b/proxy/lines_test.go
@@ -20,22 +20,13 @@
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
-type (
-	// okSender answers each call with an empty body.
-	okSender struct{}
-
-	// discardSink is a caller that reads nothing.
-	discardSink struct{}
-)
+// okSender answers each call with an empty body.
+type okSender struct{}
 
 func (okSender) Send(context.Context, upstr.Call) (*upstr.Response, error) {
 	return &upstr.Response{Status: http.StatusOK, Body: io.NopCloser(strings.NewReader(""))}, nil
 }
 
-func (discardSink) WriteHeader(int, http.Header) {}
-
-func (discardSink) Write([]byte) error { return nil }
-
 // Without customer, data centre and objective in its lines, a load report can't tell who was
 // late. A scoring call is on the customer's account, but no caller waits for it: it must not
 // count as one of the customer's requests.
--- a/report/load.go
+++ b/report/load.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -193,7 +194,8 @@
 	case outcome == "held":
 		r.isRefused, r.cause = true, "quarantined" // the text of the error has the request's fingerprint
 	case outcome == "refused":
-		r.isRefused, r.cause = true, strings.TrimPrefix(line.Fields["error"], "refused: ")
+		// A refusal by a queue has a cause; the text of its error has figures of the request.
+		r.isRefused, r.cause = true, cmp.Or(line.Fields["cause"], strings.TrimPrefix(line.Fields["error"], "refused: "))
 	case outcome == "late" || status == http.StatusGatewayTimeout: // the time ended here, or at the endpoint
 		r.isLate = true
 	case outcome == "failed" || status >= http.StatusInternalServerError:
