window: an endpoint counts as unreachable after three failed connections in a row

After one lost packet at the only endpoint of a service all waiting requests were refused. Sends that fail together count once. TestUnreachableEndpointIsAskedLessAndLess.

--- a/window/window.go
+++ b/window/window.go
@@ -26,6 +26,10 @@
 	// connection to it could not be made. The endpoint leaves the list of endpoints about
 	// 1.5 s after its process has ended.
 	maxUnreachable = 1500 * time.Millisecond
+	// minFailures is the number of failed connections in a row after which an endpoint
+	// counts as unreachable. After a single one, which may be a lost packet, requests wait
+	// for it.
+	minFailures = 3
 )
 
 type (
@@ -45,10 +49,8 @@
 		// successes counts towards the next increase of the limit.
 		successes   int
 		closedUntil time.Time
-		// isUnreachable is set while the endpoint is closed because a connection to it
-		// could not be made; failures counts how often in a row that happened.
-		isUnreachable bool
-		failures      int
+		// failures counts the connections in a row that could not be made.
+		failures int
 	}
 )
 
@@ -102,11 +104,11 @@
 	return s.limit
 }
 
-// Unreachable reports whether the endpoint gets no request now because a connection to it
-// could not be made.
+// Unreachable reports whether the endpoint gets no request now because several connections
+// to it in a row could not be made.
 func (l *Limits) Unreachable(id string, now time.Time) bool {
 	s, ok := l.endpoints[id]
-	return ok && s.isUnreachable && now.Before(s.closedUntil)
+	return ok && s.failures >= minFailures && now.Before(s.closedUntil)
 }
 
 // NextOpening returns when the next endpoint that gets no request now gets one again. ok
@@ -147,7 +149,7 @@
 	s.successes, s.failures = 0, 0
 	s.limit = max(1, min(s.limit, (running+1)/2))
 	if running == 0 {
-		s.close(min(max(serviceTime, l.minClosed), l.maxClosed), false, now)
+		s.close(min(max(serviceTime, l.minClosed), l.maxClosed), now)
 	}
 }
 
@@ -155,8 +157,8 @@
 // a time that doubles with each failure in a row, and then one.
 func (l *Limits) Failed(id string, now time.Time) {
 	s, ok := l.endpoints[id]
-	if !ok {
-		return
+	if !ok || now.Before(s.closedUntil) {
+		return // requests that were sent together fail together
 	}
 	d := maxUnreachable
 	if doubled := float64(l.minClosed) * math.Pow(2, float64(s.failures)); doubled < float64(d) {
@@ -164,11 +166,11 @@
 	}
 	s.limit, s.successes = 1, 0
 	s.failures++
-	s.close(d, true, now)
+	s.close(d, now)
 }
 
-func (s *state) close(d time.Duration, isUnreachable bool, now time.Time) {
+func (s *state) close(d time.Duration, now time.Time) {
 	if until := now.Add(d); until.After(s.closedUntil) {
-		s.closedUntil, s.isUnreachable = until, isUnreachable
+		s.closedUntil = until
 	}
 }
