speed, epset, proxy: plain endpoints that are lastingly slow or in a slow spell get fewer requests

Cause: proxy.pick took all plain endpoints for equally fast.

Change: package speed estimates the lasting and the present speed of an endpoint beside the others of its service, from observations under noise. epset keeps an estimator for each incarnation, for requests of routes with targetLatencyMs; node has them judged four times a second, logs changes of belief and sets endpoint_factor. Neighbouring entries share sums of their observations in mesh.Status.Speeds, with the next probe, once a second at most, and never gossiped. proxy.pick takes the factor of a slow endpoint as its time, and avoids one in a spell; all others count as equal. meter.Remove is new: the metric is there only while an endpoint is slow.

--- a/epset/epset.go
+++ b/epset/epset.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/speed"
 )
 
 const (
@@ -45,6 +46,7 @@
 		// graceUntil delays removals after an outage of the metadata store.
 		graceUntil time.Time
 		onChange   func()
+		speeds     speeds
 	}
 
 	// View is an endpoint with what is known about it.
@@ -62,6 +64,11 @@
 		SuspectUntil time.Time
 		// Loading has the models whose weights are being changed.
 		Loading map[string]bool
+		// Factor is the ratio of the endpoint's times to those of a typical one of its
+		// service; 1 if no lasting difference is believed.
+		Factor float64
+		// InSpell is set while the endpoint is much slower than it usually is.
+		InSpell bool
 	}
 
 	state struct {
@@ -73,6 +80,7 @@
 		// there are minUnitSamples of them.
 		unitTime time.Duration
 		units    int
+		speed    speed.Estimator
 	}
 )
 
@@ -82,7 +90,8 @@
 //	s := epset.New(func() { wake <- struct{}{} })
 //	s.Put(e)
 func New(onChange func()) *Registry {
-	return &Registry{endpoints: make(map[string]*state), onChange: onChange}
+	return &Registry{endpoints: make(map[string]*state), onChange: onChange,
+		speeds: speeds{startedAt: time.Now(), neighbours: make(map[string]neighbourSpeeds)}}
 }
 
 // Put stores what an endpoint declared, and reports whether it is new, a new incarnation
@@ -97,7 +106,7 @@
 		old.Endpoint = e
 		old.removeAt = time.Time{}
 	} else {
-		r.endpoints[e.ID] = &state{View: View{Endpoint: e}}
+		r.endpoints[e.ID] = &state{View: View{Endpoint: e, Factor: 1}}
 	}
 	r.mu.Unlock()
 	r.onChange()
@@ -262,15 +271,17 @@
 
 // ObserveUnitTime records the time of one unit of work at e.
 func (r *Registry) ObserveUnitTime(e endpt.Endpoint, took time.Duration) {
-	r.update(e, func(st *state) {
-		st.SuspectUntil, st.MeasuredAt = time.Time{}, time.Now()
-		st.units++
-		weight := max(unitTimeWeight, 1/float64(st.units))
-		st.unitTime += time.Duration(weight * float64(took-st.unitTime))
-		if st.units >= minUnitSamples {
-			st.UnitTime = st.unitTime
-		}
-	})
+	r.update(e, func(st *state) { st.observeUnitTime(took) })
+}
+
+func (st *state) observeUnitTime(took time.Duration) {
+	st.SuspectUntil, st.MeasuredAt = time.Time{}, time.Now()
+	st.units++
+	weight := max(unitTimeWeight, 1/float64(st.units))
+	st.unitTime += time.Duration(weight * float64(took-st.unitTime))
+	if st.units >= minUnitSamples {
+		st.UnitTime = st.unitTime
+	}
 }
 
 // ObserveVersion records a weight version that an answer of e has shown.
--- a/mesh/mesh.go
+++ b/mesh/mesh.go
@@ -25,6 +25,7 @@
 	"github.com/lavendermux/lavendermux/rendez"
 	"github.com/lavendermux/lavendermux/ring"
 	"github.com/lavendermux/lavendermux/sleep"
+	"github.com/lavendermux/lavendermux/speed"
 	"github.com/lavendermux/lavendermux/uptime"
 )
 
@@ -97,6 +98,7 @@
 
 		lost     func(Node, Status)
 		onStatus func(Node, Status)
+		onSpeeds func(Node, map[string]speed.Sum)
 		relist   kvst.Lister
 		// runCtx bounds the probes of peers; nil before Run.
 		runCtx context.Context //nolint:containedctx // Peers are met by calls that end earlier.
@@ -147,6 +149,7 @@
 		clock:    clocks.New(time.Now, uptime.Now),
 		lost:     func(Node, Status) {},
 		onStatus: func(Node, Status) {},
+		onSpeeds: func(Node, map[string]speed.Sum) {},
 
 		settled: make(chan struct{}),
 	}
@@ -186,6 +189,12 @@
 	return func(m *Mesh) { m.onStatus = f }
 }
 
+// WithOnSpeeds sets a callback for the speeds that a neighbour sends. The default does
+// nothing.
+func WithOnSpeeds(f func(n Node, speeds map[string]speed.Sum)) Option {
+	return func(m *Mesh) { m.onSpeeds = f }
+}
+
 // Self returns this instance.
 func (m *Mesh) Self() Node {
 	m.mu.Lock()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/memnet"
 	"github.com/lavendermux/lavendermux/ring"
+	"github.com/lavendermux/lavendermux/speed"
 )
 
 const (
@@ -48,6 +49,9 @@
 		mu      sync.Mutex
 		holding map[string]int64
 		lost    []string
+		// speeds are sent, and told are those that each neighbour has sent.
+		speeds map[string]speed.Sum
+		told   map[string]map[string]speed.Sum
 	}
 
 	// deployment is a fleet on an in-memory network.
@@ -129,10 +133,10 @@
 func (d *deployment) start(i int, boot string) *testInstance {
 	ip := fmt.Sprintf("10.0.%d.%d", i/200, i%200+1)
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &testInstance{ip: ip, cancel: cancel, holding: make(map[string]int64)}
+	m := &testInstance{ip: ip, cancel: cancel, holding: make(map[string]int64), told: make(map[string]map[string]speed.Sum)}
 	self := Node{Name: fmt.Sprintf("entry-%03d", i), Addr: ip + ":1", Boot: boot, Plans: true, Power: 0.3}
 	m.Mesh = New(self, &http.Client{Transport: countingTransport{RoundTripper: d.net.Transport(ip), d: d}}, logs.New(io.Discard),
-		WithStatus(m.status), WithOnLost(m.takeLost))
+		WithStatus(m.status), WithOnLost(m.takeLost), WithOnSpeeds(m.takeSpeeds))
 	mux := http.NewServeMux()
 	m.Mount(mux)
 	srv, err := d.net.Serve(self.Addr, mux)
@@ -149,7 +153,7 @@
 	for id, epoch := range m.holding {
 		holding[id] = epoch
 	}
-	return Status{OpenEpochs: holding, ReachesStore: true}
+	return Status{OpenEpochs: holding, ReachesStore: true, Speeds: m.speeds}
 }
 
 func (m *testInstance) hold(id string) {
@@ -164,6 +168,12 @@
 	m.lost = append(m.lost, fmt.Sprintf("%s holding %d", n.Holder(), len(last.OpenEpochs)))
 }
 
+func (m *testInstance) takeSpeeds(n Node, speeds map[string]speed.Sum) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.told[n.Name] = speeds
+}
+
 func (m *testInstance) losses() []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/lavendermux/lavendermux/speed"
 )
 
 type (
@@ -29,6 +31,10 @@
 		// CrashDigest is a digest of the instance's records of requests that crashed
 		// endpoints. A change of it alone isn't gossiped: it goes with the next probe.
 		CrashDigest uint64 `json:"crashes,omitempty"`
+		// Speeds has the instance's observations of plain endpoints in the last 10 s, by
+		// incarnation. They go to neighbouring entries with the next probe, at most once in
+		// speedsInterval, and are never gossiped.
+		Speeds map[string]speed.Sum `json:"speeds,omitempty"`
 	}
 
 	// peer is what is known about an instance. Mesh.mu guards it.
@@ -55,6 +61,8 @@
 		// probe loop; nil while there is none.
 		near       bool
 		stopProbes context.CancelFunc
+		// speedsSentAt is when the peer was last sent Speeds.
+		speedsSentAt time.Time
 		// wake makes the probe loop send at once.
 		wake chan struct{}
 		// push maps the updates to push to the peer, by instance, to their spans; pushSelf
@@ -75,7 +83,8 @@
 	return &peer{Node: n, statusAt: time.Now(), wake: make(chan struct{}, 1), push: make(map[string]int)}
 }
 
-// equal reports whether two statuses are the same but for ages and the crash digest.
+// equal reports whether two statuses are the same but for ages, the crash digest and
+// speeds.
 func (s Status) equal(o Status) bool {
 	return maps.Equal(s.OpenEpochs, o.OpenEpochs) && maps.Equal(s.Demand, o.Demand) &&
 		s.ReachesStore == o.ReachesStore && s.Strained == o.Strained && s.Stopping == o.Stopping && s.LeaderEpoch == o.LeaderEpoch
--- a/mesh/touch.go
+++ b/mesh/touch.go
@@ -7,6 +7,7 @@
 
 	"github.com/lavendermux/lavendermux/ring"
 	"github.com/lavendermux/lavendermux/sleep"
+	"github.com/lavendermux/lavendermux/speed"
 )
 
 const (
@@ -38,6 +39,9 @@
 	// enough: a single broken link must not cause a takeover of the instance's batches.
 	maxWitnesses   = 3
 	witnessTimeout = 300 * time.Millisecond
+	// speedsInterval is the minimum interval between two messages with Speeds to one peer.
+	// A small fleet probes some 70 times a second, and the sums are of 10 s.
+	speedsInterval = time.Second
 	// forgetAfter is how long a silent peer is kept; by then it was probably replaced.
 	forgetAfter = 30 * time.Second
 )
@@ -194,6 +198,8 @@
 	m.addPeer(in.Node)
 	m.handleProbe(*in)
 	out := m.newProbe()
+	speeds := out.Status.Speeds
+	out.Status.Speeds = nil
 	out.Want = m.missingOf(in.Offers)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -201,6 +207,7 @@
 	if !ok {
 		return &out, nil
 	}
+	out.Status.Speeds = p.takeSpeeds(speeds)
 	m.initSentSeq(p)
 	switch {
 	case in.FullSync:
@@ -234,6 +241,7 @@
 	out := m.newProbe()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	out.Status.Speeds = p.takeSpeeds(out.Status.Speeds)
 	out.Updates, out.Span = m.takePush(p)
 	out.Want, p.want = p.want, nil
 	if !m.isSparse() {
@@ -339,6 +347,8 @@
 	}
 	now := time.Now()
 	old := *p
+	speeds := t.Status.Speeds
+	t.Status.Speeds = nil // not to be passed on
 	m.lastContact, p.lastContact = now, now
 	m.isolated = false
 	p.alive, p.lost = true, false
@@ -362,9 +372,22 @@
 		m.lost(old.Node, old.Status)
 	}
 	m.onStatus(t.Node, t.Status)
+	if len(speeds) > 0 {
+		m.onSpeeds(t.Node, speeds)
+	}
 	m.applyUpdates(t.Node.Name, t.Updates)
 }
 
+// takeSpeeds returns the speeds to send to a peer now: none to one that forwards no callers'
+// requests, or that was sent some just before.
+func (p *peer) takeSpeeds(speeds map[string]speed.Sum) map[string]speed.Sum {
+	if len(speeds) == 0 || !p.Plans || time.Since(p.speedsSentAt) < speedsInterval {
+		return nil
+	}
+	p.speedsSentAt = time.Now()
+	return speeds
+}
+
 // handleMiss handles a failed probe: a peer that stays silent and that no witness hears
 // is declared lost.
 func (m *Mesh) handleMiss(ctx context.Context, p *peer) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// Remove removes the series of name and labels.
+func (m *Meter) Remove(name string, labels ...string) {
+	key := namePrefix + name + renderLabels(labels)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.series[key]; ok {
+		delete(m.series, key)
+		m.seriesCounts[name]--
+		m.registry.Unregister(key)
+	}
+}
+
 // Observe adds a duration to a histogram, whose name ends in "_seconds".
 func (m *Meter) Observe(name string, d time.Duration, labels ...string) {
 	s := m.getOrCreate(name, labels, newHistogram)
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	"github.com/lavendermux/lavendermux/qstore"
 	"github.com/lavendermux/lavendermux/replog"
 	"github.com/lavendermux/lavendermux/sleep"
+	"github.com/lavendermux/lavendermux/speed"
 	"github.com/lavendermux/lavendermux/upstr"
 	"github.com/lavendermux/lavendermux/uptime"
 	"github.com/lavendermux/lavendermux/usage"
@@ -70,7 +71,8 @@
 	// recoveryDelay is the wait before batches without an owner are recovered: by then
 	// all live peers have been contacted.
 	recoveryDelay = 800 * time.Millisecond
-	// endpointSweepInterval is how often endpoints with an expired grace period are removed.
+	// endpointSweepInterval is how often endpoints with an expired grace period are removed,
+	// and the speeds of endpoints judged.
 	endpointSweepInterval = 250 * time.Millisecond
 	// maxRetirements bounds the queue of requests to retire an instance.
 	maxRetirements = 32
@@ -352,9 +354,13 @@
 	n.mesh = mesh.New(self, n.client, n.logger,
 		mesh.WithStatus(func() mesh.Status {
 			return mesh.Status{OpenEpochs: n.runner.Holding(), OpenAges: n.runner.Ages(), Demand: n.runner.Demand(), ReachesStore: n.store.DirectAvailable(),
-				Strained: n.cpuLag.Strained(), Stopping: n.stopping.Load(), LeaderEpoch: n.leaderEpoch(), CrashDigest: n.guard.Digest()}
+				Strained: n.cpuLag.Strained(), Stopping: n.stopping.Load(), LeaderEpoch: n.leaderEpoch(), CrashDigest: n.guard.Digest(),
+				Speeds: n.state.Registry.OwnSpeeds()}
 		}),
 		mesh.WithClock(clock),
+		mesh.WithOnSpeeds(func(p mesh.Node, sums map[string]speed.Sum) {
+			n.state.Registry.SetNeighbourSpeeds(p.Name, sums, time.Now())
+		}),
 		mesh.WithRelist(list),
 		mesh.WithOnLost(func(p mesh.Node, last mesh.Status) { n.router.Lost(p, last.OpenEpochs) }),
 		mesh.WithOnStatus(func(p mesh.Node, s mesh.Status) {
@@ -494,8 +500,11 @@
 }
 
 func (n *Node) sweep(ctx context.Context) {
+	slow := make(map[string]string)
 	for sleep.For(ctx, endpointSweepInterval) {
-		n.state.Registry.Sweep(time.Now())
+		now := time.Now()
+		n.state.Registry.Sweep(now)
+		slow = n.judgeSpeeds(now, slow)
 	}
 }
 
--- a/proxy/pick_test.go
+++ b/proxy/pick_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -36,3 +37,45 @@
 		}
 	}
 }
+
+// One of four endpoints is lastingly slow, or in a slow spell. All entries must leave it, and
+// must spread over the others rather than gather at the fastest.
+func TestSlowEndpointIsLeft(t *testing.T) {
+	const entries, endpoints = 400, 4
+	g, set, now, requests := NewWithT(t), epset.New(func() {}), time.Now(), make(map[string]int)
+	for i := range endpoints {
+		set.Put(endpt.Endpoint{ID: fmt.Sprint("desk-", i), Service: "desk", Slots: 2})
+	}
+	for range 20 {
+		now = now.Add(time.Second)
+		for i, v := range set.Available("desk") {
+			took := 24 * time.Millisecond
+			switch i {
+			case 0:
+				took *= 2
+			case 1:
+				took = took * 5 / 6
+			}
+			set.ObserveRequest(v.Endpoint, took, now)
+		}
+		set.JudgeSpeeds(now)
+	}
+	for i := range entries {
+		f := New(set, nil, "", logs.New(io.Discard), meter.New(), WithInstance(fmt.Sprint("entry-", i)))
+		e, _ := f.pick("desk", nil)
+		requests[e.ID]++
+	}
+	g.Expect(requests).To(And(HaveLen(endpoints-1), Not(HaveKey("desk-0"))))
+	for id, n := range requests {
+		g.Expect(n).To(BeNumerically("<", 2*entries/(endpoints-1)), "%s of %d entries", id, entries)
+	}
+	for _, v := range set.Available("desk")[1:] {
+		for range v.Slots * requestsPerSlot {
+			set.Begin(v.Endpoint)
+		}
+	}
+	f := New(set, nil, "", logs.New(io.Discard), meter.New())
+	e, ok := f.pick("desk", nil)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(e.ID).To(Equal("desk-0"), "the others are full")
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -292,7 +292,7 @@
 		f.recordFailure(ctx, r, e, err)
 		return attemptResult{endpoint: e, err: err}
 	}
-	f.endpoints.ObserveUnitTime(e, time.Since(start))
+	f.observe(r, e, a.Status, time.Since(start))
 	if a.Status < http.StatusInternalServerError {
 		f.guard.ReportAnswer(r.fp)
 	}
@@ -340,9 +340,9 @@
 			candidates[i] = place.Candidate{
 				Slots:    v.Slots * requestsPerSlot,
 				Running:  v.Running,
-				UnitTime: 1,
+				UnitTime: max(v.Factor, 1),
 				Remote:   v.DataCentre != f.dataCentre,
-				Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
+				Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil) || v.InSpell,
 			}
 		}
 		if i, ok := f.picker.Pick(candidates); ok {
