proxy: hedged requests go out while their answer can still be in time, within a budget

Cause: the second copy of a request went out after 1.3 x its latency objective, so that its answer was always late.

Change: for routes with targetLatencyMs it goes out at the objective less twice the median duration of the service, not before 3 medians and not after 1.3 x the objective; with fewer than ten durations as before. Early copies are limited to 5% of the service's requests and a burst of 3 (retry.Budget.Hedge; the package's comment said that there are no hedges). A request over budget waits until 1.3 x the objective, as before, since its endpoint may have stopped responding. An attempt that is overtaken counts as an observation of the time that it had taken.

--- a/epset/speeds.go
+++ b/epset/speeds.go
@@ -61,6 +61,12 @@
 	})
 }
 
+// ObserveOverdue records that a request at e, which was cancelled, had taken this long: one
+// that is still silent when another endpoint has answered must not go unmeasured.
+func (r *Registry) ObserveOverdue(e endpt.Endpoint, took time.Duration, now time.Time) {
+	r.update(e, func(st *state) { r.observeRequest(st, took, now) })
+}
+
 // observeRequest feeds the estimator of a plain endpoint. r.mu is held.
 func (r *Registry) observeRequest(st *state, took time.Duration, now time.Time) {
 	if len(st.Versions) == 0 {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -27,9 +27,9 @@
 const (
 	// maxBodyBytes limits an answer that is buffered before it is passed on.
 	maxBodyBytes = 16 << 20
-	// hedgeTargetFactor is the delay before a repeatable request is hedged to a second
-	// endpoint, as a multiple of its latency objective. Nearly all requests are done by
-	// then; most of the others are at an endpoint that has stopped responding.
+	// hedgeTargetFactor is the latest time at which a repeatable request is hedged to a
+	// second endpoint, as a multiple of its latency objective. Nearly all requests are done
+	// by then; most of the others are at an endpoint that has stopped responding.
 	hedgeTargetFactor = 1.3
 	// defaultHedgeDelay is the hedge delay of a route without a latency objective.
 	defaultHedgeDelay = 200 * time.Millisecond
@@ -62,6 +62,7 @@
 		meter      *meter.Meter
 		countUsage func(customer string) (undo func())
 		guard      *guard.Tracker
+		hedges     hedges
 	}
 
 	// Option configures a Forwarder in New.
@@ -152,7 +153,7 @@
 //	answer, err := f.Forward(ctx, request)
 func New(endpoints *epset.Registry, sender upstr.Sender, dataCentre string, logger *log.Logger, m *meter.Meter, opts ...Option) *Forwarder {
 	f := &Forwarder{endpoints: endpoints, sender: sender, picker: place.New(), dataCentre: dataCentre, logger: logger, meter: m,
-		guard: guard.New(logger, m)}
+		guard: guard.New(logger, m), hedges: hedges{services: make(map[string]*hedgedService)}}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -219,7 +220,9 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	a := &attempts{f: f, r: r, ctx: ctx, results: make(chan attemptResult, r.Route.MaxAttempts+maxNotRun), usageCounter: f.usageCounter(r)}
+	a.startHedging(start)
 	response, err := a.run()
+	a.reportHedge(response)
 	outcome := outcomeOf(err)
 	f.meter.Count("requests_total", 1, "route", r.Route.Name, "outcome", outcome)
 	f.meter.Observe("request_seconds", time.Since(start), "route", r.Route.Name)
--- a/proxy/speeds.go
+++ b/proxy/speeds.go
@@ -16,4 +16,5 @@
 		return
 	}
 	f.endpoints.ObserveRequest(e, took, time.Now())
+	f.hedges.observe(e.Service, took)
 }
--- a/proxy/tries.go
+++ b/proxy/tries.go
@@ -21,8 +21,10 @@
 	usageCounter *usageCounter
 	// used has the IDs of the endpoints that were asked, in order.
 	used []string
-	// lastEndpoint is the endpoint of the latest attempt.
+	// lastEndpoint is the endpoint of the latest attempt, and hedge what is known about a
+	// second copy.
 	lastEndpoint endpt.Endpoint
+	hedge        hedge
 	// sent counts attempts that may have run, inFlight those without a result, notRun
 	// those that certainly have not run.
 	sent, inFlight, notRun int
@@ -51,8 +53,7 @@
 			}
 		case <-hedge.C:
 			if a.canHedge() {
-				a.f.endpoints.MarkOverdue(a.lastEndpoint, time.Now())
-				a.sendNext()
+				a.sendHedge()
 			}
 		case <-a.ctx.Done():
 			hedge.Stop()
@@ -68,7 +69,7 @@
 	if a.r.Route.Target <= 0 {
 		return defaultHedgeDelay
 	}
-	return time.Duration(hedgeTargetFactor * float64(a.r.Route.Target))
+	return time.Until(a.hedgeAt())
 }
 
 func (a *attempts) canHedge() bool {
@@ -90,10 +91,17 @@
 		return false
 	}
 	a.used = append(a.used, e.ID)
-	a.lastEndpoint = e
+	a.lastEndpoint, a.hedge.after = e, time.Now()
 	a.sent++
 	a.inFlight++
-	go func() { a.results <- a.f.send(a.ctx, a.r, e, a.usageCounter.send()) }()
+	go func() {
+		start := time.Now()
+		res := a.f.send(a.ctx, a.r, e, a.usageCounter.send())
+		if res.err != nil && a.ctx.Err() != nil {
+			a.f.observeCancelled(a.r, e, time.Since(start))
+		}
+		a.results <- res
+	}()
 	return true
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,4 +1,4 @@
-// Package retry decides whether and when a request is retried.
+// Package retry decides whether and when a request is retried, and whether it is hedged.
 //
 // When endpoints refuse or fail and every caller retries, a fleet at its capacity
 // limit gets several times its load exactly when it can't carry it, and stays
@@ -9,9 +9,13 @@
 // A request that may have run is retried only when it is idempotent. One that is
 // not is retried only when it certainly did not run.
 //
-// There is no request hedging: with failing endpoints ejected, hedges brought at
-// most a tenth of a percent more answers in time and, on long work, wasted nine
-// percent of all tokens; see docs/measured/load.md.
+// A hedge is a second copy of a request whose first attempt is still running. It is
+// worth its cost only for short work and where it can still be in time, which the
+// caller of Hedge decides. The entries of the product's own API send none: with
+// failing endpoints ejected, hedges brought at most a tenth of a percent more
+// answers in time and, on long work, wasted nine percent of all tokens; see
+// docs/measured/load.md. Package proxy sends them for plain services, whose
+// requests take a fraction of their latency objective.
 package retry
 
 import (
@@ -31,8 +35,8 @@
 	defaultMaxAttempts = 3
 )
 
-// Budget is the retry budget of one entry for one service. It is not safe for
-// concurrent use.
+// Budget is the budget of one entry for the retries, or for the hedges, of one
+// service. It is not safe for concurrent use.
 type Budget struct {
 	ratio       float64
 	burst       float64
@@ -103,6 +107,10 @@
 	return b.withdraw()
 }
 
+// Hedge decides whether a second copy of a request may go out while the first attempt
+// is still running. An allowed hedge is withdrawn from the budget.
+func (b *Budget) Hedge() bool { return b.withdraw() }
+
 func (b *Budget) withdraw() bool {
 	if b.balance < 1 {
 		return false
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -62,6 +62,20 @@
 		Expect(retries).To(BeNumerically("~", 110, 1), "a tenth of 1000, and the initial 10")
 	})
 
+	// A service slows down, and each request would be sent twice just when the service
+	// can't carry it.
+	It("limits the hedges to its ratio of the requests", func() {
+		b := New(WithRatio(0.05), WithBurst(3))
+		hedges := 0
+		for range 1000 {
+			b.Deposit()
+			if b.Hedge() {
+				hedges++
+			}
+		}
+		Expect(hedges).To(BeNumerically("~", 52, 1), "a twentieth of 1000, and the initial 3")
+	})
+
 	It("stops after the maximum number of attempts", func() {
 		_, ok := New(WithMaxAttempts(2)).Retry(errUnknown, true, 2, rng)
 		Expect(ok).To(BeFalse())
