brun: the engine of a new run is chosen by its lasting pace, or the present one if that is slower

Cause: new runs went to engines by the mean of their last ten events, which with eight runs beside are those of two decode steps. A fast moment attracts the longest items. The mean also stays as it is while an engine is idle: one whose last events were in a slow spell got no runs as long as others had free slots.

Change: events of batch routes with targetLatencyMs feed the estimators of engines, and epset.View.Pace is the lasting mean or the present one, whichever is longer. The choice for new runs uses it. Moves, the limit of silence and demand go by UnitTime as before. Without targetLatencyMs nothing changes.

Not played on a site.

--- a/brun/choice.go
+++ b/brun/choice.go
@@ -53,15 +53,17 @@
 	key := moveKey{batch: b, service: service}
 	c := m.byBatch[key]
 	if c == nil {
-		c = r.newChoices(service, b.sub, now, func(v epset.View) bool { return v.UnitTime > 0 && !now.Before(v.AvoidUntil) }, m.incoming)
+		c = r.newChoices(service, b.sub, now, func(v epset.View) bool { return v.UnitTime > 0 && !now.Before(v.AvoidUntil) }, m.incoming, eventInterval)
 		m.byBatch[key] = c
 	}
 	return c
 }
 
 // newChoices returns the choices of a batch at a service among the endpoints that keep
-// accepts. incoming counts the runs that are on their way to an endpoint, by its ID.
-func (r *Runner) newChoices(service string, sub *batch.Submission, now time.Time, keep func(epset.View) bool, incoming map[string]int) *choices {
+// accepts. incoming counts the runs that are on their way to an endpoint, by its ID, and interval
+// returns the event interval that a run has to expect there.
+func (r *Runner) newChoices(service string, sub *batch.Submission, now time.Time, keep func(epset.View) bool, incoming map[string]int,
+	interval func(epset.View) float64) *choices {
 	c := &choices{suitable: slices.DeleteFunc(r.endpoints.Available(service), func(v epset.View) bool {
 		return v.Loading[sub.Model] || v.Versions[sub.Model] < sub.MinVersion
 	})}
@@ -84,7 +86,7 @@
 		views[at] = c.suitable[i]
 	}
 	c.typicalTime = medianUnitTime(views)
-	c.lineup = lineup.New(r.picker, candidates(views, r.dataCentre, now))
+	c.lineup = lineup.New(r.picker, candidates(views, r.dataCentre, now, interval))
 	return c
 }
 
@@ -133,7 +135,7 @@
 	if limited {
 		allowed = slices.DeleteFunc(allowed, func(v epset.View) bool { return !incarnations[v.Incarnation()] })
 	}
-	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now))
+	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now, newRunInterval))
 	if !ok {
 		return epset.View{}, false, limited
 	}
@@ -160,7 +162,7 @@
 			allowed = append(allowed, v)
 		}
 	}
-	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now))
+	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now, eventInterval))
 	if !ok {
 		return epset.View{}, false
 	}
@@ -181,13 +183,13 @@
 	return route.SingleVersion && len(it.versions) > 0
 }
 
-func candidates(views []epset.View, centre string, now time.Time) []place.Candidate {
+func candidates(views []epset.View, centre string, now time.Time, interval func(epset.View) float64) []place.Candidate {
 	out := make([]place.Candidate, len(views))
 	for i, v := range views {
 		out[i] = place.Candidate{
 			Slots:    v.Slots,
 			Running:  v.Running,
-			UnitTime: eventInterval(v),
+			UnitTime: interval(v),
 			Remote:   v.DataCentre != centre,
 			Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
 		}
@@ -201,3 +203,12 @@
 	}
 	return v.UnitTime.Seconds()
 }
+
+// newRunInterval returns the event interval in seconds that a new run has to expect. A run takes
+// seconds, and the last ten events of an engine may be from a moment of some tenths of a second.
+func newRunInterval(v epset.View) float64 {
+	if v.Pace == 0 {
+		return eventInterval(v)
+	}
+	return v.Pace.Seconds()
+}
--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -144,7 +144,7 @@
 				set.Put(endpt.Endpoint{ID: fmt.Sprint("engine-", i), Service: "lm", Slots: 6, Versions: map[string]int64{model: 1}})
 			}
 			r := New(bstore.New(&fakeStore{}), set, blockedSender{}, nil, func() *manif.Manifest { return nil }, logs.New(io.Discard))
-			c := r.newChoices("lm", &batch.Submission{Model: model}, time.Now(), func(epset.View) bool { return true }, nil)
+			c := r.newChoices("lm", &batch.Submission{Model: model}, time.Now(), func(epset.View) bool { return true }, nil, newRunInterval)
 			for range items {
 				v, ok, _ := r.take(c, &batch.Submission{Model: model}, &item{Item: &batch.Item{}}, &manif.Route{}, time.Now())
 				g.Expect(ok).To(BeTrue())
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -50,7 +50,7 @@
 		service := route.PickService(it.ID)
 		c := passes[service]
 		if c == nil {
-			c = r.newChoices(service, b.sub, now, func(epset.View) bool { return true }, nil)
+			c = r.newChoices(service, b.sub, now, func(epset.View) bool { return true }, nil, newRunInterval)
 			passes[service] = c
 		}
 		v, ok, limited := r.take(c, b.sub, it, route, now)
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -73,6 +73,8 @@
 	r.endpoints.ObserveVersion(call.Endpoint, b.sub.Model, version)
 	var previous time.Time
 	start, isProven := time.Now(), false
+	route, ok := r.route(b.sub)
+	learnsPace := ok && route.Target > 0
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
@@ -96,7 +98,11 @@
 		// The first event arrives with the headers or long after them, as the prompt is
 		// processed. Measured as an event interval, it would make a new engine look ten times
 		// faster than it is and attract the longest items.
-		if !previous.IsZero() {
+		switch {
+		case previous.IsZero():
+		case learnsPace:
+			r.endpoints.ObserveEvent(call.Endpoint, now.Sub(previous), now)
+		default:
 			r.endpoints.ObserveUnitTime(call.Endpoint, now.Sub(previous))
 		}
 		previous = now
--- a/epset/epset.go
+++ b/epset/epset.go
@@ -69,6 +69,8 @@
 		Factor float64
 		// InSpell is set while the endpoint is much slower than it usually is.
 		InSpell bool
+		// Pace is the time of a unit of work that new work has to expect; 0 means unknown.
+		Pace time.Duration
 	}
 
 	state struct {
--- a/epset/speeds.go
+++ b/epset/speeds.go
@@ -61,6 +61,15 @@
 	})
 }
 
+// ObserveEvent records the time of one event at e, as ObserveUnitTime does, and uses it for the
+// speed of the engine.
+func (r *Registry) ObserveEvent(e endpt.Endpoint, took time.Duration, now time.Time) {
+	r.update(e, func(st *state) {
+		st.observeUnitTime(took)
+		st.speed.Observe(took, now.Sub(r.speeds.startedAt))
+	})
+}
+
 // ObserveOverdue records that a request at e, which was cancelled, had taken this long: one
 // that is still silent when another endpoint has answered must not go unmeasured.
 func (r *Registry) ObserveOverdue(e endpt.Endpoint, took time.Duration, now time.Time) {
@@ -118,6 +127,7 @@
 		}
 		speed.Judge(estimators, sums, at)
 		for i, st := range group {
+			st.Pace = st.speed.Pace(at)
 			changes = append(changes, st.publishSpeed(sums[i].Samples)...)
 			if st.Factor > 1 {
 				slow = append(slow, st.View)
--- a/speed/speed.go
+++ b/speed/speed.go
@@ -41,6 +41,9 @@
 	// minPresentSamples is the effective number of present samples before a spell can be
 	// believed: a stall of one decode step must not be taken for one.
 	minPresentSamples = 5
+	// minPaceSamples is the number of samples before a pace is known. The first events of an
+	// engine may be read late and arrive together.
+	minPaceSamples = 3
 	// minEndpoints is the number of endpoints of a service that has a typical value. If one
 	// of two were believed slow, all entries would send to the other.
 	minEndpoints = 3
@@ -225,6 +228,21 @@
 	return e.slow
 }
 
+// Pace returns the time of a unit of work that new work has to expect: the lasting one, or the
+// present one if that is longer. A fast moment says little about the next seconds. It is 0 if
+// unknown.
+func (e *Estimator) Pace(now time.Duration) time.Duration {
+	lasting, present := e.estimates(now)
+	if lasting.samples < minPaceSamples {
+		return 0
+	}
+	log := lasting.mean
+	if present.samples >= minPresentSamples {
+		log = max(log, present.mean)
+	}
+	return time.Duration(math.Exp(log) * float64(time.Microsecond))
+}
+
 // InSpell reports whether the endpoint is in a slow spell.
 func (e *Estimator) InSpell() bool { return e.inSpell }
 
