--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -27,9 +27,9 @@
 const (
 	// maxBodyBytes limits an answer that is buffered before it is passed on.
 	maxBodyBytes = 16 << 20
-	// hedgeTargetFactor is the delay before a repeatable request is hedged to a second
-	// endpoint, as a multiple of its latency objective. Nearly all requests are done by
-	// then; most of the others are at an endpoint that has stopped responding.
+	// hedgeTargetFactor is the latest time at which a repeatable request is hedged to a
+	// second endpoint, as a multiple of its latency objective. Nearly all requests are done
+	// by then; most of the others are at an endpoint that has stopped responding.
 	hedgeTargetFactor = 1.3
 	// defaultHedgeDelay is the hedge delay of a route without a latency objective.
 	defaultHedgeDelay = 200 * time.Millisecond
@@ -64,6 +64,7 @@
 		guard      *guard.Tracker
 		// queues is nil if requests don't wait for capacity.
 		queues *queues
+		hedges hedges
 	}
 
 	// Option configures a Forwarder in New.
@@ -158,7 +159,7 @@
 //	answer, err := f.Forward(ctx, request)
 func New(endpoints *epset.Registry, sender upstr.Sender, dataCentre string, logger *log.Logger, m *meter.Meter, opts ...Option) *Forwarder {
 	f := &Forwarder{endpoints: endpoints, sender: sender, picker: place.New(), dataCentre: dataCentre, logger: logger, meter: m,
-		guard: guard.New(logger, m)}
+		guard: guard.New(logger, m), hedges: hedges{services: make(map[string]*hedgedService)}}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -235,7 +236,9 @@
 	defer cancel()
 	a := &attempts{f: f, r: r, ctx: ctx, results: make(chan attemptResult, r.Route.MaxAttempts+maxNotRun), usageCounter: f.usageCounter(r),
 		admission: f.newAdmission(&r, deadline)}
+	a.startHedging(start)
 	response, err := a.run()
+	a.reportHedge(response)
 	outcome := outcomeOf(err)
 	f.meter.Count("requests_total", 1, "route", r.Route.Name, "outcome", outcome)
 	f.meter.Observe("request_seconds", time.Since(start), "route", r.Route.Name)
@@ -311,7 +314,7 @@
 		f.recordFailure(ctx, r, e, err)
 		return attemptResult{endpoint: e, err: err}
 	}
-	f.endpoints.ObserveUnitTime(e, time.Since(start))
+	f.observe(r, e, a.Status, time.Since(start))
 	if a.Status < http.StatusInternalServerError {
 		f.guard.ReportAnswer(r.fp)
 	}
@@ -359,9 +362,9 @@
 			candidates[i] = place.Candidate{
 				Slots:    f.limitAt(v, now),
 				Running:  v.Running,
-				UnitTime: 1,
+				UnitTime: max(v.Factor, 1),
 				Remote:   v.DataCentre != f.dataCentre,
-				Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
+				Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil) || v.InSpell,
 			}
 		}
 		if i, ok := f.picker.Pick(candidates); ok {
--- a/proxy/tries.go
+++ b/proxy/tries.go
@@ -22,8 +22,10 @@
 	admission    *admission
 	// used has the IDs of the endpoints that were asked, in order.
 	used []string
-	// lastEndpoint is the endpoint of the latest attempt.
+	// lastEndpoint is the endpoint of the latest attempt, and hedge what is known about a
+	// second copy.
 	lastEndpoint endpt.Endpoint
+	hedge        hedge
 	// sent counts attempts that may have run, inFlight those without a result, notRun
 	// those that certainly have not run.
 	sent, inFlight, notRun int
@@ -52,8 +54,7 @@
 			}
 		case <-hedge.C:
 			if a.canHedge() {
-				a.f.endpoints.MarkOverdue(a.lastEndpoint, time.Now())
-				a.sendNext()
+				a.sendHedge()
 			}
 		case <-a.ctx.Done():
 			hedge.Stop()
@@ -69,7 +70,7 @@
 	if a.r.Route.Target <= 0 {
 		return defaultHedgeDelay
 	}
-	return time.Duration(hedgeTargetFactor * float64(a.r.Route.Target))
+	return time.Until(a.hedgeAt())
 }
 
 func (a *attempts) canHedge() bool {
@@ -92,12 +93,16 @@
 		return false
 	}
 	a.used = a.admission.addUsed(a.used, e.ID)
-	a.lastEndpoint = e
+	a.lastEndpoint, a.hedge.after = e, time.Now()
 	a.sent++
 	a.inFlight++
 	go func() {
+		start := time.Now()
 		res := a.f.send(a.ctx, a.r, e, a.usageCounter.send())
 		room.end(a.ctx, res.err, res.err == nil && res.response.Status < http.StatusInternalServerError)
+		if res.err != nil && a.ctx.Err() != nil {
+			a.f.observeCancelled(a.r, e, time.Since(start))
+		}
 		a.results <- res
 	}()
 	return true
