window: durations lower limits only while endpoints are contended

Change: durations count for 10 s after a refusal by an endpoint; the unloaded duration is a quantile that doubles in a second at most, or in 30 s while endpoints are contended. Late work is refused after 5/3 of its objective unless it waits through an interruption. A refusal while nothing of the entry runs there lets its sum fall to 1.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -359,7 +359,7 @@
 			candidates[i] = place.Candidate{
 				Slots:    f.limitAt(v, now),
 				Running:  v.Running,
-				UnitTime: f.loadFactor(v, now),
+				UnitTime: f.loadFactor(v),
 				Remote:   v.DataCentre != f.dataCentre,
 				Avoid:    now.Before(v.AvoidUntil) || now.Before(v.SuspectUntil),
 			}
--- a/proxy/wait.go
+++ b/proxy/wait.go
@@ -229,9 +229,9 @@
 
 // loadFactor returns how much longer a request is expected to take at an endpoint because of
 // its load. If requests wait in queues, the caller holds the lock of the service's queue.
-func (f *Forwarder) loadFactor(v epset.View, now time.Time) float64 {
+func (f *Forwarder) loadFactor(v epset.View) float64 {
 	if q := f.queueOf(v.Service); q != nil {
-		return q.limits.Preference(v.Incarnation(), now)
+		return q.limits.Preference(v.Incarnation())
 	}
 	return 1
 }
--- a/proxy/wait_test.go
+++ b/proxy/wait_test.go
@@ -362,3 +362,23 @@
 		w.expectIdle()
 	})
 }
+
+// The endpoints stop responding for 300 ms. What has become late meanwhile must be served
+// then, although requests that can still be in time go before it.
+func TestLateRequestsAreServedAfterAnInterruption(t *testing.T) {
+	withWorld(t, []int{12, 12}, func(w *waitWorld) {
+		w.endpoints.setService(300 * time.Millisecond)
+		var wg sync.WaitGroup
+		for i := range 120 {
+			r := deskRequest(fmt.Sprint("r", i))
+			r.Route.Target = loadObjective
+			wg.Go(func() { w.g.Expect(w.forward(r)).To(BeNil()) })
+			if i == 24 {
+				w.endpoints.setService(testService)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		wg.Wait()
+		w.expectIdle()
+	})
+}
--- a/queue/arrivals.go
+++ b/queue/arrivals.go
@@ -21,7 +21,11 @@
 type (
 	// arrivals measures the service time of the work admitted per second, by kind, by
 	// objective and share, and by due time.
-	arrivals [kindCount][rankCount][classCount]meter
+	arrivals struct {
+		meters [kindCount][rankCount][classCount]meter
+		// ranks is the number of ranks in use: 1 until there is work with an objective.
+		ranks int
+	}
 
 	// shares has the part of the slots that remains for work.
 	shares [kindCount][rankCount][classCount]float64
@@ -39,7 +43,7 @@
 }
 
 func (a *arrivals) add(rank int, w work.Work, due time.Duration, seconds float64, now time.Time, timeConstant float64) {
-	a[kindIndex(w)][rank][classIndex(due)].add(seconds, now, timeConstant)
+	a.meters[kindIndex(w)][rank][classIndex(due)].add(seconds, now, timeConstant)
 }
 
 // forecast sets left to the share of the slots that remains for each class after
@@ -47,7 +51,7 @@
 func (a *arrivals) forecast(left *shares, now time.Time, timeConstant, slots float64) {
 	used := 0.0
 	for k := range kindCount {
-		for r := range rankCount {
+		for r := range max(a.ranks, 1) {
 			least := minShareLeft
 			if r > 0 {
 				least = minLateShareLeft
@@ -55,7 +59,7 @@
 			for c := range classCount {
 				left[k][r][c] = max(1-used/max(slots, 1), least)
 				if timeConstant > 0 {
-					used += a[k][r][c].at(now, timeConstant)
+					used += a.meters[k][r][c].at(now, timeConstant)
 				}
 			}
 		}
--- a/queue/order.go
+++ b/queue/order.go
@@ -18,8 +18,8 @@
 	// another attempt.
 	reviewFactor = 5.0 / 3
 	// interruption is the time without a start after which work that has waited through it
-	// may wait on. Starts of an overloaded queue with a single slot are 150 ms apart.
-	interruption = 200 * time.Millisecond
+	// may wait on. Starts of an overloaded queue with a single slot are up to 200 ms apart.
+	interruption = 250 * time.Millisecond
 	// minLateShare is the share of the slots that must be left to such work.
 	minLateShare = 0.1
 )
@@ -76,6 +76,7 @@
 	}
 	e.due = e.pushedAt.Add(unpenalized + penalty)
 	if !e.work.Objective.IsZero() {
+		q.arrivals.ranks = rankCount
 		e.overShare = e.pushedAt.Add(penalty).After(e.work.Objective)
 		e.late = q.missesObjective(e, now)
 	}
@@ -112,7 +113,7 @@
 		return false
 	}
 	e.reviewed = true
-	if q.paused || now.Sub(q.lastStart) >= interruption {
+	if now.Sub(q.lastStart) >= interruption {
 		return false
 	}
 	return e.pushedAt.After(q.resumedAt) || q.shareLeft(e, now) < minLateShare
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -304,6 +305,99 @@
 		Expect(last).To(Equal([]string{"light", "light", "heavy"}))
 	})
 
+	// With first come, first served, all work of a lasting overload is late by as much as the
+	// first.
+	It("serves work that can end by its objective before late work, which keeps its order", func() {
+		q := newQueue(1)
+		push(q, "running", live(2, 100), start)
+		pop(q, start)
+		aimed := func(by float64) work.Work {
+			w := live(1, 100)
+			w.Objective = at(by)
+			return w
+		}
+		push(q, "first", aimed(4), start)
+		push(q, "second", aimed(5), start)
+		push(q, "fresh", aimed(12), at(6))
+		q.Done(1, 2*tokenRate, at(6))
+		var order []string
+		for range 3 {
+			item, ticket, ok := q.Pop(at(6))
+			Expect(ok).To(BeTrue())
+			order = append(order, item)
+			q.Done(ticket, tokenRate, at(6))
+		}
+		Expect(order).To(Equal([]string{"fresh", "first", "second"}))
+	})
+
+	// More work with an objective arrives than the slots can do. Late work is refused at
+	// arrival, and at the latest once other work has gone before it for 5/3 of its objective.
+	It("refuses late work while other work takes the slots, but not after an interruption", func() {
+		overload := func(q *Queue[string], from, until float64) (longest time.Duration, refused int) {
+			for s := from; s < until; s += 0.5 {
+				now := at(s)
+				for t, r := range q.running {
+					if now.Sub(r.startedAt) >= time.Second {
+						q.Done(t, tokenRate, now)
+					}
+				}
+				w := live(1, s+60)
+				w.Objective = at(s + 6)
+				if _, err := q.Push("work", w, now); err != nil {
+					refused++
+				}
+				waiting := slices.Clone(q.waiting)
+				for range expired(q, now) {
+					refused++
+				}
+				for _, e := range waiting {
+					if !slices.Contains(q.waiting, e) {
+						longest = max(longest, now.Sub(e.pushedAt))
+					}
+				}
+				pop(q, now)
+			}
+			return longest, refused
+		}
+		q := newQueue(1, WithForecastWindow(5*time.Second))
+		longest, refused := overload(q, 0, 100)
+		Expect(longest).To(BeNumerically("<=", 10500*time.Millisecond))
+		Expect(refused).To(BeNumerically(">", 80))
+
+		q = newQueue(1, WithForecastWindow(5*time.Second))
+		for _, name := range []string{"running", "a", "b"} {
+			w := live(1, 60)
+			w.Objective = at(6)
+			push(q, name, w, start)
+		}
+		pop(q, start)
+		q.Done(1, tokenRate, at(20))
+		Expect(expired(q, at(20))).To(BeEmpty())
+		Expect(pop(q, at(20))).To(Equal("a"))
+		Expect(expired(q, at(20.1))).To(BeEmpty(), "no other work has gone before it")
+	})
+
+	// A caller far above its share sends without a pause. Its work must not go before that of
+	// others which has become late because of it.
+	It("keeps work of callers above their share behind late work of others", func() {
+		q := newQueue(1, WithForecastWindow(0), WithAdmission(admit.New(admit.WithPenalty(4))))
+		heavy, light := live(1, 1000), live(1, 1000)
+		heavy.Caller, light.Caller = "heavy", "light"
+		push(q, "light", light, start)
+		for range 20 {
+			push(q, "heavy", heavy, start)
+		}
+		light.Objective = at(4)
+		push(q, "late", light, start)
+		heavy.Objective = at(20)
+		push(q, "heavy", heavy, at(10))
+		q.demote(at(10))
+		i := slices.IndexFunc(q.waiting, func(e *entry[string]) bool { return e.item == "late" })
+		j := slices.IndexFunc(q.waiting, func(e *entry[string]) bool { return e.work.Objective.Equal(at(20)) })
+		Expect(q.waiting[i].late).To(BeTrue())
+		Expect(i).To(BeNumerically("<", j))
+	})
+
 	It("removes cancelled work, waiting or running", func() {
 		q := newQueue(1)
 		running := push(q, "running", live(1, 10), start)
--- a/window/base.go
+++ b/window/base.go
@@ -11,10 +11,15 @@
 	baseQuantile = 0.25
 	// baseStep is the step of the logarithm of the estimate: about the last 30 answers count.
 	baseStep = 0.2
-	// baseDoubling is the time in which the estimate at most doubles while endpoints show
-	// load. Without a bound, the load would soon be taken for the service's own duration;
-	// without any rise, a service that takes longer for good would be throttled for ever.
-	baseDoubling = 30 * time.Second
+	// baseDoubling is the time in which the estimate at most doubles, and loadedDoubling that
+	// while endpoints are contended. A burst fills the endpoints' queues within 0.2 s, and
+	// without a bound an entry with many requests takes the waiting there for the service's
+	// own duration. Without any rise a service that takes longer for good would stay
+	// throttled.
+	baseDoubling   = time.Second
+	loadedDoubling = 30 * time.Second
+	// firstPart bounds the first estimate under contention, as a part of the objective.
+	firstPart = 0.125
 )
 
 // baseline estimates how long requests of a service take without load, as a low quantile of
@@ -24,21 +29,25 @@
 	last  time.Time
 }
 
-// add records a duration. isLoaded is set if it may be long because of load.
-func (b *baseline) add(took time.Duration, isLoaded bool, now time.Time) {
+// add records a duration. isContended is set if it may be long because of load.
+func (b *baseline) add(took, objective time.Duration, isContended bool, now time.Time) {
 	elapsed := now.Sub(b.last)
 	b.last = now
-	switch {
-	case b.value <= 0:
+	if b.value <= 0 {
 		b.value = float64(took)
+		if isContended {
+			b.value = min(b.value, firstPart*float64(objective))
+		}
 		return
-	case float64(took) < b.value:
-		b.value *= math.Exp(-baseStep * (1 - baseQuantile))
-		return
 	}
-	step := baseStep * baseQuantile
-	if isLoaded {
-		step = min(step, math.Ln2*float64(elapsed)/float64(baseDoubling))
+	doubling := baseDoubling
+	if isContended {
+		doubling = loadedDoubling
+	}
+	step := min(baseStep, math.Ln2/baseQuantile*float64(elapsed)/float64(doubling))
+	if float64(took) < b.value {
+		b.value *= math.Exp(-step * (1 - baseQuantile))
+	} else {
+		b.value *= math.Exp(step * baseQuantile)
 	}
-	b.value *= math.Exp(step)
 }
--- a/window/window.go
+++ b/window/window.go
@@ -2,11 +2,11 @@
 //
 // Endpoints are shared by entries that don't know of each other's requests, so that an
 // endpoint may be full although this entry has few requests there. The limit of an endpoint
-// falls when the endpoint refuses a request because it is full, and by a tenth with each
-// round of answers that all took more than twice what the service takes without load: then
-// requests wait in the endpoint's own queue. It rises again with requests that succeed. The
-// sum of the limits is what an entry may send at once; the other requests wait at the
-// entry, in its order, rather than being refused in turn by all endpoints.
+// falls when the endpoint refuses a request because it is full, and in the seconds after a
+// refusal with streaks of answers that took more than twice what the service takes without
+// load: then requests wait in the endpoint's own queue. It rises again with requests that
+// succeed. The sum of the limits is what an entry may send at once; the other requests wait
+// at the entry, in its order, rather than being refused in turn by all endpoints.
 //
 // The package uses neither a clock nor the network.
 package window
@@ -29,24 +29,35 @@
 	maxUnreachable = 1500 * time.Millisecond
 	// loadRatio is the multiple of the unloaded duration above which an answer is slow.
 	loadRatio = 2
-	// minStreak is the number of slow answers in a row that show load. Without load a
-	// log-normal duration with sigma 0.5 is slow in one case of four, so that one answer in
-	// 4,000 ends such a streak; where three of four requests take ten times as long as the
-	// others, one in six does, and the fast ones raise the limit by more.
-	minStreak = 8
-	// harmlessPart is the part of the latency objective below which no answer is slow, and
-	// lastingStreak the time after which a streak is taken for the service's own duration.
-	harmlessPart  = 0.25
-	lastingStreak = 3 * time.Second
-	// loadChange is the relative change of a limit with as many answers as it allows
-	// requests, and with each answer if it is below 1.
-	loadChange  = 0.1
-	loadedRaise = 0.25
+	// minStreak is the number of slow answers in a row that show load. With 8, a service half
+	// of whose requests take ten times as long as the others loses half of its limits for
+	// seconds after a single refusal (TestLongRequestsAreNotLoad); with 12, the limits of 100
+	// entries fall too slowly (TestManyEntriesUnderLoad).
+	minStreak = 10
+	// harmlessPart is the part of the latency objective below which no answer is slow.
+	harmlessPart = 0.25
+	// loadDrop is the relative decrease of a limit with as many slow answers as it allows
+	// requests, and loadedRaise the part of the usual increase with fast ones while the
+	// endpoints show load. Below 1 the relative increase is belowOneRaise with each fast
+	// answer.
+	loadDrop      = 0.2
+	loadedRaise   = 0.25
+	belowOneRaise = 0.1
 	// minTotal is the least sum of the limits, and maxRest the longest rest that it causes.
 	minTotal = 0.2
-	maxRest  = 150 * time.Millisecond
+	maxRest  = 100 * time.Millisecond
 	// rounding makes up for the inexact sum of the increases of a limit.
 	rounding = 1e-9
+	// maxSlowPart is the part of slow answers up to which limits recover while some still
+	// come. Under load 0.8 of them are slow, of a service half of whose requests take ten
+	// times as long 0.5.
+	maxSlowPart = 0.65
+	// slowPartStep is the weight of one answer in that part.
+	slowPartStep = 1.0 / 32
+	// contentionTime is the time after a refusal for which durations lower limits. While no
+	// endpoint is full, long durations are the service's own: without this condition,
+	// services that take more than harmlessPart of their objective were refused on light load.
+	contentionTime = 10 * time.Second
 	// recoveryTime is the time without a sign of load after which all endpoints get their
 	// greatest limits again, and the longest time between two answers of a streak. An entry
 	// with few requests would otherwise need minutes.
@@ -64,8 +75,12 @@
 		slow streak
 		// pressedAt is when an endpoint last showed load.
 		pressedAt time.Time
+		// refusedAt is when an endpoint was last full.
+		refusedAt time.Time
 		// slowAt is when the last slow answer came.
 		slowAt time.Time
+		// slowPart is the part of the last answers that were slow.
+		slowPart float64
 		// restUntil is the time until which nothing is sent because the sum of the limits is
 		// below 1.
 		restUntil time.Time
@@ -91,8 +106,8 @@
 
 	// streak counts slow answers in a row.
 	streak struct {
-		n           int
-		first, last time.Time
+		n    int
+		last time.Time
 	}
 )
 
@@ -172,7 +187,10 @@
 
 // recover sets all limits to the greatest ones if no endpoint shows load any more.
 func (l *Limits) recover(now time.Time) {
-	if l.pressedAt.IsZero() || now.Sub(l.pressedAt) <= recoveryTime || now.Sub(l.slowAt) <= recoveryTime {
+	if l.pressedAt.IsZero() || now.Sub(l.pressedAt) <= recoveryTime {
+		return
+	}
+	if l.slowPart > maxSlowPart && now.Sub(l.slowAt) <= recoveryTime {
 		return
 	}
 	l.pressedAt = time.Time{}
@@ -185,7 +203,7 @@
 
 // Preference returns a factor of at least 1 that is greater, the further the limit of the
 // endpoint has fallen.
-func (l *Limits) Preference(id string, now time.Time) float64 {
+func (l *Limits) Preference(id string) float64 {
 	s, ok := l.endpoints[id]
 	if !ok || s.start <= 0 {
 		return 1
@@ -226,42 +244,37 @@
 // entry were at the endpoint. A streak of slow answers lowers the limit; others raise it as
 // Succeeded does.
 func (l *Limits) Answered(id string, running int, took, objective time.Duration, now time.Time) {
-	l.recover(now)
-	isSlow := float64(took) > max(loadRatio*l.unloaded.value, float64(objective)*harmlessPart)
-	l.slow.add(isSlow, now)
+	isContended := !l.refusedAt.IsZero() && now.Sub(l.refusedAt) <= contentionTime
+	isSlow := isContended && float64(took) > max(loadRatio*l.unloaded.value, float64(objective)*harmlessPart)
+	l.unloaded.add(took, objective, isContended, now)
+	l.slowPart *= 1 - slowPartStep
 	if isSlow {
-		l.slowAt = now
-		// Only a streak that lasts shows that the service itself takes so long.
-		if l.slow.n >= minStreak && now.Sub(l.slow.first) > lastingStreak {
-			l.unloaded.add(took, false, now)
-		} else if l.unloaded.value > 0 {
-			l.unloaded.add(took, true, now)
-		}
-	} else {
-		l.unloaded.add(took, !l.pressedAt.IsZero(), now)
+		l.slowPart += slowPartStep
 	}
+	l.recover(now)
+	l.slow.add(isSlow, now)
 	s, ok := l.endpoints[id]
 	if !ok {
 		return
 	}
 	s.slow.add(isSlow, now)
-	if !isSlow {
-		s.peak = 0
-		if l.pressedAt.IsZero() {
-			s.raise(1)
-		} else {
-			s.raise(loadedRaise)
-		}
-		l.rest(took, now)
-		return
-	}
 	s.failures = 0
-	s.peak = max(s.peak, running+1)
-	if s.slow.n >= minStreak || l.slow.n >= minStreak {
-		// A limit that is not used up says nothing: what is there now has to become less.
-		s.limit = min(s.limit, float64(s.peak))
-		s.limit = max(minTotal/float64(len(l.endpoints)), s.limit*(1-loadChange/max(1, s.limit)))
-		l.pressedAt = now
+	switch {
+	case isSlow:
+		l.slowAt = now
+		s.peak = max(s.peak, running+1)
+		if s.slow.n >= minStreak || l.slow.n >= minStreak {
+			// A limit that is not used up says nothing: what is there now has to become less.
+			s.limit = min(s.limit, float64(s.peak))
+			s.limit = max(minTotal/float64(len(l.endpoints)), s.limit*(1-loadDrop/max(1, s.limit)))
+			l.pressedAt = now
+		}
+	case l.pressedAt.IsZero():
+		s.peak = 0
+		s.raise(1)
+	default:
+		s.peak = 0
+		s.raise(loadedRaise)
 	}
 	l.rest(took, now)
 }
@@ -279,9 +292,6 @@
 		s.n = 0
 	}
 	if isSlow {
-		if s.n == 0 {
-			s.first = now
-		}
 		s.n++
 	}
 	s.last = now
@@ -296,7 +306,7 @@
 	}
 	s.failures = 0
 	s.limit = min(s.limit, float64(max(1, (running+1)/2)))
-	l.pressedAt = now
+	l.pressedAt, l.refusedAt = now, now
 	if running == 0 {
 		// If all endpoints refuse, the sum falls to 1.
 		s.limit = min(s.limit, 1/float64(len(l.endpoints)))
@@ -325,7 +335,7 @@
 	if s.limit >= 1 {
 		s.limit = min(s.limit+part/math.Floor(s.limit+rounding), float64(s.start))
 	} else {
-		s.limit = min(1, s.limit*(1+loadChange))
+		s.limit = min(1, s.limit*(1+belowOneRaise))
 	}
 }
 
--- a/window/window_test.go
+++ b/window/window_test.go
@@ -1,6 +1,8 @@
 package window
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 const (
 	start   = 12
 	service = 25 * time.Millisecond
+	// objective is six times the service time.
+	objective = 150 * time.Millisecond
 )
 
 func newLimits(ids ...string) *Limits {
@@ -110,3 +114,70 @@
 	l.Put("desk/2", 2)
 	g.Expect(l.Limit("desk/2", now)).To(Equal(2), "it declares fewer slots")
 }
+
+// Other entries keep the queue of an endpoint nearly full. Refusals alone then leave this
+// entry's limits where they are, and all of its answers are late.
+func TestSlowAnswersOfContendedEndpoints(t *testing.T) {
+	g, l, now := NewWithT(t), newLimits("desk", "other"), time.Unix(1000, 0)
+	answer := func(id string, took time.Duration) {
+		now = now.Add(5 * time.Millisecond)
+		l.Answered(id, 3, took, objective, now)
+	}
+	for range 50 {
+		answer("desk", service)
+	}
+	for range 50 {
+		answer("desk", 4*service)
+	}
+	g.Expect(l.Total(now)).To(Equal(2*start), "the service takes so long while no endpoint is full")
+	for range 200 {
+		answer("desk", service)
+	}
+	l.Refused("other", 10, service, now)
+	for range 80 {
+		answer("desk", 4*service)
+	}
+	g.Expect(l.Limit("desk", now)).To(Equal(1))
+	g.Expect(l.Limit("other", now)).To(Equal(5), "it has not been slow")
+	g.Expect(l.Preference("desk")).To(BeNumerically(">", l.Preference("other")))
+	for range 80 {
+		answer("other", 4*service)
+	}
+	g.Expect(l.Total(now)).To(BeZero(), "the sum is below 1, so that the entry pauses after an answer")
+	at, ok := l.NextOpening(now)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at.Sub(now)).To(BeNumerically("<=", maxRest))
+	g.Expect(l.Total(at)).To(Equal(1))
+	now = now.Add(recoveryTime)
+	answer("desk", service)
+	g.Expect(l.Total(now)).To(Equal(2*start), "a second without load")
+}
+
+// Requests of a service differ by much, or take most of their objective, and one was refused
+// before. This must not be taken for load: requests would wait at the entry for endpoints that
+// idle.
+func TestLongRequestsAreNotLoad(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for name, draw := range map[string]func() float64{
+		"log-normal":            func() float64 { return 25 * math.Exp(0.5*rng.NormFloat64()) },
+		"half ten times":        func() float64 { return []float64{6, 60}[rng.IntN(2)] },
+		"one in five":           func() float64 { return []float64{10, 10, 10, 10, 100}[rng.IntN(5)] },
+		"four in five":          func() float64 { return []float64{10, 100, 100, 100, 100}[rng.IntN(5)] },
+		"most of the objective": func() float64 { return 100 + 20*rng.Float64() },
+	} {
+		g, l, now := NewWithT(t), newLimits("desk", "other"), time.Unix(1000, 0)
+		throttled := 0
+		for i := range 4000 {
+			now = now.Add(10 * time.Millisecond)
+			l.Answered([]string{"desk", "other"}[i%2], 1, time.Duration(draw()*1e6), objective, now)
+			if i == 1000 {
+				l.Refused("desk", 4, service, now)
+			}
+			if l.Total(now) < start {
+				throttled++
+			}
+		}
+		g.Expect(throttled).To(BeNumerically("<", 40), name)
+		g.Expect(l.Total(now)).To(Equal(2*start), name)
+	}
+}
