--- a/queue/arrivals.go
+++ b/queue/arrivals.go
@@ -56,10 +56,12 @@
 			if r > 0 {
 				least = minLateShareLeft
 			}
+			share := max(1-used/max(slots, 1), least)
 			for c := range classCount {
-				left[k][r][c] = max(1-used/max(slots, 1), least)
-				if timeConstant > 0 {
-					used += a.meters[k][r][c].at(now, timeConstant)
+				left[k][r][c] = share
+				if m := &a.meters[k][r][c]; timeConstant > 0 && !m.last.IsZero() {
+					used += m.at(now, timeConstant)
+					share = max(1-used/max(slots, 1), least)
 				}
 			}
 		}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -11,8 +11,8 @@
 // expected to generate, the observed token rate of the slots and the live work
 // expected to arrive meanwhile. It refuses at once what would finish too late,
 // with the time after which the same request could finish in time. It orders by
-// kind, then priority, then arrival time plus a multiple of the expected service
-// time. Admitted work is given up only when work that precedes it arrives later
+// kind, then priority, then whether the work can still end by its objective, then
+// arrival time plus a multiple of the expected service time. Admitted work is given up only when work that precedes it arrives later
 // or when running work takes longer than predicted, and it is refused as soon as
 // starting it could no longer help.
 //
