queue, proxy: late requests wait through refusals by all endpoints

Cause: endpoints that refuse everything for 700 ms are asked all the time, which counted as progress; what waited was refused after 250 ms (TestRequestsWaitForFullEndpoints: 40 of 60 refused).

Change: the end of work is the sign of progress, and the times are multiples of the objective. Predictions for late work leave out the forecast in an interruption and after it. The timer of a waiting queue is set earlier when an endpoint or the entry may send earlier.

--- a/proxy/wait.go
+++ b/proxy/wait.go
@@ -100,6 +100,7 @@
 		// done so; the timer runs while there are any.
 		waiters int
 		timer   *time.Timer
+		timerAt time.Time
 	}
 
 	// admission is what one request has to do with the queue of its service.
@@ -440,6 +441,8 @@
 		room += q.running[id] + q.free(v, now)
 	}
 	q.limits.Retain(func(id string) bool { return known[id] })
+	// Total is 0 while the entry pauses between two requests.
+	isResting := room > 0 && q.limits.Total(now) == 0
 	room = min(room, q.limits.Total(now))
 	for id, n := range q.running {
 		if !known[id] {
@@ -455,6 +458,9 @@
 		// Endpoints are there, but may not be asked now. The gate must not start anything;
 		// with a size of 0 it would refuse what waits. Each gets a request before long.
 		q.size = len(views)
+		if isResting {
+			q.size = 1
+		}
 		q.gate.Pause(true)
 		q.gate.Resize(q.size)
 	default:
@@ -474,13 +480,20 @@
 // setTimer sets the timer for the next time at which the capacity may change without an
 // event of this forwarder. The caller holds q.mu.
 func (q *serviceQueue) setTimer(now time.Time) {
-	if q.timer != nil || q.waiters == 0 {
+	if q.waiters == 0 {
 		return
 	}
 	d := refreshInterval
 	if at, ok := q.limits.NextOpening(now); ok {
 		d = min(d, max(at.Sub(now), minRefreshInterval))
 	}
+	if q.timer != nil {
+		if !now.Add(d).Before(q.timerAt) {
+			return
+		}
+		q.timer.Stop()
+	}
+	q.timerAt = now.Add(d)
 	q.timer = time.AfterFunc(d, func() {
 		q.mu.Lock()
 		defer q.mu.Unlock()
@@ -554,6 +567,7 @@
 	}
 	if q.waiters > 0 {
 		q.resize(now)
+		q.setTimer(now)
 	}
 	q.mu.Unlock()
 	g.leave(tokens)
--- a/queue/order.go
+++ b/queue/order.go
@@ -15,11 +15,12 @@
 	maxReserve = 0.6
 	// reviewFactor is the multiple of the time until its objective after which late work is
 	// refused if other work goes before it all the time: callers learn of it in time for
-	// another attempt.
+	// another attempt. As long a time in which no work ends is an interruption, and work that has
+	// waited through one may wait on.
 	reviewFactor = 5.0 / 3
-	// interruption is the time without a start after which work that has waited through it
-	// may wait on. Starts of an overloaded queue with a single slot are up to 200 ms apart.
-	interruption = 250 * time.Millisecond
+	// stallFactor is the multiple of that time in which no work ends after which predictions allow
+	// for an interruption.
+	stallFactor = 2.0 / 3
 	// minLateShare is the share of the slots that must be left to such work.
 	minLateShare = 0.1
 )
@@ -96,14 +97,19 @@
 // all work late, all would again be served in the order of arrival.
 func (q *Queue[T]) latestStart(e *entry[T]) time.Time {
 	reserve := scale(q.estimator.serviceTime(e.work), objectiveMargin)
-	reserve = min(reserve, scale(e.work.Objective.Sub(e.pushedAt), maxReserve))
+	reserve = min(reserve, scale(e.objective(), maxReserve))
 	return e.work.Objective.Add(-reserve)
 }
 
+// objective returns the time from the arrival of the work to its objective.
+func (e *entry[T]) objective() time.Duration {
+	return e.work.Objective.Sub(e.pushedAt)
+}
+
 // reviewAt returns when late work is refused if work that can end by its objective
 // has gone before it all the time.
 func reviewAt[T any](e *entry[T]) time.Time {
-	return e.pushedAt.Add(scale(e.work.Objective.Sub(e.pushedAt), reviewFactor))
+	return e.pushedAt.Add(scale(e.objective(), reviewFactor))
 }
 
 // overtaken reports whether work that can end by its objective takes the slots, so that
@@ -113,7 +119,7 @@
 		return false
 	}
 	e.reviewed = true
-	if now.Sub(q.lastStart) >= interruption {
+	if now.Sub(q.lastDone) >= scale(e.objective(), reviewFactor) {
 		return false
 	}
 	return e.pushedAt.After(q.resumedAt) || q.shareLeft(e, now) < minLateShare
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -37,6 +37,8 @@
 	// remaining is the share of the slots that remains, for each kind and class of
 	// due time, after the expected arrivals that precede it.
 	remaining shares
+	// stalled is the time since work last ended.
+	stalled time.Duration
 }
 
 // refuse returns why the work can't be admitted, or nil. Admitting it drops
@@ -185,9 +187,20 @@
 	// After the slots have become fewer, the work that ends first frees none.
 	freeIn = freeIn[max(0, len(freeIn)-max(q.slots.Total(), 1)):]
 	q.plan.freeIn = freeIn
+	q.plan.stalled = now.Sub(q.lastDone)
 	q.arrivals.forecast(&q.plan.remaining, now, q.settings.forecast, float64(q.slots.Total()))
 }
 
+// plannedShare returns the share of the slots that the expected arrivals leave to the work.
+// For late work it is 1 in an interruption and for what has waited through one: the arrivals
+// meanwhile and the slots at its end say nothing about the time after it.
+func (q *Queue[T]) plannedShare(e *entry[T]) float64 {
+	if e.late && (q.plan.stalled >= scale(e.objective(), stallFactor) || !e.pushedAt.After(q.resumedAt)) {
+		return 1
+	}
+	return q.plan.remaining[kindIndex(e.work)][e.class()][classIndex(e.due.Sub(e.pushedAt))]
+}
+
 // shareLeft returns the share of the slots that the expected arrivals leave to the work.
 func (q *Queue[T]) shareLeft(e *entry[T], now time.Time) float64 {
 	q.arrivals.forecast(&q.plan.remaining, now, q.settings.forecast, float64(q.slots.Total()))
@@ -226,8 +239,7 @@
 	// drains only with the share of the slots that those arrivals leave. Without this
 	// correction rollouts would wait for almost all of their time before the queue
 	// knows that they will be late.
-	remaining := q.plan.remaining[kindIndex(e.work)][e.class()][classIndex(e.due.Sub(e.pushedAt))]
-	return scale(begin, 1/remaining) + serviceTime
+	return scale(begin, 1/q.plannedShare(e)) + serviceTime
 }
 
 // lateness schedules the work and returns by how much it misses its deadline; a
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -56,10 +56,10 @@
 		plan       planner
 		arrivals   arrivals
 		lastProbe  time.Time
-		// lastStart is when work was last started, and resumedAt when that happened after an
-		// interruption.
-		lastStart, resumedAt time.Time
-		paused               bool
+		// lastDone is when work last ended, and resumedAt when that happened after an
+		// interruption. Starts don't count: endpoints may refuse what is sent to them.
+		lastDone, resumedAt time.Time
+		paused              bool
 	}
 
 	entry[T any] struct {
@@ -158,10 +158,7 @@
 		q.waiting = slices.Delete(q.waiting, i, i+1)
 		q.resizeWaiting(-e.work.Bytes)
 		q.slots.Start(e.work)
-		if now.Sub(q.lastStart) >= interruption && now.Sub(e.pushedAt) >= interruption {
-			q.resumedAt = now
-		}
-		q.lastStart, e.startedAt = now, now
+		e.startedAt = now
 		q.running[e.ticket] = e
 		return e.item, e.ticket, true
 	}
@@ -236,6 +233,12 @@
 		took = min(took, scale(q.estimator.serviceTime(e.work), f))
 	}
 	q.estimator.observe(e.work, generated, took)
+	if generated > 0 {
+		if !e.work.Objective.IsZero() && len(q.waiting) > 0 && now.Sub(q.lastDone) >= scale(e.objective(), reviewFactor) {
+			q.resumedAt = now
+		}
+		q.lastDone = now
+	}
 }
 
 // Withdraw removes running work that has not run after all, and reverses its
