--- a/queue/order.go
+++ b/queue/order.go
@@ -15,12 +15,13 @@
 	maxReserve = 0.6
 	// reviewFactor is the multiple of the time until its objective after which late work is
 	// refused if other work goes before it all the time: callers learn of it in time for
-	// another attempt. As long a time in which no work ends is an interruption, and work that has
-	// waited through one may wait on.
+	// another attempt. Work that has waited through an interruption may wait on.
 	reviewFactor = 5.0 / 3
-	// stallFactor is the multiple of that time in which no work ends after which predictions allow
-	// for an interruption.
-	stallFactor = 2.0 / 3
+	// interruptionServices is the least duration of an interruption in service times. At an
+	// entry with a single slot of overloaded endpoints, work ends every two or three.
+	interruptionServices = 5
+	// stallPart is the part of an interruption after which predictions allow for it.
+	stallPart = 0.4
 	// minLateShare is the share of the slots that must be left to such work.
 	minLateShare = 0.1
 )
@@ -106,6 +107,16 @@
 	return e.work.Objective.Sub(e.pushedAt)
 }
 
+// interruption returns the time in which no work ends that is an interruption to the work.
+func (q *Queue[T]) interruption(e *entry[T]) time.Duration {
+	return max(scale(e.objective(), reviewFactor), scale(q.estimator.serviceTime(e.work), interruptionServices))
+}
+
+// stalled returns for how long no work has ended while work waited.
+func (q *Queue[T]) stalled(now time.Time) time.Duration {
+	return min(now.Sub(q.lastDone), now.Sub(q.waitingSince))
+}
+
 // reviewAt returns when late work is refused if work that can end by its objective
 // has gone before it all the time.
 func reviewAt[T any](e *entry[T]) time.Time {
@@ -119,7 +130,7 @@
 		return false
 	}
 	e.reviewed = true
-	if now.Sub(q.lastDone) >= scale(e.objective(), reviewFactor) {
+	if q.stalled(now) >= q.interruption(e) {
 		return false
 	}
 	return e.pushedAt.After(q.resumedAt) || q.shareLeft(e, now) < minLateShare
--- a/queue/plan.go
+++ b/queue/plan.go
@@ -187,7 +187,7 @@
 	// After the slots have become fewer, the work that ends first frees none.
 	freeIn = freeIn[max(0, len(freeIn)-max(q.slots.Total(), 1)):]
 	q.plan.freeIn = freeIn
-	q.plan.stalled = now.Sub(q.lastDone)
+	q.plan.stalled = q.stalled(now)
 	q.arrivals.forecast(&q.plan.remaining, now, q.settings.forecast, float64(q.slots.Total()))
 }
 
@@ -195,7 +195,7 @@
 // For late work it is 1 in an interruption and for what has waited through one: the arrivals
 // meanwhile and the slots at its end say nothing about the time after it.
 func (q *Queue[T]) plannedShare(e *entry[T]) float64 {
-	if e.late && (q.plan.stalled >= scale(e.objective(), stallFactor) || !e.pushedAt.After(q.resumedAt)) {
+	if e.late && (q.plan.stalled >= scale(q.interruption(e), stallPart) || !e.pushedAt.After(q.resumedAt)) {
 		return 1
 	}
 	return q.plan.remaining[kindIndex(e.work)][e.class()][classIndex(e.due.Sub(e.pushedAt))]
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -59,7 +59,9 @@
 		// lastDone is when work last ended, and resumedAt when that happened after an
 		// interruption. Starts don't count: endpoints may refuse what is sent to them.
 		lastDone, resumedAt time.Time
-		paused              bool
+		// waitingSince is the time since which work has waited.
+		waitingSince time.Time
+		paused       bool
 	}
 
 	entry[T any] struct {
@@ -232,13 +234,13 @@
 	if f := q.settings.maxObservation; f > 0 {
 		took = min(took, scale(q.estimator.serviceTime(e.work), f))
 	}
-	q.estimator.observe(e.work, generated, took)
 	if generated > 0 {
-		if !e.work.Objective.IsZero() && len(q.waiting) > 0 && now.Sub(q.lastDone) >= scale(e.objective(), reviewFactor) {
+		if !e.work.Objective.IsZero() && len(q.waiting) > 0 && q.stalled(now) >= q.interruption(e) {
 			q.resumedAt = now
 		}
 		q.lastDone = now
 	}
+	q.estimator.observe(e.work, generated, took)
 }
 
 // Withdraw removes running work that has not run after all, and reverses its
@@ -321,6 +323,10 @@
 }
 
 func (q *Queue[T]) insert(e *entry[T]) {
+	// Work that returns has waited since it arrived.
+	if len(q.waiting) == 0 || e.pushedAt.Before(q.waitingSince) {
+		q.waitingSince = e.pushedAt
+	}
 	i, _ := slices.BinarySearchFunc(q.waiting, e, q.compare)
 	q.waiting = slices.Insert(q.waiting, i, e)
 	q.resizeWaiting(e.work.Bytes)
