brun: batches that are accepted while the metadata store is unavailable

Cause: the runner took only batches whose record the store has. A submission that is accepted from replicas in an outage (docs/design/HARDLOAD.md, part 3) has none yet, and its first write would be results that expect that there is no head.

Change: AddPending starts such a batch. The loop that writes results first calls the function that creates the batch, until it succeeds or is fenced; meanwhile a write counts as in flight, so that results are listed from replicas as in any outage. Pending batches don't expire. One that is added after Stop is tracked without starting its items: it was accepted, and the store should get it. The repeats of a write moved from apply to persist, which both use.

End returned only when its ctx ended if the batch was dropped meanwhile. It now returns NotFoundError, so that the caller's request goes to the next owner. The log line of a drop read the epoch without the lock, while a write could replace the record.

--- a/brun/ask.go
+++ b/brun/ask.go
@@ -61,7 +61,8 @@
 	return it.Body, nil
 }
 
-// End stops the items of a batch at once and returns when the store has its end.
+// End stops the items of a batch at once and returns when the store has its end. If the batch is
+// dropped before that, it returns a *NotFoundError: the next owner has to be asked.
 func (r *Runner) End(ctx context.Context, id string) error {
 	r.mu.Lock()
 	b, ok := r.tracked[id]
@@ -75,14 +76,22 @@
 		r.savePartials(b)
 		b.signalFlush()
 	}
-	stored := b.endStored
 	r.mu.Unlock()
 	r.Wake()
-	select {
-	case <-stored:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+	for {
+		r.mu.Lock()
+		dropped, changed := b.dropped, b.changed
+		r.mu.Unlock()
+		if dropped {
+			return &NotFoundError{ID: id}
+		}
+		select {
+		case <-b.endStored:
+			return nil
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -195,8 +195,15 @@
 	for _, p := range progress {
 		b.resume(p)
 	}
+	r.add(ctx, b, len(progress))
+}
+
+// add tracks b, which resumes the partial text of progress items, and starts to run it unless
+// it has ended.
+func (r *Runner) add(ctx context.Context, b *tracked, progress int) {
+	record, sub, results, isPending := b.record, b.sub, len(b.results), b.isPending()
 	r.mu.Lock()
-	if _, ok := r.tracked[sub.ID]; ok || r.stopping {
+	if _, ok := r.tracked[sub.ID]; ok || (r.stopping && !isPending) {
 		r.mu.Unlock()
 		return
 	}
@@ -211,8 +218,8 @@
 	}
 	r.sortItems(b, time.Now())
 	r.mu.Unlock()
-	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", record.Epoch, "items", len(sub.Items), "results", len(results),
-		"progress", len(progress), "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model, "due", r.dueAfter(sub))
+	r.logger.Info("Batch held.", "batch", sub.ID, "epoch", record.Epoch, "items", len(sub.Items), "results", results,
+		"progress", progress, "pending", isPending, "resumed", resumed, "minVersion", sub.MinVersion, "model", sub.Model, "due", r.dueAfter(sub))
 	if !record.Ended {
 		go r.flush(ctx, b)
 		r.Wake()
@@ -408,7 +415,7 @@
 func (r *Runner) drop(b *tracked, reason string) {
 	id := b.sub.ID
 	r.mu.Lock()
-	ok := r.tracked[id] == b
+	ok, epoch := r.tracked[id] == b, b.record.Epoch
 	b.dropped = true
 	if ok {
 		delete(r.tracked, id)
@@ -418,6 +425,6 @@
 	}
 	r.mu.Unlock()
 	if ok {
-		r.logger.Warn("Batch dropped.", "batch", id, "epoch", b.record.Epoch, "cause", reason)
+		r.logger.Warn("Batch dropped.", "batch", id, "epoch", epoch, "cause", reason)
 	}
 }
--- a/brun/expire.go
+++ b/brun/expire.go
@@ -36,7 +36,8 @@
 
 // takeExpired forgets the batches whose retention is over and returns them, along with the
 // removals to retry. Without it every batch would stay in the store, and in the memory of each
-// instance that has served it. The caller holds r.mu.
+// instance that has served it. Pending batches stay: they were accepted, and the store must get
+// them. The caller holds r.mu.
 func (r *Runner) takeExpired(now time.Time) []bstore.Record {
 	var out []bstore.Record
 	for id, b := range r.tracked {
@@ -44,7 +45,7 @@
 		if !b.record.Ended {
 			maxAge = max(maxAge, maxOpenAge)
 		}
-		if b.record.Age(now) < maxAge {
+		if b.isPending() || b.record.Age(now) < maxAge {
 			continue
 		}
 		delete(r.tracked, id)
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -35,9 +35,12 @@
 	withResults bool
 }
 
-// flush writes finished items to the store until the batch has ended or is dropped. Results
-// become readable only once the store or enough replicas have them.
+// flush creates a pending batch in the store, and then writes finished items until the batch has
+// ended or is dropped. Results become readable only once the store or enough replicas have them.
 func (r *Runner) flush(ctx context.Context, b *tracked) {
+	if !r.storePending(ctx, b) {
+		return
+	}
 	for {
 		next, ok := r.waitForWrite(ctx, b)
 		if !ok || !r.writePending(ctx, b, next.withResults) {
@@ -161,22 +164,31 @@
 
 func (r *Runner) apply(ctx context.Context, b *tracked, change bstore.Change) bool {
 	start := time.Now()
+	ok := r.persist(ctx, b, "Results not kept yet.", func(ctx context.Context) error { return r.store.Apply(ctx, change) })
+	if ok {
+		r.meter.Observe("results_kept_seconds", time.Since(start))
+		r.logger.Info("Results kept.", "batch", b.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Record.Results,
+			"end", change.End, "revision", change.Record.Revision, "took", time.Since(start).Round(time.Millisecond))
+	}
+	return ok
+}
+
+// persist calls write until it succeeds, and logs failedMessage after each failure. It reports
+// whether to continue: a batch that is fenced is dropped.
+func (r *Runner) persist(ctx context.Context, b *tracked, failedMessage string, write func(ctx context.Context) error) bool {
 	for {
 		tryCtx, cancel := context.WithTimeout(ctx, flushTimeout)
-		err := r.store.Apply(tryCtx, change)
+		err := write(tryCtx)
 		cancel()
 		var fenced *bstore.FencedError
 		switch {
 		case err == nil:
-			r.meter.Observe("results_kept_seconds", time.Since(start))
-			r.logger.Info("Results kept.", "batch", b.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Record.Results,
-				"end", change.End, "revision", change.Record.Revision, "took", time.Since(start).Round(time.Millisecond))
 			return true
 		case errors.As(err, &fenced):
 			r.drop(b, err.Error())
 			return false
 		}
-		r.logger.Warn("Results not kept yet.", "batch", b.sub.ID, "error", err)
+		r.logger.Warn(failedMessage, "batch", b.sub.ID, "error", err)
 		if r.isDropped(b) || !sleep.For(ctx, flushRetryDelay) {
 			return false
 		}
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -42,9 +42,11 @@
 		kvst.Store
 		mu       sync.Mutex
 		revision int64
-		// refusals is the number of writes still to refuse; removed has the removed keys.
+		// refusals is the number of writes still to refuse; removed has the removed keys, and
+		// commits all writes that were accepted.
 		refusals int
 		removed  []string
+		commits  []kvst.Txn
 	}
 
 	// fakeEngines answers each run with events: the first right after the head of the response,
@@ -69,6 +71,7 @@
 		return 0, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
 	}
 	s.removed = append(s.removed, t.Remove...)
+	s.commits = append(s.commits, t)
 	s.revision++
 	return s.revision, nil
 }
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -40,6 +40,8 @@
 		nextReplication             time.Time
 		// writing is set while a write is in flight.
 		writing bool
+		// create creates the batch in the store; nil once the store has it.
+		create func(ctx context.Context, rec *bstore.Record) error
 		// endStored is closed once the store has the end of the batch.
 		endStored chan struct{}
 		// changed is closed and replaced when there are new results to read.
