seal, walog, replog: a drop names the results that the store has

Cause: a drop that waits at a frozen instance deletes results that its owner appended and listed after it was sent (found by the model check of package intake).

Change: a drop carries the number of results that the store has; a replica with later results of the same owner ignores it. A drop of an instance of an earlier version carries 0 and is ignored; its results then stay until the log expires.

Measured: the search of seal and the one of intake find no violation with the new rule, and that of intake finds the lost entry without it.

--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -138,7 +138,7 @@
 		return nil, err
 	}
 	d.logger.Info("Results of copies kept in the store.", "batch", cur.ID, "epoch", cur.Epoch, "from", len(results), "results", len(recovered))
-	go d.replicas.Drop(d.baseCtx, cur.ID, cur.Epoch, cur.Replicas)
+	go d.replicas.Drop(d.baseCtx, cur.ID, cur.Epoch, cur.Replicas, cur.Results)
 	return append(results, recovered...), nil
 }
 
--- a/brun/copies.go
+++ b/brun/copies.go
@@ -30,8 +30,8 @@
 		// once enough of them have the results. Those before position from were appended
 		// earlier.
 		Append(ctx context.Context, id string, epoch int64, replicas []batch.Replica, from, stored int, results []batch.Result) error
-		// Drop has the replicas delete the results that the store has.
-		Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica)
+		// Drop has the replicas delete the results, of which the store has the first stored ones.
+		Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica, stored int)
 	}
 
 	// noReplicas is used if there are no disks: results then wait for the store.
@@ -47,7 +47,7 @@
 }
 
 // Drop implements Replicas.
-func (noReplicas) Drop(context.Context, string, int64, []batch.Replica) {}
+func (noReplicas) Drop(context.Context, string, int64, []batch.Replica, int) {}
 
 // WithReplicas makes results readable while the store is unavailable, by replicating them. By
 // default they wait for the store.
@@ -147,5 +147,5 @@
 	}
 	b.replicated = 0
 	record := b.record
-	go r.replicas.Drop(ctx, record.ID, record.Epoch, record.Replicas)
+	go r.replicas.Drop(ctx, record.ID, record.Epoch, record.Replicas, record.Results)
 }
--- a/brun/pending_test.go
+++ b/brun/pending_test.go
@@ -105,7 +105,7 @@
 }
 
 // Drop implements Replicas.
-func (f *fakeReplicas) Drop(context.Context, string, int64, []batch.Replica) {
+func (f *fakeReplicas) Drop(context.Context, string, int64, []batch.Replica, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.drops++
--- a/intake/search_test.go
+++ b/intake/search_test.go
@@ -534,9 +534,11 @@
 
 // dropEntries delivers a drop, which names the position up to which the store has entries.
 func (r *replicaState) dropEntries(epoch, stored uint8, om omission) {
+	if om.noDropPosition {
+		stored = 100
+	}
 	full := r.log.full()
-	hasMore := full.From+len(full.Results) > int(stored)
-	if r.wiped || hasMore && !om.noDropPosition || full.Drop(int64(epoch)) != nil {
+	if r.wiped || full.Drop(int64(epoch), int(stored)) != nil {
 		return
 	}
 	r.log = compact(full)
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -220,10 +220,10 @@
 	}
 }
 
-// Drop deletes the batch's results from the replicas, once the store has them. A replica
-// that can't be reached keeps them until its log expires.
-func (s *Log) Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica) {
-	replies := s.callAll(ctx, replicas, request{Op: opDrop, ID: id, Epoch: epoch})
+// Drop deletes the batch's results from the replicas, once the store has the first stored
+// ones. A replica that can't be reached keeps them until its log expires.
+func (s *Log) Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica, stored int) {
+	replies := s.callAll(ctx, replicas, request{Op: opDrop, ID: id, Epoch: epoch, Stored: stored})
 	s.logger.Info("Replicas dropped.", "batch", id, "epoch", epoch, "error", checkQuorum(id, replies, len(replicas)))
 }
 
@@ -317,7 +317,7 @@
 	case opSeal:
 		out.Results, out.ResultsEpoch, err = s.dir.Seal(req.ID, req.Epoch, req.From)
 	case opDrop:
-		err = s.dir.Drop(req.ID, req.Epoch)
+		err = s.dir.Drop(req.ID, req.Epoch, req.Stored)
 	default:
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Newf("unknown operation %q", req.Op))
 	}
--- a/replog/replog_test.go
+++ b/replog/replog_test.go
@@ -239,7 +239,7 @@
 				continue
 			}
 			start := time.Now()
-			time.AfterFunc(time.Second, func() { m.owner.Drop(ctx, "b", 1, c) })
+			time.AfterFunc(time.Second, func() { m.owner.Drop(ctx, "b", 1, c, 1) })
 			s.Drain(ctx)
 			m.g.Expect(time.Since(start)).To(BeNumerically("~", time.Second, 300*time.Millisecond))
 		}
--- a/seal/seal.go
+++ b/seal/seal.go
@@ -84,12 +84,16 @@
 	return nil
 }
 
-// Drop deletes the results, once the store has them all. The epoch stays: an earlier owner
-// that resumes must be refused for as long as anyone could read from it.
-func (c *Replica[T]) Drop(epoch int64) error {
+// Drop deletes the results, once the store has the first stored ones. The epoch stays: an
+// earlier owner that resumes must be refused for as long as anyone could read from it. A
+// late drop changes nothing if the owner has appended more results since.
+func (c *Replica[T]) Drop(epoch int64, stored int) error {
 	if epoch < c.Epoch {
 		return &FencedError{RequestEpoch: epoch, ReplicaEpoch: c.Epoch}
 	}
+	if epoch == c.ResultsEpoch && c.From+len(c.Results) > stored {
+		return nil
+	}
 	*c = Replica[T]{Epoch: epoch}
 	return nil
 }
--- a/seal/seal_test.go
+++ b/seal/seal_test.go
@@ -76,3 +76,17 @@
 	g.Expect(changed).To(BeTrue())
 	g.Expect(c.ResultsFrom(9)).To(Equal([]string{"j"}))
 }
+
+// A drop waited at a frozen instance, and its owner has appended more results since, which
+// were listed. The drop must not delete them, whereas results of an earlier owner may go.
+func TestLateDrop(t *testing.T) {
+	g := NewWithT(t)
+	var c Replica[string]
+	_, err := c.Append(1, 4, 4, []string{"a", "b"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.Drop(1, 5)).To(Succeed())
+	g.Expect(c.ResultsFrom(4)).To(Equal([]string{"a", "b"}))
+	g.Expect(c.Drop(2, 5)).To(Succeed())
+	g.Expect(c.Results).To(BeEmpty())
+	g.Expect(c.Epoch).To(BeEquivalentTo(2))
+}
--- a/seal/search_test.go
+++ b/seal/search_test.go
@@ -282,7 +282,7 @@
 	for c := range s.copy {
 		if o.stored == len(o.line) && o.stored > 0 && len(s.copy[c].Results) > 0 {
 			step(fmt.Sprint("drop by ", i, " at ", c), func(n *state) {
-				if r := &n.copy[c]; r.Drop(int64(i+1)) == nil {
+				if r := &n.copy[c]; r.Drop(int64(i+1), o.stored) == nil {
 					r.synced = r.Replica
 				}
 			})
--- a/walog/walog.go
+++ b/walog/walog.go
@@ -352,9 +352,10 @@
 	return append(data, body...), nil
 }
 
-// Drop deletes the results of a batch, which the metadata store has. The log is rewritten
-// with only its epoch, which frees the space.
-func (d *Dir) Drop(id string, epoch int64) error {
+// Drop deletes the results of a batch, of which the metadata store has the first stored ones,
+// as described in package seal. The log is rewritten with only its epoch, which frees the
+// space.
+func (d *Dir) Drop(id string, epoch int64, stored int) error {
 	d.mu.Lock()
 	l, ok := d.logs[id]
 	d.mu.Unlock()
@@ -364,10 +365,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.replica
-	if err := next.Drop(epoch); err != nil {
+	if err := next.Drop(epoch, stored); err != nil {
 		return err
 	}
-	if len(l.replica.Results) == 0 {
+	if len(l.replica.Results) == 0 || len(next.Results) > 0 {
 		return nil
 	}
 	if err := d.rewrite(l, id, record{Epoch: epoch}); err != nil {
--- a/walog/walog_test.go
+++ b/walog/walog_test.go
@@ -121,8 +121,10 @@
 	d := openDir(g, path)
 	g.Expect(d.Append("b", 2, 0, 0, results("a", "b", "c"))).To(Succeed())
 	before := d.bytes
-	g.Expect(d.Drop("b", 1)).NotTo(Succeed())
-	g.Expect(d.Drop("b", 2)).To(Succeed())
+	g.Expect(d.Drop("b", 1, 3)).NotTo(Succeed())
+	g.Expect(d.Drop("b", 2, 2)).To(Succeed())
+	g.Expect(d.Pending()).To(Equal(1), "a drop that is late must not delete what was appended since")
+	g.Expect(d.Drop("b", 2, 3)).To(Succeed())
 	g.Expect(d.Pending()).To(BeZero())
 	g.Expect(d.bytes).To(BeNumerically("<", before/3))
 	for _, d := range []*Dir{d, openDir(g, path)} {
