bstore: intake records, and creates that expect them

Change: LoadIntake, Intakes, SaveIntake and CreateFenced; Create expects that there is no record. A write that got no answer and was then refused was reported as refused, so that a caller was told 503 for a submission that may run; it now counts as unknown.

--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -20,7 +20,6 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -128,29 +127,11 @@
 
 // Create stores a submission that was accepted at the time since, with its owner and the
 // replicas for its results. If it exists already, Create returns the stored record and
-// created false.
+// created false. It expects that the model has no intake record, and otherwise returns an
+// *IntakeError.
 func (s *Store) Create(ctx context.Context, sub *batch.Submission, owner string, replicas []batch.Replica, since time.Time) (rec Record, created bool, err error) {
-	raw, err := json.Marshal(sub)
-	if err != nil {
-		return Record{}, false, errors.Wrap(err, "encoding the submission")
-	}
-	parts := split(raw, s.maxValueBytes)
-	if len(parts) > maxTxnEntries-2 {
-		return Record{}, false, &SizeError{Bytes: len(raw), Max: s.maxValueBytes * (maxTxnEntries - 2)}
-	}
-	rec = Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{
-		Owner:      owner,
-		Epoch:      1,
-		Customer:   sub.Customer,
-		BodyChunks: len(parts),
-		ItemCount:  len(sub.Items),
-		Replicas:   replicas,
-	}}
-	txn := kvst.Txn{Expect: map[string]int64{headKey(sub.ID): 0}}
-	for i, part := range parts {
-		txn.Puts = append(txn.Puts, kvst.Put{Key: bodyKey(sub.ID, i), Value: part})
-	}
-	err = s.commitWithHead(ctx, &rec, txn)
+	rec = Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: owner, Epoch: 1, Replicas: replicas}}
+	err = s.CreateFenced(ctx, Intake{Model: sub.Model}, &rec, sub, nil)
 	var fenced *FencedError
 	if errors.As(err, &fenced) {
 		now, err := s.Load(ctx, sub.ID)
@@ -174,6 +155,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeHeads(items)
+}
+
+func decodeHeads(items []kvst.Item) ([]Record, error) {
 	heads := make([]Record, 0, len(items))
 	for _, it := range items {
 		rec, err := decodeHead(it)
@@ -317,21 +302,16 @@
 		return errors.Wrap(err, "encoding the head")
 	}
 	txn.Puts = append(txn.Puts, kvst.Put{Key: headKey(rec.ID), Value: raw})
-	for {
-		rec.Revision, err = s.kv.Commit(ctx, txn)
-		var conflict *kvst.ConflictError
-		if errors.As(err, &conflict) {
-			return resolveConflict(rec, conflict)
-		}
-		var unknown *kvst.UnknownOutcomeError
-		if !errors.As(err, &unknown) || !sleep.For(ctx, commitRetryDelay) {
-			return err
-		}
+	rec.Revision, err = s.commit(ctx, txn)
+	var conflict *kvst.ConflictError
+	if errors.As(err, &conflict) {
+		return resolveConflict(rec, txn, conflict)
 	}
+	return err
 }
 
 // resolveConflict decides after a conflict whether the store already has this write.
-func resolveConflict(rec *Record, conflict *kvst.ConflictError) error {
+func resolveConflict(rec *Record, txn kvst.Txn, conflict *kvst.ConflictError) error {
 	for _, it := range conflict.Current {
 		if it.Key != headKey(rec.ID) || it.Revision == 0 {
 			continue
@@ -346,6 +326,21 @@
 		}
 		return &FencedError{ID: rec.ID, Now: now.Head}
 	}
+	for key := range txn.Expect {
+		if !strings.HasPrefix(key, IntakePrefix) {
+			continue
+		}
+		// A create, and there is no head: the intake record differs.
+		model, err := url.PathUnescape(strings.TrimPrefix(key, IntakePrefix))
+		if err != nil {
+			return errors.Wrapf(err, "key %s", key)
+		}
+		now, err := intakeOf(conflict, model)
+		if err != nil {
+			return err
+		}
+		return &IntakeError{Now: now}
+	}
 	return &FencedError{ID: rec.ID}
 }
 
--- a/bstore/bstore_test.go
+++ b/bstore/bstore_test.go
@@ -24,6 +24,8 @@
 	lostAnswers int
 	refusals    int
 	commits     int
+	// refuseLater has all writes after the first refused.
+	refuseLater bool
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{items: make(map[string]kvst.Item)} }
@@ -55,15 +57,22 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.commits++
-	if m.refusals > 0 {
+	if m.refusals > 0 || m.refuseLater && m.commits > 1 {
 		m.refusals--
 		return 0, &kvst.RefusedError{Status: 503}
 	}
+	var current []kvst.Item
+	isMet := true
 	for key, revision := range t.Expect {
-		if m.items[key].Revision != revision {
-			return 0, &kvst.ConflictError{Current: []kvst.Item{m.items[key]}}
+		it, ok := m.items[key]
+		isMet = isMet && it.Revision == revision
+		if ok {
+			current = append(current, it)
 		}
 	}
+	if !isMet {
+		return 0, &kvst.ConflictError{Current: current}
+	}
 	m.revision++
 	for _, p := range t.Puts {
 		m.items[p.Key] = kvst.Item{Key: p.Key, Value: p.Value, Revision: m.revision}
