--- a/broute/acceptor.go
+++ b/broute/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,8 @@
 	// storeWait is how long the store may take to create a batch before it is accepted by
 	// replicas. The store answers in 4 ms, or in a quarter of a second when it is slow.
 	storeWait = 300 * time.Millisecond
-	// storeDownFor is how long after a failed call submissions go to the replicas at once.
+	// storeDownFor is how long after a failed call submissions go to the replicas, or are
+	// refused, at once.
 	storeDownFor = 2 * time.Second
 	// attemptTimeout bounds an attempt to accept a submission. A caller waits 3 s.
 	attemptTimeout = 3 * time.Second
@@ -40,20 +42,23 @@
 		ctx    context.Context //nolint:containedctx // It bounds what outlives the calls of submitters.
 		cancel context.CancelFunc
 
+		// closed is set once nothing more is accepted.
+		closed atomic.Bool
+
+		// mu may be taken while Router.mu is held, and not the other way round.
 		mu    sync.Mutex
 		state *intake.Acceptor
 		// record is the record as confirmed by the store.
 		record bstore.Intake
 		// attempts are the submissions being accepted, entries the log entries that the store
 		// lacks, both by ID.
-		attempts      map[string]*attempt
-		entries       map[string]*logEntry
-		storeFailedAt time.Time
-		// closed is set once nothing more is accepted, ended once the acceptor is fenced.
-		closed, ended bool
-		isMoving      bool
-		appendWake    chan struct{}
-		storeWake     chan struct{}
+		attempts map[string]*attempt
+		entries  map[string]*logEntry
+		// ended is set once the acceptor is fenced, isMoving while other replicas are written to
+		// the record.
+		ended, isMoving bool
+		appendWake      chan struct{}
+		storeWake       chan struct{}
 	}
 
 	// attempt is an attempt to accept a submission; done is closed once res is set.
@@ -107,11 +112,7 @@
 	}
 }
 
-func (a *acceptor) isOpen() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return !a.closed
-}
+func (a *acceptor) isOpen() bool { return !a.closed.Load() }
 
 func (a *acceptor) pending() int {
 	a.mu.Lock()
@@ -122,13 +123,8 @@
 // giveUp accepts nothing more. The log is stored as long as no successor has acquired the
 // model.
 func (a *acceptor) giveUp(cause string) {
-	a.mu.Lock()
-	wasClosed := a.closed
-	a.closed = true
-	pending := a.state.Pending()
-	a.mu.Unlock()
-	if !wasClosed {
-		a.router.logger.Warn("Acceptor gives up.", "model", a.model, "epoch", a.epoch, "pending", pending, "cause", cause)
+	if !a.closed.Swap(true) {
+		a.router.logger.Warn("Acceptor gives up.", "model", a.model, "epoch", a.epoch, "pending", a.pending(), "cause", cause)
 	}
 }
 
@@ -137,7 +133,8 @@
 func (a *acceptor) end(cause string) {
 	a.mu.Lock()
 	wasEnded, pending := a.ended, a.state.Pending()
-	a.closed, a.ended = true, true
+	a.ended = true
+	a.closed.Store(true)
 	for id, e := range a.entries {
 		a.finish(e, &bstore.FencedError{ID: id, Now: batch.Head{Epoch: a.epoch}})
 	}
@@ -159,7 +156,7 @@
 // submit accepts a submission, or joins an attempt under way.
 func (a *acceptor) submit(ctx context.Context, sub *batch.Submission) intakeResponse {
 	a.mu.Lock()
-	if a.closed {
+	if a.closed.Load() {
 		a.mu.Unlock()
 		return intakeResponse{Outcome: outcomeElsewhere, Cause: "the acceptor has ended"}
 	}
@@ -249,9 +246,8 @@
 func (a *acceptor) tryStore(ctx context.Context, rec *bstore.Record, sub *batch.Submission) (res intakeResponse, isUnknown bool) {
 	a.mu.Lock()
 	canLog := a.state.CanAppend() == nil
-	isDown := a.router.isStoreDown() || time.Since(a.storeFailedAt) < storeDownFor
 	a.mu.Unlock()
-	if canLog && isDown {
+	if canLog && a.router.storeLooksDown() {
 		return intakeResponse{}, false
 	}
 	createCtx, cancel := ctx, context.CancelFunc(func() {})
@@ -267,6 +263,7 @@
 	var unreadable *bstore.DecodeError
 	switch {
 	case err == nil:
+		a.router.noteStore(nil)
 		a.learn(sub)
 		a.router.cacheHead(*rec)
 		a.router.runner.Add(a.router.baseCtx, *rec, sub, nil, nil)
@@ -281,9 +278,7 @@
 	case errors.As(err, &unreadable):
 		return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}, false
 	}
-	a.mu.Lock()
-	a.storeFailedAt = time.Now()
-	a.mu.Unlock()
+	a.router.noteStore(err)
 	a.router.logger.Warn("Batch not created by the store yet.", "batch", sub.ID, "model", a.model, "error", err)
 	return intakeResponse{}, !errors.As(err, &refused)
 }
@@ -353,7 +348,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed {
+	if a.closed.Load() {
 		return nil, &intake.RefusedError{Cause: "the acceptor has ended"}
 	}
 	if err := a.state.Append(encoded); err != nil {
@@ -461,9 +456,7 @@
 			a.end(err.Error())
 			return
 		case err != nil:
-			a.mu.Lock()
-			a.storeFailedAt = time.Now()
-			a.mu.Unlock()
+			a.router.noteStore(err)
 			a.router.logger.Warn("Submissions not stored yet.", "model", a.model, "epoch", a.epoch, "stored", count, "error", err)
 			sleep.For(a.ctx, storeRetryPause)
 		}
@@ -517,6 +510,7 @@
 		return err
 	}
 	a.adopt(known, next)
+	a.router.noteStore(nil)
 	a.router.logger.Info("Intake record written.", "model", a.model, "epoch", a.epoch, "stored", stored, "replicas", len(replicas), "revision", next.Revision)
 	if stored > known.Stored {
 		go a.router.replicas.Drop(a.ctx, intakeLog(a.model), a.epoch, known.Replicas, stored)
@@ -526,10 +520,11 @@
 
 // tend replaces replicas that are out of reach, and forgets old IDs.
 func (a *acceptor) tend(now time.Time) {
+	isDown := a.router.storeLooksDown()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.state.Forget(now.Add(-a.router.knownTTL))
-	if a.closed || a.isMoving || a.router.isStoreDown() || now.Sub(a.storeFailedAt) < storeDownFor {
+	if isDown || a.isMoving || a.closed.Load() {
 		return
 	}
 	chosen := a.router.replicas.Choose(intakeLog(a.model), a.record.Replicas)
@@ -564,8 +559,8 @@
 		var refused *kvst.RefusedError
 		isUnknown = isUnknown || !errors.As(err, &refused)
 		a.router.logger.Warn("Replicas of the log not replaced yet.", "model", a.model, "epoch", a.epoch, "unknown", isUnknown, "error", err)
+		a.router.noteStore(err)
 		a.mu.Lock()
-		a.storeFailedAt = time.Now()
 		if !isUnknown { // the record names the earlier replicas, which still serve
 			a.isMoving = false
 			a.state.Saved(a.record.Stored, a.record.Replicas)
--- a/broute/acquire.go
+++ b/broute/acquire.go
@@ -20,6 +20,9 @@
 	// are lost than are tolerated, and without an acceptor the model would get no batches at all.
 	acquireTimeout = 45 * time.Second
 	sealGiveUp     = 30 * time.Second
+	// loadTimeout bounds the read of the record, before which nothing else is done. The store
+	// answers in 4 ms, or in a quarter of a second when it is slow.
+	loadTimeout = time.Second
 	// queryTimeout bounds the question whether a holder still accepts submissions.
 	queryTimeout = 300 * time.Millisecond
 )
@@ -114,7 +117,7 @@
 // acquire makes this instance the acceptor of a model: it claims the record, seals the log,
 // stores what its predecessor accepted, and learns which batches exist.
 func (d *Router) acquire(ctx context.Context, model string) (*acceptor, error) {
-	in, err := d.store.LoadIntake(ctx, model)
+	in, err := d.loadIntake(ctx, model)
 	if err != nil {
 		return nil, err
 	}
@@ -168,6 +171,20 @@
 	return a, nil
 }
 
+// loadIntake returns the record of a model, or errStoreDown if the store doesn't answer soon.
+func (d *Router) loadIntake(ctx context.Context, model string) (bstore.Intake, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	in, err := d.store.LoadIntake(ctx, model)
+	var unreadable *bstore.DecodeError
+	if err == nil || errors.As(err, &unreadable) {
+		d.noteStore(nil)
+		return in, err
+	}
+	d.noteStore(err)
+	return in, errors.Mark(err, errStoreDown)
+}
+
 // hasGivenUp reports whether a live holder answers that it neither accepts submissions of the
 // model nor acquires it.
 func (d *Router) hasGivenUp(ctx context.Context, n mesh.Node, model string) bool {
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -70,6 +70,10 @@
 		acquisitions map[string]*acquisition
 		seenGrants   map[string]int64
 
+		// storeFailedAt is the time of the last failed call to the store on behalf of a
+		// submission, zero if it has answered since.
+		storeFailedAt time.Time
+
 		isStoreDown func() bool
 		meter       *meter.Meter
 		knownTTL    time.Duration
--- a/broute/intake.go
+++ b/broute/intake.go
@@ -89,6 +89,9 @@
 	}
 )
 
+// errStoreDown means that a model can't be acquired because the store is unavailable.
+var errStoreDown = errors.New("nobody accepts submissions of the model, and the store is unavailable")
+
 // errRecovering is returned instead of NotFoundError while a batch may be in the log of an
 // acceptor that was lost.
 var errRecovering = errors.New("submissions accepted while the store was unavailable are still to be recovered")
@@ -128,8 +131,9 @@
 	if _, granted := d.mesh.Grants()[model]; granted {
 		return true
 	}
-	_, preferred := d.preferredAcceptor(model)
-	if !preferred && (!d.isStoreDown() || len(d.mesh.Entries(false)) < minIntakeEntries) {
+	// Entries that don't reach the store count: in an outage a create without record would stay
+	// without an answer.
+	if len(d.intakeEntries(false)) < minIntakeEntries {
 		return false
 	}
 	return len(d.replicas.Choose(intakeLog(model), nil)) > 0
@@ -161,19 +165,43 @@
 	return assign.Preferred(model, model, entries)
 }
 
+// intakeEntries returns the live entries that can accept submissions for others; with reaching
+// set, only those that reach the store.
+func (d *Router) intakeEntries(reaching bool) []mesh.Node {
+	return slices.DeleteFunc(d.mesh.Entries(reaching), func(n mesh.Node) bool { return !n.Accepts })
+}
+
 // acquirer returns the entry that should acquire a model now.
 func (d *Router) acquirer(model string) (mesh.Node, bool) {
 	if n, ok := d.preferredAcceptor(model); ok {
 		return n, true
 	}
-	entries := slices.DeleteFunc(d.mesh.Entries(true), func(n mesh.Node) bool { return !n.Accepts })
-	first := rendez.Top(model, entries, 1, func(n mesh.Node) string { return n.Name })
+	first := rendez.Top(model, d.intakeEntries(true), 1, func(n mesh.Node) string { return n.Name })
 	if len(first) == 0 {
 		return mesh.Node{}, false
 	}
 	return first[0], true
 }
 
+// noteStore records whether the store has answered a call on behalf of a submission.
+func (d *Router) noteStore(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeFailedAt = time.Time{}
+	if err != nil {
+		d.storeFailedAt = time.Now()
+	}
+}
+
+// storeLooksDown reports whether the store is known to be unavailable, or has failed a call on
+// behalf of a submission less than storeDownFor ago.
+func (d *Router) storeLooksDown() bool {
+	d.mu.Lock()
+	failedAt := d.storeFailedAt
+	d.mu.Unlock()
+	return time.Since(failedAt) < storeDownFor || d.isStoreDown()
+}
+
 // submitToAcceptor passes a submission to the acceptor of its model until the outcome is
 // known or ctx ends. Once an acceptor has given no answer, the submission may run.
 func (d *Router) submitToAcceptor(ctx context.Context, sub *batch.Submission) (outcome string, err error) {
@@ -207,7 +235,9 @@
 				}
 			}
 		}
-		if !sleep.For(ctx, submitRetryPause) {
+		// A call with little time left would get no answer, and leave the outcome open.
+		deadline, ok := ctx.Deadline()
+		if !sleep.For(ctx, submitRetryPause) || (ok && time.Until(deadline) < 2*intakeAnswerMargin) {
 			break
 		}
 	}
@@ -299,6 +329,9 @@
 		if d.stopping.Load() {
 			return intakeResponse{Outcome: outcomeElsewhere, Cause: "the instance is stopping"}
 		}
+		if d.storeLooksDown() {
+			return acquireFailure(errStoreDown)
+		}
 		if err := d.joinAcquire(ctx, sub.Model); err != nil {
 			return acquireFailure(err)
 		}
@@ -318,7 +351,7 @@
 	switch {
 	case errors.As(err, &held):
 		return intakeResponse{Outcome: outcomeElsewhere, Holder: held.Holder, Cause: err.Error()}
-	case errors.As(err, &refused), errors.As(err, &unreadable):
+	case errors.As(err, &refused), errors.As(err, &unreadable), errors.Is(err, errStoreDown):
 		return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
 	}
 	return intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
