--- a/broute/intake.go
+++ b/broute/intake.go
@@ -110,6 +110,10 @@
 	if !d.usesIntake(sub.Model) {
 		err := d.submitDirect(ctx, sub)
 		var other *bstore.IntakeError
+		var unreadable *bstore.DecodeError
+		if errors.As(err, &unreadable) {
+			return "", &RefusedError{Cause: err.Error()} // the create found the record, and wrote nothing
+		}
 		if !errors.As(err, &other) {
 			return outcomeStored, err
 		}
