replog: an append returns once enough replicas have synced it

Cause: a frozen data instance held up each append for a second, until its loss was noticed; submissions in an outage are to be accepted within half a second.

Change: Append returns at the quorum. The calls to the other replicas go on, and a replica that lags gets what it missed in the same call.

--- a/replog/replog.go
+++ b/replog/replog.go
@@ -180,21 +180,32 @@
 
 // Append appends to the replicas the results after the first stored ones, which the store
 // has; those before position from were appended earlier. When it returns nil, one more
-// replica than disks may be lost has synced them. It returns a *seal.FencedError if a
-// replica knows a later owner, and otherwise a *QuorumError.
+// replica than disks may be lost has synced them; the others may still be at it, since one
+// that is frozen must not hold up the rest. It returns a *seal.FencedError if a replica knows
+// a later owner, and otherwise a *QuorumError.
 func (s *Log) Append(ctx context.Context, id string, epoch int64, replicas []batch.Replica, from, stored int, results []batch.Result) error {
 	req := request{Op: opAppend, ID: id, Epoch: epoch, From: from, Stored: stored, Results: results[from-stored:]}
-	replies := s.callAll(ctx, replicas, req)
-	var lagging []batch.Replica
-	for i, a := range replies {
-		if errors.Is(a.err, errGap) {
-			lagging = append(lagging, replicas[i])
-		}
+	liveDisks := s.liveDisks()
+	arrived := make(chan reply, len(replicas))
+	for _, c := range replicas {
+		go func() {
+			r := s.callReplica(ctx, liveDisks, c, req)
+			if errors.Is(r.err, errGap) {
+				// It was out of reach when the others accepted the earlier results.
+				all := req
+				all.From, all.Results = stored, results
+				r = s.callReplica(ctx, liveDisks, c, all)
+			}
+			arrived <- r
+		}()
 	}
-	if len(lagging) > 0 {
-		// These were out of reach when the others accepted the earlier results.
-		req.From, req.Results = stored, results
-		replies = append(slices.DeleteFunc(replies, func(a reply) bool { return errors.Is(a.err, errGap) }), s.callAll(ctx, lagging, req)...)
+	var replies []reply
+	for acked := 0; len(replies) < len(replicas) && acked < s.quorum(); {
+		r := <-arrived
+		replies = append(replies, r)
+		if r.err == nil {
+			acked++
+		}
 	}
 	return checkQuorum(id, replies, s.quorum())
 }
@@ -239,21 +250,22 @@
 	replies := make([]reply, len(replicas))
 	var wg sync.WaitGroup
 	for i, c := range replicas {
-		wg.Go(func() {
-			nodes := s.locate(liveDisks, []batch.Replica{c})
-			if len(nodes) == 0 {
-				replies[i].err = errors.Newf("the disk of %s can't be reached", c.Instance)
-				return
-			}
-			diskReq := req
-			diskReq.Disk = c.Disk
-			replies[i] = s.call(ctx, nodes[0], diskReq)
-		})
+		wg.Go(func() { replies[i] = s.callReplica(ctx, liveDisks, c, req) })
 	}
 	wg.Wait()
 	return replies
 }
 
+// callReplica makes a call to one replica, if the instance with its disk is live.
+func (s *Log) callReplica(ctx context.Context, liveDisks []mesh.Node, c batch.Replica, req request) reply {
+	nodes := s.locate(liveDisks, []batch.Replica{c})
+	if len(nodes) == 0 {
+		return reply{err: errors.Newf("the disk of %s can't be reached", c.Instance)}
+	}
+	req.Disk = c.Disk
+	return s.call(ctx, nodes[0], req)
+}
+
 func (s *Log) call(ctx context.Context, n mesh.Node, req request) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/replog/replog_test.go
+++ b/replog/replog_test.go
@@ -165,6 +165,7 @@
 		m.net.Heal("10.0.0.1", machineIP(machineIndex(c[2])))
 		time.Sleep(2 * time.Second)
 		m.g.Expect(m.owner.Append(ctx, "b", 1, c, 2, 0, results("a", "b", "c", "d"))).To(Succeed())
+		time.Sleep(time.Second) // Append returns once two have them
 		for _, replica := range c {
 			got, _, err := m.data[machineIndex(replica)].dir.Seal("b", 1, 0)
 			m.g.Expect(err).NotTo(HaveOccurred())
@@ -173,6 +174,19 @@
 	})
 }
 
+// A data instance is frozen. Appends must not wait for it: a submission in an outage would be
+// accepted a second late.
+func TestFrozenCopyHoldsNothingUp(t *testing.T) {
+	withCluster(t, func(m *cluster) {
+		c := m.owner.Choose("b", nil)
+		m.net.Freeze(machineIP(machineIndex(c[0])))
+		start := time.Now()
+		m.g.Expect(m.owner.Append(context.Background(), "b", 1, c, 0, 0, results("a"))).To(Succeed())
+		m.g.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond))
+		time.Sleep(2 * callTimeout)
+	})
+}
+
 // A successor seals two of three replicas. From then on the earlier owner must be refused,
 // although the third replica doesn't know of the successor.
 func TestSealedCopiesRefuse(t *testing.T) {
