broute, replog, walog: an acquire needs the log's replicas, and nobody shares its name

Cause: an acquire that reached too few replicas for 30 s went on without them, and wrote other replicas to the record; submissions that were accepted in the outage were forgotten and accepted again. A caller could name a batch like the log of submissions, whose results then replaced the log's entries. A fenced acceptor drops its batches, also those whose create has taken effect; it then read such a batch again without a claim, as it had epoch 1 and no writes, and results listed from replicas could change.

Change: an acquire doesn't claim the record unless enough replicas are live, and never goes on without them; submissions of the model get 503 meanwhile. The log's name begins with a byte that no header carries, and such logs don't expire, since their epoch fences a frozen acceptor. Seals are written to a full disk too. Acceptors create batches with epoch 2; the model check has the same epochs.

--- a/broute/acceptor.go
+++ b/broute/acceptor.go
@@ -211,7 +211,7 @@
 	e := a.entries[sub.ID]
 	a.mu.Unlock()
 	if e == nil {
-		rec := bstore.Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: a.router.self, Epoch: firstEpoch, Customer: sub.Customer,
+		rec := bstore.Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: a.router.self, Epoch: acceptedEpoch, Customer: sub.Customer,
 			Replicas: a.router.replicas.Choose(sub.ID, nil)}}
 		res, isUnknown := a.tryStore(ctx, &rec, sub)
 		if res.Outcome != "" {
--- a/broute/acquire.go
+++ b/broute/acquire.go
@@ -12,14 +12,13 @@
 	"github.com/lavendermux/lavendermux/intake"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/replog"
+	"github.com/lavendermux/lavendermux/walog"
 )
 
 const (
-	// acquireTimeout bounds an acquire. sealGiveUp is how long it tries to reach enough replicas
-	// of the log: longer than machines that lost power take to restart. After that more disks
-	// are lost than are tolerated, and without an acceptor the model would get no batches at all.
+	// acquireTimeout bounds an acquire, which a later one repeats with another epoch. Machines
+	// that lost power need less to restart.
 	acquireTimeout = 45 * time.Second
-	sealGiveUp     = 30 * time.Second
 	// loadTimeout bounds the read of the record, before which nothing else is done. The store
 	// answers in 4 ms, or in a quarter of a second when it is slow.
 	loadTimeout = time.Second
@@ -38,6 +37,13 @@
 	heldError struct {
 		Model, Holder string
 	}
+
+	// unsealedError means that too few replicas of a model's log can be reached. Without them
+	// it isn't known what was accepted while the store was unavailable.
+	unsealedError struct {
+		Model    string
+		Replicas []batch.Replica
+	}
 )
 
 // Error names the holder.
@@ -45,8 +51,13 @@
 	return fmt.Sprintf("model %s: its record is held by %s", e.Model, e.Holder)
 }
 
-// intakeLog is the ID of the log of a model's submissions.
-func intakeLog(model string) string { return "intake/" + model }
+// Error names the replicas, for operators to bring them back.
+func (e *unsealedError) Error() string {
+	return fmt.Sprintf("model %s: too few replicas of its log can be reached of %v", e.Model, e.Replicas)
+}
+
+// intakeLog is the ID of the log of a model's submissions, which no batch has.
+func intakeLog(model string) string { return walog.ReservedPrefix + "intake/" + model }
 
 func (d *Router) ownAcceptors() map[string]*acceptor {
 	d.mu.Lock()
@@ -127,6 +138,9 @@
 	if n, alive := d.mesh.FindHolder(in.Holder); in.Revision > 0 && alive && !d.hasGivenUp(ctx, n, model) {
 		return nil, &heldError{Model: model, Holder: in.Holder}
 	}
+	if len(in.Replicas) > 0 && !d.replicas.CanSeal(in.Replicas) {
+		return nil, &unsealedError{Model: model, Replicas: in.Replicas}
+	}
 	claimed := in
 	claimed.Holder, claimed.Epoch = d.self, in.Epoch+1
 	err = d.store.SaveIntake(ctx, in, &claimed)
@@ -194,23 +208,24 @@
 	return err == nil && res.Outcome == outcomeElsewhere && !res.Acquiring
 }
 
-// sealIntake seals the log of a model and returns its entries that the store may lack.
+// sealIntake seals the log of a model and returns its entries that the store may lack. It
+// retries until ctx ends, and never goes on without enough replicas: those in a partition may
+// have submissions that were accepted, and the record would then name others.
 func (d *Router) sealIntake(ctx context.Context, in bstore.Intake) ([]intake.Entry, error) {
 	if len(in.Replicas) == 0 {
 		return nil, nil
 	}
-	start := time.Now()
 	for {
 		results, err := d.replicas.Seal(ctx, intakeLog(in.Model), in.Epoch, in.Replicas, in.Stored)
 		var tooFew *replog.QuorumError
-		if errors.As(err, &tooFew) && ctx.Err() == nil {
-			if time.Since(start) < sealGiveUp {
+		if errors.As(err, &tooFew) {
+			if ctx.Err() == nil {
 				d.logger.Warn("Log of submissions on too few replicas; retrying.", "model", in.Model, "epoch", in.Epoch, "error", err)
 				continue
 			}
-			d.logger.Error("More disks are lost than are tolerated; submissions accepted while the store was unavailable may be missing.",
-				"model", in.Model, "epoch", in.Epoch, "found", len(results), "error", err)
-		} else if err != nil {
+			return nil, errors.CombineErrors(&unsealedError{Model: in.Model, Replicas: in.Replicas}, err)
+		}
+		if err != nil {
 			return nil, err
 		}
 		entries := make([]intake.Entry, 0, len(results))
@@ -248,7 +263,7 @@
 // storeRecovered stores a batch that the store doesn't have.
 func (d *Router) storeRecovered(ctx context.Context, in bstore.Intake, e intake.Entry) (err error) {
 	id := e.Submission.ID
-	rec := bstore.Record{ID: id, AcceptedAt: time.Now().Add(-e.Age), Head: batch.Head{Owner: d.self, Epoch: firstEpoch + in.Epoch - e.Epoch, Replicas: e.Replicas}}
+	rec := bstore.Record{ID: id, AcceptedAt: time.Now().Add(-e.Age), Head: batch.Head{Owner: d.self, Epoch: acceptedEpoch + in.Epoch - e.Epoch, Replicas: e.Replicas}}
 	d.correctAge(&rec)
 	d.runner.Drop(id, "recovered from the log")
 	var results []batch.Result
--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -26,8 +26,12 @@
 	// takeoverTimeout bounds one takeover attempt: the store's replies and the retries of
 	// replicas that can't be reached.
 	takeoverTimeout = 10 * time.Second
-	// firstEpoch is the epoch of a newly created batch.
+	// firstEpoch is the epoch of a batch that was created without an acceptor.
 	firstEpoch = 1
+	// acceptedEpoch is the epoch of a batch that an acceptor created. It is later than
+	// firstEpoch, so that the instance claims the batch again if it has dropped it: it may
+	// have listed results from replicas that must be read first.
+	acceptedEpoch = firstEpoch + 1
 )
 
 // joinTakeover makes this instance the owner of a batch whose owner is lost, or joins a
--- a/broute/intake.go
+++ b/broute/intake.go
@@ -253,7 +253,7 @@
 
 // cacheOwner remembers the owner of a batch that the store may not have yet, for reads.
 func (d *Router) cacheOwner(sub *batch.Submission, owner string) {
-	d.cacheHead(bstore.Record{ID: sub.ID, Head: batch.Head{Owner: owner, Epoch: firstEpoch, Customer: sub.Customer}})
+	d.cacheHead(bstore.Record{ID: sub.ID, Head: batch.Head{Owner: owner, Epoch: acceptedEpoch, Customer: sub.Customer}})
 }
 
 // acceptorFor returns the instance to which submissions of a model go: this one if it is the
@@ -352,10 +352,11 @@
 	var held *heldError
 	var refused *kvst.RefusedError
 	var unreadable *bstore.DecodeError
+	var unsealed *unsealedError
 	switch {
 	case errors.As(err, &held):
 		return intakeResponse{Outcome: outcomeElsewhere, Holder: held.Holder, Cause: err.Error()}
-	case errors.As(err, &refused), errors.As(err, &unreadable), errors.Is(err, errStoreDown):
+	case errors.As(err, &refused), errors.As(err, &unreadable), errors.As(err, &unsealed), errors.Is(err, errStoreDown):
 		return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
 	}
 	return intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
--- a/intake/search_test.go
+++ b/intake/search_test.go
@@ -29,6 +29,8 @@
 	maxLog = 2
 	// maxOutages bounds the outages of the store.
 	maxOutages = 1
+	// acceptedEpoch is the epoch of a batch that an acceptor creates. Without a record it is 1.
+	acceptedEpoch = 2
 )
 
 // The phases of an acceptor.
@@ -309,6 +311,14 @@
 	}
 }
 
+// firstEpoch returns the epoch of a batch that the acceptor creates.
+func (a *acceptorState) firstEpoch() uint8 {
+	if a.phase == direct {
+		return acceptedEpoch - 1
+	}
+	return acceptedEpoch
+}
+
 // delayed returns the number of messages in flight.
 func (s *state) delayed() int {
 	n := 0
@@ -371,7 +381,7 @@
 	switch {
 	case s.head[id].owner == uint8(i+1):
 		if !a.runs[id] {
-			a.run(id, i, 1, 0)
+			a.run(id, i, a.firstEpoch(), 0)
 		}
 		s.accept(i, id)
 	case s.head[id].owner != 0:
@@ -443,7 +453,7 @@
 		if id := idOf(e); a.base+uint8(k) < enough && !a.known[id] {
 			step(fmt.Sprint(id, " accepted by ", i), func(n *state) {
 				a := &n.acceptor[i]
-				a.run(id, i, 1, 0)
+				a.run(id, i, a.firstEpoch(), 0)
 				n.accept(i, id)
 			})
 		}
@@ -609,7 +619,7 @@
 		})
 		return
 	}
-	id, epoch := idOf(a.entry[next]), uint8(1+i-acceptorOf(a.entry[next]))
+	id, epoch := idOf(a.entry[next]), uint8(acceptedEpoch+i-acceptorOf(a.entry[next]))
 	if b.results && a.sealedResults == 0 {
 		for _, set := range sealSets {
 			if s.canSeal(set, om) {
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -210,6 +210,17 @@
 	return checkQuorum(id, replies, s.quorum())
 }
 
+// CanSeal reports whether enough of the replicas are live for a seal.
+func (s *Log) CanSeal(replicas []batch.Replica) bool {
+	return len(s.locate(s.liveDisks(), replicas)) >= s.sealQuorum(replicas)
+}
+
+// sealQuorum returns the number of replicas that a seal must reach: all but as many as may be
+// lost.
+func (s *Log) sealQuorum(replicas []batch.Replica) int {
+	return max(1, len(replicas)-s.maxLostDisks)
+}
+
 // Seal makes the replicas refuse owners with an earlier epoch. It returns all listed
 // results from position after on, followed by any others that the last owner appended. It
 // retries for sealTimeout; then it returns a *QuorumError together with what it has found.
@@ -218,7 +229,7 @@
 	defer cancel()
 	for {
 		replies := s.callAll(ctx, replicas, request{Op: opSeal, ID: id, Epoch: epoch, From: after})
-		err := checkQuorum(id, replies, max(1, len(replicas)-s.maxLostDisks))
+		err := checkQuorum(id, replies, s.sealQuorum(replicas))
 		var fenced *seal.FencedError
 		switch {
 		case err == nil:
--- a/walog/check.go
+++ b/walog/check.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, false, errors.Wrapf(err, "getting the size of %s", name)
 	}
-	cells = []string{id}
+	cells = []string{strings.ReplaceAll(id, ReservedPrefix, "\\0")}
 	for _, n := range []int64{l.replica.Epoch, int64(l.replica.From), int64(len(l.replica.Results)), intact, size - intact} {
 		cells = append(cells, strconv.FormatInt(n, 10))
 	}
--- a/walog/walog.go
+++ b/walog/walog.go
@@ -30,6 +30,11 @@
 )
 
 const (
+	// ReservedPrefix begins the IDs of logs that aren't those of batches. No HTTP header can
+	// carry it, so that no caller can choose such an ID. These logs don't expire: their
+	// epochs fence writers for as long as the logs are in use.
+	ReservedPrefix = "\x00"
+
 	// idFile has the disk's ID; logSuffix is the file name extension of logs.
 	idFile    = "disk"
 	logSuffix = ".log"
@@ -42,7 +47,7 @@
 	defaultMaxBytes = 64 << 20
 	// logTTL is how long a log stays after its last use, even when its results were
 	// dropped. Its epoch must outlive every owner that may still act with an earlier one,
-	// and a batch is kept for an hour at most.
+	// and a batch is kept for an hour at most. It doesn't apply to reserved IDs.
 	logTTL = 2 * time.Hour
 	// headerBytes is the size of a record's header: its length and its checksum.
 	headerBytes = 8
@@ -322,7 +327,9 @@
 	d.mu.Lock()
 	total := d.bytes + int64(len(data))
 	d.mu.Unlock()
-	if total > d.maxBytes {
+	// A seal is written to a full disk too: it is small, and without it nobody could continue
+	// the batches whose results fill the disk.
+	if total > d.maxBytes && len(rec.Results) > 0 {
 		return &FullError{Bytes: total, Max: d.maxBytes}
 	}
 	_, err = l.f.Write(data)
@@ -413,7 +420,7 @@
 // removeExpired removes logs not used for logTTL. The caller must hold d.mu.
 func (d *Dir) removeExpired() {
 	for id, l := range d.logs {
-		if time.Since(l.lastUsed) < logTTL {
+		if time.Since(l.lastUsed) < logTTL || strings.HasPrefix(id, ReservedPrefix) {
 			continue
 		}
 		delete(d.logs, id)
--- a/walog/walog_test.go
+++ b/walog/walog_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
@@ -150,11 +151,33 @@
 		}
 	}
 	g.Expect(n).To(And(BeNumerically(">", 3), BeNumerically("<", 20)))
-	got, _, err := openDir(g, path).Seal("b", 1, 0)
+	for epoch := range int64(40) {
+		_, _, err := d.Seal("b", epoch+2, 0)
+		g.Expect(err).NotTo(HaveOccurred(), "a successor must be able to seal")
+	}
+	got, _, err := openDir(g, path).Seal("b", 41, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(got).To(HaveLen(n))
 }
 
+// An acceptor is frozen for longer than unused logs are kept, while its log isn't used. Its
+// appends must still be refused once it wakes, while logs of batches must not stay for good.
+func TestReservedLogsDoNotExpire(t *testing.T) {
+	g, path := NewWithT(t), t.TempDir()
+	d := openDir(g, path)
+	for _, id := range []string{"b", ReservedPrefix + "b"} {
+		_, _, err := d.Seal(id, 2, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		d.logs[id].lastUsed = time.Now().Add(-2 * logTTL)
+	}
+	g.Expect(d.Append("next", 1, 0, 0, results("a"))).To(Succeed())
+	for _, d := range []*Dir{d, openDir(g, path)} {
+		var fenced *seal.FencedError
+		g.Expect(errors.As(d.Append(ReservedPrefix+"b", 1, 0, 0, results("x")), &fenced)).To(BeTrue())
+		g.Expect(d.logs).NotTo(HaveKey("b"))
+	}
+}
+
 // An operator drains the machine. It must refuse new results with a ClosedError.
 func TestBeingEmptied(t *testing.T) {
 	g := NewWithT(t)
