broute, bstore, intake: one submission or head no longer holds up a model

Cause: a submission beyond the store's limit was accepted in an outage, and then failed each write of the log and each acquire for good; so did a log entry or a head that can't be decoded. Another customer's submission of an ID in the log was answered as its own. IDs of open batches were forgotten after the retention of ended ones. A create without an answer was repeated with other replicas than its head may name. A batch of the log that ended before the record counted it was removed, and stored again by a successor.

Change: the store's limit and one for entries are checked before an append; entries that can never be stored are logged and left out; heads that can't be decoded are skipped, and their IDs refused in an outage. A create without an answer keeps its record. A batch of the log counts as stored, for its runner, once the record counts it; the record is written every 250 ms while entries are stored. IDs are kept while their batches are open, and in an outage. A closed acceptor refers submissions elsewhere; warnings about replicas come every 2 s.

The kept record of a create without an answer, and the order of record and removal, have no test of their own.

--- a/broute/acceptor.go
+++ b/broute/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,11 @@
 	// one that failed. Together they are less than storeDownFor.
 	storeTimeout    = time.Second
 	storeRetryPause = 150 * time.Millisecond
+	// saveInterval is how often the record is written while log entries are stored.
+	saveInterval = 250 * time.Millisecond
+	// appendWarnInterval is the interval of warnings about replicas out of reach, of which an
+	// outage would otherwise have ten each second.
+	appendWarnInterval = 2 * time.Second
 	// appendRetryPause is the pause after an append that reached too few replicas.
 	appendRetryPause = 100 * time.Millisecond
 )
@@ -54,6 +60,11 @@
 		// lacks, both by ID.
 		attempts map[string]*attempt
 		entries  map[string]*logEntry
+		// unanswered are the creates that may have taken effect, by ID. They are repeated
+		// unchanged: the head would otherwise name other replicas than those in use.
+		unanswered map[string]unanswered
+		// unreadable are the IDs whose heads couldn't be decoded when the model was acquired.
+		unreadable map[string]bool
 		// ended is set once the acceptor is fenced, isMoving while other replicas are written to
 		// the record.
 		ended, isMoving bool
@@ -68,6 +79,12 @@
 		res      intakeResponse
 	}
 
+	// unanswered is a create without an answer.
+	unanswered struct {
+		rec bstore.Record
+		sub *batch.Submission
+	}
+
 	// logEntry is a submission in the log.
 	logEntry struct {
 		rec bstore.Record
@@ -75,14 +92,21 @@
 		// isStarted is set once the batch is accepted and runs; accepted is closed then.
 		isStarted bool
 		accepted  chan struct{}
-		// stored is closed once the store has the batch or err is set.
+		// isStored is set once the store has the batch.
+		isStored bool
+		// stored is closed once the record counts the entry too, or err is set: until then a
+		// successor would store the batch again if it were ended and removed.
 		stored chan struct{}
 		err    error
 	}
 )
 
-// newAcceptor returns an acceptor that holds a record and knows the stored batches.
-func newAcceptor(d *Router, in bstore.Intake, heads []bstore.Record) *acceptor {
+// errEnded is returned for a submission that an acceptor didn't append because it has ended.
+var errEnded = errors.New("the acceptor has ended")
+
+// newAcceptor returns an acceptor that holds a record and knows the stored batches, and the
+// IDs of those whose heads can't be decoded.
+func newAcceptor(d *Router, in bstore.Intake, heads []bstore.Record, unreadable []string) *acceptor {
 	ctx, cancel := context.WithCancel(d.baseCtx)
 	a := &acceptor{
 		router:     d,
@@ -94,12 +118,17 @@
 		record:     in,
 		attempts:   make(map[string]*attempt),
 		entries:    make(map[string]*logEntry),
+		unanswered: make(map[string]unanswered),
+		unreadable: make(map[string]bool),
 		appendWake: make(chan struct{}, 1),
 		storeWake:  make(chan struct{}, 1),
 	}
 	for _, rec := range heads {
 		a.state.Learn(rec.ID, rec.Customer, time.Now())
 	}
+	for _, id := range unreadable {
+		a.unreadable[id] = true
+	}
 	go a.appendLoop()
 	go a.storeLoop()
 	return a
@@ -136,6 +165,10 @@
 	a.ended = true
 	a.closed.Store(true)
 	for id, e := range a.entries {
+		if e.isStored {
+			a.finish(e, nil) // its head fences other owners
+			continue
+		}
 		a.finish(e, &bstore.FencedError{ID: id, Now: batch.Head{Epoch: a.epoch}})
 	}
 	a.mu.Unlock()
@@ -158,7 +191,7 @@
 	a.mu.Lock()
 	if a.closed.Load() {
 		a.mu.Unlock()
-		return intakeResponse{Outcome: outcomeElsewhere, Cause: "the acceptor has ended"}
+		return intakeResponse{Outcome: outcomeElsewhere, Cause: errEnded.Error()}
 	}
 	if customer, ok := a.state.CustomerOf(sub.ID); ok {
 		a.mu.Unlock()
@@ -209,14 +242,35 @@
 func (a *acceptor) tryAccept(ctx context.Context, sub *batch.Submission, since time.Time) intakeResponse {
 	a.mu.Lock()
 	e := a.entries[sub.ID]
+	earlier, isUnknown := a.unanswered[sub.ID]
+	isUnreadable := a.unreadable[sub.ID]
 	a.mu.Unlock()
+	if (e != nil && e.sub.Customer != sub.Customer) || (isUnknown && earlier.sub.Customer != sub.Customer) {
+		return intakeResponse{Outcome: outcomeConflict}
+	}
 	if e == nil {
 		rec := bstore.Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: a.router.self, Epoch: acceptedEpoch, Customer: sub.Customer,
 			Replicas: a.router.replicas.Choose(sub.ID, nil)}}
-		res, isUnknown := a.tryStore(ctx, &rec, sub)
+		if isUnknown {
+			rec, sub = earlier.rec, earlier.sub
+		}
+		res, mayExist := a.tryStore(ctx, &rec, sub)
 		if res.Outcome != "" {
 			return res
 		}
+		if mayExist && !isUnknown {
+			isUnknown = true
+			a.mu.Lock()
+			a.unanswered[sub.ID] = unanswered{rec: rec, sub: sub}
+			a.mu.Unlock()
+		}
+		if isUnreadable {
+			return intakeResponse{Outcome: outcomeRefused, Cause: "the store has a head of this ID that can't be decoded"}
+		}
+		var tooLarge *bstore.SizeError
+		if err := a.router.store.CheckSize(sub); errors.As(err, &tooLarge) {
+			return intakeResponse{Outcome: outcomeTooLarge, Bytes: tooLarge.Bytes, Max: tooLarge.Max}
+		}
 		if res, ok := a.ownedElsewhere(ctx, sub); ok {
 			return res
 		}
@@ -225,6 +279,9 @@
 			if isUnknown {
 				return intakeResponse{Outcome: outcomeUnknown, Cause: "the store has not answered, and " + err.Error()}
 			}
+			if errors.Is(err, errEnded) {
+				return intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
+			}
 			return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
 		}
 	}
@@ -242,8 +299,8 @@
 }
 
 // tryStore creates the batch in the store. The response has no outcome if the submission is
-// to be logged; isUnknown reports whether the create may then have taken effect.
-func (a *acceptor) tryStore(ctx context.Context, rec *bstore.Record, sub *batch.Submission) (res intakeResponse, isUnknown bool) {
+// to be logged; mayExist reports whether the create may then have taken effect.
+func (a *acceptor) tryStore(ctx context.Context, rec *bstore.Record, sub *batch.Submission) (res intakeResponse, mayExist bool) {
 	a.mu.Lock()
 	canLog := a.state.CanAppend() == nil
 	a.mu.Unlock()
@@ -308,8 +365,12 @@
 	defer a.mu.Unlock()
 	if now.Revision > a.record.Revision {
 		a.record = now
-		a.state.Saved(now.Stored, now.Replicas)
 		a.isMoving = false
+		for _, id := range a.state.Saved(now.Stored, now.Replicas) {
+			if e, ok := a.entries[id]; ok {
+				a.finish(e, nil)
+			}
+		}
 	}
 	return true
 }
@@ -338,6 +399,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.state.Learn(sub.ID, sub.Customer, time.Now())
+	delete(a.unanswered, sub.ID)
 }
 
 // log adds a submission to the log, which appendLoop and storeLoop then handle.
@@ -349,13 +411,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.closed.Load() {
-		return nil, &intake.RefusedError{Cause: "the acceptor has ended"}
+		return nil, errEnded
 	}
 	if err := a.state.Append(encoded); err != nil {
 		return nil, err
 	}
 	e := &logEntry{rec: rec, sub: sub, accepted: make(chan struct{}), stored: make(chan struct{})}
 	a.entries[sub.ID] = e
+	delete(a.unanswered, sub.ID) // the entry has its record
 	signal(a.appendWake)
 	signal(a.storeWake)
 	return e, nil
@@ -363,6 +426,7 @@
 
 // appendLoop appends log entries to the replicas and accepts those that enough have synced.
 func (a *acceptor) appendLoop() {
+	var warnedAt time.Time
 	for {
 		a.mu.Lock()
 		from, stored, entries := a.state.Unsynced()
@@ -387,7 +451,10 @@
 			a.end(err.Error())
 			return
 		case err != nil:
-			a.router.logger.Warn("Submissions on too few replicas.", "model", a.model, "epoch", a.epoch, "from", from, "entries", to-from, "error", err)
+			if time.Since(warnedAt) >= appendWarnInterval {
+				warnedAt = time.Now()
+				a.router.logger.Warn("Submissions on too few replicas.", "model", a.model, "epoch", a.epoch, "from", from, "entries", to-from, "error", err)
+			}
 			sleep.For(a.ctx, appendRetryPause)
 			continue
 		}
@@ -425,9 +492,10 @@
 	close(e.accepted)
 }
 
-// storeLoop creates the batches of log entries in order until the store has all of them, and
-// then writes that to the record.
+// storeLoop creates the batches of log entries in order, and writes to the record how many the
+// store has: once it has all of them, and every saveInterval until then.
 func (a *acceptor) storeLoop() {
+	savedAt := time.Now()
 	for {
 		a.mu.Lock()
 		id, ok := a.state.NextToStore()
@@ -436,10 +504,12 @@
 		a.mu.Unlock()
 		var err error
 		switch {
+		case count > record.Stored && (!ok || time.Since(savedAt) >= saveInterval):
+			if err = a.save(record, count, record.Replicas); err == nil {
+				savedAt = time.Now()
+			}
 		case ok && e != nil:
 			err = a.storeEntry(e)
-		case count > record.Stored:
-			err = a.save(record, count, record.Replicas)
 		default:
 			select {
 			case <-a.ctx.Done():
@@ -464,7 +534,8 @@
 }
 
 // storeEntry creates the batch of a log entry. A batch that exists under another owner counts
-// as stored, and is dropped here.
+// as stored, and is dropped here, and so is one that can never be stored: otherwise no later
+// submission would be stored.
 func (a *acceptor) storeEntry(e *logEntry) error {
 	ctx, cancel := context.WithTimeout(a.ctx, storeTimeout)
 	defer cancel()
@@ -472,7 +543,7 @@
 	err := a.create(ctx, &rec, e.sub)
 	var fenced *bstore.FencedError
 	exists := errors.As(err, &fenced)
-	if err != nil && !exists {
+	if err != nil && !exists && !isPermanent(err) {
 		return err
 	}
 	a.mu.Lock()
@@ -481,13 +552,17 @@
 		return a.ctx.Err()
 	}
 	a.state.MarkStored(e.sub.ID)
-	if !exists {
-		e.rec = rec
-		a.finish(e, nil)
-		a.start(e)
-	} else {
+	switch {
+	case exists:
 		a.state.Learn(e.sub.ID, fenced.Now.Customer, time.Now())
 		a.finish(e, err)
+	case err != nil:
+		a.router.logger.Error("Submission of the log can't be stored; it is dropped.", "batch", e.sub.ID, "model", a.model, "epoch", a.epoch, "error", err)
+		a.finish(e, &bstore.FencedError{ID: e.sub.ID})
+		return nil
+	default:
+		e.rec, e.isStored = rec, true
+		a.start(e)
 	}
 	a.router.logger.Info("Submission of the log stored.", "batch", e.sub.ID, "model", a.model, "epoch", a.epoch, "revision", rec.Revision, "exists", exists)
 	return nil
@@ -521,9 +596,17 @@
 // tend replaces replicas that are out of reach, and forgets old IDs.
 func (a *acceptor) tend(now time.Time) {
 	isDown := a.router.storeLooksDown()
+	own, others := a.router.runner.Holding(), a.router.mesh.OpenBatches()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.state.Forget(now.Add(-a.router.knownTTL))
+	if !isDown { // in an outage no batch is removed, and the owner of an open one may be lost
+		before := now.Add(-a.router.knownTTL)
+		a.state.Forget(before, now, func(id string) bool {
+			_, isOwn := own[id]
+			return isOwn || others[id]
+		})
+		maps.DeleteFunc(a.unanswered, func(_ string, u unanswered) bool { return u.rec.AcceptedAt.Before(before) })
+	}
 	if isDown || a.isMoving || a.closed.Load() {
 		return
 	}
--- a/broute/acquire.go
+++ b/broute/acquire.go
@@ -161,15 +161,25 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, e := range entries {
-		if err := d.recoverEntry(ctx, claimed, e); err != nil {
+	for _, r := range entries {
+		e, err := intake.Decode(r)
+		if err == nil {
+			err = d.recoverEntry(ctx, claimed, e)
+		}
+		switch {
+		case isPermanent(err):
+			d.logger.Error("Submission of the log can't be stored; it is left out.", "batch", r.ID, "model", model, "epoch", claimed.Epoch, "error", err)
+		case err != nil:
 			return nil, err
 		}
 	}
-	heads, err := d.store.CurrentHeads(ctx)
+	heads, unreadable, err := d.store.CurrentHeads(ctx)
 	if err != nil {
 		return nil, err
 	}
+	if len(unreadable) > 0 {
+		d.logger.Error("Heads of batches are unreadable.", "batches", unreadable)
+	}
 	next := claimed
 	next.Stored += len(entries)
 	next.Replicas = d.replicas.Choose(intakeLog(model), claimed.Replicas)
@@ -179,7 +189,7 @@
 	if len(entries) > 0 {
 		go d.replicas.Drop(d.baseCtx, intakeLog(model), next.Epoch, claimed.Replicas, next.Stored)
 	}
-	a := newAcceptor(d, next, heads)
+	a := newAcceptor(d, next, heads, unreadable)
 	d.logger.Info("Model acquired.", "model", model, "epoch", next.Epoch, "from", in.Holder, "recovered", len(entries), "stored", next.Stored,
 		"replicas", len(next.Replicas), "known", len(heads))
 	return a, nil
@@ -208,10 +218,20 @@
 	return err == nil && res.Outcome == outcomeElsewhere && !res.Acquiring
 }
 
+// isPermanent reports whether a submission of the log can never be stored: it can't be
+// decoded, is too large, or its head in the store can't be decoded. It must not hold up the
+// others.
+func isPermanent(err error) bool {
+	var tooLarge *bstore.SizeError
+	var unreadable *bstore.DecodeError
+	var malformed *intake.DecodeError
+	return errors.As(err, &tooLarge) || errors.As(err, &malformed) || (errors.As(err, &unreadable) && unreadable.IsHead())
+}
+
 // sealIntake seals the log of a model and returns its entries that the store may lack. It
 // retries until ctx ends, and never goes on without enough replicas: those in a partition may
 // have submissions that were accepted, and the record would then name others.
-func (d *Router) sealIntake(ctx context.Context, in bstore.Intake) ([]intake.Entry, error) {
+func (d *Router) sealIntake(ctx context.Context, in bstore.Intake) ([]batch.Result, error) {
 	if len(in.Replicas) == 0 {
 		return nil, nil
 	}
@@ -225,18 +245,7 @@
 			}
 			return nil, errors.CombineErrors(&unsealedError{Model: in.Model, Replicas: in.Replicas}, err)
 		}
-		if err != nil {
-			return nil, err
-		}
-		entries := make([]intake.Entry, 0, len(results))
-		for _, r := range results {
-			e, err := intake.Decode(r)
-			if err != nil {
-				return nil, err
-			}
-			entries = append(entries, e)
-		}
-		return entries, nil
+		return results, err
 	}
 }
 
@@ -277,7 +286,16 @@
 			return err
 		}
 	}
-	if err := d.store.CreateFenced(ctx, in, &rec, e.Submission, results); err != nil {
+	err = d.store.CreateFenced(ctx, in, &rec, e.Submission, results)
+	var tooLarge *bstore.SizeError
+	if errors.As(err, &tooLarge) && len(results) > 0 {
+		// The results don't fit next to the submission. They stay on the replicas until they
+		// are stored: a successor would read them there.
+		if err = d.store.CreateFenced(ctx, in, &rec, e.Submission, nil); err == nil {
+			err = d.store.Apply(ctx, bstore.Change{Record: &rec, Results: results})
+		}
+	}
+	if err != nil {
 		return err
 	}
 	d.cacheHead(rec)
--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -206,11 +206,15 @@
 // Recover takes over the batches that have no owner after all instances stopped at once.
 func (d *Router) Recover(ctx context.Context) {
 	heads, err := d.store.Heads(ctx)
-	for err != nil && ctx.Err() == nil {
+	var unreadable *bstore.DecodeError
+	for err != nil && !errors.As(err, &unreadable) && ctx.Err() == nil {
 		d.logger.Warn("Listing batches failed; retrying.", "error", err)
 		time.Sleep(takeoverRetryPause)
 		heads, err = d.store.Heads(ctx)
 	}
+	if unreadable != nil {
+		d.logger.Error("Head of a batch is unreadable; the batch is left out.", "key", unreadable.Key, "error", unreadable.Cause)
+	}
 	open, ended := make(map[string]int64), make(map[string]int64)
 	for _, head := range heads {
 		_, alive := d.mesh.FindHolder(head.Owner)
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -149,25 +149,23 @@
 	return decodeHead(it)
 }
 
-// Heads returns the heads of all stored batches.
+// Heads returns the heads of all stored batches. A head that can't be decoded is left out, and
+// reported by a *DecodeError next to the others.
 func (s *Store) Heads(ctx context.Context) ([]Record, error) {
 	items, _, err := s.list(ctx, HeadPrefix)
 	if err != nil {
 		return nil, err
 	}
-	return decodeHeads(items)
-}
-
-func decodeHeads(items []kvst.Item) ([]Record, error) {
 	heads := make([]Record, 0, len(items))
 	for _, it := range items {
-		rec, err := decodeHead(it)
-		if err != nil {
-			return nil, err
+		rec, decodeErr := decodeHead(it)
+		if decodeErr != nil {
+			err = decodeErr
+			continue
 		}
 		heads = append(heads, rec)
 	}
-	return heads, nil
+	return heads, err
 }
 
 // Submission returns the stored submission of a batch.
@@ -367,14 +365,17 @@
 	return nil
 }
 
+// decodeHead returns a head. If it can't be decoded, the error is a *DecodeError, and the
+// record has the ID only.
 func decodeHead(it kvst.Item) (Record, error) {
-	id, err := url.PathUnescape(strings.TrimPrefix(it.Key, HeadPrefix))
+	name := strings.TrimPrefix(it.Key, HeadPrefix)
+	id, err := url.PathUnescape(name)
 	if err != nil {
-		return Record{}, errors.Wrapf(err, "key %s", it.Key)
+		return Record{ID: name}, &DecodeError{Key: it.Key, Cause: err}
 	}
 	rec := Record{ID: id, Revision: it.Revision}
 	if err := json.Unmarshal(it.Value, &rec.Head); err != nil {
-		return Record{}, errors.Wrapf(err, "head of batch %s", id)
+		return Record{ID: id}, &DecodeError{Key: it.Key, Cause: err}
 	}
 	rec.AcceptedAt = time.Now().Add(-time.Duration(rec.AgeMs) * time.Millisecond)
 	return rec, nil
--- a/bstore/intake.go
+++ b/bstore/intake.go
@@ -55,6 +55,9 @@
 // Error names the key.
 func (e *DecodeError) Error() string { return fmt.Sprintf("record %s: %v", e.Key, e.Cause) }
 
+// IsHead reports whether the record is the head of a batch.
+func (e *DecodeError) IsHead() bool { return strings.HasPrefix(e.Key, HeadPrefix) }
+
 // Unwrap returns the cause.
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
@@ -64,17 +67,13 @@
 // and an *IntakeError if there is no such batch and the intake record has changed. A write
 // of the same owner and epoch that took effect late counts as this one.
 func (s *Store) CreateFenced(ctx context.Context, in Intake, rec *Record, sub *batch.Submission, results []batch.Result) error {
-	raw, err := json.Marshal(sub)
-	if err != nil {
-		return errors.Wrap(err, "encoding the submission")
-	}
 	chunks, err := encodeChunks(s, results)
 	if err != nil {
 		return err
 	}
-	parts := split(raw, s.maxValueBytes)
-	if len(parts)+len(chunks) > maxTxnEntries-2 {
-		return &SizeError{Bytes: len(raw), Max: s.maxValueBytes * (maxTxnEntries - 2)}
+	parts, err := s.encodeBody(sub, len(chunks))
+	if err != nil {
+		return err
 	}
 	next := *rec
 	next.ID, next.Customer, next.Writes = sub.ID, sub.Customer, 0
@@ -94,6 +93,25 @@
 	return nil
 }
 
+// CheckSize returns a *SizeError if a submission is too large to be created.
+func (s *Store) CheckSize(sub *batch.Submission) error {
+	_, err := s.encodeBody(sub, 0)
+	return err
+}
+
+// encodeBody returns the values of a submission that is created next to a number of others.
+func (s *Store) encodeBody(sub *batch.Submission, others int) ([][]byte, error) {
+	raw, err := json.Marshal(sub)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding the submission")
+	}
+	parts := split(raw, s.maxValueBytes)
+	if len(parts)+others > maxTxnEntries-2 {
+		return nil, &SizeError{Bytes: len(raw), Max: s.maxValueBytes * (maxTxnEntries - 2)}
+	}
+	return parts, nil
+}
+
 // LoadIntake returns the intake record of a model; its Revision is 0 if there is none.
 func (s *Store) LoadIntake(ctx context.Context, model string) (Intake, error) {
 	it, err := s.kv.Get(ctx, intakeKey(model))
@@ -171,14 +189,23 @@
 	return true
 }
 
-// CurrentHeads returns the heads of all stored batches as they are now. Heads may return a
-// list that another instance has read a moment ago.
-func (s *Store) CurrentHeads(ctx context.Context) ([]Record, error) {
+// CurrentHeads returns the heads of all stored batches as they are now, and the IDs of those
+// whose head can't be decoded. Heads may return a list that another instance has read a moment
+// ago.
+func (s *Store) CurrentHeads(ctx context.Context) (heads []Record, unreadable []string, err error) {
 	items, _, err := s.kv.List(ctx, HeadPrefix)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	for _, it := range items {
+		rec, err := decodeHead(it)
+		if err != nil {
+			unreadable = append(unreadable, rec.ID)
+			continue
+		}
+		heads = append(heads, rec)
 	}
-	return decodeHeads(items)
+	return heads, unreadable, nil
 }
 
 // commit commits txn, and repeats it while the outcome is unknown. It returns a
--- a/intake/entry.go
+++ b/intake/entry.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/base64"
 	"encoding/json"
+	"fmt"
 	"io"
 	"time"
 
@@ -56,26 +57,38 @@
 	return batch.Result{ID: e.Submission.ID, State: stateLogged, Text: base64.StdEncoding.EncodeToString(out.Bytes())}, nil
 }
 
-// Decode returns the entry that a result encodes.
+// DecodeError means that a result doesn't encode an entry.
+type DecodeError struct {
+	ID    string
+	Cause error
+}
+
+// Error names the batch.
+func (e *DecodeError) Error() string { return fmt.Sprintf("log entry %s: %v", e.ID, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// Decode returns the entry that a result encodes, or a *DecodeError.
 func Decode(r batch.Result) (Entry, error) {
 	packed, err := base64.StdEncoding.DecodeString(r.Text)
 	if err != nil {
-		return Entry{}, errors.Wrapf(err, "decoding log entry %s", r.ID)
+		return Entry{}, &DecodeError{ID: r.ID, Cause: err}
 	}
 	zr, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return Entry{}, errors.Wrapf(err, "decompressing log entry %s", r.ID)
+		return Entry{}, &DecodeError{ID: r.ID, Cause: err}
 	}
 	raw, err := io.ReadAll(zr)
 	if err != nil {
-		return Entry{}, errors.Wrapf(err, "decompressing log entry %s", r.ID)
+		return Entry{}, &DecodeError{ID: r.ID, Cause: err}
 	}
 	var t entryText
 	if err := json.Unmarshal(raw, &t); err != nil {
-		return Entry{}, errors.Wrapf(err, "decoding log entry %s", r.ID)
+		return Entry{}, &DecodeError{ID: r.ID, Cause: err}
 	}
 	if r.State != stateLogged || t.Submission == nil || t.Submission.ID != r.ID {
-		return Entry{}, errors.Newf("log entry %s is not a submission", r.ID)
+		return Entry{}, &DecodeError{ID: r.ID, Cause: errors.New("it is not a submission")}
 	}
 	t.Submission.Customer = t.Customer
 	return Entry{Submission: t.Submission, Replicas: t.Replicas, Epoch: t.Epoch, Age: time.Duration(t.AgeMs) * time.Millisecond}, nil
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,12 @@
 	// maxPendingBytes bounds the log entries of a model that the store lacks: an eighth of
 	// what a disk keeps. With 50 KB for a step and one step each 4 s, these are 11 minutes.
 	maxPendingBytes = 8 << 20
+	// maxEntryBytes bounds one log entry: what an append can carry to a replica over a link of
+	// 60 Mbit/s before it times out after a second.
+	maxEntryBytes = 4 << 20
+	// openMargin is how long a batch that was open stays known: longer than a takeover, during
+	// which nobody owns it.
+	openMargin = 30 * time.Second
 	// maxKnown bounds the IDs of a model that are kept. A trainer submits some 40 in the time
 	// for which they are kept.
 	maxKnown = 20_000
@@ -54,6 +60,8 @@
 	knownID struct {
 		customer string
 		since    time.Time
+		// openAt is when the batch was last open.
+		openAt time.Time
 	}
 
 	// RefusedError means that a submission can't be accepted without the store. Nothing of it
@@ -89,9 +97,16 @@
 	a.known[id] = knownID{customer: customer, since: now}
 }
 
-// forgetOldest drops the older half of the known IDs.
+// forgetOldest drops the half of the known IDs that were learned or open the longest ago.
 func (a *Acceptor) forgetOldest() {
-	ids := slices.SortedFunc(maps.Keys(a.known), func(x, y string) int { return a.known[x].since.Compare(a.known[y].since) })
+	latest := func(id string) time.Time {
+		k := a.known[id]
+		if k.openAt.After(k.since) {
+			return k.openAt
+		}
+		return k.since
+	}
+	ids := slices.SortedFunc(maps.Keys(a.known), func(x, y string) int { return latest(x).Compare(latest(y)) })
 	for _, id := range ids[:len(ids)/2] {
 		delete(a.known, id)
 	}
@@ -103,13 +118,22 @@
 	return k.customer, ok
 }
 
-// Forget drops the IDs that were learned before a time, except those of log entries.
-func (a *Acceptor) Forget(before time.Time) {
+// Forget drops the IDs that were learned before a time, except those of log entries and of
+// batches that are or were just open.
+func (a *Acceptor) Forget(before, now time.Time, isOpen func(id string) bool) {
 	logged := make(map[string]bool, len(a.log))
 	for _, e := range a.log {
 		logged[e.result.ID] = true
 	}
-	maps.DeleteFunc(a.known, func(id string, k knownID) bool { return k.since.Before(before) && !logged[id] })
+	for id, k := range a.known {
+		switch {
+		case isOpen(id):
+			k.openAt = now
+			a.known[id] = k
+		case k.since.Before(before) && now.Sub(k.openAt) > openMargin && !logged[id]:
+			delete(a.known, id)
+		}
+	}
 }
 
 // CanAppend returns a *RefusedError if nothing can be accepted without the store now.
@@ -130,6 +154,9 @@
 	if err := a.CanAppend(); err != nil {
 		return err
 	}
+	if len(r.Text) > maxEntryBytes || a.bytes+len(r.Text) > maxPendingBytes {
+		return &RefusedError{Cause: fmt.Sprintf("a submission of %d encoded bytes, with %d that wait for the store", len(r.Text), a.bytes)}
+	}
 	a.log = append(a.log, logEntry{result: r})
 	a.bytes += len(r.Text)
 	return nil
@@ -197,13 +224,16 @@
 }
 
 // Saved records what the record says by the answer to a write of it. Until then, appends
-// carry all entries from the earlier count on, since a successor may find either.
-func (a *Acceptor) Saved(stored int, replicas []batch.Replica) {
+// carry all entries from the earlier count on, since a successor may find either. It returns
+// the IDs of the entries that the record now counts.
+func (a *Acceptor) Saved(stored int, replicas []batch.Replica) (ids []string) {
 	done := min(max(0, stored-a.stored), len(a.log))
 	for _, e := range a.log[:done] {
 		a.bytes -= len(e.result.Text)
+		ids = append(ids, e.result.ID)
 	}
 	a.log = slices.Clone(a.log[done:])
 	a.stored, a.synced = max(a.stored, stored), max(0, a.synced-done)
 	a.replicas, a.isMoving = replicas, false
+	return ids
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -61,6 +61,12 @@
 	g.Expect(n).To(Equal(8))
 	a.MarkStored("0")
 	a.Saved(a.StoredCount(), copies)
+	var refused *RefusedError
+	g.Expect(errors.As(a.Append(logged(strings.Repeat("x", 1<<20+1))), &refused)).To(BeTrue())
+	g.Expect(errors.As(New(1, 0, copies).Append(logged(strings.Repeat("x", maxEntryBytes+1))), &refused)).To(BeTrue(), "no append could carry it")
+	g.Expect(a.Append(batch.Result{ID: "8", Text: strings.Repeat("x", 1<<20)})).To(Succeed())
+	a.MarkStored("1")
+	a.Saved(a.StoredCount(), copies)
 	g.Expect(a.CanAppend()).To(Succeed())
 }
 
@@ -85,9 +91,17 @@
 	g.Expect(a.Append(logged("x"))).To(Succeed())
 	a.Learn("x", "c", now)
 	a.Learn("y", "c", now)
-	a.Forget(now.Add(time.Minute))
-	_, known := a.CustomerOf("x")
-	g.Expect(known).To(BeTrue())
-	_, known = a.CustomerOf("y")
-	g.Expect(known).To(BeFalse())
+	a.Learn("open", "c", now)
+	forget := func(now time.Time, open string) {
+		a.Forget(now.Add(-time.Minute), now, func(id string) bool { return id == open })
+	}
+	isKnown := func(id string) bool { _, ok := a.CustomerOf(id); return ok }
+	forget(now.Add(2*time.Minute), "open")
+	g.Expect(isKnown("x")).To(BeTrue())
+	g.Expect(isKnown("y")).To(BeFalse())
+	g.Expect(isKnown("open")).To(BeTrue(), "open batches are kept for longer than ended ones")
+	forget(now.Add(2*time.Minute+openMargin), "")
+	g.Expect(isKnown("open")).To(BeTrue(), "its owner may be lost")
+	forget(now.Add(3*time.Minute), "")
+	g.Expect(isKnown("open")).To(BeFalse())
 }
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -302,6 +302,22 @@
 	return n, ok
 }
 
+// OpenBatches returns the IDs of the open batches that live peers own.
+func (m *Mesh) OpenBatches() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]bool)
+	for _, p := range m.peers {
+		if !m.isReachable(p) {
+			continue
+		}
+		for id := range p.OpenEpochs {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // Grants returns the live peers that accept submissions, by model: those with the latest
 // epoch, as an earlier one may not have noticed yet that it was fenced.
 func (m *Mesh) Grants() map[string]Grant {
