broute, replog, node: acquires need peers and replicas, and 404s cost the store one call

Cause: an entry that lost all peers, but not the store, took the record from its holder: it notices the loss of the holder before that of the others. A read of an unknown ID listed all records, and loaded its head at each acceptor; one record that can't be decoded turned every 404 into 503. Any text that a caller sent as a model got a record and an acceptor.

Change: before a claim, an acquire asks the replicas of the log (replog.Probe), and needs a live peer. Whether a batch may wait to be recovered is decided by the records that were listed or announced, before its head is read; acceptors are asked without their reading the store. Only models that the manifest names get an acceptor. The list of records after a start isn't retried while the store is known to be unavailable.

--- a/broute/acceptor.go
+++ b/broute/acceptor.go
@@ -243,47 +243,29 @@
 	a.mu.Lock()
 	e := a.entries[sub.ID]
 	earlier, isUnknown := a.unanswered[sub.ID]
-	isUnreadable := a.unreadable[sub.ID]
 	a.mu.Unlock()
 	if (e != nil && e.sub.Customer != sub.Customer) || (isUnknown && earlier.sub.Customer != sub.Customer) {
 		return intakeResponse{Outcome: outcomeConflict}
 	}
 	if e == nil {
-		rec := bstore.Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: a.router.self, Epoch: acceptedEpoch, Customer: sub.Customer,
-			Replicas: a.router.replicas.Choose(sub.ID, nil)}}
-		if isUnknown {
-			rec, sub = earlier.rec, earlier.sub
+		u := earlier
+		if !isUnknown {
+			u = unanswered{sub: sub, rec: bstore.Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: a.router.self, Epoch: acceptedEpoch,
+				Customer: sub.Customer, Replicas: a.router.replicas.Choose(sub.ID, nil)}}}
 		}
-		res, mayExist := a.tryStore(ctx, &rec, sub)
+		res, mayExist := a.tryStore(ctx, &u.rec, u.sub)
 		if res.Outcome != "" {
 			return res
 		}
-		if mayExist && !isUnknown {
+		if mayExist {
 			isUnknown = true
 			a.mu.Lock()
-			a.unanswered[sub.ID] = unanswered{rec: rec, sub: sub}
+			a.unanswered[sub.ID] = u
 			a.mu.Unlock()
 		}
-		if isUnreadable {
-			return intakeResponse{Outcome: outcomeRefused, Cause: "the store has a head of this ID that can't be decoded"}
-		}
-		var tooLarge *bstore.SizeError
-		if err := a.router.store.CheckSize(sub); errors.As(err, &tooLarge) {
-			return intakeResponse{Outcome: outcomeTooLarge, Bytes: tooLarge.Bytes, Max: tooLarge.Max}
-		}
-		if res, ok := a.ownedElsewhere(ctx, sub); ok {
+		if e, res = a.tryLog(ctx, u, isUnknown); res.Outcome != "" {
 			return res
 		}
-		var err error
-		if e, err = a.log(rec, sub); err != nil {
-			if isUnknown {
-				return intakeResponse{Outcome: outcomeUnknown, Cause: "the store has not answered, and " + err.Error()}
-			}
-			if errors.Is(err, errEnded) {
-				return intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
-			}
-			return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
-		}
 	}
 	select {
 	case <-e.accepted:
@@ -298,6 +280,34 @@
 	return intakeResponse{Outcome: outcomeStored, Holder: a.router.self}
 }
 
+// tryLog adds a submission that the store didn't take to the log. isUnknown reports whether a
+// create of it may have taken effect. The response has no outcome if there is a log entry.
+func (a *acceptor) tryLog(ctx context.Context, u unanswered, isUnknown bool) (*logEntry, intakeResponse) {
+	if res, ok := a.ownedElsewhere(ctx, u.sub); ok {
+		return nil, res
+	}
+	a.mu.Lock()
+	isUnreadable := a.unreadable[u.sub.ID]
+	a.mu.Unlock()
+	if isUnreadable {
+		return nil, intakeResponse{Outcome: outcomeRefused, Cause: "the store has a head of this ID that can't be decoded"}
+	}
+	var tooLarge *bstore.SizeError
+	if err := a.router.store.CheckSize(u.sub); errors.As(err, &tooLarge) {
+		return nil, intakeResponse{Outcome: outcomeTooLarge, Bytes: tooLarge.Bytes, Max: tooLarge.Max}
+	}
+	e, err := a.log(u.rec, u.sub)
+	switch {
+	case err == nil:
+		return e, intakeResponse{}
+	case isUnknown:
+		return nil, intakeResponse{Outcome: outcomeUnknown, Cause: "the store has not answered, and " + err.Error()}
+	case errors.Is(err, errEnded):
+		return nil, intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
+	}
+	return nil, intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
+}
+
 // tryStore creates the batch in the store. The response has no outcome if the submission is
 // to be logged; mayExist reports whether the create may then have taken effect.
 func (a *acceptor) tryStore(ctx context.Context, rec *bstore.Record, sub *batch.Submission) (res intakeResponse, mayExist bool) {
--- a/broute/acquire.go
+++ b/broute/acquire.go
@@ -12,6 +12,7 @@
 	"github.com/lavendermux/lavendermux/intake"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/replog"
+	"github.com/lavendermux/lavendermux/seal"
 	"github.com/lavendermux/lavendermux/walog"
 )
 
@@ -135,11 +136,14 @@
 	if !d.mesh.WaitSettled(ctx) {
 		return nil, ctx.Err()
 	}
+	if d.isIsolated() {
+		return nil, errIsolated
+	}
 	if n, alive := d.mesh.FindHolder(in.Holder); in.Revision > 0 && alive && !d.hasGivenUp(ctx, n, model) {
 		return nil, &heldError{Model: model, Holder: in.Holder}
 	}
-	if len(in.Replicas) > 0 && !d.replicas.CanSeal(in.Replicas) {
-		return nil, &unsealedError{Model: model, Replicas: in.Replicas}
+	if err := d.probeReplicas(ctx, in); err != nil {
+		return nil, err
 	}
 	claimed := in
 	claimed.Holder, claimed.Epoch = d.self, in.Epoch+1
@@ -161,17 +165,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, r := range entries {
-		e, err := intake.Decode(r)
-		if err == nil {
-			err = d.recoverEntry(ctx, claimed, e)
-		}
-		switch {
-		case isPermanent(err):
-			d.logger.Error("Submission of the log can't be stored; it is left out.", "batch", r.ID, "model", model, "epoch", claimed.Epoch, "error", err)
-		case err != nil:
-			return nil, err
-		}
+	if err := d.recoverEntries(ctx, claimed, entries); err != nil {
+		return nil, err
 	}
 	heads, unreadable, err := d.store.CurrentHeads(ctx)
 	if err != nil {
@@ -195,6 +190,21 @@
 	return a, nil
 }
 
+// probeReplicas returns an error unless enough replicas of a model's log answer. Without them a
+// claim would only take the record from its holder. An instance that is cut off may not have
+// noticed yet, so that it asks them.
+func (d *Router) probeReplicas(ctx context.Context, in bstore.Intake) error {
+	if len(in.Replicas) == 0 {
+		return nil
+	}
+	err := d.replicas.Probe(ctx, intakeLog(in.Model), in.Epoch, in.Replicas)
+	var fenced *seal.FencedError
+	if err == nil || errors.As(err, &fenced) { // fenced: another instance has claimed the record since
+		return err
+	}
+	return errors.CombineErrors(&unsealedError{Model: in.Model, Replicas: in.Replicas}, err)
+}
+
 // loadIntake returns the record of a model, or errStoreDown if the store doesn't answer soon.
 func (d *Router) loadIntake(ctx context.Context, model string) (bstore.Intake, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
@@ -249,6 +259,24 @@
 	}
 }
 
+// recoverEntries stores the batches of log entries. One that can never be stored is logged and
+// left out.
+func (d *Router) recoverEntries(ctx context.Context, in bstore.Intake, entries []batch.Result) error {
+	for _, r := range entries {
+		e, err := intake.Decode(r)
+		if err == nil {
+			err = d.recoverEntry(ctx, in, e)
+		}
+		switch {
+		case isPermanent(err):
+			d.logger.Error("Submission of the log can't be stored; it is left out.", "batch", r.ID, "model", in.Model, "epoch", in.Epoch, "error", err)
+		case err != nil:
+			return err
+		}
+	}
+	return nil
+}
+
 // recoverEntry stores the batch of a log entry, with the results that its owner listed, and
 // continues it here. A batch that the store has is left to its owner, or taken over if that
 // is lost.
--- a/broute/ask.go
+++ b/broute/ask.go
@@ -32,10 +32,11 @@
 				return res, nil
 			}
 		}
+		wasRecovering := d.isRecovering()
 		rec, err := d.lookUp(ctx, req.ID)
 		var none *NotFoundError
 		if errors.As(err, &none) {
-			return d.confirmNotFound(ctx, req)
+			return d.confirmNotFound(ctx, req, wasRecovering)
 		}
 		if err != nil {
 			return nil, err
@@ -46,7 +47,7 @@
 		}
 		var fenced *bstore.FencedError
 		if errors.As(last, &none) {
-			return d.confirmNotFound(ctx, req)
+			return d.confirmNotFound(ctx, req, wasRecovering)
 		}
 		if last != nil && !errors.As(last, &fenced) {
 			return nil, last
@@ -128,7 +129,7 @@
 		return &askResponse{Owned: true, Taken: d.acceptOffer(ctx, req)}, nil
 	}
 	res, err := d.askLocal(ctx, *req)
-	if err == nil && !res.Owned {
+	if err == nil && !res.Owned && !req.OnlyTracked {
 		// The peer's record names this instance as the owner, but this instance never
 		// learned of it: the write that created the batch took effect after its reply was
 		// given up. Or the batch has ended, and this instance is the one that serves it.
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -75,8 +75,12 @@
 		storeFailedAt time.Time
 
 		isStoreDown func() bool
-		meter       *meter.Meter
-		knownTTL    time.Duration
+		// listing is set until the intake records are known after the start.
+		listing atomic.Bool
+		// isServed reports whether the manifest names a model.
+		isServed func(model string) bool
+		meter    *meter.Meter
+		knownTTL time.Duration
 	}
 
 	// Option configures a Router in New.
@@ -112,6 +116,8 @@
 
 		IDs  []string `json:"ids,omitempty"`
 		Item string   `json:"item,omitempty"`
+		// OnlyTracked has the receiver answer without asking the store.
+		OnlyTracked bool `json:"onlyTracked,omitempty"`
 		// From is the owner of the offered batches.
 		From  string `json:"from,omitempty"`
 		After int    `json:"after,omitempty"`
@@ -158,9 +164,11 @@
 		acquisitions: make(map[string]*acquisition),
 		seenGrants:   make(map[string]int64),
 		isStoreDown:  func() bool { return false },
+		isServed:     func(string) bool { return true },
 		meter:        meter.New(),
 		knownTTL:     defaultRetention + expiryMargin,
 	}
+	d.listing.Store(m.Self().Accepts) // RunIntake lists them
 	for _, opt := range opts {
 		opt(d)
 	}
@@ -173,6 +181,12 @@
 	return func(d *Router) { d.isStoreDown = f }
 }
 
+// WithServedModels sets f, which reports whether the manifest names a model. Only such models get
+// an acceptor: others are any text that a caller sends. By default all models do.
+func WithServedModels(f func(model string) bool) Option {
+	return func(d *Router) { d.isServed = f }
+}
+
 // WithRetention sets how long ended batches stay in the store. The default is 2 minutes.
 func WithRetention(d time.Duration) Option {
 	return func(r *Router) {
--- a/broute/intake.go
+++ b/broute/intake.go
@@ -92,6 +92,9 @@
 // errStoreDown means that a model can't be acquired because the store is unavailable.
 var errStoreDown = errors.New("nobody accepts submissions of the model, and the store is unavailable")
 
+// errIsolated means that a model isn't acquired because no peer is known to be alive.
+var errIsolated = errors.New("nobody accepts submissions of the model, and no peer is alive")
+
 // errRecovering is returned instead of NotFoundError while a batch may be in the log of an
 // acceptor that was lost.
 var errRecovering = errors.New("submissions accepted while the store was unavailable are still to be recovered")
@@ -135,6 +138,9 @@
 	if _, granted := d.mesh.Grants()[model]; granted {
 		return true
 	}
+	if !d.isServed(model) {
+		return false
+	}
 	// Entries that don't reach the store count: in an outage a create without record would stay
 	// without an answer.
 	if len(d.intakeEntries(false)) < minIntakeEntries {
@@ -356,7 +362,7 @@
 	switch {
 	case errors.As(err, &held):
 		return intakeResponse{Outcome: outcomeElsewhere, Holder: held.Holder, Cause: err.Error()}
-	case errors.As(err, &refused), errors.As(err, &unreadable), errors.As(err, &unsealed), errors.Is(err, errStoreDown):
+	case errors.As(err, &refused), errors.As(err, &unreadable), errors.As(err, &unsealed), errors.Is(err, errStoreDown), errors.Is(err, errIsolated):
 		return intakeResponse{Outcome: outcomeRefused, Cause: err.Error()}
 	}
 	return intakeResponse{Outcome: outcomeElsewhere, Cause: err.Error()}
@@ -415,8 +421,10 @@
 				a.end("model acquired by " + g.Node.Name)
 				continue
 			}
-			if n, ok := d.acquirer(model); isStrained && ok && n.Name != d.mesh.Self().Name {
-				a.giveUp("short of processor time")
+			if isStrained {
+				if n, ok := d.acquirer(model); ok && n.Name != d.mesh.Self().Name {
+					a.giveUp("short of processor time")
+				}
 			}
 			a.tend(now)
 			pending += a.pending()
@@ -424,7 +432,7 @@
 		d.meter.Set("intake_pending", float64(pending))
 		for _, model := range d.orphans(grants) {
 			n, ok := d.acquirer(model)
-			if !ok || n.Name != d.mesh.Self().Name || now.Before(retryAt[model]) || d.stopping.Load() || d.isStoreDown() {
+			if !ok || n.Name != d.mesh.Self().Name || now.Before(retryAt[model]) || d.stopping.Load() || d.isStoreDown() || d.isIsolated() {
 				continue
 			}
 			retryAt[model] = now.Add(acquireRetryDelay)
@@ -433,12 +441,23 @@
 	}
 }
 
+// isIsolated reports whether this instance knows no live peer. It must not acquire then: the
+// holder of the record may be alive, and each of them would take the record from the other.
+func (d *Router) isIsolated() bool { return len(d.mesh.Alive()) == 0 }
+
 // listRecords has the models with an intake record get an acceptor after a start.
 func (d *Router) listRecords(ctx context.Context) {
+	defer d.listing.Store(false)
 	if !d.mesh.WaitSettled(ctx) {
 		return
 	}
 	for {
+		if d.isStoreDown() {
+			if !sleep.For(ctx, acquireRetryDelay) {
+				return
+			}
+			continue
+		}
 		records, err := d.store.RecentIntakes(ctx)
 		for _, in := range records {
 			d.noteRecord(in)
@@ -470,45 +489,50 @@
 	return out
 }
 
-// confirmNotFound decides whether a batch that the store doesn't have is known not to exist:
-// it may be accepted and not stored yet. It asks the acceptors of all models, and returns
-// errRecovering if one of them was lost and its log isn't recovered.
-func (d *Router) confirmNotFound(ctx context.Context, req askRequest) (*askResponse, error) {
-	d.uncacheHead(req.ID)
-	records, err := d.store.Intakes(ctx)
-	if err != nil {
-		return nil, err
+// isRecovering reports whether a batch that was accepted may be in the log of an acceptor that
+// was lost, and not in the store.
+func (d *Router) isRecovering() bool {
+	if d.listing.Load() {
+		return true
 	}
-	grants, own := d.mesh.Grants(), d.Grants()
-	asked := make(map[string]bool)
-	for _, in := range records {
-		g, granted := grants[in.Model]
-		if own[in.Model] >= in.Epoch {
+	grants := d.mesh.Grants()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for model, epoch := range d.seenGrants {
+		own := d.acceptors[model]
+		if own != nil && own.isOpen() && own.epoch >= epoch {
 			continue
 		}
-		if !granted || g.Epoch < in.Epoch {
-			d.noteRecord(in)
-			return nil, errRecovering
+		if g, ok := grants[model]; !ok || g.Epoch < epoch {
+			return true
 		}
+	}
+	return false
+}
+
+// confirmNotFound decides whether a batch that the store doesn't have is known not to exist:
+// it may be accepted and not stored yet. It asks the acceptors of all models, and costs the
+// store no call. wasRecovering is what isRecovering reported before the store was asked; it
+// returns errRecovering then.
+func (d *Router) confirmNotFound(ctx context.Context, req askRequest, wasRecovering bool) (*askResponse, error) {
+	d.uncacheHead(req.ID)
+	if wasRecovering {
+		return nil, errRecovering
+	}
+	req.OnlyTracked = true
+	asked := make(map[string]bool)
+	for _, g := range d.mesh.Grants() {
 		if asked[g.Node.Name] {
 			continue
 		}
 		asked[g.Node.Name] = true
 		res, err := d.askPeer(ctx, g.Node, req)
-		if err != nil {
-			return nil, err
-		}
-		if res.Owned {
-			return res, nil
-		}
-	}
-	if len(records) > 0 {
-		if res, err := d.askLocal(ctx, req); err != nil || res.Owned {
+		if err != nil || res.Owned {
 			return res, err
 		}
-		if _, err := d.lookUp(ctx, req.ID); err == nil {
-			return nil, errRecovering // stored meanwhile; the caller asks again
-		}
+	}
+	if res, err := d.askLocal(ctx, req); err != nil || res.Owned {
+		return res, err
 	}
 	return nil, &NotFoundError{ID: req.ID}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -378,12 +379,26 @@
 		brun.WithOnAdd(func() { n.controller.Wake() }))
 	n.distributor = fanout.New(n.mesh, n.store)
 	n.router = broute.New(ctx, store, n.runner, n.mesh, n.replicas, n.logger, n.cpuLag.Strained,
-		broute.WithMeter(n.meter), broute.WithRetention(n.cfg.Retention), broute.WithStoreDown(n.isStoreDown))
+		broute.WithMeter(n.meter), broute.WithRetention(n.cfg.Retention), broute.WithStoreDown(n.isStoreDown), broute.WithServedModels(n.servesModel))
 	n.controller = wctrl.New(n.state.Registry, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.needsSingleVersion,
 		func() bool { return len(n.runner.Holding()) > 0 })
 	n.state.Controller = n.controller
 }
 
+// servesModel reports whether the manifest names a model.
+func (n *Node) servesModel(model string) bool {
+	m := n.state.Manifest()
+	if m == nil {
+		return false
+	}
+	for _, s := range m.Services {
+		if slices.Contains(s.Models, model) {
+			return true
+		}
+	}
+	return false
+}
+
 // needsSingleVersion reports whether each sample must come from a single weight version.
 func (n *Node) needsSingleVersion(string) bool {
 	m := n.state.Manifest()
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -186,33 +187,42 @@
 func (s *Log) Append(ctx context.Context, id string, epoch int64, replicas []batch.Replica, from, stored int, results []batch.Result) error {
 	req := request{Op: opAppend, ID: id, Epoch: epoch, From: from, Stored: stored, Results: results[from-stored:]}
 	liveDisks := s.liveDisks()
+	return awaitQuorum(id, replicas, s.quorum(), func(c batch.Replica) reply {
+		r := s.callReplica(ctx, liveDisks, c, req)
+		if errors.Is(r.err, errGap) {
+			// It was out of reach when the others accepted the earlier results.
+			all := req
+			all.From, all.Results = stored, results
+			r = s.callReplica(ctx, liveDisks, c, all)
+		}
+		return r
+	})
+}
+
+// Probe returns nil if enough of the replicas for a seal answer, and otherwise the same errors
+// as Append. epoch is that of the present owner, whose appends go on.
+func (s *Log) Probe(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
+	req := request{Op: opSeal, ID: id, Epoch: epoch, From: math.MaxInt32} // after all results
+	liveDisks := s.liveDisks()
+	return awaitQuorum(id, replicas, s.sealQuorum(replicas), func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
+}
+
+// awaitQuorum makes a call to each replica and returns once enough have succeeded, or all have
+// ended.
+func awaitQuorum(id string, replicas []batch.Replica, need int, call func(batch.Replica) reply) error {
 	arrived := make(chan reply, len(replicas))
 	for _, c := range replicas {
-		go func() {
-			r := s.callReplica(ctx, liveDisks, c, req)
-			if errors.Is(r.err, errGap) {
-				// It was out of reach when the others accepted the earlier results.
-				all := req
-				all.From, all.Results = stored, results
-				r = s.callReplica(ctx, liveDisks, c, all)
-			}
-			arrived <- r
-		}()
+		go func() { arrived <- call(c) }()
 	}
 	var replies []reply
-	for acked := 0; len(replies) < len(replicas) && acked < s.quorum(); {
+	for acked := 0; len(replies) < len(replicas) && acked < need; {
 		r := <-arrived
 		replies = append(replies, r)
 		if r.err == nil {
 			acked++
 		}
 	}
-	return checkQuorum(id, replies, s.quorum())
-}
-
-// CanSeal reports whether enough of the replicas are live for a seal.
-func (s *Log) CanSeal(replicas []batch.Replica) bool {
-	return len(s.locate(s.liveDisks(), replicas)) >= s.sealQuorum(replicas)
+	return checkQuorum(id, replies, need)
 }
 
 // sealQuorum returns the number of replicas that a seal must reach: all but as many as may be
