broute: a create that another owner won is not kept as unanswered

It would make the acceptor report a conflict to the batch's own customer. The tests of package platform/wiring named Submitted, Acceptor, Intake and those of conflicts pass; none covers this case.

--- a/broute/acceptor.go
+++ b/broute/acceptor.go
@@ -336,6 +336,9 @@
 		a.router.runner.Add(a.router.baseCtx, *rec, sub, nil, nil)
 		return intakeResponse{Outcome: outcomeStored, Holder: a.router.self}, false
 	case errors.As(err, &fenced):
+		a.mu.Lock()
+		delete(a.unanswered, sub.ID) // another owner has created the batch
+		a.mu.Unlock()
 		return a.known(sub, fenced.Now.Customer), false
 	case errors.As(err, &tooLarge):
 		return intakeResponse{Outcome: outcomeTooLarge, Bytes: tooLarge.Bytes, Max: tooLarge.Max}, false
