Merge submissions that are accepted while the store is unavailable

The right to accept submissions of a model is granted ahead by a record in the store. Its holder creates all batches of the model under that record's revision, and accepts alone in an outage once enough disks of data instances have the submission.

--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -26,8 +26,12 @@
 	// takeoverTimeout bounds one takeover attempt: the store's replies and the retries of
 	// replicas that can't be reached.
 	takeoverTimeout = 10 * time.Second
-	// firstEpoch is the epoch of a newly created batch.
+	// firstEpoch is the epoch of a batch that was created without an acceptor.
 	firstEpoch = 1
+	// acceptedEpoch is the epoch of a batch that an acceptor created. It is later than
+	// firstEpoch, so that the instance claims the batch again if it has dropped it: it may
+	// have listed results from replicas that must be read first.
+	acceptedEpoch = firstEpoch + 1
 )
 
 // joinTakeover makes this instance the owner of a batch whose owner is lost, or joins a
@@ -138,7 +142,7 @@
 		return nil, err
 	}
 	d.logger.Info("Results of copies kept in the store.", "batch", cur.ID, "epoch", cur.Epoch, "from", len(results), "results", len(recovered))
-	go d.replicas.Drop(d.baseCtx, cur.ID, cur.Epoch, cur.Replicas)
+	go d.replicas.Drop(d.baseCtx, cur.ID, cur.Epoch, cur.Replicas, cur.Results)
 	return append(results, recovered...), nil
 }
 
@@ -202,11 +206,15 @@
 // Recover takes over the batches that have no owner after all instances stopped at once.
 func (d *Router) Recover(ctx context.Context) {
 	heads, err := d.store.Heads(ctx)
-	for err != nil && ctx.Err() == nil {
+	var unreadable *bstore.DecodeError
+	for err != nil && !errors.As(err, &unreadable) && ctx.Err() == nil {
 		d.logger.Warn("Listing batches failed; retrying.", "error", err)
 		time.Sleep(takeoverRetryPause)
 		heads, err = d.store.Heads(ctx)
 	}
+	if unreadable != nil {
+		d.logger.Error("Head of a batch is unreadable; the batch is left out.", "key", unreadable.Key, "error", unreadable.Cause)
+	}
 	open, ended := make(map[string]int64), make(map[string]int64)
 	for _, head := range heads {
 		_, alive := d.mesh.FindHolder(head.Owner)
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -20,7 +20,6 @@
 
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/kvst"
-	"github.com/lavendermux/lavendermux/sleep"
 )
 
 const (
@@ -45,7 +44,7 @@
 	Store struct {
 		kv            kvst.Store
 		maxValueBytes int
-		listHeads     kvst.Lister
+		list          kvst.Lister
 	}
 
 	// Option configures a Store.
@@ -105,7 +104,7 @@
 //	s := bstore.New(kv, bstore.WithMaxValueBytes(1<<20))
 //	rec, created, err := s.Create(ctx, sub, "entry-1", nil, time.Now())
 func New(kv kvst.Store, opts ...Option) *Store {
-	s := &Store{kv: kv, maxValueBytes: defaultMaxValueBytes, listHeads: kv.List}
+	s := &Store{kv: kv, maxValueBytes: defaultMaxValueBytes, list: kv.List}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -121,36 +120,18 @@
 	}
 }
 
-// WithHeadLister sets how Heads lists. The default is by kv itself.
+// WithHeadLister sets how Heads and RecentIntakes list. The default is by kv itself.
 func WithHeadLister(f kvst.Lister) Option {
-	return func(s *Store) { s.listHeads = f }
+	return func(s *Store) { s.list = f }
 }
 
 // Create stores a submission that was accepted at the time since, with its owner and the
 // replicas for its results. If it exists already, Create returns the stored record and
-// created false.
+// created false. It expects that the model has no intake record, and otherwise returns an
+// *IntakeError.
 func (s *Store) Create(ctx context.Context, sub *batch.Submission, owner string, replicas []batch.Replica, since time.Time) (rec Record, created bool, err error) {
-	raw, err := json.Marshal(sub)
-	if err != nil {
-		return Record{}, false, errors.Wrap(err, "encoding the submission")
-	}
-	parts := split(raw, s.maxValueBytes)
-	if len(parts) > maxTxnEntries-2 {
-		return Record{}, false, &SizeError{Bytes: len(raw), Max: s.maxValueBytes * (maxTxnEntries - 2)}
-	}
-	rec = Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{
-		Owner:      owner,
-		Epoch:      1,
-		Customer:   sub.Customer,
-		BodyChunks: len(parts),
-		ItemCount:  len(sub.Items),
-		Replicas:   replicas,
-	}}
-	txn := kvst.Txn{Expect: map[string]int64{headKey(sub.ID): 0}}
-	for i, part := range parts {
-		txn.Puts = append(txn.Puts, kvst.Put{Key: bodyKey(sub.ID, i), Value: part})
-	}
-	err = s.commitWithHead(ctx, &rec, txn)
+	rec = Record{ID: sub.ID, AcceptedAt: since, Head: batch.Head{Owner: owner, Epoch: 1, Replicas: replicas}}
+	err = s.CreateFenced(ctx, Intake{Model: sub.Model}, &rec, sub, nil)
 	var fenced *FencedError
 	if errors.As(err, &fenced) {
 		now, err := s.Load(ctx, sub.ID)
@@ -168,21 +149,23 @@
 	return decodeHead(it)
 }
 
-// Heads returns the heads of all stored batches.
+// Heads returns the heads of all stored batches. A head that can't be decoded is left out, and
+// reported by a *DecodeError next to the others.
 func (s *Store) Heads(ctx context.Context) ([]Record, error) {
-	items, _, err := s.listHeads(ctx, HeadPrefix)
+	items, _, err := s.list(ctx, HeadPrefix)
 	if err != nil {
 		return nil, err
 	}
 	heads := make([]Record, 0, len(items))
 	for _, it := range items {
-		rec, err := decodeHead(it)
-		if err != nil {
-			return nil, err
+		rec, decodeErr := decodeHead(it)
+		if decodeErr != nil {
+			err = decodeErr
+			continue
 		}
 		heads = append(heads, rec)
 	}
-	return heads, nil
+	return heads, err
 }
 
 // Submission returns the stored submission of a batch.
@@ -317,21 +300,16 @@
 		return errors.Wrap(err, "encoding the head")
 	}
 	txn.Puts = append(txn.Puts, kvst.Put{Key: headKey(rec.ID), Value: raw})
-	for {
-		rec.Revision, err = s.kv.Commit(ctx, txn)
-		var conflict *kvst.ConflictError
-		if errors.As(err, &conflict) {
-			return resolveConflict(rec, conflict)
-		}
-		var unknown *kvst.UnknownOutcomeError
-		if !errors.As(err, &unknown) || !sleep.For(ctx, commitRetryDelay) {
-			return err
-		}
+	rec.Revision, err = s.commit(ctx, txn)
+	var conflict *kvst.ConflictError
+	if errors.As(err, &conflict) {
+		return resolveConflict(rec, txn, conflict)
 	}
+	return err
 }
 
 // resolveConflict decides after a conflict whether the store already has this write.
-func resolveConflict(rec *Record, conflict *kvst.ConflictError) error {
+func resolveConflict(rec *Record, txn kvst.Txn, conflict *kvst.ConflictError) error {
 	for _, it := range conflict.Current {
 		if it.Key != headKey(rec.ID) || it.Revision == 0 {
 			continue
@@ -346,6 +324,21 @@
 		}
 		return &FencedError{ID: rec.ID, Now: now.Head}
 	}
+	for key := range txn.Expect {
+		if !strings.HasPrefix(key, IntakePrefix) {
+			continue
+		}
+		// A create, and there is no head: the intake record differs.
+		model, err := url.PathUnescape(strings.TrimPrefix(key, IntakePrefix))
+		if err != nil {
+			return errors.Wrapf(err, "key %s", key)
+		}
+		now, err := intakeOf(conflict, model)
+		if err != nil {
+			return err
+		}
+		return &IntakeError{Now: now}
+	}
 	return &FencedError{ID: rec.ID}
 }
 
@@ -372,14 +365,17 @@
 	return nil
 }
 
+// decodeHead returns a head. If it can't be decoded, the error is a *DecodeError, and the
+// record has the ID only.
 func decodeHead(it kvst.Item) (Record, error) {
-	id, err := url.PathUnescape(strings.TrimPrefix(it.Key, HeadPrefix))
+	name := strings.TrimPrefix(it.Key, HeadPrefix)
+	id, err := url.PathUnescape(name)
 	if err != nil {
-		return Record{}, errors.Wrapf(err, "key %s", it.Key)
+		return Record{ID: name}, &DecodeError{Key: it.Key, Cause: err}
 	}
 	rec := Record{ID: id, Revision: it.Revision}
 	if err := json.Unmarshal(it.Value, &rec.Head); err != nil {
-		return Record{}, errors.Wrapf(err, "head of batch %s", id)
+		return Record{ID: id}, &DecodeError{Key: it.Key, Cause: err}
 	}
 	rec.AcceptedAt = time.Now().Add(-time.Duration(rec.AgeMs) * time.Millisecond)
 	return rec, nil
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -180,23 +181,54 @@
 
 // Append appends to the replicas the results after the first stored ones, which the store
 // has; those before position from were appended earlier. When it returns nil, one more
-// replica than disks may be lost has synced them. It returns a *seal.FencedError if a
-// replica knows a later owner, and otherwise a *QuorumError.
+// replica than disks may be lost has synced them; the others may still be at it, since one
+// that is frozen must not hold up the rest. It returns a *seal.FencedError if a replica knows
+// a later owner, and otherwise a *QuorumError.
 func (s *Log) Append(ctx context.Context, id string, epoch int64, replicas []batch.Replica, from, stored int, results []batch.Result) error {
 	req := request{Op: opAppend, ID: id, Epoch: epoch, From: from, Stored: stored, Results: results[from-stored:]}
-	replies := s.callAll(ctx, replicas, req)
-	var lagging []batch.Replica
-	for i, a := range replies {
-		if errors.Is(a.err, errGap) {
-			lagging = append(lagging, replicas[i])
+	liveDisks := s.liveDisks()
+	return awaitQuorum(id, replicas, s.quorum(), func(c batch.Replica) reply {
+		r := s.callReplica(ctx, liveDisks, c, req)
+		if errors.Is(r.err, errGap) {
+			// It was out of reach when the others accepted the earlier results.
+			all := req
+			all.From, all.Results = stored, results
+			r = s.callReplica(ctx, liveDisks, c, all)
 		}
+		return r
+	})
+}
+
+// Probe returns nil if enough of the replicas for a seal answer, and otherwise the same errors
+// as Append. epoch is that of the present owner, whose appends go on.
+func (s *Log) Probe(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
+	req := request{Op: opSeal, ID: id, Epoch: epoch, From: math.MaxInt32} // after all results
+	liveDisks := s.liveDisks()
+	return awaitQuorum(id, replicas, s.sealQuorum(replicas), func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
+}
+
+// awaitQuorum makes a call to each replica and returns once enough have succeeded, or all have
+// ended.
+func awaitQuorum(id string, replicas []batch.Replica, need int, call func(batch.Replica) reply) error {
+	arrived := make(chan reply, len(replicas))
+	for _, c := range replicas {
+		go func() { arrived <- call(c) }()
 	}
-	if len(lagging) > 0 {
-		// These were out of reach when the others accepted the earlier results.
-		req.From, req.Results = stored, results
-		replies = append(slices.DeleteFunc(replies, func(a reply) bool { return errors.Is(a.err, errGap) }), s.callAll(ctx, lagging, req)...)
+	var replies []reply
+	for acked := 0; len(replies) < len(replicas) && acked < need; {
+		r := <-arrived
+		replies = append(replies, r)
+		if r.err == nil {
+			acked++
+		}
 	}
-	return checkQuorum(id, replies, s.quorum())
+	return checkQuorum(id, replies, need)
+}
+
+// sealQuorum returns the number of replicas that a seal must reach: all but as many as may be
+// lost.
+func (s *Log) sealQuorum(replicas []batch.Replica) int {
+	return max(1, len(replicas)-s.maxLostDisks)
 }
 
 // Seal makes the replicas refuse owners with an earlier epoch. It returns all listed
@@ -207,7 +239,7 @@
 	defer cancel()
 	for {
 		replies := s.callAll(ctx, replicas, request{Op: opSeal, ID: id, Epoch: epoch, From: after})
-		err := checkQuorum(id, replies, max(1, len(replicas)-s.maxLostDisks))
+		err := checkQuorum(id, replies, s.sealQuorum(replicas))
 		var fenced *seal.FencedError
 		switch {
 		case err == nil:
@@ -220,10 +252,10 @@
 	}
 }
 
-// Drop deletes the batch's results from the replicas, once the store has them. A replica
-// that can't be reached keeps them until its log expires.
-func (s *Log) Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica) {
-	replies := s.callAll(ctx, replicas, request{Op: opDrop, ID: id, Epoch: epoch})
+// Drop deletes the batch's results from the replicas, once the store has the first stored
+// ones. A replica that can't be reached keeps them until its log expires.
+func (s *Log) Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica, stored int) {
+	replies := s.callAll(ctx, replicas, request{Op: opDrop, ID: id, Epoch: epoch, Stored: stored})
 	s.logger.Info("Replicas dropped.", "batch", id, "epoch", epoch, "error", checkQuorum(id, replies, len(replicas)))
 }
 
@@ -239,21 +271,22 @@
 	replies := make([]reply, len(replicas))
 	var wg sync.WaitGroup
 	for i, c := range replicas {
-		wg.Go(func() {
-			nodes := s.locate(liveDisks, []batch.Replica{c})
-			if len(nodes) == 0 {
-				replies[i].err = errors.Newf("the disk of %s can't be reached", c.Instance)
-				return
-			}
-			diskReq := req
-			diskReq.Disk = c.Disk
-			replies[i] = s.call(ctx, nodes[0], diskReq)
-		})
+		wg.Go(func() { replies[i] = s.callReplica(ctx, liveDisks, c, req) })
 	}
 	wg.Wait()
 	return replies
 }
 
+// callReplica makes a call to one replica, if the instance with its disk is live.
+func (s *Log) callReplica(ctx context.Context, liveDisks []mesh.Node, c batch.Replica, req request) reply {
+	nodes := s.locate(liveDisks, []batch.Replica{c})
+	if len(nodes) == 0 {
+		return reply{err: errors.Newf("the disk of %s can't be reached", c.Instance)}
+	}
+	req.Disk = c.Disk
+	return s.call(ctx, nodes[0], req)
+}
+
 func (s *Log) call(ctx context.Context, n mesh.Node, req request) reply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -317,7 +350,7 @@
 	case opSeal:
 		out.Results, out.ResultsEpoch, err = s.dir.Seal(req.ID, req.Epoch, req.From)
 	case opDrop:
-		err = s.dir.Drop(req.ID, req.Epoch)
+		err = s.dir.Drop(req.ID, req.Epoch, req.Stored)
 	default:
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.Newf("unknown operation %q", req.Op))
 	}
