--- a/queue/queue.go
+++ b/queue/queue.go
@@ -12,9 +12,10 @@
 // expected to arrive meanwhile. It refuses at once what would finish too late,
 // with the time after which the same request could finish in time. It orders by
 // kind, then priority, then whether the work can still end by its objective, then
-// arrival time plus a multiple of the expected service time. Admitted work is given up only when work that precedes it arrives later
-// or when running work takes longer than predicted, and it is refused as soon as
-// starting it could no longer help.
+// arrival time plus a multiple of the expected service time. Admitted work is
+// given up only when work that precedes it arrives later or when running work
+// takes longer than predicted, and it is refused as soon as starting it could no
+// longer help.
 //
 // See docs/measured/load.md for figures and the effect of the thresholds.
 package queue
