--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -42,13 +41,6 @@
 	storePort  = "8169"
 )
 
-// The bounds of the site file pwh-isd.toml that the checks use.
-const (
-	contact = 3 * time.Second
-	settle  = time.Second
-	cancelS = 3 * time.Second
-)
-
 type (
 	// deployment is a small deployment on loopback addresses: the stand-ins of the store and
 	// the workers run in this process, and each node of the system in its own.
@@ -58,9 +50,11 @@
 		store   *simpst.Store
 		engines []*simwkr.Worker
 		plain   []*simwkr.Worker
-		nodes   []*nodeProcess
-		client  *http.Client
-		record  *record
+		// longStreams serve the streams at the addresses of engines.
+		longStreams []*longStreams
+		nodes       []*nodeProcess
+		client      *http.Client
+		record      *record
 	}
 
 	nodeProcess struct {
@@ -74,16 +68,6 @@
 		f     *os.File
 		start time.Time
 	}
-
-	page struct {
-		Total   int `json:"total"`
-		Next    int `json:"next"`
-		Results []struct {
-			ID    string `json:"id"`
-			State string `json:"state"`
-			Text  string `json:"text"`
-		} `json:"results"`
-	}
 )
 
 func newRecord(path string) (*record, error) {
@@ -117,14 +101,16 @@
 	for i := range engines {
 		w := simwkr.New(fmt.Sprintf("engine-%d", i), simwkr.WithModels(simcfg.Model), simwkr.WithEventInterval(eventInterval))
 		d.engines = append(d.engines, w)
-		if err := d.serveWorker(ctx, w, "lm", d.ip(2, i+1)+":"+workerPort); err != nil {
+		long := &longStreams{next: w, cutAt: make(map[string]time.Time)}
+		d.longStreams = append(d.longStreams, long)
+		if err := d.serveWorker(ctx, w, long, "lm", d.ip(2, i+1)+":"+workerPort); err != nil {
 			return nil, err
 		}
 	}
 	for i := range plainWorkers {
 		w := simwkr.New(fmt.Sprintf("desk-%d", i))
 		d.plain = append(d.plain, w)
-		if err := d.serveWorker(ctx, w, "desk", d.ip(3, i+1)+":"+workerPort); err != nil {
+		if err := d.serveWorker(ctx, w, w, "desk", d.ip(3, i+1)+":"+workerPort); err != nil {
 			return nil, err
 		}
 	}
@@ -160,8 +146,8 @@
 }
 
 // serveWorker serves a worker and maintains its entry in the store.
-func (d *deployment) serveWorker(ctx context.Context, w *simwkr.Worker, service, addr string) error {
-	if err := d.serve(ctx, addr, w); err != nil {
+func (d *deployment) serveWorker(ctx context.Context, w *simwkr.Worker, h http.Handler, service, addr string) error {
+	if err := d.serve(ctx, addr, h); err != nil {
 		return err
 	}
 	go func() {
@@ -339,25 +325,3 @@
 	raw, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, raw, err
 }
-
-// read returns the results of a batch from a position on, as a node answers.
-func (d *deployment) read(ctx context.Context, n *nodeProcess, batch string, after int) (int, page) {
-	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
-	defer cancel()
-	status, raw, err := d.call(ctx, http.MethodGet, n.front(), simcfg.BatchHost, fmt.Sprintf("%s%s?after=%d", simcfg.BatchStatusPath, batch, after), "read", nil, nil)
-	var p page
-	if err != nil {
-		return 0, p
-	}
-	_ = json.Unmarshal(raw, &p)
-	return status, p
-}
-
-// setFull sets whether the engines have no slot left for the system's requests, because other
-// callers' requests take all of them.
-func (d *deployment) setFull(full bool) {
-	for _, w := range d.engines {
-		w.SetOverloaded(full)
-	}
-	d.record.add("the engines are full: %v", full)
-}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,6 +22,7 @@
 // cases are the cases by name. trouble is false for the run without the disruption.
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
 	"once-replay": onceReplay,
+	"drain-cut":   drainCut,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
