review/1: a step with singleVersion never ends once a version is named while it runs

Cause: an item with some events is pinned to the version that made them, and is never begun anew when no engine has that version; it also blocks the items behind it.

Nothing is fixed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exits with 1 if a stream was lost around a SIGTERM, 0 if none was, and 2 if the case couldn't
-# run. TROUBLE=0 plays it without the SIGTERM.
+# Exits with 1 if a request that isn't idempotent ran twice, 0 if none did, and 2 if the case
+# couldn't run. TROUBLE=0 plays it without lost answers.
 cd "$(dirname "$0")/../.."
-exec target/review/rig drain-cut review/3/record.txt
+exec target/review/rig once-replay review/3/record.txt
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -52,9 +52,13 @@
 		plain   []*simwkr.Worker
 		// longStreams serve the streams at the addresses of engines.
 		longStreams []*longStreams
-		nodes       []*nodeProcess
-		client      *http.Client
-		record      *record
+		// modelEngines take the place of engines if models isn't empty.
+		modelEngines []*engine
+		models       []string
+		versions     *versions
+		nodes        []*nodeProcess
+		client       *http.Client
+		record       *record
 	}
 
 	nodeProcess struct {
@@ -87,18 +91,29 @@
 }
 
 // newDeployment starts the deployment and returns once its entries are ready.
-func newDeployment(ctx context.Context, dir string, rec *record) (*deployment, error) {
+// With models, its engines are of type engine and serve these.
+func newDeployment(ctx context.Context, dir string, rec *record, models ...string) (*deployment, error) {
 	subnet, err := freeSubnet()
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, subnet: subnet, store: simpst.New(), record: rec,
+	d := &deployment{dir: dir, subnet: subnet, store: simpst.New(), record: rec, models: models, versions: &versions{named: make(map[string]int64)},
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	if err := d.serve(ctx, d.ip(200, 1)+":"+storePort, d.store); err != nil {
 		return nil, err
 	}
-	d.store.Put(simcfg.ManifestKey, simcfg.Manifest(3, "desk"))
+	manifest := simcfg.Manifest(3, "desk")
+	if len(models) > 0 {
+		manifest = singleManifest(models...)
+	}
+	d.store.Put(simcfg.ManifestKey, manifest)
 	for i := range engines {
+		if len(models) > 0 {
+			if err := d.serveEngine(ctx, newEngine(fmt.Sprintf("engine-%d", i), d.versions.newest, models...), d.ip(2, i+1)+":"+workerPort); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		w := simwkr.New(fmt.Sprintf("engine-%d", i), simwkr.WithModels(simcfg.Model), simwkr.WithEventInterval(eventInterval))
 		d.engines = append(d.engines, w)
 		long := &longStreams{next: w, cutAt: make(map[string]time.Time)}
@@ -145,24 +160,36 @@
 	return nil
 }
 
-// serveWorker serves a worker and maintains its entry in the store.
+// serveWorker serves a worker and registers it.
 func (d *deployment) serveWorker(ctx context.Context, w *simwkr.Worker, h http.Handler, service, addr string) error {
 	if err := d.serve(ctx, addr, h); err != nil {
 		return err
 	}
-	go func() {
-		var last []byte
-		for ctx.Err() == nil {
-			if e := w.Registration(service, addr, "zone-a", "ready"); !bytes.Equal(e, last) {
-				d.store.Put("servers/"+w.ID(), e)
-				last = e
-			}
-			time.Sleep(registrationInterval)
-		}
-	}()
+	go d.register(ctx, w.ID(), func() []byte { return w.Registration(service, addr, "zone-a", "ready") })
+	return nil
+}
+
+func (d *deployment) serveEngine(ctx context.Context, e *engine, addr string) error {
+	d.modelEngines = append(d.modelEngines, e)
+	if err := d.serve(ctx, addr, e); err != nil {
+		return err
+	}
+	go d.register(ctx, e.id, func() []byte { return e.registration(addr) })
 	return nil
 }
 
+// register maintains a worker's entry in the store.
+func (d *deployment) register(ctx context.Context, id string, entry func() []byte) {
+	var last []byte
+	for ctx.Err() == nil {
+		if e := entry(); !bytes.Equal(e, last) {
+			d.store.Put("servers/"+id, e)
+			last = e
+		}
+		time.Sleep(registrationInterval)
+	}
+}
+
 func (d *deployment) startNodes() error {
 	for i := range entries {
 		d.nodes = append(d.nodes, &nodeProcess{name: fmt.Sprintf("front-%d", i), ip: d.ip(1, i+1)})
--- a/review/rig/drain.go
+++ b/review/rig/drain.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -53,6 +54,11 @@
 
 // ServeHTTP implements http.Handler.
 func (w *longStreams) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if v := r.Header.Get("Expect-Version"); v != "" && v != strconv.FormatInt(w.next.Versions()[simcfg.Model], 10) {
+		rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if !strings.HasPrefix(r.URL.Path, simcfg.StreamPath) {
 		w.next.ServeHTTP(rw, r)
 		return
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -21,13 +21,14 @@
 
 // cases are the cases by name. trouble is false for the run without the disruption.
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
-	"once-replay": onceReplay,
-	"drain-cut":   drainCut,
+	"once-replay":    onceReplay,
+	"single-version": singleVersion,
+	"drain-cut":      drainCut,
 }
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() { os.Exit(play(os.Args[1:])) }
 
-func run(args []string) int {
+func play(args []string) int {
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return exitFailed
@@ -49,7 +50,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
 	defer cancel()
-	d, err := newDeployment(ctx, dir, rec)
+	var models []string
+	if args[0] == "single-version" {
+		models = []string{"alpha", "beta"}
+	}
+	d, err := newDeployment(ctx, dir, rec, models...)
 	if d != nil {
 		defer d.stop()
 	}
