--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -26,8 +26,9 @@
 	// engine is a stand-in for a model worker that carries out orders as PROTOCOL.md says: an
 	// order with the mode truncate resets the streams of the runs.
 	engine struct {
-		id     string
-		models []string
+		id      string
+		service string
+		models  []string
 
 		mu       sync.Mutex
 		versions map[string]int64
@@ -60,7 +61,7 @@
 )
 
 func newEngine(id string, newest func(model string) int64, models ...string) *engine {
-	e := &engine{id: id, models: models, versions: make(map[string]int64), newest: newest, active: make(map[*run]bool)}
+	e := &engine{id: id, service: "lm", models: models, versions: make(map[string]int64), newest: newest, active: make(map[*run]bool)}
 	for _, m := range models {
 		e.versions[m] = 1
 	}
@@ -71,7 +72,7 @@
 func (e *engine) registration(addr string) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	raw, _ := json.Marshal(map[string]any{"service": "lm", "addr": addr, "zone": "zone-a", "version": "v1", "slots": engineSlots,
+	raw, _ := json.Marshal(map[string]any{"service": e.service, "addr": addr, "zone": "zone-a", "version": "v1", "slots": engineSlots,
 		"state": "ready", "coldLeftMs": 0, "models": e.modelList(), "seq": e.seq})
 	return raw
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,8 @@
 var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken bool, err error){
 	"once-replay":    onceReplay,
 	"single-version": singleVersion,
+	"expect-version": expectVersion,
+	"two-services":   twoServices,
 	"drain-cut":      drainCut,
 }
 
@@ -51,7 +53,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
 	defer cancel()
 	var models []string
-	if args[0] == "single-version" {
+	if args[0] == "single-version" || args[0] == "two-services" {
 		models = []string{"alpha", "beta"}
 	}
 	d, err := newDeployment(ctx, dir, rec, models...)
--- a/review/rig/single.go
+++ b/review/rig/single.go
@@ -83,7 +83,7 @@
 // requests step 1, trains, and names version 2 while the items of step 1 run.
 func singleVersion(ctx context.Context, d *deployment, trouble bool) (bool, error) {
 	model := d.models[0]
-	if err := d.submitStep(ctx, d.nodes[0], model, firstStepID, 0, firstStepItems); err != nil {
+	if err := d.submitStep(ctx, d.nodes[0], model, firstStepID, 0, firstStepItems, 1); err != nil {
 		return false, err
 	}
 	if p := d.readStep(ctx, firstStepID, firstStepItems, time.Now().Add(stepBudget)); len(p.Results) < firstStepItems {
@@ -92,7 +92,7 @@
 	status, _, err := d.call(ctx, http.MethodDelete, d.nodes[1].front(), simcfg.BatchHost, simcfg.BatchStatusPath+firstStepID, "end", nil, nil)
 	d.record.add("step 0 ended at %s: %d %v", d.nodes[1].name, status, err)
 	start := time.Now()
-	if err := d.submitStep(ctx, d.nodes[1], model, stepID, 1, stepItems); err != nil {
+	if err := d.submitStep(ctx, d.nodes[1], model, stepID, 1, stepItems, 1); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Until(start.Add(trainTime)))
@@ -108,10 +108,10 @@
 	return d.checkStep(p, now, namedAt), nil
 }
 
-// submitStep submits a step that allows all versions from 1 on.
-func (d *deployment) submitStep(ctx context.Context, n *nodeProcess, model, id string, step, items int) error {
+// submitStep submits a step that allows all versions from minVersion on.
+func (d *deployment) submitStep(ctx context.Context, n *nodeProcess, model, id string, step, items int, minVersion int64) error {
 	submission := map[string]any{}
-	if err := json.Unmarshal(simcfg.Submission(id, step, items, groupSize, 1), &submission); err != nil {
+	if err := json.Unmarshal(simcfg.Submission(id, step, items, groupSize, minVersion), &submission); err != nil {
 		return err
 	}
 	submission["model"] = model
