--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime"
 	"time"
 )
 
@@ -31,6 +32,8 @@
 func main() { os.Exit(play(os.Args[1:])) }
 
 func play(args []string) int {
+	// The nodes get a SIGKILL when the thread that started them ends.
+	runtime.LockOSThread()
 	if len(args) != 2 || cases[args[0]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
 		return exitFailed
