--- a/review/rig/single.go
+++ b/review/rig/single.go
@@ -105,7 +105,7 @@
 	p := d.readStep(ctx, stepID, stepItems, start.Add(stepBudget))
 	now := time.Now()
 	d.record.add("%d of %d results of step 1 read, %.1f s after its submission", len(p.Results), stepItems, now.Sub(start).Seconds())
-	return d.checkStep(p, now, namedAt), nil
+	return d.checkStep(stepID, stepItems, p, now, namedAt), nil
 }
 
 // submitStep submits a step that allows all versions from minVersion on.
@@ -145,7 +145,7 @@
 // checkStep reports whether the step ran out of time with an item that no worker has finished
 // and that was at no worker for idleLimit, while the workers were under half full and no version
 // was named.
-func (d *deployment) checkStep(p page, now, namedAt time.Time) (broken bool) {
+func (d *deployment) checkStep(step string, items int, p page, now, namedAt time.Time) (broken bool) {
 	listed := make(map[string]bool)
 	for _, r := range p.Results {
 		listed[r.ID] = true
@@ -179,13 +179,16 @@
 		d.record.add("a version was named too late for a judgement")
 		return false
 	}
-	for n := range stepItems {
-		id := simcfg.ItemID(stepID, n)
+	for n := range items {
+		id := simcfg.ItemID(step, n)
 		if listed[id] || finished[id] || now.Sub(last[id]) < idleLimit {
 			continue
 		}
-		d.record.add("LOST: the step ran out of time, and item %s has been at no worker for %.1f s; %d of %d slots are taken", id,
-			now.Sub(last[id]).Seconds(), mostActive, len(d.modelEngines)*engineSlots)
+		idle := "never been at a worker"
+		if at, ok := last[id]; ok {
+			idle = fmt.Sprintf("been at no worker for %.1f s", now.Sub(at).Seconds())
+		}
+		d.record.add("LOST: the step ran out of time, and item %s has %s; %d of %d slots are taken", id, idle, mostActive, len(d.modelEngines)*engineSlots)
 		broken = broken || mostActive < len(d.modelEngines)*engineSlots/2
 	}
 	return broken
