brun: items whose weights were replaced begin anew, and hold up no others

Cause: the text of an item may only go on under the weights that generated it. Weights only ever grow, so once the last engine had loaded the next ones no endpoint could take the item, and nothing discarded the text. `startItems` took "no endpoint with these weights" for "no free slot" and stopped there, so that the items behind it, begun or not, waited as well.

Evidence: nothing told apart an item that waits for weights, for a slot, for a copy in quarantine or for a belief that engines still load, so the line "Items wait beside free slots." came first, with the causes.

Now: an item goes on at an endpoint with its weights while one has a free slot. If one has those weights but no slot, or has just failed, the item waits no longer than its text takes to be generated again, so that the wait costs at most what it may save. Otherwise it takes any suitable endpoint, and its text is discarded only once it has one ("Item restarted.", items_restarted_total). An item that waits no longer ends the loop for those behind it, and neither does a service without a free slot for the items of another service of the route. A run that met newer weights was counted as a failure of its endpoint, which was then avoided for 1.5 s; it isn't any more. A text of several versions (the route became singleVersion meanwhile) could go on nowhere either; it begins anew.

--- a/brun/choice.go
+++ b/brun/choice.go
@@ -20,11 +20,15 @@
 		// suitable has the endpoints whose weights suit the batch, with the runs that were
 		// started in this pass.
 		suitable []epset.View
+		// avoidsFailed is set if some of them haven't failed recently; the others are avoided.
+		avoidsFailed bool
 		// preferred has the indices in suitable of those that lineup chooses from, and
 		// preferredAt the position in it of each endpoint, by ID.
 		preferred   []int
 		preferredAt map[string]int
 		lineup      *lineup.Lineup
+		// fullVersions has the weight versions without a free slot at any endpoint.
+		fullVersions map[int64]bool
 		// typicalTime is the median event interval of the preferred endpoints, if measured.
 		typicalTime time.Duration
 	}
@@ -64,15 +68,15 @@
 // returns the event interval that a run has to expect there.
 func (r *Runner) newChoices(service string, sub *batch.Submission, now time.Time, keep func(epset.View) bool, incoming map[string]int,
 	interval func(epset.View) float64) *choices {
-	c := &choices{suitable: slices.DeleteFunc(r.endpoints.Available(service), func(v epset.View) bool {
+	c := &choices{fullVersions: make(map[int64]bool), suitable: slices.DeleteFunc(r.endpoints.Available(service), func(v epset.View) bool {
 		return v.Loading[sub.Model] || v.Versions[sub.Model] < sub.MinVersion
 	})}
 	for i := range c.suitable {
 		c.suitable[i].Running += incoming[c.suitable[i].ID]
 	}
-	avoidsFailed := hasUnfailed(c.suitable, now)
+	c.avoidsFailed = hasUnfailed(c.suitable, now)
 	for i, v := range c.suitable {
-		if keep(v) && (!avoidsFailed || !now.Before(v.AvoidUntil)) {
+		if keep(v) && (!c.avoidsFailed || !now.Before(v.AvoidUntil)) {
 			c.preferred = append(c.preferred, i)
 		}
 	}
@@ -113,34 +117,90 @@
 	return slices.ContainsFunc(views, func(v epset.View) bool { return !now.Before(v.AvoidUntil) })
 }
 
-// take returns the best endpoint with a free slot for an item, and counts a run there.
-// limited reports whether the item may run at some endpoints only.
-func (r *Runner) take(c *choices, sub *batch.Submission, it *item, route *manif.Route, now time.Time) (v epset.View, ok, limited bool) {
-	incarnations, limited := r.guard.CopyLimit(it.fp)
-	if !limited && !isPinned(it, route) {
-		i, ok := c.lineup.Take()
+// take returns the best endpoint with a free slot for an item and counts a run there, or the cause
+// for which the item waits. An endpoint with other weights than those of a pinned item means that
+// the item begins anew.
+func (r *Runner) take(c *choices, sub *batch.Submission, it *item, route *manif.Route, now time.Time) (v epset.View, wait waitCause) {
+	if incarnations, limited := r.guard.CopyLimit(it.fp); limited {
+		i, ok := r.takeAmong(c, now, func(v epset.View) bool {
+			return incarnations[v.Incarnation()] && (!c.avoidsFailed || !now.Before(v.AvoidUntil)) &&
+				(!isPinned(it, route) || it.hasWeightsOf(v, sub.Model))
+		})
 		if !ok {
-			return epset.View{}, false, false
+			return epset.View{}, waitCopy
 		}
-		i = c.preferred[i]
-		c.suitable[i].Running++
-		return c.suitable[i], true, false
+		return c.suitable[i], ""
 	}
-	allowed := slices.DeleteFunc(slices.Clone(c.suitable), func(v epset.View) bool {
-		return isPinned(it, route) && v.Versions[sub.Model] != it.versions[0]
-	})
-	if hasUnfailed(allowed, now) {
-		allowed = slices.DeleteFunc(allowed, func(v epset.View) bool { return now.Before(v.AvoidUntil) })
+	if isPinned(it, route) {
+		i, ok := r.takeWeights(c, sub.Model, it, now)
+		if ok {
+			return c.suitable[i], ""
+		}
+		if it.awaitsWeights(c, sub.Model, now) {
+			return epset.View{}, waitVersion
+		}
+	}
+	i, ok := c.lineup.Take()
+	if !ok {
+		return epset.View{}, waitSlot
+	}
+	i = c.preferred[i]
+	c.suitable[i].Running++
+	return c.suitable[i], ""
+}
+
+// takeWeights counts a run at the best endpoint that has the weights of a pinned item, and returns
+// its index.
+func (r *Runner) takeWeights(c *choices, model string, it *item, now time.Time) (index int, ok bool) {
+	if len(it.versions) != 1 || c.fullVersions[it.versions[0]] {
+		return 0, false
+	}
+	index, ok = r.takeAmong(c, now, func(v epset.View) bool { return it.hasWeightsOf(v, model) && !now.Before(v.AvoidUntil) })
+	if !ok {
+		c.fullVersions[it.versions[0]] = true
+	}
+	return index, ok
+}
+
+// takeAmong counts a run at the best suitable endpoint that keep accepts, and returns its index.
+func (r *Runner) takeAmong(c *choices, now time.Time, keep func(epset.View) bool) (index int, ok bool) {
+	var indices []int
+	for i, v := range c.suitable {
+		if keep(v) {
+			indices = append(indices, i)
+		}
 	}
-	if limited {
-		allowed = slices.DeleteFunc(allowed, func(v epset.View) bool { return !incarnations[v.Incarnation()] })
+	views := make([]epset.View, len(indices))
+	for at, i := range indices {
+		views[at] = c.suitable[i]
 	}
-	i, ok := r.picker.Pick(candidates(allowed, r.dataCentre, now, newRunInterval))
+	at, ok := r.picker.Pick(candidates(views, r.dataCentre, now, newRunInterval))
 	if !ok {
-		return epset.View{}, false, limited
+		return 0, false
+	}
+	c.count(c.suitable[indices[at]].ID)
+	return indices[at], true
+}
+
+// hasWeightsOf reports whether the text of an item was generated by the weights that an endpoint
+// has now.
+func (it *item) hasWeightsOf(v epset.View, model string) bool {
+	return len(it.versions) == 1 && v.Versions[model] == it.versions[0]
+}
+
+// awaitsWeights reports whether a pinned item should wait for a slot at an endpoint with its
+// weights rather than begin anew elsewhere. It waits for no longer than its text takes to be
+// generated again, so that the wait costs at most as much as what it may save.
+func (it *item) awaitsWeights(c *choices, model string, now time.Time) bool {
+	if it.weightsAwaitedSince.IsZero() {
+		it.weightsAwaitedSince = now
+	}
+	interval := c.typicalTime
+	if interval == 0 {
+		interval = defaultEventInterval
 	}
-	c.count(allowed[i].ID)
-	return allowed[i], true, limited
+	return now.Sub(it.weightsAwaitedSince) < time.Duration(len(it.texts))*interval &&
+		slices.ContainsFunc(c.suitable, func(v epset.View) bool { return it.hasWeightsOf(v, model) })
 }
 
 // other returns the best endpoint with a free slot to which a running item could move.
@@ -158,7 +218,7 @@
 	}
 	var allowed []epset.View
 	for at, i := range c.preferred {
-		if v := c.suitable[i]; at != except && v.Versions[model] == it.versions[0] {
+		if v := c.suitable[i]; at != except && it.hasWeightsOf(v, model) {
 			allowed = append(allowed, v)
 		}
 	}
@@ -178,7 +238,8 @@
 	c.suitable[i].Running++
 }
 
-// isPinned reports whether an item may only go on under the version that it began with.
+// isPinned reports whether the text of an item may only go on under the weights that generated it.
+// Weights aren't kept anywhere: once all endpoints have newer ones, the item has to begin anew.
 func isPinned(it *item, route *manif.Route) bool {
 	return route.SingleVersion && len(it.versions) > 0
 }
--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -146,8 +146,8 @@
 			r := New(bstore.New(&fakeStore{}), set, blockedSender{}, nil, func() *manif.Manifest { return nil }, logs.New(io.Discard))
 			c := r.newChoices("lm", &batch.Submission{Model: model}, time.Now(), func(epset.View) bool { return true }, nil, newRunInterval)
 			for range items {
-				v, ok, _ := r.take(c, &batch.Submission{Model: model}, &item{Item: &batch.Item{}}, &manif.Route{}, time.Now())
-				g.Expect(ok).To(BeTrue())
+				v, wait := r.take(c, &batch.Submission{Model: model}, &item{Item: &batch.Item{}}, &manif.Route{}, time.Now())
+				g.Expect(wait).To(BeEmpty())
 				runs[v.ID]++
 			}
 		}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -42,27 +42,43 @@
 }
 
 func (r *Runner) startItems(ctx context.Context, b *tracked, route *manif.Route, now time.Time) {
-	passes := make(map[string]*choices)
+	passes, full := make(map[string]*choices), make(map[string]bool)
+	waiting := make(waits)
+	defer func() { r.logWaits(b, route, waiting, now) }()
 	for _, it := range b.startOrder {
-		if it.done || it.complete || it.cancel != nil || now.Before(it.notBefore) {
+		if it.done || it.complete || it.cancel != nil {
+			continue
+		}
+		if now.Before(it.notBefore) {
+			waiting[waitRetry]++
 			continue
 		}
 		service := route.PickService(it.ID)
+		if full[service] {
+			waiting[waitSlot]++
+			continue
+		}
 		c := passes[service]
 		if c == nil {
 			c = r.newChoices(service, b.sub, now, func(epset.View) bool { return true }, nil, newRunInterval)
 			passes[service] = c
 		}
-		v, ok, limited := r.take(c, b.sub, it, route, now)
-		switch {
-		case !ok && limited:
+		v, wait := r.take(c, b.sub, it, route, now)
+		if wait == "" {
+			r.startItem(ctx, b, it, route, v)
+			continue
+		}
+		waiting[wait]++
+		if wait == waitCopy {
 			r.meter.Count("item_copies_waiting_total", 1)
 			r.logger.Debug("Item waits for a copy to be answered.", "batch", b.sub.ID, "item", it.ID, "print", it.fp)
-			continue
-		case !ok:
+		}
+		if wait == waitSlot {
+			full[service] = true
+		}
+		if len(full) == len(route.Split) {
 			return
 		}
-		r.startItem(ctx, b, it, route, v)
 	}
 }
 
@@ -72,6 +88,9 @@
 		r.deferQuarantined(b, it, err)
 		return
 	}
+	if isPinned(it, route) && !it.hasWeightsOf(v, b.sub.Model) {
+		r.restart(b, it, "weights replaced")
+	}
 	runCtx, cancel := context.WithCancelCause(ctx)
 	it.cancel = cancel
 	it.moving = false
@@ -98,6 +117,13 @@
 	go r.run(runCtx, b, it, route, call)
 }
 
+// restart discards the text of an item, which then begins anew. The caller holds r.mu.
+func (r *Runner) restart(b *tracked, it *item, cause string) {
+	r.meter.Count("items_restarted_total", 1, "cause", cause)
+	r.logger.Info("Item restarted.", "batch", b.sub.ID, "item", it.ID, "cause", cause, "versions", it.versions, "events", len(it.texts))
+	it.texts, it.savedEvents, it.lastEvent, it.versions = nil, 0, upstr.FromStart, nil
+}
+
 // deferQuarantined delays an item whose request is quarantined because it crashed endpoints.
 // Until the item is given up for its age, like one that finds no slot, an operator may clear
 // it. The caller holds r.mu.
@@ -162,6 +188,8 @@
 		return r.finishStatus(b, it, route, status)
 	case errors.Is(err, errMigrated):
 		return "moved"
+	case errors.Is(err, errMixedVersions):
+		return "restarted" // the endpoint works, it has loaded other weights
 	default:
 		// Without a delay, an endpoint that resets every connection would be sent the same item
 		// hundreds of times a second while no other has a free slot.
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -63,6 +63,10 @@
 		lastSent            map[string]time.Time
 		// resets has the engines that reset the connection of each run at once.
 		resets map[string]bool
+		// version is the weight version of all engines, 1 if not set; resetAll resets the
+		// connections of all runs once it is closed.
+		version  int64
+		resetAll chan struct{}
 		// log has the log of the runner.
 		log strings.Builder
 	}
@@ -94,6 +98,7 @@
 	e.running[c.Endpoint.ID]++
 	e.lastSent[c.Endpoint.ID] = time.Now()
 	e.maxRunning[c.Endpoint.ID] = max(e.maxRunning[c.Endpoint.ID], e.running[c.Endpoint.ID])
+	version, resetAll := max(1, e.version), e.resetAll
 	e.mu.Unlock()
 	pr, pw := io.Pipe()
 	go func() {
@@ -102,12 +107,12 @@
 			e.running[c.Endpoint.ID]--
 			e.mu.Unlock()
 		}()
-		_ = pw.CloseWithError(e.stream(ctx, pw, c)) // has no effect if the reader is gone
+		_ = pw.CloseWithError(e.stream(ctx, pw, c, resetAll)) // has no effect if the reader is gone
 	}()
-	return &upstr.Response{Status: http.StatusOK, Body: pr, Version: 1}, nil
+	return &upstr.Response{Status: http.StatusOK, Body: pr, Version: version}, nil
 }
 
-func (e *fakeEngines) stream(ctx context.Context, w io.Writer, c upstr.Call) error {
+func (e *fakeEngines) stream(ctx context.Context, w io.Writer, c upstr.Call, reset <-chan struct{}) error {
 	if e.resets[c.Endpoint.ID] {
 		return errReset
 	}
@@ -116,6 +121,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-reset:
+			return errReset
 		case <-time.After(wait):
 		}
 		wait = e.eventIntervalOf(c.Endpoint.ID)
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -122,10 +122,11 @@
 		return errStaleVersion
 	}
 	if route, ok := r.route(b.sub); ok && route.SingleVersion && len(it.versions) > 0 && it.oldestVersion() != version {
-		it.texts, it.savedEvents, it.lastEvent, it.versions = nil, 0, upstr.FromStart, nil
+		r.restart(b, it, "weights changed during the run")
 		return errMixedVersions
 	}
 	r.noteFirstEvent(b, it)
+	it.weightsAwaitedSince = time.Time{}
 	it.texts = append(it.texts, ev.Data)
 	it.lastEvent = ev.ID
 	it.runEvents++
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -53,8 +53,10 @@
 		// results or of the last replication.
 		writtenAt, resultsWrittenAt time.Time
 		// sortedAt is when startOrder was computed.
-		sortedAt  time.Time
-		stepTimes stepTimes
+		sortedAt time.Time
+		// waitsLoggedAt is when the causes for which items wait were last logged.
+		waitsLoggedAt time.Time
+		stepTimes     stepTimes
 	}
 
 	item struct {
@@ -90,6 +92,9 @@
 		lastEventAt time.Time
 		runEvents   int
 		notBefore   time.Time
+		// weightsAwaitedSince is since when the item could go on if an endpoint with its weights
+		// had a free slot; zero if it got an event since.
+		weightsAwaitedSince time.Time
 		// moving is set once the run was cancelled to go on at another endpoint.
 		moving     bool
 		attempts   int
