--- a/loader/loader.go
+++ b/loader/loader.go
@@ -49,6 +49,8 @@
 		Busy bool
 		// Orders counts the orders accepted since the engine started.
 		Orders int64
+		// Running counts its requests, those of all callers, with those in its queue.
+		Running int
 	}
 
 	// Order is an order to load weights.
@@ -57,7 +59,8 @@
 		Incarnation string
 		Model       string
 		Version     int64
-		// Keep lets running requests continue with the new version.
+		// Keep lets running requests continue with the new version. Otherwise the engine
+		// finishes them before it loads, and takes no more for the model meanwhile.
 		Keep bool
 		// Holder is the name of the sender, and Fence its fencing token.
 		Holder string
@@ -95,6 +98,10 @@
 		Gone string `json:"gone,omitempty"`
 		// Known is false until the first report of the engine.
 		Known bool `json:"known"`
+		// Running counts the requests of all callers at the engine, and Activity grows when it
+		// becomes idle or busy. Neither changes Serial.
+		Running  int   `json:"running"`
+		Activity int64 `json:"activity"`
 	}
 
 	// Loader sends load orders to the engine. See New.
@@ -159,11 +166,17 @@
 // State waits until the serial of the state differs from seen, or ctx is done, and
 // returns the state.
 func (g *Loader) State(ctx context.Context, seen int64) State {
+	return g.StateOrActivity(ctx, seen, 0)
+}
+
+// StateOrActivity is like State, and also returns once the engine has become idle or busy since
+// seenActivity, unless that is 0.
+func (g *Loader) StateOrActivity(ctx context.Context, seen, seenActivity int64) State {
 	for {
 		g.mu.Lock()
 		state, changed := g.state, g.changed
 		g.mu.Unlock()
-		if state.Serial != seen {
+		if state.Serial != seen || (seenActivity != 0 && state.Activity != seenActivity) {
 			return state
 		}
 		select {
@@ -230,8 +243,7 @@
 	g.state.Gone = o.Incarnation
 	g.state.Loading = nil
 	g.state.Serial++
-	close(g.changed)
-	g.changed = make(chan struct{})
+	g.wakeWaiters()
 }
 
 // nextOrder returns the order that is due: one at a time, and none while an earlier one
@@ -282,11 +294,22 @@
 	if rep.Busy {
 		loading[g.lastOrder.Model] = true
 	}
+	if !g.state.Known || (g.state.Running > 0) != (rep.Running > 0) {
+		g.state.Activity++
+		g.wakeWaiters()
+	}
+	g.state.Running = rep.Running
 	if g.state.Known && maps.Equal(g.state.Versions, rep.Versions) && maps.Equal(g.state.Loading, loading) {
 		return
 	}
-	g.logger.Info("Engine state changed.", "versions", rep.Versions, "loading", loading, "busy", rep.Busy, "orders", rep.Orders)
-	g.state = State{Serial: g.state.Serial + 1, Versions: rep.Versions, Loading: loading, Gone: g.state.Gone, Known: true}
+	g.logger.Info("Engine state changed.", "versions", rep.Versions, "loading", loading, "busy", rep.Busy, "orders", rep.Orders, "running", rep.Running)
+	g.state.Serial++
+	g.state.Versions, g.state.Loading, g.state.Known = rep.Versions, loading, true
+	g.wakeWaiters()
+}
+
+// wakeWaiters wakes the callers that wait for a change of the state. The lock is held.
+func (g *Loader) wakeWaiters() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -18,6 +18,7 @@
 type fakeEngine struct {
 	mu            sync.Mutex
 	versions      map[string]int64
+	running       int
 	orders        int64
 	loading       string
 	received      []Order
@@ -34,7 +35,7 @@
 	for m, v := range e.versions {
 		out[m] = v
 	}
-	return Report{Versions: out, Busy: e.loading != "", Orders: e.orders}, nil
+	return Report{Versions: out, Busy: e.loading != "", Orders: e.orders, Running: e.running}, nil
 }
 
 func (e *fakeEngine) Load(_ context.Context, o Order) (bool, error) {
@@ -184,3 +185,32 @@
 		g.Expect(e.received).To(HaveLen(2))
 	})
 }
+
+// A planner has to know which engines are idle, whoever sent their requests. It must learn that
+// within a poll of the engine, and callers that don't ask for it must not be woken by it.
+func TestActivity(t *testing.T) {
+	runLoader(t, func(g *WithT, e *fakeEngine, ld *Loader) {
+		time.Sleep(time.Second)
+		st := ld.Snapshot()
+		for _, running := range []int{3, 0, 1} {
+			e.mu.Lock()
+			e.running = running
+			e.mu.Unlock()
+			start := time.Now()
+			next := ld.StateOrActivity(context.Background(), st.Serial, st.Activity)
+			g.Expect(time.Since(start)).To(BeNumerically("<=", idlePollInterval))
+			g.Expect(next.Running).To(Equal(running))
+			g.Expect(next.Serial).To(Equal(st.Serial))
+			st = next
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		time.AfterFunc(time.Second, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.running = 0
+		})
+		ld.State(ctx, st.Serial)
+		g.Expect(ctx.Err()).To(HaveOccurred())
+	})
+}
--- a/manif/manif.go
+++ b/manif/manif.go
@@ -133,6 +133,23 @@
 	return slices.ContainsFunc(m.Routes, func(r Route) bool { return r.Host == host && r.Kind == Batch && r.Public })
 }
 
+// NeedsSingleVersion reports whether a route requires that each sample of a model comes from a
+// single weight version. A service that declares no models may serve any.
+func (m *Manifest) NeedsSingleVersion(model string) bool {
+	for i := range m.Routes {
+		r := &m.Routes[i]
+		if !r.SingleVersion {
+			continue
+		}
+		for _, split := range r.Split {
+			if models := m.Services[split.Service].Models; len(models) == 0 || slices.Contains(models, model) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // PickService selects the service for a request by hashing its ID, so that a retry stays with
 // the same service.
 func (r *Route) PickService(requestID string) string {
--- a/node/node.go
+++ b/node/node.go
@@ -404,18 +404,10 @@
 	return false
 }
 
-// needsSingleVersion reports whether each sample must come from a single weight version.
-func (n *Node) needsSingleVersion(string) bool {
+// needsSingleVersion reports whether each sample of a model must come from a single weight version.
+func (n *Node) needsSingleVersion(model string) bool {
 	m := n.state.Manifest()
-	if m == nil {
-		return true
-	}
-	for _, r := range m.Routes {
-		if r.SingleVersion {
-			return true
-		}
-	}
-	return false
+	return m == nil || m.NeedsSingleVersion(model)
 }
 
 func (n *Node) ready(w http.ResponseWriter, _ *http.Request) {
--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -70,6 +70,9 @@
 		plannerSince time.Time
 		// neededAt is when the links were last needed.
 		neededAt time.Time
+		// watchesActivity is set while this instance plans loads for which engines finish their
+		// requests first: it then needs to know which engines are idle.
+		watchesActivity bool
 	}
 
 	announced struct {
@@ -86,6 +89,10 @@
 		// which weights the engine has.
 		openedAt time.Time
 		reported bool
+		// running counts the requests of all callers at the engine, as the sidecar last reported;
+		// activity is the State.Activity of that report.
+		running  int
+		activity int64
 		// assigned is the model that the plan assigns to the engine.
 		assigned     string
 		wants        map[string]loader.Want
@@ -95,13 +102,15 @@
 	request struct {
 		Wants []loader.Want `json:"wants"`
 		Seen  int64         `json:"seen"`
-		Wait  int64         `json:"waitMs"`
+		// SeenActivity is the last State.Activity; 0 if it isn't watched.
+		SeenActivity int64 `json:"seenActivity,omitempty"`
+		Wait         int64 `json:"waitMs"`
 	}
 )
 
 // New returns a controller. port is where the sidecars listen; singleVersion reports
-// whether a model's samples must come from one version, and sendsWork whether this
-// instance sends work to engines.
+// whether a model's samples must come from one version, so that engines finish their requests
+// before they load, and sendsWork whether this instance sends work to engines.
 //
 //	p := wctrl.New(set, m, client, 7720, logger, singleVersion, sendsWork)
 //	go p.Run(ctx)
@@ -129,7 +138,7 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, min(maxPollWait, time.Duration(in.Wait)*time.Millisecond))
 		defer cancel()
-		state := g.State(ctx, in.Seen)
+		state := g.StateOrActivity(ctx, in.Seen, in.SeenActivity)
 		return &state, nil
 	})
 }
@@ -200,7 +209,7 @@
 	defer p.mu.Unlock()
 	switch {
 	case !isPlanner:
-		p.plannerSince = time.Time{}
+		p.plannerSince, p.watchesActivity = time.Time{}, false
 	case p.plannerSince.IsZero():
 		p.plannerSince = time.Now()
 		p.logger.Info("Became load planner.", "named", len(p.announced), "engines", len(p.links))
@@ -259,9 +268,10 @@
 	for model := range state.Demand {
 		state.Latest[model] = max(state.Latest[model], initialVersion)
 	}
+	p.watchActivity(slices.ContainsFunc(slices.Collect(maps.Keys(state.Latest)), p.singleVersion))
 	for _, id := range slices.Sorted(maps.Keys(p.links)) {
 		if l := p.links[id]; !l.view.Draining && l.isKnown(time.Now()) {
-			state.Engines = append(state.Engines, l.engine())
+			state.Engines = append(state.Engines, l.engine(p.watchesActivity))
 		}
 	}
 	plan := wplan.New(state)
@@ -273,6 +283,18 @@
 	}
 }
 
+// watchActivity has the sidecars report when their engines become idle or busy, or no longer. Only
+// the planner asks for it, and only if it has to know: in a large fleet these reports would
+// outnumber all others.
+func (p *Controller) watchActivity(on bool) {
+	if on && !p.watchesActivity {
+		for _, l := range p.links {
+			l.cutPoll()
+		}
+	}
+	p.watchesActivity = on
+}
+
 // isKnown reports whether the engine's weights are known, or its sidecar is unlikely to
 // report them soon.
 func (l *link) isKnown(now time.Time) bool {
@@ -280,9 +302,13 @@
 }
 
 // engine returns the planner's input for the engine. A version that was requested and
-// isn't there yet counts as loading.
-func (l *link) engine() wplan.Engine {
+// isn't there yet counts as loading. The registry counts the requests of this instance only; with
+// watched activity, those of all callers are known.
+func (l *link) engine(watchesActivity bool) wplan.Engine {
 	e := wplan.Engine{ID: l.view.ID, Versions: l.view.Versions, Running: l.view.Running, Assigned: l.assigned}
+	if watchesActivity {
+		e.Running = max(e.Running, l.running)
+	}
 	for model := range l.view.Loading {
 		e.Loading = model
 	}
@@ -302,7 +328,13 @@
 		Incarnation: l.view.Incarnation(),
 		Keep:        !p.singleVersion(model),
 	}
-	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running)
+	p.logger.Info("Load planned.", "endpoint", l.view.ID, "model", model, "version", n.version, "had", l.view.Versions[model], "running", l.view.Running,
+		"reported", l.running, "keep", l.wants[model].Keep)
+	l.cutPoll()
+}
+
+// cutPoll cuts a poll short, so that the next one has the current requests.
+func (l *link) cutPoll() {
 	select {
 	case l.wantsChanged <- struct{}{}:
 	default:
@@ -353,6 +385,9 @@
 	default:
 	}
 	in := &request{Seen: seen, Wait: wait.Milliseconds()}
+	if p.watchesActivity {
+		in.SeenActivity = l.activity
+	}
 	for w := range maps.Values(l.wants) {
 		in.Wants = append(in.Wants, w)
 	}
@@ -392,7 +427,7 @@
 		p.set.SetLoading(v.Endpoint, state.Loading)
 	}
 	p.mu.Lock()
-	l.reported = true
+	l.reported, l.running, l.activity = true, state.Running, state.Activity
 	p.mu.Unlock()
 	p.Wake()
 }
--- a/wctrl/wctrl_test.go
+++ b/wctrl/wctrl_test.go
@@ -25,6 +25,9 @@
 	// idleEngine has one version of one model.
 	idleEngine struct{ version int64 }
 
+	// busyEngine is an engine with requests of some instance; it loads at once.
+	busyEngine struct{ version, running atomic.Int64 }
+
 	// sidecars serves the sidecars of all engines without a network, by host, and counts
 	// their polls.
 	sidecars struct {
@@ -41,6 +44,17 @@
 // Load implements loader.Engine.
 func (idleEngine) Load(context.Context, loader.Order) (bool, error) { return false, nil }
 
+// Report implements loader.Engine.
+func (e *busyEngine) Report(context.Context) (loader.Report, error) {
+	return loader.Report{Versions: map[string]int64{"m": e.version.Load()}, Running: int(e.running.Load())}, nil
+}
+
+// Load implements loader.Engine.
+func (e *busyEngine) Load(_ context.Context, o loader.Order) (bool, error) {
+	e.version.Store(o.Version)
+	return true, nil
+}
+
 // RoundTrip implements http.RoundTripper.
 func (s *sidecars) RoundTrip(r *http.Request) (*http.Response, error) {
 	s.polls.Add(1)
@@ -160,3 +174,53 @@
 		g.Expect(set.All()).To(HaveLen(tc.want), tc.gone)
 	}
 }
+
+// The items of a step run for another instance than the planner, which sees none of them in its own
+// registry. Engines that finish their requests before they load must not be taken out of service
+// while they are busy, if others are idle.
+func TestPlannerLeavesBusyEnginesOfOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const engines, busy = 6, 3
+		g, ctx := NewWithT(t), t.Context()
+		set, logger := epset.New(func() {}), logs.New(io.Discard)
+		s := &sidecars{handlers: make(map[string]http.Handler)}
+		var wg sync.WaitGroup
+		loaderCtx, cancel := context.WithCancel(ctx)
+		all := make([]*busyEngine, engines)
+		for i := range all {
+			host := fmt.Sprintf("10.1.0.%d", i)
+			all[i] = &busyEngine{}
+			all[i].version.Store(1)
+			if i < busy {
+				all[i].running.Store(4)
+			}
+			ld := loader.New(host, all[i], logger)
+			_, s.handlers[host] = Handler(ld)
+			wg.Go(func() { ld.Run(loaderCtx) })
+			set.Put(endpt.Endpoint{ID: fmt.Sprint("e", i), Addr: host + ":80", Service: "lm", Slots: 6, Versions: map[string]int64{"m": 1}})
+		}
+		client := &http.Client{Transport: s}
+		c := New(set, mesh.New(mesh.Node{Name: "entry"}, client, logger), client, 7720, logger, func(string) bool { return true }, nil)
+		c.connect(loaderCtx, true)
+		plan := func(d time.Duration) {
+			for range d / planInterval {
+				c.connect(loaderCtx, true)
+				c.plan()
+				time.Sleep(planInterval)
+			}
+		}
+		plan(3 * time.Second)
+		c.Announce("m", 2, 1)
+		plan(10 * time.Second)
+		for i, e := range all {
+			g.Expect(e.version.Load() == 2).To(Equal(i >= busy), "engine %d", i)
+		}
+		all[0].running.Store(0)
+		plan(2 * time.Second)
+		g.Expect(all[0].version.Load()).To(BeEquivalentTo(2), "idle by now")
+		cancel()
+		c.connect(ctx, false)
+		wg.Wait()
+		time.Sleep(time.Minute) // polls in flight end
+	})
+}
