wctrl: loads at unreachable sidecars no longer block all others

What callers would see: after two sidecars are cut off from the planner with loads outstanding, no engine loads any version, and no step that needs the next one begins, until the sidecars are back.

Cause: a load that was requested and isn't there yet counts as under way, and only two (or a fifth of the engines) may be at once. A request to a sidecar that doesn't answer counted for as long as the engine was registered.

Now: an engine whose sidecar hasn't answered for 1.5 s (longer than a load) is neither ordered to load nor counted as loading. It keeps its model, so that a sidecar that restarts moves no engines between models, and the request stays for when it is back.

--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -49,6 +49,9 @@
 	// reportTimeout is how long plans leave out an engine whose sidecar hasn't reported yet:
 	// what the list of endpoints says of its weights may be many versions old.
 	reportTimeout = 1500 * time.Millisecond
+	// unreachableAfter is how long a sidecar doesn't answer before its engine counts as
+	// unreachable: longer than a load takes, so that one under way still counts as such.
+	unreachableAfter = 1500 * time.Millisecond
 )
 
 type (
@@ -93,6 +96,8 @@
 		// activity is the State.Activity of that report.
 		running  int
 		activity int64
+		// disconnectedAt is since when the sidecar doesn't answer; zero if it does.
+		disconnectedAt time.Time
 		// assigned is the model that the plan assigns to the engine.
 		assigned     string
 		wants        map[string]loader.Want
@@ -306,6 +311,7 @@
 // watched activity, those of all callers are known.
 func (l *link) engine(watchesActivity bool) wplan.Engine {
 	e := wplan.Engine{ID: l.view.ID, Versions: l.view.Versions, Running: l.view.Running, Assigned: l.assigned}
+	e.Unreachable = !l.disconnectedAt.IsZero() && time.Since(l.disconnectedAt) > unreachableAfter
 	if watchesActivity {
 		e.Running = max(e.Running, l.running)
 	}
@@ -350,25 +356,26 @@
 		return
 	}
 	addr := net.JoinHostPort(host, p.port)
-	seen, disconnected := int64(-1), false
+	seen := int64(-1)
 	for ctx.Err() == nil {
 		state, err := p.poll(ctx, l, addr, seen)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			if !disconnected {
+			if p.setConnected(l, false) {
 				p.logger.Warn("Connection to sidecar process lost.", "endpoint", v.ID, "addr", addr, "error", err)
 			}
-			disconnected = true
 			sleep.For(ctx, retryDelay)
 			continue
 		}
-		if disconnected {
+		if state == nil {
+			continue
+		}
+		if p.setConnected(l, true) {
 			p.logger.Info("Connection to sidecar process restored.", "endpoint", v.ID, "addr", addr)
 		}
-		disconnected = false
-		if state == nil || !state.Known {
+		if !state.Known {
 			continue
 		}
 		seen = state.Serial
@@ -376,6 +383,20 @@
 	}
 }
 
+// setConnected records whether the sidecar answers and reports whether that has changed.
+func (p *Controller) setConnected(l *link, connected bool) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if changed = l.disconnectedAt.IsZero() != connected; !changed {
+		return false
+	}
+	l.disconnectedAt = time.Time{}
+	if !connected {
+		l.disconnectedAt = time.Now()
+	}
+	return true
+}
+
 // poll returns the next state, or nil if a new load request cut it short.
 func (p *Controller) poll(ctx context.Context, l *link, addr string, seen int64) (*loader.State, error) {
 	p.mu.Lock()
--- a/wctrl/wctrl_test.go
+++ b/wctrl/wctrl_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/endpt"
@@ -33,6 +34,8 @@
 	sidecars struct {
 		handlers map[string]http.Handler
 		polls    atomic.Int64
+		// cut has the hosts that can't be reached.
+		cut sync.Map
 	}
 )
 
@@ -58,6 +61,9 @@
 // RoundTrip implements http.RoundTripper.
 func (s *sidecars) RoundTrip(r *http.Request) (*http.Response, error) {
 	s.polls.Add(1)
+	if _, ok := s.cut.Load(r.URL.Hostname()); ok {
+		return nil, errors.New("no route to host")
+	}
 	w := httptest.NewRecorder()
 	s.handlers[r.URL.Hostname()].ServeHTTP(w, r)
 	return w.Result(), nil
@@ -175,39 +181,50 @@
 	}
 }
 
-// The items of a step run for another instance than the planner, which sees none of them in its own
-// registry. Engines that finish their requests before they load must not be taken out of service
-// while they are busy, if others are idle.
-func TestPlannerLeavesBusyEnginesOfOthers(t *testing.T) {
+// withPlanner runs f with a planner of n engines, which have version 1. plan plans loads for some
+// time.
+func withPlanner(t *testing.T, n int, singleVersion bool, f func(g *WithT, c *Controller, s *sidecars, engines []*busyEngine, plan func(time.Duration))) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		const engines, busy = 6, 3
-		g, ctx := NewWithT(t), t.Context()
 		set, logger := epset.New(func() {}), logs.New(io.Discard)
 		s := &sidecars{handlers: make(map[string]http.Handler)}
 		var wg sync.WaitGroup
-		loaderCtx, cancel := context.WithCancel(ctx)
-		all := make([]*busyEngine, engines)
-		for i := range all {
-			host := fmt.Sprintf("10.1.0.%d", i)
-			all[i] = &busyEngine{}
-			all[i].version.Store(1)
-			if i < busy {
-				all[i].running.Store(4)
-			}
-			ld := loader.New(host, all[i], logger)
+		ctx, cancel := context.WithCancel(t.Context())
+		engines := make([]*busyEngine, n)
+		for i := range engines {
+			host := hostOf(i)
+			engines[i] = &busyEngine{}
+			engines[i].version.Store(1)
+			ld := loader.New(host, engines[i], logger)
 			_, s.handlers[host] = Handler(ld)
-			wg.Go(func() { ld.Run(loaderCtx) })
+			wg.Go(func() { ld.Run(ctx) })
 			set.Put(endpt.Endpoint{ID: fmt.Sprint("e", i), Addr: host + ":80", Service: "lm", Slots: 6, Versions: map[string]int64{"m": 1}})
 		}
 		client := &http.Client{Transport: s}
-		c := New(set, mesh.New(mesh.Node{Name: "entry"}, client, logger), client, 7720, logger, func(string) bool { return true }, nil)
-		c.connect(loaderCtx, true)
-		plan := func(d time.Duration) {
+		c := New(set, mesh.New(mesh.Node{Name: "entry"}, client, logger), client, 7720, logger, func(string) bool { return singleVersion }, nil)
+		f(NewWithT(t), c, s, engines, func(d time.Duration) {
 			for range d / planInterval {
-				c.connect(loaderCtx, true)
+				c.connect(ctx, true)
 				c.plan()
 				time.Sleep(planInterval)
 			}
+		})
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Minute) // polls in flight end
+	})
+}
+
+func hostOf(engine int) string { return fmt.Sprintf("10.1.0.%d", engine) }
+
+// The items of a step run for another instance than the planner, which sees none of them in its own
+// registry. Engines that finish their requests before they load must not be taken out of service
+// while they are busy, if others are idle.
+func TestPlannerLeavesBusyEnginesOfOthers(t *testing.T) {
+	const engines, busy = 6, 3
+	withPlanner(t, engines, true, func(g *WithT, c *Controller, _ *sidecars, all []*busyEngine, plan func(time.Duration)) {
+		for _, e := range all[:busy] {
+			e.running.Store(4)
 		}
 		plan(3 * time.Second)
 		c.Announce("m", 2, 1)
@@ -218,9 +235,27 @@
 		all[0].running.Store(0)
 		plan(2 * time.Second)
 		g.Expect(all[0].version.Load()).To(BeEquivalentTo(2), "idle by now")
-		cancel()
-		c.connect(ctx, false)
-		wg.Wait()
-		time.Sleep(time.Minute) // polls in flight end
+	})
+}
+
+// The planner has ordered loads of engines whose sidecars it can't reach. They must not use up the
+// loads that may be under way at once: no other engine would ever load, and no step begin.
+func TestUnreachableSidecarsDoNotBlockLoads(t *testing.T) {
+	const engines, cut = 6, 2
+	withPlanner(t, engines, false, func(g *WithT, c *Controller, s *sidecars, all []*busyEngine, plan func(time.Duration)) {
+		plan(3 * time.Second)
+		for i := range cut {
+			s.cut.Store(hostOf(i), true)
+		}
+		c.Announce("m", 2, 1)
+		plan(10 * time.Second)
+		for i, e := range all {
+			g.Expect(e.version.Load() == 2).To(Equal(i >= cut), "engine %d", i)
+		}
+		s.cut.Clear()
+		plan(5 * time.Second)
+		for i, e := range all {
+			g.Expect(e.version.Load()).To(BeEquivalentTo(2), "engine %d", i)
+		}
 	})
 }
--- a/wplan/wplan.go
+++ b/wplan/wplan.go
@@ -53,6 +53,9 @@
 		Running int
 		// Assigned is the model that the previous plan assigned, or empty.
 		Assigned string
+		// Unreachable is set if the engine can't be ordered to load now. A load that it was
+		// ordered to make before may never begin.
+		Unreachable bool
 	}
 
 	// State is the input of a plan.
@@ -94,7 +97,7 @@
 	p := Plan{Assigned: s.assign()}
 	free := max(minLoadingEngines, int(maxLoadingShare*float64(len(s.Engines))))
 	for _, e := range s.Engines {
-		if e.Loading != "" {
+		if e.Loading != "" && !e.Unreachable {
 			free--
 		}
 	}
@@ -150,7 +153,7 @@
 		switch behind := newest - e.Versions[model]; {
 		case behind <= 0 || e.Loading == model:
 			upToDate++
-		case e.Loading != "":
+		case e.Loading != "" || e.Unreachable:
 		case behind > s.MaxLag:
 			required = append(required, e)
 		default:
