No client of the system follows redirects

What callers would see: something between an instance and its store, engine or platform answers a write with a redirect. http.Client follows it: as the same POST to another address (307, 308), or as a GET whose answer passes for that of the write (301 to 303). A commit counts as stored that the store never got, an order as taken by an engine that never saw it.

Cause: of all clients, only egress.Client and plain returned redirects to their caller.

--- a/netset/netset.go
+++ b/netset/netset.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/conns"
 )
 
 const (
@@ -66,11 +68,11 @@
 	for _, opt := range opts {
 		opt(n)
 	}
-	n.http = &http.Client{Transport: &http.Transport{
+	n.http = conns.NewClient(&http.Transport{
 		DialContext:         n.dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	})
 	n.peers = n.newHTTP2Client(peerPingInterval)
 	n.control = n.newHTTP2Client(controlPingInterval)
 	return n
@@ -79,11 +81,11 @@
 func (n *Network) newHTTP2Client(ping time.Duration) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
+	return conns.NewClient(&http.Transport{
 		DialContext: n.dialPeer,
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: pingTimeout},
-	}}
+	})
 }
 
 // WithListen sets the function that opens listeners. The default is TCP.
--- a/node/node.go
+++ b/node/node.go
@@ -196,7 +196,7 @@
 		meter:     meter.New(),
 		drained:   make(chan struct{}),
 		monotonic: uptime.Now,
-		client:    &http.Client{Transport: conns.New(conns.WithIdleTimeout(idleTimeout))},
+		client:    conns.NewClient(conns.New(conns.WithIdleTimeout(idleTimeout))),
 		listen: func(ctx context.Context, addr string) (net.Listener, error) {
 			var lc net.ListenConfig
 			return lc.Listen(ctx, "tcp", addr)
@@ -211,7 +211,7 @@
 // WithTransport sets the HTTP transport for peers. The default is that of package
 // conns.
 func WithTransport(tr http.RoundTripper) Option {
-	return func(n *Node) { n.client = &http.Client{Transport: tr} }
+	return func(n *Node) { n.client = conns.NewClient(tr) }
 }
 
 // WithMeter sets the metrics of the process. The default is a new meter.
--- a/opclnt/opclnt.go
+++ b/opclnt/opclnt.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/apierr"
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/object"
 	"github.com/lavendermux/lavendermux/opapi"
@@ -88,6 +89,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = conns.WithoutRedirects(c.http)
 	return c
 }
 
--- a/plain/plain.go
+++ b/plain/plain.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/wire"
 )
@@ -37,15 +39,6 @@
 		// Limit is in bytes.
 		Limit int64
 	}
-
-	// unreplayableReader hides the type of a request body, so that the request is sent
-	// at most once. Go's transport resends a request by itself if the connection dies
-	// before a response and the body can be read again, as an empty body and a
-	// bytes.Reader can. The service may have run the first attempt by then, and the
-	// caller would hold two bookings.
-	unreplayableReader struct {
-		io.Reader
-	}
 )
 
 // New returns a client of the endpoint at base, such as "http://127.0.0.1:7300".
@@ -60,11 +53,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	// Redirects are returned to the caller. If they were followed here, the caller
-	// would get the response to another request than its own, from any host.
-	own := *c.http
-	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	c.http = &own
+	c.http = conns.WithoutRedirects(c.http)
 	return c
 }
 
@@ -81,13 +70,14 @@
 // Call sends req to the endpoint at most once and returns the complete response.
 // After a *fault.UnavailableError the call may have run.
 func (c *Client) Call(ctx context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
-	hreq, err := http.NewRequestWithContext(ctx, req.GetMethod(), c.base+req.GetPath(), unreplayableReader{bytes.NewReader(req.GetBody())})
+	hreq, err := http.NewRequestWithContext(ctx, req.GetMethod(), c.base+req.GetPath(), bytes.NewReader(req.GetBody()))
 	if err != nil {
 		return nil, errors.Wrap(err, "making a request to a plain service")
 	}
 	for _, h := range req.GetHeaders() {
 		hreq.Header.Add(h.GetName(), h.GetValue())
 	}
+	conns.SendOnce(hreq) // the caller could hold two bookings
 	resp, err := c.http.Do(hreq)
 	if err != nil {
 		return nil, &fault.UnavailableError{Peer: peerName, Cause: err}
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -11,6 +11,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/fault"
 )
 
@@ -58,6 +60,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.http = conns.WithoutRedirects(c.http)
 	return c
 }
 
