--- a/cmd/standin/soak.go
+++ b/cmd/standin/soak.go
@@ -22,6 +22,7 @@
 	Seeds   int           `default:"1" help:"Number of seeds."`
 	Jobs    int           `default:"3" help:"Number of concurrent runs, each of seven processes."`
 	During  time.Duration `default:"12s" help:"Duration of fault injection in each run."`
+	Single  bool          `help:"Require that each sample comes from one weight version."`
 	Verbose bool          `help:"Log each fault."`
 }
 
@@ -60,7 +61,11 @@
 		out = os.Stderr
 	}
 	dir := filepath.Join(c.Dir, fmt.Sprint(seed))
-	r, err := soak.New(c.Program, dir, soak.WithSeed(seed), soak.WithSlot(slot), soak.WithDuration(c.During), soak.WithLogger(log.New(out))).Run(ctx)
+	opts := []soak.Option{soak.WithSeed(seed), soak.WithSlot(slot), soak.WithDuration(c.During), soak.WithLogger(log.New(out))}
+	if c.Single {
+		opts = append(opts, soak.WithSingleVersion())
+	}
+	r, err := soak.New(c.Program, dir, opts...).Run(ctx)
 	if err != nil {
 		fmt.Printf("seed %d: not run: %v\n", seed, err)
 		return false
