wplan: an unreachable engine doesn't count as up to date; a race in a test

An engine that was ordered to load and whose sidecar doesn't answer counted as one that has the newest weights, so that fewer of the others would load them.

--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -258,7 +258,10 @@
 		e.mu.Unlock()
 		time.Sleep(10 * time.Second)
 		var made []int
-		_, damaged, err := lines.Read(strings.NewReader(e.log.String()), []string{"Item run."}, func(l lines.Line) {
+		e.mu.Lock()
+		written := e.log.String()
+		e.mu.Unlock()
+		_, damaged, err := lines.Read(strings.NewReader(written), []string{"Item run."}, func(l lines.Line) {
 			g.Expect(l.Fields).To(HaveKeyWithValue("model", "m"))
 			n, err := strconv.Atoi(l.Fields["events"])
 			g.Expect(err).NotTo(HaveOccurred())
--- a/wplan/wplan.go
+++ b/wplan/wplan.go
@@ -151,7 +151,7 @@
 		}
 		assignedCount++
 		switch behind := newest - e.Versions[model]; {
-		case behind <= 0 || e.Loading == model:
+		case behind <= 0 || (e.Loading == model && !e.Unreachable):
 			upToDate++
 		case e.Loading != "" || e.Unreachable:
 		case behind > s.MaxLag:
