wctrl: reports of idle and busy engines don't grow with the fleet

With 400 engines that change once a second these were 400 polls a second, of which an instance may make 50.

Now one change of an engine is reported in the time in which an instance may make one poll to each engine (20 ms times their number); between these, a poll waits for versions and loads alone.

Test: TestWatchedActivityDoesNotGrowPolls, failed before (12,000 polls in 30 s at 400 engines).

--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -93,9 +93,10 @@
 		openedAt time.Time
 		reported bool
 		// running counts the requests of all callers at the engine, as the sidecar last reported;
-		// activity is the State.Activity of that report.
-		running  int
-		activity int64
+		// activity is the State.Activity of that report, which last changed at activityAt.
+		running    int
+		activity   int64
+		activityAt time.Time
 		// disconnectedAt is since when the sidecar doesn't answer; zero if it does.
 		disconnectedAt time.Time
 		// assigned is the model that the plan assigns to the engine.
@@ -407,7 +408,13 @@
 	}
 	in := &request{Seen: seen, Wait: wait.Milliseconds()}
 	if p.watchesActivity {
-		in.SeenActivity = l.activity
+		// Engines become idle and busy many times in a step. For each of them one change is
+		// reported in the time in which an instance may make a poll to each engine.
+		if left := time.Duration(len(p.links))*pollWaitPerEngine - time.Since(l.activityAt); left > 0 {
+			in.Wait = min(wait, left).Milliseconds() + 1
+		} else {
+			in.SeenActivity = l.activity
+		}
 	}
 	for w := range maps.Values(l.wants) {
 		in.Wants = append(in.Wants, w)
@@ -448,7 +455,10 @@
 		p.set.SetLoading(v.Endpoint, state.Loading)
 	}
 	p.mu.Lock()
-	l.reported, l.running, l.activity = true, state.Running, state.Activity
+	if l.activity != state.Activity {
+		l.activity, l.activityAt = state.Activity, time.Now()
+	}
+	l.reported, l.running = true, state.Running
 	p.mu.Unlock()
 	p.Wake()
 }
--- a/wctrl/wctrl_test.go
+++ b/wctrl/wctrl_test.go
@@ -215,7 +215,7 @@
 	})
 }
 
-func hostOf(engine int) string { return fmt.Sprintf("10.1.0.%d", engine) }
+func hostOf(engine int) string { return fmt.Sprintf("10.1.%d.%d", engine/200, engine%200) }
 
 // The items of a step run for another instance than the planner, which sees none of them in its own
 // registry. Engines that finish their requests before they load must not be taken out of service
@@ -259,3 +259,23 @@
 		}
 	})
 }
+
+// Engines become idle and busy many times in a step. A planner that has to know which are idle must
+// not make more polls for that the more engines there are.
+func TestWatchedActivityDoesNotGrowPolls(t *testing.T) {
+	const seconds, maxPerSecond = 30, 160
+	for _, n := range []int{50, 400, 800} {
+		withPlanner(t, n, true, func(g *WithT, c *Controller, s *sidecars, all []*busyEngine, plan func(time.Duration)) {
+			c.Announce("m", 1, 1)
+			plan(20 * time.Second)
+			s.polls.Store(0)
+			for range seconds {
+				for _, e := range all {
+					e.running.Store(1 - e.running.Load())
+				}
+				plan(time.Second)
+			}
+			g.Expect(s.polls.Load()).To(BeNumerically("<", maxPerSecond*seconds), "%d engines", n)
+		})
+	}
+}
