broute: a watch asks replicas, not the store, while they are out of reach

The retry of a takeover without replicas read the batch's head from the store each second at up to four instances, for good if the disks are lost for good. It now keeps the record and asks the replicas only; instances that the peers don't know as alive cost no call.

What is left open: no command abandons a batch whose disks are lost for good (docs/design/INTAKE.md has the same for logs).

--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -58,7 +58,8 @@
 func (d *Router) runTakeover(a *takeover, rec bstore.Record) {
 	ctx, cancel := context.WithTimeout(d.baseCtx, takeoverTimeout)
 	defer cancel()
-	a.err = d.takeOver(ctx, rec)
+	claimed, err := d.takeOver(ctx, rec)
+	a.err = err
 	d.meter.Count("takeovers_total", 1, "outcome", takeoverOutcome(a.err))
 	if !isUnsealed(a.err) {
 		d.removeTakeover(rec.ID, a)
@@ -67,7 +68,7 @@
 	}
 	d.logger.Error("Batch not taken over: too few replicas of its results can be reached.", "batch", rec.ID, "owner", rec.Owner, "error", a.err)
 	close(a.done)
-	go d.watch(rec.ID, unsealedRetryPause)
+	d.watchUnsealed(claimed)
 	sleep.For(d.baseCtx, unsealedCacheTime)
 	d.removeTakeover(rec.ID, a)
 }
@@ -103,54 +104,59 @@
 	return errors.As(err, &tooFew)
 }
 
-func (d *Router) takeOver(ctx context.Context, rec bstore.Record) error {
+// takeOver makes one attempt and returns the record as it is then.
+func (d *Router) takeOver(ctx context.Context, rec bstore.Record) (cur bstore.Record, err error) {
 	if d.runner.Has(rec.ID) {
-		return nil
+		return rec, nil
 	}
-	cur, err := d.store.Load(ctx, rec.ID)
-	if err != nil {
-		return err
+	if cur, err = d.store.Load(ctx, rec.ID); err != nil {
+		return cur, err
 	}
 	if cur.Revision == 0 {
-		return &NotFoundError{ID: rec.ID}
+		return cur, &NotFoundError{ID: rec.ID}
 	}
 	if !cur.Ended && !d.mesh.WaitSettled(ctx) {
-		return ctx.Err()
+		return cur, ctx.Err()
 	}
 	d.correctAge(&cur)
 	from := cur.Owner
 	if _, alive := d.mesh.FindHolder(from); alive && from != rec.Owner {
 		d.cacheHead(cur)
-		return &bstore.FencedError{ID: rec.ID, Now: cur.Head}
+		return cur, &bstore.FencedError{ID: rec.ID, Now: cur.Head}
 	}
 	if !cur.Ended && d.offerToPeer(ctx, cur) {
-		return nil
+		return cur, nil
 	}
 	mustSeal, err := d.claim(ctx, &cur)
 	if err != nil {
-		return err
+		return cur, err
 	}
-	sub, err := d.store.Submission(ctx, cur)
+	return cur, d.load(ctx, &cur, from, mustSeal)
+}
+
+// load reads what there is of a batch and runs it here, or serves it if it has ended.
+func (d *Router) load(ctx context.Context, cur *bstore.Record, from string, mustSeal bool) error {
+	sub, err := d.store.Submission(ctx, *cur)
 	if err != nil {
 		return err
 	}
-	results, err := d.store.Results(ctx, cur)
+	results, err := d.store.Results(ctx, *cur)
 	if err != nil {
 		return err
 	}
 	if mustSeal {
-		if results, err = d.recoverReplicas(ctx, &cur, results); err != nil {
+		if results, err = d.recoverReplicas(ctx, cur, results); err != nil {
 			return err
 		}
 	}
 	var progress []batch.Progress
 	if !cur.Ended { // nothing of an ended one runs again
-		if progress, err = d.store.Progress(ctx, cur); err != nil {
+		if progress, err = d.store.Progress(ctx, *cur); err != nil {
 			return err
 		}
 	}
-	d.cacheHead(cur)
-	d.runner.Add(d.baseCtx, cur, sub, results, progress)
+	d.cacheHead(*cur)
+	d.runner.Add(d.baseCtx, *cur, sub, results, progress)
 	d.logger.Warn("Batch taken over.", "batch", cur.ID, "from", from, "epoch", cur.Epoch, "results", len(results), "ended", cur.Ended)
 	return nil
 }
@@ -276,19 +282,48 @@
 	}
 }
 
-// watch makes sure that an open batch has an owner: it looks after delay, and then at intervals
-// of unsealedRetryPause until this instance or a peer owns the batch, or it has ended.
+// watch calls runWatch unless the batch is watched already.
 func (d *Router) watch(id string, delay time.Duration) {
-	if !d.beginWatch(id) {
-		return
+	d.mu.Lock()
+	_, isWatched := d.watched[id]
+	if !isWatched {
+		d.watched[id] = bstore.Record{}
+	}
+	d.mu.Unlock()
+	if !isWatched {
+		d.runWatch(id, delay)
 	}
-	defer d.endWatch(id)
+}
+
+// watchUnsealed watches a batch that this instance couldn't take over without its replicas.
+func (d *Router) watchUnsealed(rec bstore.Record) {
+	d.mu.Lock()
+	_, isWatched := d.watched[rec.ID]
+	d.watched[rec.ID] = rec
+	d.mu.Unlock()
+	if !isWatched {
+		go d.runWatch(rec.ID, unsealedRetryPause)
+	}
+}
+
+// runWatch makes sure that an open batch has an owner: it looks after delay, and then at intervals
+// of unsealedRetryPause until this instance or a peer owns the batch, or it has ended. While too
+// few replicas answer, the store isn't asked: they may be lost for good.
+func (d *Router) runWatch(id string, delay time.Duration) {
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.watched, id)
+	}()
 	for ; sleep.For(d.baseCtx, delay) && !d.stopping.Load(); delay = unsealedRetryPause {
 		if _, owned := d.mesh.OwnerOf(id); owned || d.runner.Has(id) {
 			return
 		}
-		if d.isStoreDown() {
-			continue // nobody can take it over
+		d.mu.Lock()
+		unsealed := d.watched[id]
+		d.mu.Unlock()
+		if d.isStoreDown() || (unsealed.ID != "" && d.probeCopies(d.baseCtx, unsealed) != nil) {
+			continue
 		}
 		var none *NotFoundError
 		if err := d.ensureOwned(id); err == nil || errors.As(err, &none) {
@@ -297,22 +332,6 @@
 	}
 }
 
-func (d *Router) beginWatch(id string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.watched[id] {
-		return false
-	}
-	d.watched[id] = true
-	return true
-}
-
-func (d *Router) endWatch(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.watched, id)
-}
-
 // Recover takes over the batches that have no owner after all instances stopped at once.
 func (d *Router) Recover(ctx context.Context) {
 	heads, err := d.store.Heads(ctx)
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -75,8 +75,9 @@
 		// takeovers has the takeovers under way, by batch, and for unsealedCacheTime those that
 		// reached too few replicas.
 		takeovers map[string]*takeover
-		// watched has the batches for which this instance makes sure that they have an owner.
-		watched map[string]bool
+		// watched has the batches for which this instance makes sure that they have an owner, with
+		// the record of those that it couldn't take over without replicas.
+		watched map[string]bstore.Record
 		// acceptors has this instance's acceptors, acquisitions the acquires under way, and
 		// seenGrants the latest known epochs of intake records, all by model.
 		acceptors    map[string]*acceptor
@@ -179,7 +180,7 @@
 		baseCtx:      baseCtx,
 		headCache:    make(map[string]bstore.Record),
 		takeovers:    make(map[string]*takeover),
-		watched:      make(map[string]bool),
+		watched:      make(map[string]bstore.Record),
 		acceptors:    make(map[string]*acceptor),
 		acquisitions: make(map[string]*acquisition),
 		seenGrants:   make(map[string]int64),
