--- a/conns/conns.go
+++ b/conns/conns.go
@@ -32,6 +32,10 @@
 	// bufferBytes is the size of the read and write buffers. It is small since messages
 	// are small and connections many.
 	bufferBytes = 4 << 10
+	// maxHeaderBytes bounds the header of a response, with the interim responses before it. Headers
+	// have some hundred bytes; the default of 10 MB, on many connections to servers that send
+	// headers without an end, would take all memory.
+	maxHeaderBytes = 64 << 10
 )
 
 // Option configures a transport in New.
@@ -49,6 +53,8 @@
 		MaxIdleConnsPerHost: defaultIdlePerHost,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 	for _, opt := range opts {
 		opt(tr)
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -24,8 +24,10 @@
 
 const (
 	peerName = "model engine"
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event of a stream, and the lines between two events, which are ignored.
+	maxEventBytes = 128 << 10
+	// maxStateBytes bounds other responses but caches.
+	maxStateBytes = 4 << 20
 	// maxCacheBytes bounds one exported KV cache.
 	maxCacheBytes = 64 << 20
 )
@@ -67,7 +69,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.rest = rest.New(peerName, base, rest.WithHTTP(c.http))
+	c.rest = rest.New(peerName, base, rest.WithHTTP(c.http), rest.WithMaxResponse(maxStateBytes))
 	return c
 }
 
@@ -94,11 +96,15 @@
 	defer resp.Body.Close()
 	sc := bufio.NewScanner(resp.Body)
 	sc.Buffer(nil, maxEventBytes)
-	for sc.Scan() {
+	for ignored := 0; sc.Scan(); {
 		data, found := bytes.CutPrefix(sc.Bytes(), eventPrefix)
 		if !found {
+			if ignored += len(sc.Bytes()) + 1; ignored > maxEventBytes {
+				return &fault.UnavailableError{Peer: peerName, Cause: errors.New("the stream has too many bytes without an event")}
+			}
 			continue
 		}
+		ignored = 0
 		var t genev.Event
 		if err := json.Unmarshal(data, &t); err != nil {
 			return &fault.UnavailableError{Peer: peerName, Cause: errors.Wrap(err, "reading a token")}
--- a/netset/netset.go
+++ b/netset/netset.go
@@ -20,6 +20,8 @@
 	// engine. An engine has one connection for each running stream.
 	maxIdleConnsPerHost = 256
 	idleTimeout         = 90 * time.Second
+	// maxHeaderBytes bounds the header of a response, with the interim responses before it.
+	maxHeaderBytes = 64 << 10
 	// opDial marks an error from before any byte of a request was sent. Package net
 	// uses the same name for failed dials, and callers rely on it.
 	opDial = "dial"
@@ -72,6 +74,8 @@
 		DialContext:         n.dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	})
 	n.peers = n.newHTTP2Client(peerPingInterval)
 	n.control = n.newHTTP2Client(controlPingInterval)
@@ -85,6 +89,8 @@
 		DialContext: n.dialPeer,
 		Protocols:   protocols,
 		HTTP2:       &http.HTTP2Config{SendPingTimeout: ping, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	})
 }
 
--- a/plain/plain.go
+++ b/plain/plain.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 
@@ -14,6 +13,7 @@
 
 	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/fault"
+	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/wire"
 )
 
@@ -28,6 +28,8 @@
 	Client struct {
 		base string
 		http *http.Client
+		// bodies bounds the memory of responses that are being read.
+		bodies *inbuf.Pool
 	}
 
 	// Option configures a Client in New.
@@ -47,8 +49,9 @@
 //	resp, err := c.Call(ctx, req)
 func New(base string, opts ...Option) *Client {
 	c := &Client{
-		base: strings.TrimRight(base, "/"),
-		http: http.DefaultClient,
+		base:   strings.TrimRight(base, "/"),
+		http:   http.DefaultClient,
+		bodies: inbuf.New(inbuf.WithMaxMessage(maxBodyBytes)),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -83,18 +86,23 @@
 		return nil, &fault.UnavailableError{Peer: peerName, Cause: err}
 	}
 	defer resp.Body.Close()
-	return readResponse(req.GetRequestId(), resp)
+	return c.readResponse(req.GetRequestId(), resp)
 }
 
 // readResponse reads the complete response: a truncated body must not pass for a
 // short response.
-func readResponse(id string, resp *http.Response) (*wire.CallResponse, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if err != nil {
-		return nil, &fault.UnavailableError{Peer: peerName, Cause: err}
+func (c *Client) readResponse(id string, resp *http.Response) (*wire.CallResponse, error) {
+	length := resp.ContentLength
+	if resp.Request.Method == http.MethodHead {
+		length = -1 // that of the body of another request
 	}
-	if len(body) > maxBodyBytes {
+	body, err := c.bodies.ReadAll(resp.Body, length)
+	var tooLarge *inbuf.SizeError
+	switch {
+	case errors.As(err, &tooLarge):
 		return nil, &TooLargeError{Limit: maxBodyBytes}
+	case err != nil:
+		return nil, &fault.UnavailableError{Peer: peerName, Cause: err}
 	}
 	out := &wire.CallResponse{RequestId: id, Status: int32(resp.StatusCode), Body: body}
 	for name, values := range resp.Header {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/place"
@@ -27,6 +27,8 @@
 const (
 	// maxBodyBytes limits an answer that is buffered before it is passed on.
 	maxBodyBytes = 16 << 20
+	// bodyMemoryShare is the share of the process's memory for answers that are being read.
+	bodyMemoryShare = 0.125
 	// hedgeTargetFactor is the latest time at which a repeatable request is hedged to a
 	// second endpoint, as a multiple of its latency objective. Nearly all requests are done
 	// by then; most of the others are at an endpoint that has stopped responding.
@@ -48,8 +50,6 @@
 	maxNotRun = 6
 )
 
-var errBodyTooLarge = errors.New("the answer is too long")
-
 type (
 	// Forwarder forwards requests to endpoints. See New.
 	Forwarder struct {
@@ -65,6 +65,8 @@
 		// queues is nil if requests don't wait for capacity.
 		queues *queues
 		hedges hedges
+		// bodies bounds the memory of answers that are being read.
+		bodies *inbuf.Pool
 	}
 
 	// Option configures a Forwarder in New.
@@ -159,7 +161,7 @@
 //	answer, err := f.Forward(ctx, request)
 func New(endpoints *epset.Registry, sender upstr.Sender, dataCentre string, logger *log.Logger, m *meter.Meter, opts ...Option) *Forwarder {
 	f := &Forwarder{endpoints: endpoints, sender: sender, picker: place.New(), dataCentre: dataCentre, logger: logger, meter: m,
-		guard: guard.New(logger, m), hedges: hedges{services: make(map[string]*hedgedService)}}
+		guard: guard.New(logger, m), hedges: hedges{services: make(map[string]*hedgedService)}, bodies: inbuf.New(inbuf.WithMaxMessage(maxBodyBytes))}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -185,6 +187,14 @@
 	return func(fw *Forwarder) { fw.guard = g }
 }
 
+// WithMemory sets the memory of the process, in bytes, an eighth of which may be used for answers that
+// are being read; 0 means unknown. By default that is 64 MiB. Beyond it, answers are given up.
+func WithMemory(n int64) Option {
+	return func(fw *Forwarder) {
+		fw.bodies = inbuf.New(inbuf.WithTotal(int64(bodyMemoryShare*float64(n))), inbuf.WithMaxMessage(maxBodyBytes))
+	}
+}
+
 // usageCounter returns the counter of a request, or nil if nobody is charged for it.
 func (f *Forwarder) usageCounter(r Request) *usageCounter {
 	if f.countUsage == nil || r.Customer == "" || r.Internal {
@@ -305,10 +315,7 @@
 		return attemptResult{endpoint: e, err: err}
 	}
 	defer a.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = errBodyTooLarge
-	}
+	body, err := f.readBody(r, a)
 	if err != nil {
 		err = &upstr.UnknownOutcomeError{Endpoint: e.ID, Cause: err}
 		f.recordFailure(ctx, r, e, err)
@@ -321,6 +328,15 @@
 	return attemptResult{endpoint: e, response: &Response{Status: a.Status, Header: a.Header, Body: body, Receipt: a.Receipt, Endpoint: e.ID}}
 }
 
+// readBody reads the body of an answer, of which each endpoint may send more than there is memory for.
+func (f *Forwarder) readBody(r Request, a *upstr.Response) ([]byte, error) {
+	length := a.Length
+	if length <= 0 || r.Method == http.MethodHead {
+		length = -1 // unknown, or that of the body of another request
+	}
+	return f.bodies.ReadAll(a.Body, length)
+}
+
 // recordFailure updates the state of the endpoint after a failed attempt. An attempt that
 // was cancelled on this side says nothing about the endpoint.
 func (f *Forwarder) recordFailure(ctx context.Context, r Request, e endpt.Endpoint, err error) {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -164,7 +164,7 @@
 
 // forwardResponse passes on an answer that is not a stream.
 func (s *streamRequest) forwardResponse(a *upstr.Response) error {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBodyBytes))
+	body, err := s.f.readBody(s.r, a)
 	if err != nil || s.headSent {
 		return &upstr.UnknownOutcomeError{Cause: errors.CombineErrors(err, errors.Newf("status %d", a.Status))}
 	}
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// maxResponseBytes limits what is read of one answer. The key-value service's values
+	// defaultMaxResponse limits what is read of one answer. The key-value service's values
 	// reach a megabyte, which base64 makes a third larger, and a range answer holds many.
-	maxResponseBytes = 64 << 20
+	defaultMaxResponse = 64 << 20
 	// maxErrorBodyBytes limits what is kept of an error's body.
 	maxErrorBodyBytes = 4 << 10
 )
@@ -30,6 +30,8 @@
 		peer string
 		base string
 		http *http.Client
+		// maxResponse limits what is read of one answer, in bytes.
+		maxResponse int64
 	}
 
 	// StatusError is an answer other than success.
@@ -56,6 +58,8 @@
 		peer: peer,
 		base: strings.TrimRight(base, "/"),
 		http: http.DefaultClient,
+
+		maxResponse: defaultMaxResponse,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -69,6 +73,11 @@
 	return func(c *Client) { c.http = h }
 }
 
+// WithMaxResponse limits what is read of one answer, in bytes. The default is 64 MiB.
+func WithMaxResponse(n int64) Option {
+	return func(c *Client) { c.maxResponse = n }
+}
+
 // Error implements error.
 func (e *StatusError) Error() string {
 	return fmt.Sprintf("%s answered %d: %s", e.Peer, e.Status, strings.TrimSpace(string(e.Body)))
@@ -86,7 +95,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, c.maxResponse)).Decode(out); err != nil {
 		return &fault.UnavailableError{Peer: c.peer, Cause: errors.Wrap(err, "reading the answer")}
 	}
 	return nil
--- a/scorer/scorer.go
+++ b/scorer/scorer.go
@@ -10,6 +10,9 @@
 	"github.com/lavendermux/lavendermux/rest"
 )
 
+// maxResponseBytes bounds a response, which has an ID and a number.
+const maxResponseBytes = 64 << 10
+
 type (
 	// Client is a client of one scoring service. See New.
 	Client struct {
@@ -41,7 +44,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.rest = rest.New("scorer", base, rest.WithHTTP(c.http))
+	c.rest = rest.New("scorer", base, rest.WithHTTP(c.http), rest.WithMaxResponse(maxResponseBytes))
 	return c
 }
 
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -12,18 +12,19 @@
 )
 
 const (
-	// maxLineBytes is the maximum length of a line. It bounds the memory use if an
-	// endpoint sends no line feed.
-	maxLineBytes = 1 << 20
+	// maxEventBytes is the maximum number of bytes until an event is complete, with comments and
+	// empty lines before it. It bounds memory and processor time if an endpoint sends no line
+	// feed, or lines without an end.
+	maxEventBytes = 128 << 10
 	// bufferBytes is the size of the read buffer; an event has a few hundred bytes.
 	bufferBytes = 4 << 10
 )
 
 var (
-	idField        = []byte("id:")
-	dataField      = []byte("data:")
-	errTruncated   = errors.New("the stream ended inside an event")
-	errLineTooLong = errors.New("a line of the stream is too long")
+	idField      = []byte("id:")
+	dataField    = []byte("data:")
+	errTruncated = errors.New("the stream ended inside an event")
+	errTooLong   = errors.New("the stream has too many bytes without an event")
 )
 
 type (
@@ -59,9 +60,10 @@
 func (r *Reader) Next() (Event, error) {
 	var ev Event
 	ev.ID = -1
-	data := false
-	for {
-		line, err := r.line()
+	var data []byte // nil until there is a line of data
+	for left := maxEventBytes; ; {
+		line, err := r.line(left)
+		left -= len(line)
 		if err != nil {
 			if errors.Is(err, io.EOF) && (len(ev.Raw) > 0 || len(line) > 0) {
 				return Event{}, errTruncated
@@ -72,42 +74,41 @@
 		text := bytes.TrimRight(line, "\r\n")
 		switch {
 		case len(text) == 0:
-			if data {
+			if data != nil {
+				ev.Data = string(data)
 				return ev, nil
 			}
 			ev = Event{ID: -1}
 		case bytes.HasPrefix(text, idField):
 			ev.ID = parseNumber(text[len(idField):])
 		case bytes.HasPrefix(text, dataField):
-			ev.addData(bytes.TrimPrefix(text[len(dataField):], []byte(" ")), data)
-			data = true
+			if data == nil {
+				data = []byte{}
+			} else {
+				data = append(data, '\n')
+			}
+			data = append(data, bytes.TrimPrefix(text[len(dataField):], []byte(" "))...)
 		case bytes.HasPrefix(text, r.versionField):
 			ev.Version = parseNumber(text[len(r.versionField):])
 		}
 	}
 }
 
-func (r *Reader) line() ([]byte, error) {
+// line returns the next line, of limit bytes at most.
+func (r *Reader) line(limit int) ([]byte, error) {
 	line, err := r.br.ReadSlice('\n')
-	if !errors.Is(err, bufio.ErrBufferFull) {
-		return line, err
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line = bytes.Clone(line)
 	}
-	long := bytes.Clone(line)
-	for errors.Is(err, bufio.ErrBufferFull) {
-		if len(long) > maxLineBytes {
-			return nil, errLineTooLong
-		}
-		line, err = r.br.ReadSlice('\n')
-		long = append(long, line...)
+	for errors.Is(err, bufio.ErrBufferFull) && len(line) <= limit {
+		var more []byte
+		more, err = r.br.ReadSlice('\n')
+		line = append(line, more...)
 	}
-	return long, err
-}
-
-func (e *Event) addData(text []byte, more bool) {
-	if more {
-		e.Data += "\n"
+	if len(line) > limit {
+		return nil, errTooLong
 	}
-	e.Data += string(text)
+	return line, err
 }
 
 func parseNumber(text []byte) int64 {
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -34,18 +34,47 @@
 	}
 }
 
-// A line without a line feed must not use unbounded memory.
-func TestEndlessLine(t *testing.T) {
+// Guards against a stream that goes on without an event: a line without an end, comments, empty lines,
+// or an event that never ends. Little may be read and kept of it, also after a good event.
+func TestStreamWithoutEvents(t *testing.T) {
+	const good = "id: 1\ndata: a\n\n"
+	for _, fill := range []string{"x", "data: x", ": x\n", "\n", "\r\n", "data: x\n", "id: 2\n", ": x\n\n", "v: 1\n"} {
+		for _, begin := range []string{"", good, good + good} {
+			g := NewWithT(t)
+			e := &endless{rest: begin, fill: fill}
+			r := New(e, "v")
+			for range strings.Count(begin, good) {
+				_, err := r.Next()
+				g.Expect(err).NotTo(HaveOccurred())
+			}
+			_, err := r.Next()
+			g.Expect(errors.Is(err, errTooLong)).To(BeTrue(), "%q: %v", fill, err)
+			g.Expect(e.read).To(BeNumerically("<=", maxEventBytes+2*bufferBytes))
+		}
+	}
+}
+
+// A long event must be returned whole, with many lines of data.
+func TestLongEvent(t *testing.T) {
 	g := NewWithT(t)
-	_, err := New(io.LimitReader(endless{}, 1<<30), "v").Next()
-	g.Expect(errors.Is(err, errLineTooLong)).To(BeTrue())
+	line := strings.Repeat("x", 100)
+	ev, err := New(strings.NewReader("id: 1\n"+strings.Repeat("data: "+line+"\n", 1000)+"\n"), "v").Next()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ev.Data).To(Equal(strings.TrimSuffix(strings.Repeat(line+"\n", 1000), "\n")))
 }
 
-type endless struct{}
+// endless reads rest, then fill again and again.
+type endless struct {
+	rest, fill string
+	read       int
+}
 
-func (endless) Read(p []byte) (int, error) {
-	for i := range p {
-		p[i] = 'x'
+func (e *endless) Read(p []byte) (int, error) {
+	for len(e.rest) < len(p) {
+		e.rest += e.fill
 	}
-	return len(p), nil
+	n := copy(p, e.rest)
+	e.rest = e.rest[n:]
+	e.read += n
+	return n, nil
 }
