--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -182,16 +182,16 @@
 	}
 	mustSeal = len(cur.Replicas) > 0 && cur.Results < cur.ItemCount
 	if mustSeal {
-		if err := d.probeCopies(ctx, *cur); err != nil {
+		if err := d.checkReplicas(ctx, *cur); err != nil {
 			return false, err
 		}
 	}
 	return mustSeal, d.store.TakeOver(ctx, cur, d.self)
 }
 
-// probeCopies returns an error unless enough replicas of a batch answer. A claim without them
+// checkReplicas returns an error unless enough replicas of a batch answer. A claim without them
 // would keep an instance that reaches them from continuing the batch.
-func (d *Router) probeCopies(ctx context.Context, cur bstore.Record) error {
+func (d *Router) checkReplicas(ctx context.Context, cur bstore.Record) error {
 	err := d.replicas.Probe(ctx, cur.ID, cur.Epoch, cur.Replicas)
 	var fenced *seal.FencedError
 	if errors.As(err, &fenced) {
@@ -322,7 +322,7 @@
 		d.mu.Lock()
 		unsealed := d.watched[id]
 		d.mu.Unlock()
-		if d.isStoreDown() || (unsealed.ID != "" && d.probeCopies(d.baseCtx, unsealed) != nil) {
+		if d.isStoreDown() || (unsealed.ID != "" && d.checkReplicas(d.baseCtx, unsealed) != nil) {
 			continue
 		}
 		var none *NotFoundError
