--- a/inbuf/inbuf.go
+++ b/inbuf/inbuf.go
@@ -17,10 +17,9 @@
 const (
 	// defaultTotal is the default size of a pool, in bytes.
 	defaultTotal = 64 << 20
-	// freeBytes is what each message may use beside the pool. Nearly all messages are shorter.
-	freeBytes = 16 << 10
-	// firstBytes is the initial capacity of a buffer.
-	firstBytes = 2 << 10
+	// chunkBytes is the size of the pieces in which a message is read. The first doesn't count, and
+	// nearly all messages are shorter.
+	chunkBytes = 16 << 10
 )
 
 type (
@@ -28,13 +27,27 @@
 	Pool struct {
 		total, maxMessage int64
 
-		mu   sync.Mutex
+		mu sync.Mutex
+		// used is the number of bytes that messages have. free has the chunks that they had before,
+		// until used is 0: the garbage of messages that are given up one after the other would be
+		// several times the pool.
 		used int64
+		free []*chunk
 	}
 
 	// Option configures a Pool in New.
 	Option func(*Pool)
 
+	chunk [chunkBytes]byte
+
+	// message is a message that is being read.
+	message struct {
+		pool   *Pool
+		chunks []*chunk
+		// size is the number of bytes read.
+		size int64
+	}
+
 	// SizeError means that a message is longer than the limit for one.
 	SizeError struct {
 		Limit int64
@@ -46,6 +59,9 @@
 	}
 )
 
+// firstChunks has chunks to be used again as the first of a message.
+var firstChunks = sync.Pool{New: func() any { return new(chunk) }}
+
 // Error names the limit.
 func (e *SizeError) Error() string {
 	return fmt.Sprintf("the message is longer than %d bytes", e.Limit)
@@ -97,72 +113,82 @@
 	if length >= 0 {
 		limit = length
 	}
-	var buf []byte
-	for size := min(firstBytes, limit+1); ; size = min(2*size, limit+1) {
-		// One byte beyond the limit shows whether the message has ended.
-		grown, err := p.grow(buf, size)
+	m := message{pool: p}
+	defer m.release()
+	for {
+		free, err := m.grow(limit + 1) // one byte beyond the limit shows whether the message has ended
 		if err != nil {
 			return nil, err
 		}
-		buf, err = fill(r, grown)
-		if err != nil || int64(len(buf)) > limit {
-			p.release(buf)
-		}
+		n, err := r.Read(free)
+		m.size += int64(n)
 		switch {
+		case m.size > limit:
+			return nil, &SizeError{Limit: limit}
 		case errors.Is(err, io.EOF):
-			return buf, nil
+			return m.join(), nil
 		case err != nil:
 			return nil, err
-		case int64(len(buf)) > limit:
-			return nil, &SizeError{Limit: limit}
 		}
 	}
 }
 
-// fill reads until buf has no more capacity or r returns an error.
-func fill(r io.Reader, buf []byte) ([]byte, error) {
-	for len(buf) < cap(buf) {
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if err != nil {
-			return buf, err
+// grow returns free space of the message for at least one byte, unless it has limit bytes.
+func (m *message) grow(limit int64) ([]byte, error) {
+	used := m.size % chunkBytes
+	if m.size == int64(len(m.chunks))*chunkBytes {
+		c := m.pool.chunk(len(m.chunks) == 0)
+		if c == nil {
+			return nil, &FullError{Total: m.pool.total}
 		}
+		m.chunks = append(m.chunks, c)
 	}
-	return buf, nil
+	last := m.chunks[len(m.chunks)-1]
+	return last[used:min(chunkBytes, used+limit-m.size)], nil
 }
 
-// grow returns a copy of buf with a capacity of size, and releases buf.
-func (p *Pool) grow(buf []byte, size int64) ([]byte, error) {
-	defer p.release(buf)
-	if !p.take(size) {
-		return nil, &FullError{Total: p.total}
+// join returns the message in one piece.
+func (m *message) join() []byte {
+	out := make([]byte, 0, m.size)
+	for _, c := range m.chunks {
+		out = append(out, c[:min(chunkBytes, m.size-int64(len(out)))]...)
 	}
-	grown := make([]byte, len(buf), size)
-	copy(grown, buf)
-	return grown, nil
+	return out
 }
 
-// take counts a buffer of a capacity, unless the pool is full.
-func (p *Pool) take(capacity int64) bool {
+// release returns the chunks of the message.
+func (m *message) release() {
+	if len(m.chunks) == 0 {
+		return
+	}
+	firstChunks.Put(m.chunks[0])
+	p := m.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if capacity > freeBytes && p.used+capacity > p.total {
-		return false
+	p.used -= int64(len(m.chunks)-1) * chunkBytes
+	p.free = append(p.free, m.chunks[1:]...)
+	if p.used == 0 {
+		p.free = nil
 	}
-	p.used += countedBytes(capacity)
-	return true
 }
 
-func (p *Pool) release(buf []byte) {
+// chunk returns the first chunk of a message, which doesn't count, or another one; nil if the pool is
+// full.
+func (p *Pool) chunk(isFirst bool) *chunk {
+	if isFirst {
+		return firstChunks.Get().(*chunk)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.used -= countedBytes(int64(cap(buf)))
-}
-
-// countedBytes is what a buffer of a capacity takes from the pool.
-func countedBytes(capacity int64) int64 {
-	if capacity <= freeBytes {
-		return 0
+	if p.used+chunkBytes > p.total {
+		return nil
+	}
+	p.used += chunkBytes
+	n := len(p.free)
+	if n == 0 {
+		return new(chunk)
 	}
-	return capacity
+	c := p.free[n-1]
+	p.free = p.free[:n-1]
+	return c
 }
--- a/inbuf/inbuf_test.go
+++ b/inbuf/inbuf_test.go
@@ -24,7 +24,7 @@
 func TestWholeMessages(t *testing.T) {
 	g := NewWithT(t)
 	p := New(WithTotal(1<<20), WithMaxMessage(300<<10))
-	for _, n := range []int{0, 1, firstBytes - 1, firstBytes, firstBytes + 1, freeBytes, freeBytes + 1, 300 << 10} {
+	for _, n := range []int{0, 1, chunkBytes - 1, chunkBytes, chunkBytes + 1, 2 * chunkBytes, 3*chunkBytes + 1, 300 << 10} {
 		want := bytes.Repeat([]byte("x"), n)
 		for _, length := range []int64{-1, int64(n)} {
 			for _, r := range []io.Reader{bytes.NewReader(want), iotest.OneByteReader(bytes.NewReader(want)), iotest.DataErrReader(bytes.NewReader(want))} {
@@ -58,6 +58,8 @@
 	_, err := p.ReadAll(r, -1)
 	g.Expect(errors.As(err, &tooLong)).To(BeTrue())
 	g.Expect(r.read).To(BeEquivalentTo(300<<10 + 1))
+	_, err = p.ReadAll(iotest.DataErrReader(bytes.NewReader(make([]byte, 300<<10+1))), -1)
+	g.Expect(errors.As(err, &tooLong)).To(BeTrue(), "the end comes with the last byte")
 	r = &endless{}
 	_, err = p.ReadAll(r, 1<<40)
 	g.Expect(errors.As(err, &tooLong)).To(BeTrue())
