--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -252,8 +252,8 @@
 	}
 }
 
-// Guards against a batch whose benign items are refused along with the poison one, since
-// all run together at one engine after another: with two strikes they run apart.
+// Guards against benign requests that are refused along with the poison one, since all run
+// together at one endpoint after another: with two strikes they run apart.
 func TestGraveSuspectsRunApart(t *testing.T) {
 	g := NewWithT(t)
 	table := New()
