--- a/review/rig2/bodies.go
+++ b/review/rig2/bodies.go
@@ -25,6 +25,8 @@
 	othersWork = 6 * time.Second
 	// mostLost is the bound of the rule.
 	mostLost = 3
+	// restartDelay is the delay before a process that ended is started again.
+	restartDelay = 500 * time.Millisecond
 	// memoryPoll is how often the platform looks at the memory of a process.
 	memoryPoll = 10 * time.Millisecond
 )
@@ -101,7 +103,11 @@
 			s.rec.printf("%s uses %d MB of memory, more than its %d: the platform kills it", n.name, used>>20, frontMemoryMb)
 			n.signal(syscall.SIGKILL)
 			n.wait(5 * time.Second)
-			return
+			time.Sleep(restartDelay)
+			if err := n.start(); err != nil {
+				s.rec.printf("%s not started again: %v", n.name, err)
+				return
+			}
 		}
 	}
 }
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -27,8 +27,10 @@
 type play func(s *site, trouble bool) (broken bool, err error)
 
 var plays = map[string]play{
-	"drain":  playDrain,
-	"bodies": playBodies,
+	"drain":   playDrain,
+	"bodies":  playBodies,
+	"endless": playEndless,
+	"spoilt":  playSpoilt,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -34,6 +34,8 @@
 	host         = "desk.example"
 	plainPrefix  = "/desk/"
 	streamPrefix = "/live/"
+	lotPrefix    = "/lot/"
+	model        = "draft"
 	// maxBodyBytes is the limit of the manifest, that of the example on the users' pages.
 	maxBodyBytes = 33554432
 	// frontMemoryMb is the memory of a front machine of the site koolitund.
@@ -57,7 +59,9 @@
 	// node is one process of the project.
 	node struct {
 		name, ip, file string
-		site           *site
+		// app is the address of the model worker beside it; "" for other machines.
+		app  string
+		site *site
 
 		mu  sync.Mutex
 		cmd *exec.Cmd
@@ -83,13 +87,16 @@
 func (s *site) ip(n int) string { return fmt.Sprintf("%s%d", s.base, n) }
 
 func (s *site) start() error {
-	if err := s.serve(s.ip(1)+":"+storePort, s.store); err != nil {
+	if err := s.serve(s.ip(1)+":"+storePort, &limitedStore{Store: s.store, rec: s.rec}); err != nil {
 		return err
 	}
 	s.store.Put("op/config", manifest())
-	for i, service := range []string{"desk", "talk"} {
+	for i, service := range []string{"desk", "talk", "lm"} {
 		for k := range workersPerService {
 			w := &worker{id: fmt.Sprintf("%s-%d", service, k), service: service, addr: s.ip(50+10*i+k) + ":" + workerPort, rec: s.rec, runs: make(map[string]*workerRun)}
+			if service == "lm" {
+				w.model = model
+			}
 			if err := s.serve(w.addr, w); err != nil {
 				return err
 			}
@@ -103,6 +110,12 @@
 	for i := range stores {
 		s.nodes = append(s.nodes, &node{name: fmt.Sprintf("store-%d", i), ip: s.ip(20 + i), site: s})
 	}
+	for _, w := range s.workers {
+		if w.model != "" {
+			ip, _, _ := net.SplitHostPort(w.addr)
+			s.nodes = append(s.nodes, &node{name: "side-" + w.id, ip: ip, app: w.addr, site: s})
+		}
+	}
 	for _, n := range s.nodes {
 		if err := n.writeSettings(); err != nil {
 			return err
@@ -175,6 +188,10 @@
 		class, memory, cpu, listen = "store", 164, 0.8, ""
 		extra = fmt.Sprintf("dataDir = %q\n", filepath.Join(n.site.dir, n.name))
 	}
+	if n.app != "" {
+		class, memory, cpu, listen = "side", 216, 0.32, ""
+		extra = fmt.Sprintf("app = %q\nservice = \"lm\"\n", n.app)
+	}
 	text := fmt.Sprintf("nodeName = %q\nrole = %q\nmachineClass = %q\nserves = [%q]\nip = %q\nzone = \"dc-a\"\nregion = \"r\"\ninternalPorts = [7720,7735]\n"+
 		"seeds = []\nbootstrap = true\ninTolerance = %t\n%sdiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"+
 		"contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"samples\",\"stream\",\"engine\",\"batch\",\"platform\"]\n"+
@@ -260,11 +277,13 @@
 		"version": 7,
 		"routes": []map[string]any{
 			{"name": "r-desk", "host": host, "prefix": plainPrefix, "kind": "idempotent", "timeoutMs": 20000, "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
+			{"name": "r-lot", "host": host, "prefix": lotPrefix, "kind": "rollout", "timeoutMs": 10000, "targetLatencyMs": 500, "priority": 1, "service": "lm", "maxAttempts": 3, "maxQueueS": 40.0, "resultDueMs": 7500, "singleVersion": false, "sessionAffinity": true, "resumable": true},
 			{"name": "r-live", "host": host, "prefix": streamPrefix, "kind": "stream", "resumable": false, "timeoutMs": 20000, "targetLatencyMs": 500, "priority": 1, "service": "talk", "maxAttempts": 3},
 		},
 		"services": []map[string]any{
 			{"name": "desk", "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false},
 			{"name": "talk", "healthPath": "/health", "maxConns": 150, "protocol": "h1", "tls": false},
+			{"name": "lm", "healthPath": "/health", "maxConns": 150, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 12, "kvCapacity": 59538, "stride": 42, "models": []map[string]any{{"name": model}}}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -18,8 +20,18 @@
 		id, service, addr string
 		rec               *record
 
+		// model is the model of an engine; "" for other workers.
+		model string
+
 		mu   sync.Mutex
 		runs map[string]*workerRun
+		// endless is how many of the next items get bytes without an end in place of an answer.
+		endless int
+		// spoilt is how many of the next items get spoilt bytes and a broken channel.
+		spoilt int
+		// endlessSent is how many bytes of these were sent, endlessID the item.
+		endlessSent int64
+		endlessID   string
 	}
 
 	// workerRun is a request that the worker has begun to work on.
@@ -45,7 +57,18 @@
 
 // entry is the worker's entry in the platform's store.
 func (w *worker) entry() any {
-	return map[string]any{"service": w.service, "addr": w.addr, "zone": "dc-a", "version": "v1", "slots": 12, "state": "ready", "coldLeftMs": 0, "seq": 0, "born": bornMs}
+	e := map[string]any{"service": w.service, "addr": w.addr, "zone": "dc-a", "version": "v1", "slots": 12, "state": "ready", "coldLeftMs": 0, "seq": 0, "born": bornMs}
+	if w.model != "" {
+		e["stage"], e["models"] = "both", []map[string]any{{"name": w.model, "version": 1, "adapters": []string{}}}
+	}
+	return e
+}
+
+// report is the answer to GET /lavendermux/report.
+func (w *worker) report(rw http.ResponseWriter) {
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"stage": "both", "models": []map[string]any{{"name": w.model, "version": 1, "adapters": []string{}}},
+		"busy": false, "seq": 0, "queueDepth": 0, "inFlight": 0, "kvUsed": 0, "kvTotal": 59538, "handles": 0, "born": bornMs}) // the caller may have gone
 }
 
 func (w *worker) run(id string) workerRun {
@@ -76,6 +99,10 @@
 	if r.URL.Path == "/health" {
 		return
 	}
+	if r.URL.Path == "/lavendermux/report" {
+		w.report(rw)
+		return
+	}
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -89,6 +116,18 @@
 	_ = json.Unmarshal([]byte(r.Header.Get(taskHeader)), &t) // no task: an answer at once
 	w.update(id, func(run *workerRun) { run.begin, run.runs = time.Now(), run.runs+1 })
 	rw.Header().Set("Server-Seal", "seal-"+w.id+"-"+id)
+	if w.model != "" {
+		rw.Header().Set("Weight-Versions", "1")
+		t = task{Events: itemEvents(id), GapMs: itemGapMs}
+	}
+	switch {
+	case w.takeEndless(id):
+		w.sendEndless(rw, id)
+		return
+	case w.takeSpoilt():
+		w.sendSpoilt(rw, id)
+		return
+	}
 	done := false
 	if t.Events > 0 {
 		done = w.stream(rw, r, t)
@@ -109,11 +148,18 @@
 	rw.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(rw)
 	begin := time.Now()
+	from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		from = -1
+	}
 	for n := range t.Events {
 		if !pause(r, time.Until(begin.Add(time.Duration((n+1)*t.GapMs)*time.Millisecond))) {
 			return false
 		}
-		if _, err := fmt.Fprintf(rw, "id: %d\ndata: event %d\n\n", n, n); err != nil || c.Flush() != nil {
+		if n <= from {
+			continue
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, eventText(r.Header.Get("Attempt-Id"), n)); err != nil || c.Flush() != nil {
 			return false
 		}
 	}
@@ -133,3 +179,93 @@
 		return false
 	}
 }
+
+const (
+	// itemGapMs is the time of an event of an item.
+	itemGapMs = 20
+	// fill is what is sent without an end: it has no event ID, so that it is no event of the protocol.
+	fill = "data: fill\n\n"
+	// spoiltBytes has no event ID either.
+	spoiltBytes = "data: engine failed\n\n"
+)
+
+// itemEvents is the number of events of an item.
+func itemEvents(id string) int { return 15 + len(id)%5 }
+
+func eventText(id string, n int) string { return fmt.Sprintf("%s event %d", id, n) }
+
+// itemText is the whole text of an item.
+func itemText(id string) string {
+	var lines []string
+	for n := range itemEvents(id) {
+		lines = append(lines, eventText(id, n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// setEndless has the next n items answered with bytes without an end.
+func (w *worker) setEndless(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.endless = n
+}
+
+func (w *worker) takeEndless(id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endless == 0 {
+		return false
+	}
+	w.endless--
+	w.endlessID = id
+	return true
+}
+
+// sendEndless sends bytes that are no answer until the caller closes the channel.
+func (w *worker) sendEndless(rw http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	w.rec.printf("worker %s: item %s gets bytes without an end", w.id, id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-%s-%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n", id, w.id, id)
+	_, err = io.WriteString(conn, head)
+	raw := []byte(strings.Repeat(fill, 300))
+	for err == nil {
+		var n int
+		n, err = conn.Write(raw)
+		w.mu.Lock()
+		w.endlessSent += int64(n)
+		w.mu.Unlock()
+	}
+	w.update(id, func(run *workerRun) { run.dropped = time.Now() })
+}
+
+// setSpoilt has the next n items answered with spoilt bytes.
+func (w *worker) setSpoilt(n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spoilt = n
+}
+
+func (w *worker) takeSpoilt() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.spoilt == 0 {
+		return false
+	}
+	w.spoilt--
+	return true
+}
+
+// sendSpoilt sends bytes that are no event of the protocol, which has an ID, and breaks off.
+func (w *worker) sendSpoilt(rw http.ResponseWriter, id string) {
+	rw.Header().Set("Content-Type", "text/event-stream")
+	w.rec.printf("worker %s: the answer to item %s is %q and breaks off", w.id, id, spoiltBytes)
+	_, _ = io.WriteString(rw, spoiltBytes)     // the caller may have gone
+	_ = http.NewResponseController(rw).Flush() // see above
+	time.Sleep(50 * time.Millisecond)          // the bytes arrive before the end
+	w.update(id, func(run *workerRun) { run.dropped = time.Now() })
+	panic(http.ErrAbortHandler) // breaks the channel off within the answer
+}
