--- a/review/rig2/endless.go
+++ b/review/rig2/endless.go
@@ -62,7 +62,7 @@
 			c := newChannel(s.nodes[i%fronts])
 			defer c.close()
 			c.send(plainPrefix+"hello", fmt.Sprintf("hello-%d", i), task{}, nil, time.Second) // the channel is a kept one
-			r := c.send(streamPrefix+"tell", fmt.Sprintf("short-%d", i), task{Events: 120, GapMs: 100}, nil, 15*time.Second)
+			r := c.send(streamPrefix+"tell", fmt.Sprintf("short-%d", i), task{Events: 300, GapMs: 100}, nil, 40*time.Second)
 			mu.Lock()
 			defer mu.Unlock()
 			short = append(short, r)
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -38,8 +38,9 @@
 	model        = "draft"
 	// maxBodyBytes is the limit of the manifest, that of the example on the users' pages.
 	maxBodyBytes = 33554432
-	// frontMemoryMb is the memory of a front machine of the site koolitund.
-	frontMemoryMb = 134
+	// frontMemoryMb and storeMemoryMb are the memory of a front machine and of a store machine of the
+	// site pwh-isd.
+	frontMemoryMb, storeMemoryMb = 284, 344
 )
 
 type (
@@ -185,7 +186,7 @@
 	n.file = filepath.Join(n.site.dir, n.name+".toml")
 	class, memory, cpu, extra, listen := "front", frontMemoryMb, 0.304, "", fmt.Sprintf("front = %q\nready = %q\n", n.ip+":"+frontPort, n.ip+":"+readyPort)
 	if strings.HasPrefix(n.name, "store") {
-		class, memory, cpu, listen = "store", 164, 0.8, ""
+		class, memory, cpu, listen = "store", storeMemoryMb, 0.8, ""
 		extra = fmt.Sprintf("dataDir = %q\n", filepath.Join(n.site.dir, n.name))
 	}
 	if n.app != "" {
@@ -278,7 +279,7 @@
 		"routes": []map[string]any{
 			{"name": "r-desk", "host": host, "prefix": plainPrefix, "kind": "idempotent", "timeoutMs": 20000, "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
 			{"name": "r-lot", "host": host, "prefix": lotPrefix, "kind": "rollout", "timeoutMs": 10000, "targetLatencyMs": 500, "priority": 1, "service": "lm", "maxAttempts": 3, "maxQueueS": 40.0, "resultDueMs": 7500, "singleVersion": false, "sessionAffinity": true, "resumable": true},
-			{"name": "r-live", "host": host, "prefix": streamPrefix, "kind": "stream", "resumable": false, "timeoutMs": 20000, "targetLatencyMs": 500, "priority": 1, "service": "talk", "maxAttempts": 3},
+			{"name": "r-live", "host": host, "prefix": streamPrefix, "kind": "stream", "resumable": false, "timeoutMs": 45000, "targetLatencyMs": 500, "priority": 1, "service": "talk", "maxAttempts": 3},
 		},
 		"services": []map[string]any{
 			{"name": "desk", "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false},
