--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
 for program in target/lavendermux target/review-cases; do
   [ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec target/review-cases drain review/6/record.txt
+exec target/review-cases endless review/6/record.txt
--- a/review/rig2/endless.go
+++ b/review/rig2/endless.go
@@ -12,12 +12,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
-	lotItems, lotGroup = 104, 8
+	lotItems, lotGroup = 208, 8
 	// lotDeadline is how long the trainer reads the results of a batch submission.
-	lotDeadline  = 40 * time.Second
+	lotDeadline  = 50 * time.Second
 	lotReadPause = 500 * time.Millisecond
 )
 
@@ -45,8 +47,9 @@
 	}
 )
 
-// playEndless has one worker answer one item of a batch submission with bytes that are no answer and
-// have no end.
+// playEndless has two workers of four answer one item each of a batch submission with bytes without an
+// end: those of the one have no event IDs, and those of the other go on beyond the output that the item
+// allows.
 func playEndless(s *site, trouble bool) (bool, error) {
 	done := make(chan struct{})
 	peaks := make([]atomic.Int64, fronts)
@@ -62,7 +65,7 @@
 			c := newChannel(s.nodes[i%fronts])
 			defer c.close()
 			c.send(plainPrefix+"hello", fmt.Sprintf("hello-%d", i), task{}, nil, time.Second) // the channel is a kept one
-			r := c.send(streamPrefix+"tell", fmt.Sprintf("short-%d", i), task{Events: 300, GapMs: 100}, nil, 40*time.Second)
+			r := c.send(streamPrefix+"tell", fmt.Sprintf("short-%d", i), task{Events: 450, GapMs: 100}, nil, 55*time.Second)
 			mu.Lock()
 			defer mu.Unlock()
 			short = append(short, r)
@@ -70,10 +73,11 @@
 	}
 	time.Sleep(time.Second)
 	if trouble {
+		faulty := 0
 		for _, w := range s.workers {
-			if w.model != "" {
-				w.setEndless(1)
-				break
+			if w.model != "" && faulty < 2 {
+				w.setEndless(1, faulty == 1)
+				faulty++
 			}
 		}
 	}
@@ -107,21 +111,10 @@
 // runLot submits a batch submission and reads its results. It reports whether a completed one has a
 // text that isn't the item's whole output.
 func (s *site) runLot(id string) (broken bool, err error) {
-	var items []lotItem
-	for n := range lotItems {
-		items = append(items, lotItem{ID: fmt.Sprintf("%s-%03d", id, n), Path: lotPrefix + "run", Headers: map[string]string{"Model": model, "Token-Count": "540,400"},
-			Body: base64.StdEncoding.EncodeToString([]byte("prompt")), TokenCount: 940, Group: fmt.Sprint(n / lotGroup)})
-	}
-	raw, err := json.Marshal(map[string]any{"step": 0, "model": model, "minVersion": 1, "desiredCount": lotItems / lotGroup, "items": items})
+	start, err := s.submitLot(id, lotItems)
 	if err != nil {
 		return false, err
 	}
-	start := time.Now()
-	status := 0
-	for n := 0; status != http.StatusAccepted && time.Since(start) < 5*time.Second; n++ {
-		status, _ = s.call(n, http.MethodPost, lotPrefix+"lot", id, raw)
-		s.rec.printf("batch submission %s: status %d", id, status)
-	}
 	var results []lotResult
 	for n := 0; len(results) < lotItems && time.Since(start) < lotDeadline; n++ {
 		time.Sleep(lotReadPause)
@@ -142,6 +135,29 @@
 	return broken, nil
 }
 
+// submitLot submits a batch submission of count items until it is accepted, and returns when it began.
+func (s *site) submitLot(id string, count int) (start time.Time, err error) {
+	var items []lotItem
+	for n := range count {
+		items = append(items, lotItem{ID: fmt.Sprintf("%s-%03d", id, n), Path: lotPrefix + "run", Headers: map[string]string{"Model": model, "Token-Count": "540,400"},
+			Body: base64.StdEncoding.EncodeToString([]byte("prompt")), TokenCount: 940, Group: fmt.Sprint(n / lotGroup)})
+	}
+	raw, err := json.Marshal(map[string]any{"step": 0, "model": model, "minVersion": 1, "desiredCount": count / lotGroup, "items": items})
+	if err != nil {
+		return start, err
+	}
+	start = time.Now()
+	status := 0
+	for n := 0; status != http.StatusAccepted; n++ {
+		if time.Since(start) > 5*time.Second {
+			return start, errors.New("the batch submission isn't accepted")
+		}
+		status, _ = s.call(n, http.MethodPost, lotPrefix+"lot", id, raw)
+		s.rec.printf("batch submission %s: status %d", id, status)
+	}
+	return start, nil
+}
+
 // call makes a call about a batch submission to a front on a new channel; status 0 is no answer.
 func (s *site) call(n int, method, path, id string, body []byte) (status int, answer []byte) {
 	c := http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,6 +30,8 @@
 	"drain":   playDrain,
 	"bodies":  playBodies,
 	"endless": playEndless,
+	"readers": playReaders,
+	"retire":  playRetire,
 	"spoilt":  playSpoilt,
 }
 
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -26,8 +26,9 @@
 	workerPort           = "8165"
 	bornMs               = 1700000000000
 	fronts, stores       = 3, 3
-	workersPerService    = 3
-	readyTimeout         = 30 * time.Second
+	// workersPerService is the number of workers of each of the three services.
+	workersPerService = 4
+	readyTimeout      = 30 * time.Second
 	// graceS is the bound of the settings.
 	graceS = 8
 
@@ -194,7 +195,7 @@
 		extra = fmt.Sprintf("app = %q\nservice = \"lm\"\n", n.app)
 	}
 	text := fmt.Sprintf("nodeName = %q\nrole = %q\nmachineClass = %q\nserves = [%q]\nip = %q\nzone = \"dc-a\"\nregion = \"r\"\ninternalPorts = [7720,7735]\n"+
-		"seeds = []\nbootstrap = true\ninTolerance = %t\n%sdiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"+
+		"seeds = []\nbootstrap = %t\ninTolerance = %t\n%sdiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n"+
 		"contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"samples\",\"stream\",\"engine\",\"batch\",\"platform\"]\n"+
 		"[zones]\ndc-a = \"r\"\n[listen]\n%s[limits]\ncpuShare = %g\ncpuCores = 1\nmemoryMb = %d\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 530\n"+
 		"[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n"+
@@ -202,7 +203,7 @@
 		"configApplyMs = 2000\ndowngradeMs = 250\nstretchMaxMs = 5000\nrecoveryS = 12\npassMs = 120\nretryAfterS = 0\nfinishS = 10\nstatusS = 120\n"+
 		"cancelMs = 3000\nsettleMs = 1000\nquotaExcess = 0.1\nfenceRequired = false\nleaseMs = 3000\nthawMs = 300\n"+
 		"[platform]\naddr = %q\nform = \"kv\"\nwritesPerS = 400\nreadsPerS = 2000\nhistoryS = 20\nvalueBytes = 1048576\nttlMinMs = 1000\n",
-		n.name, class, class, class, n.ip, class == "store", extra, listen, cpu, memory, graceS, n.site.ip(1)+":"+storePort)
+		n.name, class, class, class, n.ip, n.pid() == 0, class == "store", extra, listen, cpu, memory, graceS, n.site.ip(1)+":"+storePort)
 	return os.WriteFile(n.file, []byte(text), 0o644)
 }
 
@@ -279,7 +280,7 @@
 		"routes": []map[string]any{
 			{"name": "r-desk", "host": host, "prefix": plainPrefix, "kind": "idempotent", "timeoutMs": 20000, "targetLatencyMs": 150, "priority": 2, "service": "desk", "maxAttempts": 2},
 			{"name": "r-lot", "host": host, "prefix": lotPrefix, "kind": "rollout", "timeoutMs": 10000, "targetLatencyMs": 500, "priority": 1, "service": "lm", "maxAttempts": 3, "maxQueueS": 40.0, "resultDueMs": 7500, "singleVersion": false, "sessionAffinity": true, "resumable": true},
-			{"name": "r-live", "host": host, "prefix": streamPrefix, "kind": "stream", "resumable": false, "timeoutMs": 45000, "targetLatencyMs": 500, "priority": 1, "service": "talk", "maxAttempts": 3},
+			{"name": "r-live", "host": host, "prefix": streamPrefix, "kind": "stream", "resumable": false, "timeoutMs": 60000, "targetLatencyMs": 500, "priority": 1, "service": "talk", "maxAttempts": 3},
 		},
 		"services": []map[string]any{
 			{"name": "desk", "healthPath": "/health", "maxConns": 96, "protocol": "h1", "tls": false},
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -25,8 +26,10 @@
 
 		mu   sync.Mutex
 		runs map[string]*workerRun
-		// endless is how many of the next items get bytes without an end in place of an answer.
-		endless int
+		// endless is how many of the next items get bytes without an end in place of an answer; with
+		// isNumbered these have event IDs.
+		endless    int
+		isNumbered bool
 		// spoilt is how many of the next items get spoilt bytes and a broken channel.
 		spoilt int
 		// endlessSent is how many bytes of these were sent, endlessID the item.
@@ -118,7 +121,7 @@
 	rw.Header().Set("Server-Seal", "seal-"+w.id+"-"+id)
 	if w.model != "" {
 		rw.Header().Set("Weight-Versions", "1")
-		t = task{Events: itemEvents(id), GapMs: itemGapMs}
+		t = task{Events: itemEvents(id), GapMs: int(itemGap.Load())}
 	}
 	switch {
 	case w.takeEndless(id):
@@ -180,11 +183,15 @@
 	}
 }
 
+// itemGap is the time of an event of an item, in milliseconds.
+var itemGap atomic.Int64
+
+func init() { itemGap.Store(20) }
+
 const (
-	// itemGapMs is the time of an event of an item.
-	itemGapMs = 20
 	// fill is what is sent without an end: it has no event ID, so that it is no event of the protocol.
-	fill = "data: fill\n\n"
+	fill        = "data: fill\n\n"
+	fillRepeats = 300
 	// spoiltBytes has no event ID either.
 	spoiltBytes = "data: engine failed\n\n"
 )
@@ -192,7 +199,7 @@
 // itemEvents is the number of events of an item.
 func itemEvents(id string) int { return 15 + len(id)%5 }
 
-func eventText(id string, n int) string { return fmt.Sprintf("%s event %d", id, n) }
+func eventText(id string, n int) string { return fmt.Sprintf("%s event %d%s", id, n, pad()) }
 
 // itemText is the whole text of an item.
 func itemText(id string) string {
@@ -204,10 +211,10 @@
 }
 
 // setEndless has the next n items answered with bytes without an end.
-func (w *worker) setEndless(n int) {
+func (w *worker) setEndless(n int, isNumbered bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.endless = n
+	w.endless, w.isNumbered = n, isNumbered
 }
 
 func (w *worker) takeEndless(id string) bool {
@@ -228,11 +235,17 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	w.rec.printf("worker %s: item %s gets bytes without an end", w.id, id)
+	w.rec.printf("worker %s: item %s gets bytes without an end, with event IDs: %t", w.id, id, w.isNumbered)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-%s-%s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n\r\n", id, w.id, id)
 	_, err = io.WriteString(conn, head)
-	raw := []byte(strings.Repeat(fill, 300))
-	for err == nil {
+	raw := []byte(strings.Repeat(fill, fillRepeats))
+	for next := 0; err == nil; next += fillRepeats {
+		if w.isNumbered {
+			raw = raw[:0]
+			for i := range fillRepeats {
+				raw = fmt.Appendf(raw, "id: %d\n%s", next+i, fill)
+			}
+		}
 		var n int
 		n, err = conn.Write(raw)
 		w.mu.Lock()
