--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,6 +30,7 @@
 	"drain":   playDrain,
 	"bodies":  playBodies,
 	"endless": playEndless,
+	"frozen":  playFrozen,
 	"readers": playReaders,
 	"retire":  playRetire,
 	"spoilt":  playSpoilt,
