stream: an event counts only if it is valid and due

Streams of requesters could be joined with such bytes in the same way.

Cause: an event without an ID had the ID -1, the mark of a stream from its start, and IDs were compared only behind the first event. `Item run.` shows it: from=-1 to=-1 events=1, and from=-1 again.

The first event that isn't valid ends the answer; what was sound before it stays. Versions that were neither announced nor reported, nor are the next one, don't count. The engine client of the own interface checks its events, too. TestStreamWithoutEvents had the same ID twice in its sound beginning; the second is now the one that is due, and the bounds are as before.

Why it works: bytes that aren't the event that is due can't get into a text, so that a run resumes after the last sound event.

--- a/brun/brun.go
+++ b/brun/brun.go
@@ -30,6 +30,9 @@
 	sweepInterval = 100 * time.Millisecond
 	// itemRetryDelay is the delay before an item that was refused or failed is sent again.
 	itemRetryDelay = 60 * time.Millisecond
+	// maxInvalidAt is the number of endpoints whose answers to an item are invalid from which on the
+	// item is at fault.
+	maxInvalidAt = 3
 	// maxPartials is the maximum number of partial texts of ended batches that are kept for
 	// batches that submit the same items again.
 	maxPartials = 2000
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -13,6 +13,7 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -166,8 +167,13 @@
 		return r.finishStatus(b, it, route, status)
 	case errors.Is(err, errMigrated):
 		return "moved"
-	case errors.Is(err, errMixedVersions):
-		return "restarted" // the endpoint works, it has loaded other weights
+	case errors.Is(err, errMixedVersions), errors.Is(err, errSingleEvent):
+		return "restarted" // nothing says that the endpoint doesn't work
+	case isInvalid(err):
+		if it.noteInvalid(call.Endpoint.ID, now) {
+			r.endpoints.MarkFailed(call.Endpoint, now)
+		}
+		return "invalid"
 	default:
 		// Without a delay, an endpoint that resets every connection would be sent the same item
 		// hundreds of times a second while no other has a free slot.
@@ -180,6 +186,24 @@
 	}
 }
 
+// isInvalid reports whether err means that an endpoint sent an answer that can't be one to the item.
+func isInvalid(err error) bool {
+	var event *stream.InvalidError
+	var version *versionError
+	return errors.As(err, &event) || errors.As(err, &version) || errors.Is(err, errNoEvents)
+}
+
+// noteInvalid delays the next run of an item that got an invalid answer, the longer the more
+// endpoints gave one. It reports whether that is the endpoint's fault: if several give the item
+// such answers, it is the item's, and must not keep work from endpoint after endpoint.
+func (it *item) noteInvalid(endpoint string, now time.Time) bool {
+	if !slices.Contains(it.invalidAt, endpoint) && len(it.invalidAt) < maxInvalidAt {
+		it.invalidAt = append(it.invalidAt, endpoint)
+	}
+	it.notBefore = now.Add(itemRetryDelay << (2 * (len(it.invalidAt) - 1)))
+	return len(it.invalidAt) < maxInvalidAt
+}
+
 // noteRefusal has an endpoint avoided: briefly if it answered, and for longer if it is
 // unreachable.
 func (r *Runner) noteRefusal(e endpt.Endpoint, err *upstr.NotRunError, now time.Time) {
--- a/brun/stream.go
+++ b/brun/stream.go
@@ -5,9 +5,11 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendermux/lavendermux/evbase"
 	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -45,6 +47,8 @@
 	errMigrated      = errors.New("run continues on another endpoint")
 	errStaleVersion  = errors.New("weights are older than the batch allows")
 	errMixedVersions = errors.New("weights changed, but a single version is asked for")
+	errNoEvents      = errors.New("the stream ended without an event")
+	errSingleEvent   = errors.New("the stream has a single event, and no other is known")
 )
 
 type (
@@ -52,25 +56,30 @@
 		Status int
 	}
 
-	sequenceError struct {
-		Want, Got int64
+	// versionError reports an answer with a weight version that no engine can have.
+	versionError struct {
+		Version int64
 	}
 )
 
 // Error names the status.
 func (e *statusError) Error() string { return fmt.Sprintf("status %d", e.Status) }
 
-// Error names both events.
-func (e *sequenceError) Error() string {
-	return fmt.Sprintf("got event %d, but event %d was due", e.Got, e.Want)
+// Error names the version.
+func (e *versionError) Error() string {
+	return fmt.Sprintf("weight version %d doesn't exist", e.Version)
 }
 
 // events appends the events of a response to the item, each with the weight version that
-// generated it.
+// generated it. The first event that isn't valid ends the run: neither it nor anything behind it
+// is part of the text.
 func (r *Runner) events(b *tracked, it *item, call upstr.Call, a *upstr.Response) error {
-	reader := stream.New(a.Body, r.version)
+	bases := r.endpoints.EventBases(call.Endpoint)
+	reader := stream.New(a.Body, r.version, stream.After(call.LastEventID), stream.WithBases(bases))
 	version := a.Version
-	r.endpoints.ObserveVersion(call.Endpoint, b.sub.Model, version)
+	if err := r.observeVersion(b, call, version); err != nil {
+		return err
+	}
 	var previous time.Time
 	start, isProven := time.Now(), false
 	route, ok := r.route(b.sub)
@@ -78,14 +87,16 @@
 	for {
 		ev, err := reader.Next()
 		if errors.Is(err, io.EOF) {
-			return nil
+			return r.checkEnd(b, it, call, bases)
 		}
 		if err != nil {
 			return err
 		}
 		if ev.Version > 0 {
 			version = ev.Version
-			r.endpoints.ObserveVersion(call.Endpoint, b.sub.Model, version)
+			if err := r.observeVersion(b, call, version); err != nil {
+				return err
+			}
 		}
 		if err := r.addEvent(b, it, ev, version); err != nil {
 			return err
@@ -101,23 +112,50 @@
 		switch {
 		case previous.IsZero():
 		case learnsPace:
-			r.endpoints.ObserveEvent(call.Endpoint, now.Sub(previous), now)
+			r.endpoints.ObserveEvent(call.Endpoint, ev.At.Sub(previous), now)
 		default:
-			r.endpoints.ObserveUnitTime(call.Endpoint, now.Sub(previous))
+			r.endpoints.ObserveUnitTime(call.Endpoint, ev.At.Sub(previous))
 		}
-		previous = now
+		previous = ev.At
 	}
 }
 
+// observeVersion records the weight version of an answer, unless it is one that can't be.
+func (r *Runner) observeVersion(b *tracked, call upstr.Call, version int64) error {
+	if !r.endpoints.IsPlausible(b.sub.Model, version) {
+		return &versionError{Version: version}
+	}
+	r.endpoints.ObserveVersion(call.Endpoint, b.sub.Model, version)
+	return nil
+}
+
+// checkEnd returns an error if an answer that ended well can't be the rest of the item's text.
+func (r *Runner) checkEnd(b *tracked, it *item, call upstr.Call, bases *evbase.Voter) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if call.LastEventID != upstr.FromStart || it.done {
+		return nil
+	}
+	if len(it.texts) == 0 {
+		return errNoEvents
+	}
+	// Nothing tells a single event from one of a broken endpoint if it isn't known with which ID
+	// streams begin. Another run does.
+	if len(it.texts) == 1 && it.attempts == 1 && !bases.Leads(it.lastEvent) {
+		r.restart(b, it, "single event")
+		return errSingleEvent
+	}
+	return nil
+}
+
 func (r *Runner) addEvent(b *tracked, it *item, ev stream.Event, version int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	it.lastEventAt = time.Now()
 	switch {
 	case it.done:
 		return errEnded
-	case it.lastEvent != upstr.FromStart && ev.ID != it.lastEvent+1:
-		return &sequenceError{Want: it.lastEvent + 1, Got: ev.ID}
+	case !utf8.ValidString(ev.Data):
+		return &stream.InvalidError{Problem: "its data is no UTF-8"}
 	case version < b.sub.MinVersion:
 		return errStaleVersion
 	}
@@ -125,6 +163,7 @@
 		r.restart(b, it, "weights changed during the run")
 		return errMixedVersions
 	}
+	it.lastEventAt = time.Now()
 	r.noteFirstEvent(b, it)
 	it.weightsAwaitedSince = time.Time{}
 	it.texts = append(it.texts, ev.Data)
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -100,6 +100,8 @@
 		attempts   int
 		failures   int
 		migrations int
+		// invalidAt has the endpoints that gave the item an invalid answer, maxInvalidAt at most.
+		invalidAt []string
 		// resubmitted marks an item whose group was part of an earlier batch; priorEvents is the
 		// number of events generated there, all of them if lengthKnown.
 		resubmitted bool
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/lavendermux/lavendermux/engst"
@@ -51,6 +53,11 @@
 		Reason string
 	}
 
+	// InvalidEventError reports an event of a stream that isn't valid.
+	InvalidEventError struct {
+		Problem string
+	}
+
 	fenceResponse struct {
 		Fence int64 `json:"fence"`
 	}
@@ -83,8 +90,12 @@
 	return "engine rejected the request: " + e.Reason
 }
 
+// Error implements error.
+func (e *InvalidEventError) Error() string { return "invalid event: " + e.Problem }
+
 // Generate runs req and passes the tokens to onToken in order. It returns nil only
-// after the engine's end event, which is the last token passed to onToken. A
+// after the engine's end event, which is the last token passed to onToken. An
+// event that isn't valid ends the stream, as its text may belong to no request. A
 // stream that ends early results in a *fault.UnavailableError, a request that the
 // engine has not started in a *RejectedError. An error of onToken ends the stream
 // and is returned.
@@ -105,8 +116,8 @@
 			continue
 		}
 		ignored = 0
-		var t genev.Event
-		if err := json.Unmarshal(data, &t); err != nil {
+		t, err := decodeEvent(data)
+		if err != nil {
 			return &fault.UnavailableError{Peer: peerName, Cause: errors.Wrap(err, "reading a token")}
 		}
 		if err := onToken(t); err != nil {
@@ -123,6 +134,61 @@
 	return &fault.UnavailableError{Peer: peerName, Cause: cause}
 }
 
+// decodeEvent decodes an event and checks that its fields agree.
+func decodeEvent(data []byte) (genev.Event, error) {
+	var t genev.Event
+	invalid := func(problem string) (genev.Event, error) {
+		return genev.Event{}, &InvalidEventError{Problem: problem}
+	}
+	if !utf8.Valid(data) {
+		return invalid("it is no UTF-8") // the decoder would replace the bytes
+	}
+	if err := json.Unmarshal(data, &t); err != nil {
+		return invalid(err.Error())
+	}
+	switch name, err := doubledField(data); {
+	case err != nil:
+		return invalid(err.Error())
+	case name != "":
+		return invalid("field " + name + " stands twice")
+	case t.Done && (t.Tokens != 0 || t.Text != ""):
+		return invalid("the end event has tokens")
+	case t.Done && t.TotalTokens < 0:
+		return invalid("total is negative")
+	case !t.Done && t.Tokens < 1:
+		return invalid("tokens is missing or not positive")
+	case !t.Done && (t.TotalTokens != 0 || t.Finish != ""):
+		return invalid("it has fields of the end event")
+	}
+	return t, nil
+}
+
+// doubledField returns the name of a field of an object that stands twice, of which the decoder would
+// take the last; "" if there is none.
+func doubledField(object []byte) (string, error) {
+	dec := json.NewDecoder(bytes.NewReader(object))
+	if start, err := dec.Token(); err != nil || start != json.Delim('{') {
+		return "", errors.New("it is no object")
+	}
+	seen := make(map[string]bool)
+	for dec.More() {
+		name, err := dec.Token()
+		if err != nil {
+			return "", err
+		}
+		key := strings.ToLower(name.(string)) // the decoder ignores case
+		if seen[key] {
+			return key, nil
+		}
+		seen[key] = true
+		var value json.RawMessage
+		if err := dec.Decode(&value); err != nil {
+			return "", err
+		}
+	}
+	return "", nil
+}
+
 // Cancel ends the request with the given ID. Cancelling a request that the engine
 // does not know is not an error.
 func (c *Client) Cancel(ctx context.Context, id string) error {
--- a/epset/epset.go
+++ b/epset/epset.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/evbase"
 	"github.com/lavendermux/lavendermux/speed"
 )
 
@@ -47,6 +48,10 @@
 		graceUntil time.Time
 		onChange   func()
 		speeds     speeds
+		// eventBases has the event IDs with which streams begin, by service.
+		eventBases map[string]*evbase.Votes
+		// versions has the latest weight version of each model that is known to exist.
+		versions map[string]int64
 	}
 
 	// View is an endpoint with what is known about it.
@@ -93,6 +98,7 @@
 //	s.Put(e)
 func New(onChange func()) *Registry {
 	return &Registry{endpoints: make(map[string]*state), onChange: onChange,
+		eventBases: make(map[string]*evbase.Votes), versions: make(map[string]int64),
 		speeds: speeds{startedAt: time.Now(), neighbours: make(map[string]neighbourSpeeds)}}
 }
 
@@ -101,6 +107,9 @@
 // one.
 func (r *Registry) Put(e endpt.Endpoint) (isNew bool) {
 	r.mu.Lock()
+	for model, v := range e.Versions {
+		r.versions[model] = max(r.versions[model], v)
+	}
 	old, ok := r.endpoints[e.ID]
 	isNew = !ok || !old.SameIncarnation(e) || old.Draining != e.Draining
 	if ok && old.SameIncarnation(e) {
@@ -286,6 +295,34 @@
 	}
 }
 
+// EventBases returns what is known of the event IDs with which streams of e's service begin.
+func (r *Registry) EventBases(e endpt.Endpoint) *evbase.Voter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.eventBases[e.Service]
+	if !ok {
+		v = &evbase.Votes{}
+		r.eventBases[e.Service] = v
+	}
+	return v.Voter(e.ID)
+}
+
+// AnnounceVersion records that a weight version of a model exists.
+func (r *Registry) AnnounceVersion(model string, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions[model] = max(r.versions[model], version)
+}
+
+// IsPlausible reports whether an answer may show a weight version: it exists, or is the one after
+// the latest that is known here. Engines may load a version before its announcement arrives.
+func (r *Registry) IsPlausible(model string, version int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	latest := r.versions[model]
+	return version > 0 && (latest == 0 || version <= latest+1)
+}
+
 // ObserveVersion records a weight version that an answer of e has shown.
 func (r *Registry) ObserveVersion(e endpt.Endpoint, model string, version int64) {
 	r.update(e, func(st *state) {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -153,7 +153,7 @@
 		s.headSent = true
 		s.sink.WriteHeader(a.Status, a.Header)
 	}
-	err = s.forwardEvents(a, idleTimer)
+	err = s.forwardEvents(e, a, idleTimer)
 	if err != nil {
 		s.f.recordFailure(ctx, s.r, e, err)
 		return err
@@ -173,8 +173,10 @@
 	return s.sink.Write(body)
 }
 
-func (s *streamRequest) forwardEvents(a *upstr.Response, idleTimer *time.Timer) error {
-	events := stream.New(a.Body, s.versionLine)
+// forwardEvents passes on the events that follow the last one. The first that isn't valid ends
+// the answer of this endpoint: neither it nor anything behind it is part of the stream.
+func (s *streamRequest) forwardEvents(e endpt.Endpoint, a *upstr.Response, idleTimer *time.Timer) error {
+	events := stream.New(a.Body, s.versionLine, stream.After(s.lastEvent), stream.WithBases(s.f.endpoints.EventBases(e)))
 	start, isProven := time.Now(), false
 	for {
 		ev, err := events.Next()
@@ -184,9 +186,6 @@
 		if err != nil {
 			return &upstr.UnknownOutcomeError{Cause: err}
 		}
-		if s.lastEvent != upstr.FromStart && ev.ID != s.lastEvent+1 {
-			return &upstr.UnknownOutcomeError{Cause: errors.Newf("event %d arrived after event %d", ev.ID, s.lastEvent)}
-		}
 		if err := s.sink.Write(ev.Raw); err != nil {
 			return &UnknownOutcomeError{Cause: err}
 		}
--- a/report/load.go
+++ b/report/load.go
@@ -306,7 +306,7 @@
 	case "not run", "endpoint gone", "failed", "errored":
 		w.rejected++
 		tellsPace = false
-	case "broken":
+	case "broken", "invalid":
 		w.broken++
 		tellsPace = false // the time includes the silence before the break
 	}
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
@@ -17,7 +18,7 @@
 	for _, want := range []Event{{ID: 1, Data: "a"}, {ID: 2, Data: "b\nc", Version: 7}, {ID: 3, Data: "d"}} {
 		got, err := r.Next()
 		g.Expect(err).NotTo(HaveOccurred())
-		got.Raw = nil
+		got.Raw, got.At = nil, time.Time{}
 		g.Expect(got).To(Equal(want))
 	}
 	_, err := r.Next()
@@ -37,13 +38,13 @@
 // Guards against a stream that goes on without an event: a line without an end, comments, empty lines,
 // or an event that never ends. Little may be read and kept of it, also after a good event.
 func TestStreamWithoutEvents(t *testing.T) {
-	const good = "id: 1\ndata: a\n\n"
+	const good, next = "id: 1\ndata: a\n\n", "id: 2\ndata: a\n\n"
 	for _, fill := range []string{"x", "data: x", ": x\n", "\n", "\r\n", "data: x\n", "id: 2\n", ": x\n\n", "v: 1\n"} {
-		for _, begin := range []string{"", good, good + good} {
+		for _, begin := range []string{"", good, good + next} {
 			g := NewWithT(t)
 			e := &endless{rest: begin, fill: fill}
 			r := New(e, "v")
-			for range strings.Count(begin, good) {
+			for range strings.Count(begin, "\n\n") {
 				_, err := r.Next()
 				g.Expect(err).NotTo(HaveOccurred())
 			}
--- a/wctrl/wctrl.go
+++ b/wctrl/wctrl.go
@@ -159,6 +159,7 @@
 	}
 	p.mu.Unlock()
 	if newer {
+		p.set.AnnounceVersion(model, version)
 		p.logger.Info("Version named.", "model", model, "version", version, "revision", revision)
 		p.Wake()
 	}
@@ -450,6 +451,7 @@
 		p.set.Forget(v.Endpoint)
 	} else {
 		for model, version := range state.Versions {
+			p.set.AnnounceVersion(model, version)
 			p.set.ObserveVersion(v.Endpoint, model, version)
 		}
 		p.set.SetLoading(v.Endpoint, state.Loading)
