bstore: entries and writes over the store's limits are split

What callers saw: after one long text of an item nothing of its submission was stored any more, its end included; after the owner's death what it had listed from then on would have to run again.

Cause: an entry that alone was larger than valueBytes got one value all the same, and all values of a write went into one transaction.

Change: an entry may take several values, Apply writes several transactions, all fenced by the head, which counts an entry with its last value; a write has 1 MiB of results and of partial text at most. Pages of results count what JSON lengthens.

Why it works: no value and no transaction is over the limits, whatever the texts are. What was stored earlier reads as before: the values of a key range are joined.

--- a/brun/flush.go
+++ b/brun/flush.go
@@ -23,6 +23,9 @@
 	stopSaveTimeout = 600 * time.Millisecond
 	// flushRetryDelay is the delay after a write that the store refused.
 	flushRetryDelay = 150 * time.Millisecond
+	// maxWriteBytes is the maximum size of the results of a write, and of its partial text, unless one
+	// entry alone has more. A write takes several times its size in memory.
+	maxWriteBytes = 1 << 20
 	// flushTimeout bounds one write including all its repeats.
 	flushTimeout = 5 * time.Second
 )
@@ -75,7 +78,7 @@
 func (r *Runner) nextWrite(b *tracked) writePlan {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if b.ended || b.dropped || b.saving != nil {
+	if b.ended || b.dropped || b.saving != nil || b.hasMore {
 		return writePlan{withResults: true}
 	}
 	now := time.Now()
@@ -115,25 +118,7 @@
 		return false
 	}
 	record := b.record
-	now := time.Now()
-	change := bstore.Change{Record: &record, End: b.ended && !record.Ended}
-	b.writtenAt = now
-	if withResults {
-		change.Results = b.results[record.Results:len(b.results):len(b.results)]
-		for _, res := range change.Results {
-			b.byID[res.ID].published = true
-		}
-		b.resultsWrittenAt = now
-	}
-	saving := b.saving
-	b.saving = nil
-	switch {
-	case b.ended:
-	case saving != nil:
-		change.Progress = b.takeProgress(1, now)
-	default:
-		change.Progress = b.takeProgress(minProgressEvents, now)
-	}
+	change, saving := b.takeChange(&record, withResults, time.Now())
 	r.mu.Unlock()
 	if saving != nil {
 		defer close(saving)
@@ -162,9 +147,41 @@
 	return !record.Ended
 }
 
+// takeChange returns what is to be written, and the channel to close after that; nil if nothing waits
+// for the write. The caller holds Runner.mu.
+func (b *tracked) takeChange(record *bstore.Record, withResults bool, now time.Time) (change bstore.Change, saving chan struct{}) {
+	change.Record = record
+	b.writtenAt = now
+	moreResults, moreProgress := false, false
+	if withResults {
+		change.Results, moreResults = b.takeResults()
+		for _, res := range change.Results {
+			b.byID[res.ID].published = true
+		}
+		b.resultsWrittenAt = now
+	}
+	switch {
+	case b.ended:
+	case b.saving != nil:
+		change.Progress, moreProgress = b.takeProgress(1, now)
+	default:
+		change.Progress, moreProgress = b.takeProgress(minProgressEvents, now)
+	}
+	change.End = b.ended && !record.Ended && !moreResults
+	if b.hasMore = moreResults || moreProgress; b.hasMore {
+		return change, nil // all is saved by a later write
+	}
+	saving, b.saving = b.saving, nil
+	return change, saving
+}
+
 func (r *Runner) apply(ctx context.Context, b *tracked, change bstore.Change) bool {
-	start := time.Now()
-	ok := r.persist(ctx, b, "Results not kept yet.", func(ctx context.Context) error { return r.store.Apply(ctx, change) })
+	start, first := time.Now(), change.Record.Results
+	ok := r.persist(ctx, b, "Results not kept yet.", func(ctx context.Context) error {
+		rest := change
+		rest.Results = change.Results[change.Record.Results-first:]
+		return r.store.Apply(ctx, rest)
+	})
 	if ok {
 		r.meter.Observe("results_kept_seconds", time.Since(start))
 		r.logger.Info("Results kept.", "batch", b.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Record.Results,
--- a/brun/invalid_test.go
+++ b/brun/invalid_test.go
@@ -93,6 +93,17 @@
 	return &upstr.Response{Status: http.StatusOK, Body: pr, Version: version}, nil
 }
 
+// answer sends events with these data, after the one from which on the call resumes.
+func answer(ctx context.Context, c upstr.Call, texts []string) *upstr.Response {
+	a := simevt.Answer{End: simevt.Close}
+	for n := c.LastEventID + 1; n < int64(len(texts)); n++ {
+		a.Parts = append(a.Parts, simevt.Event(n, texts[n]))
+	}
+	pr, pw := io.Pipe()
+	go func() { _ = pw.CloseWithError(sendAnswer(ctx, pw, a)) }() // has no effect if the reader is gone
+	return &upstr.Response{Status: http.StatusOK, Body: pr, Version: 1}
+}
+
 func sendAnswer(ctx context.Context, w io.Writer, a simevt.Answer) error {
 	write := func(part string) error {
 		select {
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -38,8 +38,9 @@
 		replicated                  int
 		replicating, movingReplicas bool
 		nextReplication             time.Time
-		// writing is set while a write is in flight.
-		writing bool
+		// writing is set while a write is in flight; hasMore once the last one left out what was to
+		// be written, as it had the maximum size.
+		writing, hasMore bool
 		// create creates the batch in the store; nil once the store has it.
 		create func(ctx context.Context, rec *bstore.Record) error
 		// endStored is closed once the store has the end of the batch.
@@ -190,26 +191,42 @@
 }
 
 // takeProgress returns the text to store of items with at least minEvents unsaved events, and
-// of complete ones that are finished or whose score is late. It marks that text as saved.
-func (b *tracked) takeProgress(minEvents int, now time.Time) []batch.Progress {
-	var out []batch.Progress
+// of complete ones that are finished or whose score is late, and whether there is more of it. It
+// marks the text that it returns as saved.
+func (b *tracked) takeProgress(minEvents int, now time.Time) (out []batch.Progress, more bool) {
+	size := 0
 	for _, it := range b.items {
 		overdue := it.complete && (it.done || now.Sub(it.completedAt) > completeSaveDelay)
 		if it.published || it.unsavedEvents() == 0 || (it.unsavedEvents() < minEvents && !overdue) {
 			continue
 		}
-		out = append(out, batch.Progress{
+		p := batch.Progress{
 			ID:        it.ID,
 			Offset:    it.savedEvents,
 			Texts:     slices.Clone(it.texts[it.savedEvents:]),
 			LastEvent: it.lastEvent,
 			Versions:  slices.Clone(it.versions),
 			Complete:  it.complete,
-		})
+		}
+		if size += progressSize(p); size > maxWriteBytes && len(out) > 0 {
+			return out, true
+		}
+		out = append(out, p)
 		it.savedEvents = len(it.texts)
 		it.completeSaved = it.complete
 	}
-	return out
+	return out, false
+}
+
+// takeResults returns the results to store, and whether there are more of them.
+func (b *tracked) takeResults() (out []batch.Result, more bool) {
+	size := 0
+	for i := b.record.Results; i < len(b.results); i++ {
+		if size += resultSize(b.results[i]); size > maxWriteBytes && i > b.record.Results {
+			return b.results[b.record.Results:i:i], true
+		}
+	}
+	return b.results[b.record.Results:len(b.results):len(b.results)], false
 }
 
 // finish appends the result of an item, once.
@@ -295,13 +312,6 @@
 	return p
 }
 
-// resultSize estimates the bytes of a result in a response, with an allowance for escaped
-// bytes of text.
-func resultSize(r batch.Result) int {
-	const overhead = 200
-	return overhead + len(r.ID) + len(r.Score) + len(r.Text)*5/4
-}
-
 // unsavedEvents counts the events that the store lacks, plus one if it does not know that the
 // text is complete.
 func (it *item) unsavedEvents() int {
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -11,6 +11,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/url"
 	"slices"
 	"strings"
@@ -33,8 +34,10 @@
 
 	// defaultMaxValueBytes is the default maximum size of one value, in bytes.
 	defaultMaxValueBytes = 1 << 20
-	// maxTxnEntries is the maximum number of entries in one transaction.
+	// maxTxnEntries is the maximum number of entries in one transaction, and maxTxnValues the number of
+	// values of the maximum size that one has at most, which bounds the memory of a write.
 	maxTxnEntries = 32
+	maxTxnValues  = 8
 	// commitRetryDelay is the delay before a write without an answer is repeated.
 	commitRetryDelay = 50 * time.Millisecond
 )
@@ -73,6 +76,18 @@
 		End      bool
 	}
 
+	// chunk is the values of some entries.
+	chunk struct {
+		values  [][]byte
+		entries int
+	}
+
+	// queuedValue is a value to write. count, if not nil, counts its chunk in the head.
+	queuedValue struct {
+		kvst.Put
+		count func(*batch.Head)
+	}
+
 	// FencedError reports that another instance has become the owner of a batch.
 	FencedError struct {
 		ID  string
@@ -209,15 +224,21 @@
 	if err != nil {
 		return nil, err
 	}
-	var all []T
+	values := make([]io.Reader, 0, n)
 	for _, it := range items[:min(n, len(items))] {
+		values = append(values, bytes.NewReader(it.Value))
+	}
+	var all []T
+	for dec := json.NewDecoder(io.MultiReader(values...)); ; {
 		var chunk []T
-		if err := json.Unmarshal(it.Value, &chunk); err != nil {
-			return nil, errors.Wrapf(err, "chunk at %s", it.Key)
+		switch err := dec.Decode(&chunk); {
+		case errors.Is(err, io.EOF):
+			return all, nil
+		case err != nil:
+			return nil, errors.Wrapf(err, "chunks at %s", prefix)
 		}
 		all = append(all, chunk...)
 	}
-	return all, nil
 }
 
 // TakeOver makes owner the owner of the batch if rec is still its head.
@@ -234,60 +255,95 @@
 	return nil
 }
 
-// Apply writes one change. It returns an *FencedError if this instance is no longer
-// the owner.
+// Apply writes one change, in several transactions if it doesn't fit into one. After an error, Record
+// counts the results that are stored by then, and the change may be repeated with the others. It
+// returns an *FencedError if this instance is no longer the owner.
 func (s *Store) Apply(ctx context.Context, c Change) error {
-	next := *c.Record
-	next.Writes++
-	next.Ended = next.Ended || c.End
-	if c.Replicas != nil {
-		next.Replicas = c.Replicas
-	}
-	txn := kvst.Txn{Expect: map[string]int64{headKey(c.Record.ID): c.Record.Revision}}
-	chunks, err := encodeChunks(s, c.Results)
+	results, err := encodeChunks(s, c.Results)
 	if err != nil {
 		return err
 	}
-	for _, raw := range chunks {
-		txn.Puts = append(txn.Puts, kvst.Put{Key: resultKey(next.ID, next.ResultChunks), Value: raw})
-		next.ResultChunks++
-	}
 	progress, err := encodeChunks(s, c.Progress)
 	if err != nil {
 		return err
 	}
-	for _, raw := range progress {
-		txn.Puts = append(txn.Puts, kvst.Put{Key: progressKey(next.ID, next.Progress), Value: raw})
-		next.Progress++
-	}
-	next.Results += len(c.Results)
-	if err := s.commitWithHead(ctx, &next, txn); err != nil {
-		return err
+	values := queueValues(results, func(n int) string { return resultKey(c.Record.ID, c.Record.ResultChunks+n) }, func(h *batch.Head, values, entries int) {
+		h.ResultChunks += values
+		h.Results += entries
+	})
+	values = append(values, queueValues(progress, func(n int) string { return progressKey(c.Record.ID, c.Record.Progress+n) }, func(h *batch.Head, values, _ int) {
+		h.Progress += values
+	})...)
+	for isLast := false; !isLast; {
+		next := *c.Record
+		next.Writes++
+		txn := kvst.Txn{Expect: map[string]int64{headKey(c.Record.ID): c.Record.Revision}}
+		n := min(len(values), maxTxnValues)
+		for _, v := range values[:n] {
+			txn.Puts = append(txn.Puts, v.Put)
+			if v.count != nil {
+				v.count(&next.Head)
+			}
+		}
+		values = values[n:]
+		if isLast = len(values) == 0; isLast {
+			next.Ended = next.Ended || c.End
+			if c.Replicas != nil {
+				next.Replicas = c.Replicas
+			}
+		}
+		if err := s.commitWithHead(ctx, &next, txn); err != nil {
+			return err
+		}
+		*c.Record = next
 	}
-	*c.Record = next
 	return nil
 }
 
-// encodeChunks encodes entries into values of at most the store's maximum size. A single entry
-// that is larger gets a value of its own.
-func encodeChunks[T any](s *Store, entries []T) ([][]byte, error) {
-	if len(entries) == 0 {
-		return nil, nil
-	}
-	raw, err := json.Marshal(entries)
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding a chunk of entries")
+// queueValues returns the values of chunks with their keys. The last value of each chunk has the
+// head count it: until then nobody reads the others, and the next writer overwrites them.
+func queueValues(chunks []chunk, key func(n int) string, count func(h *batch.Head, values, entries int)) (out []queuedValue) {
+	for _, c := range chunks {
+		for i, value := range c.values {
+			v := queuedValue{Put: kvst.Put{Key: key(len(out)), Value: value}}
+			if i == len(c.values)-1 {
+				v.count = func(h *batch.Head) { count(h, len(c.values), c.entries) }
+			}
+			out = append(out, v)
+		}
 	}
-	if len(raw) <= s.maxValueBytes || len(entries) == 1 {
-		return [][]byte{raw}, nil
+	return out
+}
+
+// encodeChunks encodes entries into chunks of one value each, of at most the store's maximum size. A
+// single entry that is larger gets several values.
+func encodeChunks[T any](s *Store, entries []T) ([]chunk, error) {
+	var out []chunk
+	var raw []byte
+	n := 0
+	end := func() {
+		if n > 0 {
+			out = append(out, chunk{values: split(append(raw, ']'), s.maxValueBytes), entries: n})
+		}
+		raw, n = nil, 0
 	}
-	half := len(entries) / 2
-	first, err := encodeChunks(s, entries[:half])
-	if err != nil {
-		return nil, err
+	for _, e := range entries {
+		one, err := json.Marshal(e)
+		if err != nil {
+			return nil, errors.Wrap(err, "encoding an entry")
+		}
+		if len(raw)+len(one)+2 > s.maxValueBytes {
+			end()
+		}
+		separator := byte(',')
+		if n == 0 {
+			separator = '['
+		}
+		raw = append(append(raw, separator), one...)
+		n++
 	}
-	second, err := encodeChunks(s, entries[half:])
-	return append(first, second...), err
+	end()
+	return out, nil
 }
 
 // commitWithHead commits txn together with the head. If the answer is lost, it repeats the same
--- a/bstore/intake.go
+++ b/bstore/intake.go
@@ -71,20 +71,24 @@
 	if err != nil {
 		return err
 	}
-	parts, err := s.encodeBody(sub, len(chunks))
+	var values [][]byte
+	for _, c := range chunks {
+		values = append(values, c.values...)
+	}
+	parts, err := s.encodeBody(sub, len(values))
 	if err != nil {
 		return err
 	}
 	next := *rec
 	next.ID, next.Customer, next.Writes = sub.ID, sub.Customer, 0
 	next.BodyChunks, next.ItemCount = len(parts), len(sub.Items)
-	next.ResultChunks, next.Results = len(chunks), len(results)
+	next.ResultChunks, next.Results = len(values), len(results)
 	txn := kvst.Txn{Expect: map[string]int64{headKey(sub.ID): 0, intakeKey(sub.Model): in.Revision}}
 	for i, part := range parts {
 		txn.Puts = append(txn.Puts, kvst.Put{Key: bodyKey(sub.ID, i), Value: part})
 	}
-	for i, chunk := range chunks {
-		txn.Puts = append(txn.Puts, kvst.Put{Key: resultKey(sub.ID, i), Value: chunk})
+	for i, value := range values {
+		txn.Puts = append(txn.Puts, kvst.Put{Key: resultKey(sub.ID, i), Value: value})
 	}
 	if err := s.commitWithHead(ctx, &next, txn); err != nil {
 		return err
