eproxy, relay: outputs of the own interface are bounded

What callers would see: an engine that goes on beyond the maximum of a request takes the memory of its sidecar and of the entry, and keeps its slot.

Cause: max_tokens was passed to the engine and never checked against what came; tokens wait in the sidecar until their version is known, and the entry keeps an output until its end.

Change: a run ends at the maximum of its request, in tokens and bytes; tokens that wait and outputs at an entry share a pool each (inbuf.Reserve). Such an output isn't continued elsewhere, as nothing tells which part of it is the request's.

Why it works: memory is bounded by the pools, and the slot is free when the run ends, as the engine is told to cancel it.

Not measured with real processes.

--- a/eproxy/eproxy.go
+++ b/eproxy/eproxy.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/genev"
 	"github.com/lavendermux/lavendermux/genreq"
+	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/order"
 	"github.com/lavendermux/lavendermux/prober"
 	"github.com/lavendermux/lavendermux/wire"
@@ -42,6 +43,9 @@
 	CauseConnectionLost = "cutOff"
 	// CauseTokenCount reports that the engine's token count differs from the tokens received.
 	CauseTokenCount = "count"
+	// CauseOutputLimit reports that the engine's output is longer than the request allows, or that
+	// the process has no memory for it.
+	CauseOutputLimit = "outputLimit"
 	// CauseDeadline reports that the deadline was exceeded.
 	CauseDeadline = "deadline"
 	// CauseWeightStore reports that the engine could not fetch weights from the weight store.
@@ -56,6 +60,8 @@
 	// defaultRetryAfter is the retry delay reported to callers: the state of the
 	// engine is known within one poll interval.
 	defaultRetryAfter = defaultPollInterval
+	// defaultTextMemory is the memory for tokens that wait to be sent.
+	defaultTextMemory = 32 << 20
 )
 
 type (
@@ -83,6 +89,8 @@
 		state      engst.State
 		// stateChanged is closed and replaced after each state query, also a failed one.
 		stateChanged chan struct{}
+		// texts bounds the memory of the tokens that wait to be sent.
+		texts *inbuf.Pool
 	}
 
 	// Option configures a Proxy in New.
@@ -119,6 +127,7 @@
 		pollInterval: defaultPollInterval,
 		orderMu:      ctxmu.New(),
 		stateChanged: make(chan struct{}),
+		texts:        inbuf.New(inbuf.WithTotal(defaultTextMemory)),
 	}
 	for _, opt := range opts {
 		opt(p)
@@ -131,6 +140,12 @@
 	return func(p *Proxy) { p.log = l }
 }
 
+// WithTextMemory sets the memory for tokens that wait to be sent, in bytes, beyond the first 16 KiB of
+// each request. The default is 32 MiB.
+func WithTextMemory(n int64) Option {
+	return func(p *Proxy) { p.texts = inbuf.New(inbuf.WithTotal(n)) }
+}
+
 // WithProber sets the checker that reports whether the engine crashed during a
 // request. By default crashes are not detected.
 func WithProber(c *prober.Checker) Option {
--- a/eproxy/run.go
+++ b/eproxy/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -23,6 +24,14 @@
 	rolloutFlushInterval = time.Second
 	// cancelTimeout bounds the cancel call that frees the engine's slot.
 	cancelTimeout = 2 * time.Second
+	// maxTokenBytes is the mean length of tokens that an output has at most, maxOutputBytes its length
+	// if the number of tokens isn't limited.
+	maxTokenBytes  = 1 << 10
+	maxOutputBytes = 16 << 20
+	// The first freeTextBytes of a request's pending tokens aren't counted. tokenMemory is the
+	// memory of a token event besides its text.
+	freeTextBytes = 16 << 10
+	tokenMemory   = 64
 )
 
 type (
@@ -36,14 +45,24 @@
 		// pending has the tokens that were received and not sent yet.
 		pending   []chunk
 		lastFlush time.Time
+		// pendingMemory is the memory of pending, of which reserved bytes are counted in the pool of
+		// the proxy.
+		pendingMemory, reserved int64
 		// tokens counts the complete output, including prior segments.
 		tokens int64
+		// bytes is the length of the text of this run.
+		bytes int64
 		// unversioned is true once the engine has sent a token without a version.
 		unversioned bool
 		epoch       int64
 		end         genev.Event
 	}
 
+	// limitError ends a run whose output is too long.
+	limitError struct {
+		Problem string
+	}
+
 	// chunk is a token event with the version interval in which it was received.
 	chunk struct {
 		interval int64
@@ -51,6 +70,9 @@
 	}
 )
 
+// Error names the limit.
+func (e *limitError) Error() string { return e.Problem }
+
 // Run runs req on the engine and passes each event to send. An error is a
 // *fault.NotRunError as long as the engine has not started the request, and a
 // *fault.UnknownOutcomeError after that. The caller converts it into the last
@@ -71,6 +93,7 @@
 	}
 	s := p.stream(req, send)
 	defer func() { leave(s.tokens) }()
+	defer s.release(0)
 	if err := p.checkVersion(req); err != nil {
 		return err
 	}
@@ -144,6 +167,9 @@
 		s.end = t
 		return nil
 	}
+	if err := s.reserve(t); err != nil {
+		return err
+	}
 	s.unversioned = s.unversioned || t.Version == ""
 	s.tokens += t.Tokens
 	s.pending = append(s.pending, chunk{interval: s.proxy.versions.Interval(s.req.GetModel()), tok: t})
@@ -153,6 +179,42 @@
 	return s.flush(ctx, false)
 }
 
+// reserve returns a *limitError if a token event may not be added to the output: it is longer than the
+// request allows, or the tokens that wait take the memory for them.
+func (s *stream) reserve(t genev.Event) error {
+	maxBytes := int64(maxOutputBytes)
+	if limit := s.req.GetMaxTokens(); limit > 0 {
+		if t.Tokens > limit-s.tokens {
+			return &limitError{Problem: fmt.Sprintf("the engine's output has more than %d tokens", limit)}
+		}
+		maxBytes = min(maxBytes, limit*maxTokenBytes)
+	}
+	if s.bytes += int64(len(t.Text)); s.bytes > maxBytes {
+		return &limitError{Problem: fmt.Sprintf("the engine's output has more than %d bytes", maxBytes)}
+	}
+	memory := s.pendingMemory + int64(len(t.Text)) + tokenMemory
+	if more := max(0, memory-freeTextBytes) - s.reserved; more > 0 {
+		if !s.proxy.texts.Reserve(more) {
+			return &limitError{Problem: "tokens that wait take the memory for them"}
+		}
+		s.reserved += more
+	}
+	s.pendingMemory = memory
+	return nil
+}
+
+// release gives back the memory of the pending tokens but for the last n.
+func (s *stream) release(n int) {
+	s.pendingMemory = 0
+	for _, c := range s.pending[len(s.pending)-n:] {
+		s.pendingMemory += int64(len(c.tok.Text)) + tokenMemory
+	}
+	if less := s.reserved - max(0, s.pendingMemory-freeTextBytes); less > 0 {
+		s.proxy.texts.Release(less)
+		s.reserved -= less
+	}
+}
+
 // isWithheld reports whether the tokens are buffered until verifyEpoch has run at
 // the end: that is the case for a rollout on an engine that reports no versions.
 func (s *stream) isWithheld() bool {
@@ -183,6 +245,7 @@
 			continue
 		}
 		s.pending = s.pending[n:]
+		s.release(len(s.pending))
 		if err := s.emit(&wire.RunEvent{What: &wire.RunEvent_Segment{Segment: seg}}); err != nil {
 			return err
 		}
@@ -290,6 +353,10 @@
 			s.proxy.log.Debug("pending tokens not sent: the reader has gone too", "request", s.req.GetRequestId(), "err", flushErr)
 		}
 	}
+	var limit *limitError
+	if errors.As(err, &limit) {
+		return &fault.UnknownOutcomeError{Cause: CauseOutputLimit, Reason: limit.Error()}
+	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &fault.UnknownOutcomeError{Cause: CauseDeadline, Reason: "the deadline passed while the engine was at it"}
 	}
--- a/inbuf/inbuf.go
+++ b/inbuf/inbuf.go
@@ -28,7 +28,7 @@
 		total, maxMessage int64
 
 		mu sync.Mutex
-		// used is the number of bytes that messages have. free has the chunks that they had before,
+		// used is the number of bytes that messages have, and of those that are reserved. free has the chunks that they had before,
 		// until used is 0: the garbage of messages that are given up one after the other would be
 		// several times the pool.
 		used int64
@@ -133,6 +133,28 @@
 	}
 }
 
+// Reserve counts n bytes that the caller keeps of a message until Release, and reports whether there is
+// memory for them; otherwise it counts nothing.
+func (p *Pool) Reserve(n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.used+n > p.total {
+		return false
+	}
+	p.used += n
+	return true
+}
+
+// Release ends a reservation of n bytes.
+func (p *Pool) Release(n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used -= n
+	if p.used == 0 {
+		p.free = nil
+	}
+}
+
 // grow returns free space of the message for at least one byte, unless it has limit bytes.
 func (m *message) grow(limit int64) ([]byte, error) {
 	used := m.size % chunkBytes
--- a/relay/generate.go
+++ b/relay/generate.go
@@ -37,8 +37,11 @@
 		// accepted is set once a sidecar has accepted the request: from then on a refusal
 		// by another one does not mean that nothing ran.
 		accepted bool
-		tried    map[string]bool
-		attempt  int
+		// memory is the memory of segments, of which reserved bytes are counted in the pool of the
+		// client.
+		memory, reserved int64
+		tried            map[string]bool
+		attempt          int
 	}
 )
 
@@ -68,6 +71,7 @@
 		g.tried[id] = true
 	}
 	c.recordRequest(service)
+	defer func() { c.texts.Release(g.reserved) }()
 	return g.run(ctx)
 }
 
@@ -223,6 +227,9 @@
 				g.onAccepted(id)
 			}
 		case *wire.RunEvent_Segment:
+			if err := g.reserve(what.Segment); err != nil {
+				return nil, load, &receiverError{cause: err}
+			}
 			g.segments = append(g.segments, what.Segment)
 			if !isProven && time.Since(start) >= guard.MinStreamDuration {
 				isProven = true
@@ -240,6 +247,20 @@
 	return nil, load, g.streamError(ctx, stream.Err())
 }
 
+// reserve counts the memory of a segment and returns an error if there is none for it.
+func (g *generation) reserve(seg *wire.Segment) error {
+	g.memory += int64(len(seg.GetText())) + segmentMemory
+	more := max(0, g.memory-freeTextBytes) - g.reserved
+	if more <= 0 {
+		return nil
+	}
+	if !g.client.texts.Reserve(more) {
+		return &fault.UnknownOutcomeError{Cause: CauseOutputLimit, Reason: "outputs take the memory for them"}
+	}
+	g.reserved += more
+	return nil
+}
+
 // checkEnd compares the token counts, so that a truncated answer is never taken for a
 // complete one.
 func (g *generation) checkEnd(end *wire.End) (*wire.End, *wire.DoorLoad, error) {
--- a/relay/options.go
+++ b/relay/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/route"
 )
 
@@ -27,6 +28,12 @@
 	return func(c *Client) { c.rng = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithTextMemory sets the memory for the outputs of running requests, in bytes, beyond the first 64 KiB
+// of each. The default is 64 MiB. Requests beyond it fail.
+func WithTextMemory(n int64) Option {
+	return func(c *Client) { c.texts = inbuf.New(inbuf.WithTotal(n)) }
+}
+
 // WithGuard sets the detector of poison requests. It must be one WithoutProbe, as the
 // sidecars probe the endpoints themselves. The default is a detector that shares nothing
 // with other instances.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/lavendermux/lavendermux/fault"
 	"github.com/lavendermux/lavendermux/fleet"
 	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/poison"
 	"github.com/lavendermux/lavendermux/reqfp"
@@ -42,6 +43,9 @@
 	CauseWrongRequestID = "mixedUp"
 	// CauseTokenCount reports that the tokens of an answer do not match its token count.
 	CauseTokenCount = "count"
+	// CauseOutputLimit reports that an output is longer than its request allows, or that there is
+	// no memory for it. Nothing tells which part of it is the request's, so it isn't continued.
+	CauseOutputLimit = "outputLimit"
 	// CauseDeadline reports that the deadline passed.
 	CauseDeadline = "deadline"
 	// CauseQuarantined reports that a request is quarantined because endpoints crashed while
@@ -61,6 +65,11 @@
 	// deadlineMargin is subtracted from each deadline, so that a sidecar's refusal still
 	// reaches the caller.
 	deadlineMargin = 10 * time.Millisecond
+	// defaultTextMemory is the memory for the outputs of running requests. The first freeTextBytes
+	// of each don't count. segmentMemory is the memory of a segment besides its text.
+	defaultTextMemory = 64 << 20
+	freeTextBytes     = 64 << 10
+	segmentMemory     = 128
 )
 
 type (
@@ -73,6 +82,8 @@
 		subsetSize int
 		retryRatio func() float64
 		guard      *guard.Tracker
+		// texts bounds the memory of the outputs of running requests.
+		texts *inbuf.Pool
 
 		mu       sync.Mutex
 		rng      *rand.Rand
@@ -111,6 +122,7 @@
 		subsetSize: defaultSubsetSize,
 		retryRatio: func() float64 { return defaultRetryRatio },
 		guard:      guard.New(log.New(io.Discard), meter.New(), guard.WithoutProbe()),
+		texts:      inbuf.New(inbuf.WithTotal(defaultTextMemory)),
 		rng:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		services:   map[string]*serviceState{},
 	}
@@ -265,6 +277,10 @@
 // isFinal reports whether no other sidecar could do better.
 func isFinal(err error) bool {
 	var notRun *fault.NotRunError
+	var unknown *fault.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		return unknown.Cause == CauseOutputLimit
+	}
 	return errors.As(err, &notRun) && (notRun.Cause == CauseNoEndpoint || notRun.Cause == CauseQuarantined)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -339,3 +340,38 @@
 		g.Expect(d.contacted).To(HaveLen(1))
 	})
 }
+
+// Guards against a generation that goes on after the output of a broken endpoint went on beyond the
+// maximum: the next endpoint would continue an output of which nobody knows what is the request's.
+func TestOutputBeyondTheMaximumIsNotContinued(t *testing.T) {
+	g := NewWithT(t)
+	overrun := &fault.UnknownOutcomeError{Cause: CauseOutputLimit, Reason: "too many tokens"}
+	d := &fakeSidecars{runs: []runFunc{sendEvents(nil, accepted, func(r *wire.RunRequest) *wire.RunEvent { return segment(r, "foreign") }, func(r *wire.RunRequest) *wire.RunEvent { return refusal(r, overrun) })}}
+	_, err := newClient(d).Generate(t.Context(), service, &wire.RunRequest{RequestId: "r"}, func(*wire.Segment) error { return nil }, nil)
+	var unknown *fault.UnknownOutcomeError
+	g.Expect(errors.As(err, &unknown)).To(BeTrue(), "%v", err)
+	g.Expect(unknown.Cause).To(Equal(CauseOutputLimit))
+	g.Expect(d.contacted).To(HaveLen(1))
+}
+
+// Guards against outputs that together take the memory of an entry. The request that finds none fails,
+// short ones go on, and the memory is free afterwards.
+func TestMemoryOfOutputs(t *testing.T) {
+	g := NewWithT(t)
+	long := func(r *wire.RunRequest) *wire.RunEvent { return segment(r, strings.Repeat("x", 50<<10)) }
+	d := &fakeSidecars{runs: []runFunc{
+		sendEvents(nil, accepted, long, long, long, long, func(r *wire.RunRequest) *wire.RunEvent { return end(r, 200<<10) }),
+		sendEvents(nil, accepted, func(r *wire.RunRequest) *wire.RunEvent { return segment(r, "short") }, func(r *wire.RunRequest) *wire.RunEvent { return end(r, 5) }),
+	}}
+	c := newClient(d)
+	WithTextMemory(100 << 10)(c)
+	run := func() error {
+		_, err := c.Generate(t.Context(), service, &wire.RunRequest{RequestId: "r"}, func(*wire.Segment) error { return nil }, nil)
+		return err
+	}
+	var unknown *fault.UnknownOutcomeError
+	g.Expect(errors.As(run(), &unknown)).To(BeTrue())
+	g.Expect(unknown.Cause).To(Equal(CauseOutputLimit))
+	g.Expect(run()).To(Succeed())
+	g.Expect(c.texts.Reserve(100 << 10)).To(BeTrue())
+}
