evbase: streams may begin with any event ID; an end confirms less than an event

And a first event with the other one of these two was accepted if the stream ended behind it, although most endpoints' streams begin differently.

Change: any number counts once two endpoints have used it, or the only one three times. A stream of a single event has to begin as streams are known to.

Tests: TestUnusualFirstEvent, and four more cases in TestFirstEvent, of which the stream of a single event 0 where 1 is known fails on the code before.

--- a/evbase/evbase.go
+++ b/evbase/evbase.go
@@ -1,8 +1,8 @@
 // Package evbase learns with which event ID the streams of a service begin.
 //
 // Event IDs increase by one, and a stream is resumed after an ID, but services are free to count
-// from 0 or from 1. Without knowing which, the first event of a stream can't be told from bytes of a
-// broken endpoint that look like one.
+// from 0, from 1 or from another number. Without knowing which, the first event of a stream can't be
+// told from bytes of a broken endpoint that look like one.
 package evbase
 
 import (
@@ -10,8 +10,15 @@
 	"sync"
 )
 
-// maxEndpoints is the number of endpoints whose streams count, the latest ones.
-const maxEndpoints = 64
+const (
+	// maxEndpoints is the number of endpoints whose streams count, the latest ones.
+	maxEndpoints = 64
+	// maxUsual is the largest ID that needs no confirmation: nearly all services count from 0 or 1.
+	maxUsual = 1
+	// minEndpoints or minStreams, of one endpoint in succession, confirm any other ID.
+	minEndpoints = 2
+	minStreams   = 3
+)
 
 type (
 	// Votes has the event IDs with which streams of the endpoints of a service began: one for
@@ -31,16 +38,18 @@
 	vote struct {
 		endpoint string
 		first    int64
+		// streams is the number of streams in succession that began so.
+		streams int
 	}
 )
 
-// IsValid reports whether a stream may begin with the event ID.
-func IsValid(first int64) bool { return first == 0 || first == 1 }
-
 // Voter returns an endpoint as a voter.
 func (v *Votes) Voter(endpoint string) *Voter { return &Voter{votes: v, endpoint: endpoint} }
 
-// Leads reports whether streams of most endpoints begin with the event ID.
+// IsUsual reports whether streams may begin with the event ID although nothing is known.
+func IsUsual(first int64) bool { return first >= 0 && first <= maxUsual }
+
+// Leads reports whether more endpoints' streams begin with the event ID than with any other.
 func (o *Voter) Leads(first int64) bool {
 	o.votes.mu.Lock()
 	defer o.votes.mu.Unlock()
@@ -48,28 +57,47 @@
 	return same > other
 }
 
+// Allows reports whether a stream may begin with the event ID, by what is known.
+func (o *Voter) Allows(first int64) bool {
+	o.votes.mu.Lock()
+	defer o.votes.mu.Unlock()
+	same, other := o.votes.count(first)
+	return same > other || (same == other && IsUsual(first))
+}
+
 // Add records that a stream of this endpoint began with the event ID, and reports whether that
-// agrees with at least half of the endpoints.
+// agrees with the other endpoints.
 func (o *Voter) Add(first int64) bool {
 	v := o.votes
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.votes = slices.DeleteFunc(v.votes, func(old vote) bool { return old.endpoint == o.endpoint })
+	this := vote{endpoint: o.endpoint, first: first, streams: 1}
+	if i := slices.IndexFunc(v.votes, func(old vote) bool { return old.endpoint == o.endpoint }); i >= 0 {
+		if v.votes[i].first == first {
+			this.streams = min(v.votes[i].streams+1, minStreams)
+		}
+		v.votes = slices.Delete(v.votes, i, i+1)
+	}
 	if len(v.votes) == maxEndpoints {
-		v.votes = v.votes[1:]
+		v.votes = slices.Delete(v.votes, 0, 1)
 	}
-	v.votes = append(v.votes, vote{endpoint: o.endpoint, first: first})
+	v.votes = append(v.votes, this)
 	same, other := v.count(first)
-	return same >= other
+	isConfirmed := IsUsual(first) || same >= minEndpoints || this.streams >= minStreams
+	return isConfirmed && same >= other
 }
 
+// count returns how many endpoints' streams begin with the event ID, and how many with the most
+// frequent one of the others.
 func (v *Votes) count(first int64) (same, other int) {
+	counts := make(map[int64]int)
 	for _, o := range v.votes {
-		if o.first == first {
-			same++
-		} else {
-			other++
+		counts[o.first]++
+	}
+	for id, n := range counts {
+		if id != first {
+			other = max(other, n)
 		}
 	}
-	return same, other
+	return counts[first], other
 }
--- a/stream/invalid_test.go
+++ b/stream/invalid_test.go
@@ -114,13 +114,34 @@
 		g.Expect(err).To(MatchError(io.EOF))
 		g.Expect(ids).To(Equal([]int64{first, first + 1}))
 	}
-	g := NewWithT(t)
-	bases := (&evbase.Votes{})
-	for n := range 2 {
-		bases.Voter(fmt.Sprint("other-", n)).Add(1)
+	for _, wrong := range []string{stream(0, 1, 2), stream(0), stream(7), stream(7, 8)} {
+		g := NewWithT(t)
+		bases := &evbase.Votes{}
+		for n := range 2 {
+			bases.Voter(fmt.Sprint("other-", n)).Add(1)
+		}
+		ids, err := readAll(wrong, WithBases(bases.Voter("this")))
+		var invalid *InvalidError
+		g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%q: %v", wrong, err)
+		g.Expect(ids).To(BeEmpty())
+	}
+}
+
+// Streams of a service that counts from another number are read once two endpoints' begin with it, or
+// several of the only one.
+func TestUnusualFirstEvent(t *testing.T) {
+	text := simevt.Event(5, "x") + simevt.Event(6, "x")
+	for _, endpoints := range [][]string{{"a", "b", "c"}, {"a", "a", "a"}} {
+		g := NewWithT(t)
+		bases := &evbase.Votes{}
+		var read []int
+		for _, e := range endpoints {
+			ids, _ := readAll(text, WithBases(bases.Voter(e)))
+			read = append(read, len(ids))
+		}
+		g.Expect(read[0]).To(BeZero())
+		g.Expect(read[2]).To(Equal(2))
 	}
-	ids, _ := readAll(stream(0, 1), WithBases(bases.Voter("this")))
-	g.Expect(ids).To(BeEmpty())
 }
 
 // Whatever an engine sends, the events of a stream have the IDs that are due, and each stands in what
--- a/stream/stream.go
+++ b/stream/stream.go
@@ -53,8 +53,10 @@
 
 	// Bases knows the event IDs with which streams like this one begin; see package evbase.
 	Bases interface {
-		// Leads reports whether most streams begin with the ID.
+		// Leads reports whether streams are known to begin with the ID.
 		Leads(first int64) bool
+		// Allows reports whether a stream with a single event may have the ID.
+		Allows(first int64) bool
 		// Add records that this stream began with the ID, and reports whether that is
 		// acceptable.
 		Add(first int64) bool
@@ -91,15 +93,18 @@
 		raw           []byte
 	}
 
+	// anyBase is used if nothing is known of other streams.
 	anyBase struct{}
 )
 
 // Error names the problem.
 func (e *InvalidError) Error() string { return "invalid event: " + e.Problem }
 
-func (anyBase) Leads(int64) bool { return true }
+func (anyBase) Leads(first int64) bool { return evbase.IsUsual(first) }
 
-func (anyBase) Add(int64) bool { return true }
+func (anyBase) Allows(first int64) bool { return evbase.IsUsual(first) }
+
+func (anyBase) Add(first int64) bool { return evbase.IsUsual(first) }
 
 // New returns a Reader that reads from r. The field named versionField sets the weight
 // version from its event on.
@@ -157,11 +162,10 @@
 	next, err := r.read()
 	r.base = upstr.FromStart
 	switch {
-	case errors.Is(err, io.EOF):
-	case err != nil:
+	case err != nil && !errors.Is(err, io.EOF):
 		return Event{}, err
-	case !r.bases.Add(first.ID):
-		return Event{}, &InvalidError{Problem: fmt.Sprintf("most streams don't begin with event %d", first.ID)}
+	case err != nil && !r.bases.Allows(first.ID), err == nil && !r.bases.Add(first.ID):
+		return Event{}, &InvalidError{Problem: fmt.Sprintf("streams don't begin with event %d", first.ID)}
 	}
 	r.ahead = &result{ev: next, err: err}
 	return first, nil
@@ -175,8 +179,6 @@
 		return Event{}, err
 	case r.due != upstr.FromStart && ev.ID != r.due:
 		return Event{}, &InvalidError{Problem: fmt.Sprintf("event %d arrived, but event %d was due", ev.ID, r.due)}
-	case r.due == upstr.FromStart && !evbase.IsValid(ev.ID):
-		return Event{}, &InvalidError{Problem: fmt.Sprintf("the stream begins with event %d", ev.ID)}
 	case r.due == upstr.FromStart:
 		r.base = ev.ID
 	}
