brun: a run that moves and goes on beyond the maximum is discarded

What callers would see: foreign text in a completed item. A run is about to move to another engine and goes on beyond the maximum of its item before its connection is closed.

Cause: the cause of the cancellation replaced the error of the run, so that its text was kept, and the next engine resumed at its end.

Change: an invalid answer stays one. TestOverrunOfARunThatMoves fails without it.

--- a/brun/limits_test.go
+++ b/brun/limits_test.go
@@ -171,3 +171,39 @@
 		})
 	}
 }
+
+// Guards against foreign text that stays in an item: a run that is about to move to another engine goes on
+// beyond the maximum before its connection is closed.
+func TestOverrunOfARunThatMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, _ := newDrawnRunner(&drawnEngines{})
+		e := &overrunEngines{interval: 20 * time.Millisecond, broken: map[string]bool{"a": true, "b": true, "c": true, "d": true}, sound: make(map[string]int)}
+		r.sender = lateCancel{e}
+		sub := drawnBatch(1)
+		sub.Items[0].MaxOutputTokens = 50
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.Run(ctx)
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+		time.Sleep(49*20*time.Millisecond + 5*time.Millisecond)
+		e.mu.Lock()
+		clear(e.broken)
+		e.mu.Unlock()
+		r.mu.Lock()
+		r.tracked["b"].items[0].cancel(errMigrated)
+		r.mu.Unlock()
+		results := r.readAll(ctx, g, 1, time.Minute)
+		g.Expect(results).To(HaveLen(1))
+		g.Expect(results[0].Text).To(Equal(soundText("item0")))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// lateCancel sends calls whose answers go on when they are cancelled.
+type lateCancel struct{ upstr.Sender }
+
+// Send implements upstr.Sender.
+func (s lateCancel) Send(ctx context.Context, c upstr.Call) (*upstr.Response, error) {
+	return s.Sender.Send(context.WithoutCancel(ctx), c)
+}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -122,7 +122,7 @@
 func (r *Runner) run(ctx context.Context, b *tracked, it *item, route *manif.Route, call upstr.Call) {
 	start, before := time.Now(), call.LastEventID
 	err := r.stream(ctx, b, it, call)
-	if cause := context.Cause(ctx); cause != nil && err != nil {
+	if cause := context.Cause(ctx); cause != nil && err != nil && !isInvalid(err) {
 		err = cause
 	}
 	r.endpoints.End(call.Endpoint)
