kvrepl, ingres: log and measure how current a replica is

Nothing told how old the state was by which a request got a 404, where it came from and when the store had confirmed it, so a change that wasn't in force in time couldn't be traced from the logs. A 404 now names the age, source and revision of the manifest; an answer with changes names its source and how far the replica was behind; a lost source how old the replica was, and its return how long that took. Metrics: age and revision of each replica, how late changes are, losses. No decision changes.

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -14,6 +14,7 @@
 	"github.com/lavendermux/lavendermux/kvrepl"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/mesh"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/tiers"
 )
 
@@ -123,7 +124,18 @@
 	n := sources[d.failedCalls%len(sources)]
 	d.mu.Unlock()
 	s := &peerSource{d: d, node: n}
-	return kvrepl.SelectedSource{Source: s, Wait: maxHoldTime, Age: s.Age}
+	return kvrepl.SelectedSource{Source: s, Name: n.Name, Wait: maxHoldTime, Age: s.Age}
+}
+
+// SetMetrics sets the gauges of this instance's replicas.
+func (d *Distributor) SetMetrics(m *meter.Meter) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for prefix, r := range d.replicas {
+		f := r.Freshness()
+		m.Set("replica_age_seconds", f.Age.Seconds(), "prefix", prefix)
+		m.Set("replica_revision", float64(f.Revision), "prefix", prefix)
+	}
 }
 
 // watchWait returns how long a watch of this instance waits.
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/kvst"
+	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/sleep"
 )
 
@@ -33,6 +34,8 @@
 	// maxRecentChanges limits the changes that are kept for followers of this replica:
 	// some seconds of a large fleet. A follower that asks for older ones lists again.
 	maxRecentChanges = 2000
+	// storeName is the name of the store as a source.
+	storeName = "store"
 )
 
 type (
@@ -47,6 +50,8 @@
 	// SelectedSource is the source to use for the next call.
 	SelectedSource struct {
 		Source
+		// Name is the name of the source in logs and metrics; "" stands for the store.
+		Name string
 		// Wait is how long a watch waits; 0 means the replica's default.
 		Wait time.Duration
 		// Age returns how old the last answer of the source was; nil for the store
@@ -54,10 +59,20 @@
 		Age func() time.Duration
 	}
 
+	// Freshness tells how current a replica is, and where from.
+	Freshness struct {
+		// Age is the time since the store last confirmed the replica.
+		Age time.Duration
+		// Source is the name of the source by which it was confirmed.
+		Source   string
+		Revision int64
+	}
+
 	// Replica is a replica of a prefix. See New.
 	Replica struct {
 		prefix       string
 		logger       *log.Logger
+		meter        *meter.Meter
 		selectSource func() SelectedSource
 		watchWait    time.Duration
 		minInterval  time.Duration
@@ -67,14 +82,19 @@
 		onReconnect func()
 		equivalent  func(a, b kvst.Item) bool
 
+		// lostAt is when the source was lost; only Run uses it.
+		lostAt time.Time
+
 		mu    sync.Mutex
 		byKey map[string]kvst.Item
 		// recent has the latest changes; it is complete after the revision floor.
 		recent   []kvst.Item
 		floor    int64
 		revision int64
-		// confirmedAt is when the store last confirmed that the replica was current.
+		// confirmedAt is when the store last confirmed that the replica was current, and
+		// confirmedBy the source that said so.
 		confirmedAt time.Time
+		confirmedBy string
 		changed     chan struct{}
 	}
 
@@ -90,6 +110,7 @@
 	r := &Replica{
 		prefix:       prefix,
 		logger:       logger,
+		meter:        meter.New(),
 		selectSource: func() SelectedSource { return SelectedSource{Source: store} },
 		watchWait:    defaultWatchWait,
 		onReset:      func([]kvst.Item) {},
@@ -142,12 +163,22 @@
 	return func(r *Replica) { r.selectSource = f }
 }
 
+// WithMeter sets the meter that records losses of sources and how late changes are applied. By
+// default the metrics are discarded.
+func WithMeter(m *meter.Meter) Option {
+	return func(r *Replica) { r.meter = m }
+}
+
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
-	lost, listed := false, false
+	lost, listed, source := false, false, ""
 	for ctx.Err() == nil {
 		start := time.Now()
 		c := r.selectSource()
+		if c.name() != source {
+			r.logger.Info("Source of a replica changed.", "prefix", r.prefix, "before", source, "source", c.name())
+			source = c.name()
+		}
 		var err error
 		if listed {
 			err = r.watch(ctx, c, lost)
@@ -159,7 +190,7 @@
 		}
 		var gap *kvst.CompactedError
 		listed = (listed || err == nil) && !errors.As(err, &gap)
-		lost = r.logResult(err, lost)
+		lost = r.logResult(c, err, lost)
 		pause := r.minInterval - time.Since(start)
 		switch {
 		case err != nil:
@@ -175,20 +206,42 @@
 
 // logResult logs when the connection to the store is lost and restored, and returns
 // whether it is lost.
-func (r *Replica) logResult(err error, lost bool) bool {
+func (r *Replica) logResult(c SelectedSource, err error, lost bool) bool {
 	var gap *kvst.CompactedError
 	switch {
 	case errors.As(err, &gap):
-		r.logger.Warn("Metadata store compacted its history.", "prefix", r.prefix, "after", gap.After)
+		r.logger.Warn("Metadata store compacted its history.", "prefix", r.prefix, "source", c.name(), "after", gap.After)
 		return lost
 	case err != nil && !lost:
-		r.logger.Warn("Connection to the metadata store lost.", "prefix", r.prefix, "error", err)
+		f := r.Freshness()
+		r.logger.Warn("Connection to the metadata store lost.", "prefix", r.prefix, "source", c.name(), "revision", f.Revision,
+			"confirmed", f.Age.Round(time.Millisecond), "error", err)
+		r.lostAt = time.Now()
 	case err == nil && lost:
-		r.logger.Info("Connection to the metadata store restored.", "prefix", r.prefix)
+		took := time.Since(r.lostAt)
+		r.logger.Info("Connection to the metadata store restored.", "prefix", r.prefix, "source", c.name(), "revision", r.Revision(),
+			"took", took.Round(time.Millisecond))
+		r.meter.Observe("replica_loss_seconds", took, "prefix", r.prefix)
 	}
 	return err != nil
 }
 
+// name returns the name of the source for logs.
+func (c SelectedSource) name() string {
+	if c.Name == "" {
+		return storeName
+	}
+	return c.Name
+}
+
+// logChanges records the changes that an answer brought. behind is the time since the replica was
+// last confirmed before, and so an upper bound for how late they are.
+func (r *Replica) logChanges(c SelectedSource, count int, behind time.Duration) {
+	r.logger.Info("Changes received.", "prefix", r.prefix, "source", c.name(), "count", count, "revision", r.Revision(),
+		"behind", behind.Round(time.Millisecond))
+	r.meter.Observe("replica_behind_seconds", behind, "prefix", r.prefix)
+}
+
 func (r *Replica) list(ctx context.Context, c SelectedSource, lost bool) error {
 	asked := time.Now()
 	items, revision, err := c.List(ctx, r.prefix)
@@ -209,8 +262,9 @@
 		r.byKey[it.Key] = it
 	}
 	r.recent, r.floor, r.revision = nil, revision, revision
-	r.confirm(asked, c)
+	behind := r.confirm(asked, c)
 	r.mu.Unlock()
+	r.logChanges(c, len(items), behind)
 	r.onReset(items)
 	return nil
 }
@@ -242,8 +296,11 @@
 		}
 	}
 	r.revision = max(r.revision, changes.Revision)
-	r.confirm(answered, c)
+	behind := r.confirm(answered, c)
 	r.mu.Unlock()
+	if len(applied) > 0 {
+		r.logChanges(c, len(applied), behind)
+	}
 	for _, it := range applied {
 		r.onChange(it)
 	}
@@ -269,16 +326,28 @@
 	return true
 }
 
-// confirm records when the replica was known to be current. The caller holds the lock.
-func (r *Replica) confirm(at time.Time, c SelectedSource) {
+// confirm records when the replica was known to be current, and returns how long ago that had
+// been before; 0 for the first time. The caller holds the lock.
+func (r *Replica) confirm(at time.Time, c SelectedSource) (behind time.Duration) {
 	if c.Age != nil {
 		at = time.Now().Add(-c.Age())
 	}
+	if !r.confirmedAt.IsZero() {
+		behind = time.Since(r.confirmedAt)
+	}
 	if at.After(r.confirmedAt) {
-		r.confirmedAt = at
+		r.confirmedAt, r.confirmedBy = at, c.name()
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
+	return behind
+}
+
+// Freshness returns how current the replica is.
+func (r *Replica) Freshness() Freshness {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Freshness{Age: time.Since(r.confirmedAt), Source: r.confirmedBy, Revision: r.revision}
 }
 
 // Revision returns the revision of the replica.
@@ -306,11 +375,7 @@
 }
 
 // Age returns the time since the store last confirmed the replica.
-func (r *Replica) Age() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Since(r.confirmedAt)
-}
+func (r *Replica) Age() time.Duration { return r.Freshness().Age }
 
 // Snapshot returns all items of the replica and its revision; revision 0 means that nothing
 // has been read yet.
--- a/node/meter.go
+++ b/node/meter.go
@@ -41,6 +41,9 @@
 	if n.forwarder != nil {
 		n.forwarder.SetMetrics()
 	}
+	if n.distributor != nil {
+		n.distributor.SetMetrics(n.meter)
+	}
 }
 
 // leaderEpoch returns the epoch of this instance while it is the leader, and 0 otherwise.
--- a/node/node.go
+++ b/node/node.go
@@ -32,6 +32,7 @@
 	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/inuse"
 	"github.com/lavendermux/lavendermux/kvpeer"
+	"github.com/lavendermux/lavendermux/kvrepl"
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/leader"
 	"github.com/lavendermux/lavendermux/loader"
@@ -96,7 +97,7 @@
 		// WatchStore watches the metadata store and updates b until ctx is done.
 		WatchStore func(ctx context.Context, store kvst.Store, distributor *fanout.Distributor, b *State)
 		// NewCallerHandler returns the handler of callers' requests.
-		NewCallerHandler func(manifest func() *manif.Manifest, f *proxy.Forwarder, d *broute.Router) http.Handler
+		NewCallerHandler func(b *State, f *proxy.Forwarder, d *broute.Router) http.Handler
 		// RetirementRecord returns the record that tells the operator the progress of an
 		// instance's retirement.
 		RetirementRecord func(instance string, done bool) (key string, value []byte)
@@ -151,6 +152,8 @@
 		Controller *wctrl.Controller
 		manifest   atomic.Pointer[manif.Manifest]
 		listed     atomic.Bool
+		// freshness tells how current the manifest is; nil until it is read.
+		freshness atomic.Pointer[func() kvrepl.Freshness]
 		// retire queues the instances to be retired.
 		retire chan string
 	}
@@ -172,6 +175,17 @@
 	}
 }
 
+// SetManifestFreshness sets how the freshness of the manifest is known.
+func (b *State) SetManifestFreshness(f func() kvrepl.Freshness) { b.freshness.Store(&f) }
+
+// ManifestFreshness tells how current the manifest is.
+func (b *State) ManifestFreshness() kvrepl.Freshness {
+	if f := b.freshness.Load(); f != nil {
+		return (*f)()
+	}
+	return kvrepl.Freshness{}
+}
+
 // Retire queues an operator's request to retire an instance. It never blocks: a
 // dropped request is seen again with the next full list.
 func (b *State) Retire(instance string) {
@@ -309,7 +323,7 @@
 	if n.cfg.FrontAddr == "" {
 		return
 	}
-	n.serve(ctx, g, n.cfg.FrontAddr, n.adapters.NewCallerHandler(n.state.Manifest, n.forwarder, n.router))
+	n.serve(ctx, g, n.cfg.FrontAddr, n.adapters.NewCallerHandler(n.state, n.forwarder, n.router))
 	n.serve(ctx, g, n.cfg.ReadyAddr, http.HandlerFunc(n.ready))
 	g.Go(func() error { n.recover(ctx); return nil })
 	g.Go(func() error { n.router.RunIntake(ctx); return nil })
