--- a/memnet/conn.go
+++ b/memnet/conn.go
@@ -42,6 +42,8 @@
 		readerClosed bool
 		// broken is set when either instance was killed or the connection was reset.
 		broken bool
+		// muted is set when bytes, and the end of the stream, no longer arrive.
+		muted bool
 		// readDeadline and writeDeadline are the deadlines of the two ends.
 		readDeadline  time.Time
 		writeDeadline time.Time
@@ -179,7 +181,7 @@
 		return 0, os.ErrDeadlineExceeded, true
 	case len(b) == 0:
 		return 0, nil, true
-	case !open:
+	case !open, s.muted:
 		return 0, nil, false
 	case s.broken:
 		return 0, syscall.ECONNRESET, true
@@ -227,7 +229,7 @@
 		return net.ErrClosed
 	case expired(s.writeDeadline, now):
 		return os.ErrDeadlineExceeded
-	case open && (s.readerClosed || s.broken):
+	case open && !s.muted && (s.readerClosed || s.broken):
 		return syscall.EPIPE
 	}
 	return nil
@@ -236,6 +238,9 @@
 // enqueue queues as much as the window allows and returns how much. Bytes never
 // overtake earlier ones, also when the delay shrinks.
 func (s *stream) enqueue(b []byte, at time.Time) int {
+	if s.muted {
+		return len(b)
+	}
 	n := min(len(b), windowBytes-s.queuedBytes)
 	if n <= 0 {
 		return 0
--- a/memnet/memnet.go
+++ b/memnet/memnet.go
@@ -192,6 +192,18 @@
 	}
 }
 
+// Mute silences all connections between two instances for good: neither end hears from the other any
+// more, not even that it has closed. New connections work.
+func (n *Network) Mute(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if sortedPair(c.host, c.peer) == sortedPair(a, b) {
+			c.in.change(func(s *stream) { s.muted = true })
+		}
+	}
+}
+
 // Freeze stops all bytes to and from an instance, as when its process gets SIGSTOP:
 // connections stay open, and dials to it succeed. The instance's own goroutines run on
 // but receive nothing.
