kvrepl, fanout, kvpeer: a lost watch no longer holds up changes

What callers saw: a 404, and answers of the old service, for a change that the store had acknowledged 2.5 s before and more, at an entry in touch (CONFIG).

Cause: an entry has one long-polling watch, and each loss of an answer was noticed only when the wait and a margin were over, 2.5 s with up to three entries. The same call then went on to a peer, for up to 3.3 s, and if that peer's path was lost too nothing was learned for five. Calls in a row were each within their bound, and their sum wasn't: its parts were the dead connections in the pool, the peer's own loss, the retry delay after each, and the source that was asked again as two replicas of one instance moved a common counter on twice.

Change: a reader also reads from another reader, so that a change is late only where both ways are lost. A watch that gets no answer returns to its replica, which asks another source at once and waits only from the second failure in a row on. A source that has failed is avoided for 3 s. A call without an answer closes the idle connections, which the same fault may have silenced. With up to three entries a watch waits 1 s in place of 1.8 s, so that its loss shows within 1.7 s.

The age of a replica was too low as well: it counted from the arrival of an answer, left out its way between instances, was read at another moment than the items, and was set before the instance acted on the change. It now counts from the request, or the end of the wait if nothing changed, and is set last. TestAgeCountsFromTheRequest, TestConfirmedOnceApplied, TestAgeCountsTheWay.

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,7 +30,7 @@
 	// are then no longer used, and its followers have a second left to learn from another
 	// reader what is in force.
 	readerWatchWait = 600 * time.Millisecond
-	soloWatchWait   = 1800 * time.Millisecond
+	soloWatchWait   = time.Second
 	// maxSoloEntries is the number of entries up to which all of them read the store.
 	maxSoloEntries = 3
 	staleMargin    = 700 * time.Millisecond
@@ -36,6 +38,8 @@
 	// the timeout beyond that.
 	maxHoldTime   = 500 * time.Millisecond
 	requestMargin = 400 * time.Millisecond
+	// avoidTime is how long a source is avoided after an answer that was stale or missing.
+	avoidTime = 3 * time.Second
 	// sourcesTTL is how long the sources of this instance are kept: finding them takes longer
 	// than answering a follower.
 	sourcesTTL = 100 * time.Millisecond
@@ -58,9 +62,8 @@
 		cached      []mesh.Node
 		cachedAt    time.Time
 		cachedStart bool
-		// failedCalls counts answers that were stale or missing, and so rotates among the
-		// sources.
-		failedCalls int
+		// failedAt has the time of the last answer of each source that was stale or missing.
+		failedAt map[string]time.Time
 	}
 
 	// peerSource reads from a peer.
@@ -68,8 +71,9 @@
 		d    *Distributor
 		node mesh.Node
 
-		mu  sync.Mutex
-		age time.Duration
+		mu sync.Mutex
+		// confirmedAt is when the store had confirmed the state in the last answer.
+		confirmedAt time.Time
 	}
 
 	request struct {
@@ -87,8 +91,10 @@
 		Gap      bool        `json:"gap,omitempty"`
 		// Known is false while the reader has no replica itself.
 		Known bool `json:"known"`
-		// AgeMs is the time since the store last confirmed this state.
-		AgeMs int64 `json:"ageMs"`
+		// AgeMs is the time since the store last confirmed this state, and HeldMs the time for
+		// which the request was held.
+		AgeMs  int64 `json:"ageMs"`
+		HeldMs int64 `json:"heldMs,omitempty"`
 		// Stale reports that this is longer than the reader's watches take: it has lost
 		// the connection to the store.
 		Stale bool `json:"stale,omitempty"`
@@ -100,7 +106,8 @@
 //	f := fanout.New(m, store)
 //	r := kvrepl.New(store, "op/", logger, kvrepl.WithSourceSelector(f.SelectSource))
 func New(m *mesh.Mesh, store kvrepl.Source) *Distributor {
-	return &Distributor{mesh: m, store: store, replicas: make(map[string]*kvrepl.Replica), lists: make(map[string]*list)}
+	return &Distributor{mesh: m, store: store, replicas: make(map[string]*kvrepl.Replica), lists: make(map[string]*list),
+		failedAt: make(map[string]time.Time)}
 }
 
 // Register makes the replica of a prefix available to peers that ask for it.
@@ -120,8 +127,28 @@
 	if len(sources) == 0 {
 		return kvrepl.SelectedSource{Source: d.store, Wait: d.watchWait()}
 	}
+	return d.peer(sources)
+}
+
+// SelectSecond returns the source that a reader uses beside the store: another reader. While the store's
+// answers to one of them are lost, which it notices only at the end of its watch, it learns the
+// changes from the others.
+func (d *Distributor) SelectSecond() (c kvrepl.SelectedSource, ok bool) {
+	if len(d.sources()) > 0 {
+		return kvrepl.SelectedSource{}, false
+	}
+	others := tiers.OtherReaders(d.mesh.Self(), d.mesh.Entries(false))
+	if len(others) == 0 {
+		return kvrepl.SelectedSource{}, false
+	}
+	return d.peer(others), true
+}
+
+// peer returns the first of nodes that hasn't failed lately, or else the one that failed first.
+func (d *Distributor) peer(nodes []mesh.Node) kvrepl.SelectedSource {
 	d.mu.Lock()
-	n := sources[d.failedCalls%len(sources)]
+	maps.DeleteFunc(d.failedAt, func(_ string, at time.Time) bool { return time.Since(at) > avoidTime })
+	n := slices.MinFunc(nodes, func(a, b mesh.Node) int { return d.failedAt[a.Name].Compare(d.failedAt[b.Name]) })
 	d.mu.Unlock()
 	s := &peerSource{d: d, node: n}
 	return kvrepl.SelectedSource{Source: s, Name: n.Name, Wait: maxHoldTime, Age: s.Age}
@@ -199,30 +226,31 @@
 	if replica == nil {
 		return nil, connect.NewError(connect.CodeNotFound, errors.Newf("prefix %q is not followed", in.Prefix))
 	}
-	out := &response{}
+	out, start := &response{}, time.Now()
+	var age time.Duration
 	if in.List {
 		waitCtx, cancel := context.WithTimeout(ctx, maxHoldTime)
 		defer cancel()
 		replica.WaitKnown(waitCtx) // when a whole fleet starts, this instance has just started, too
-		out.Items, out.Revision = replica.Snapshot()
+		out.Items, out.Revision, age = replica.Snapshot()
 	} else {
 		waitCtx, cancel := context.WithTimeout(ctx, min(maxHoldTime, time.Duration(in.WaitMs)*time.Millisecond))
 		defer cancel()
-		changes, err := replica.ChangesSince(waitCtx, in.After)
-		out.Items, out.Revision, out.Gap = changes.Items, changes.Revision, err != nil
+		changes, changesAge, err := replica.ChangesSince(waitCtx, in.After)
+		out.Items, out.Revision, out.Gap, age = changes.Items, changes.Revision, err != nil, changesAge
 	}
 	out.Known = replica.Revision() > 0
-	age := replica.Age()
-	out.AgeMs = age.Milliseconds()
+	out.AgeMs, out.HeldMs = age.Milliseconds(), time.Since(start).Milliseconds()
 	out.Stale = age > d.staleAfter()
 	return out, nil
 }
 
-// Age returns how old the reader's last answer was.
+// Age returns the time since the store confirmed the state in the source's last answer. What the
+// answer took, beyond the time for which the source held it, counts.
 func (s *peerSource) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.age
+	return time.Since(s.confirmedAt)
 }
 
 // List implements kvrepl.Source.
@@ -249,18 +277,33 @@
 func (s *peerSource) call(ctx context.Context, in request) (*response, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestMargin+time.Duration(in.WaitMs)*time.Millisecond)
 	defer cancel()
+	sent := time.Now()
 	res, err := mesh.Call[request, response](ctx, s.d.mesh.Client(), s.node.Addr, path, &in)
 	if err == nil && (!res.Known || res.Stale) {
 		err = errStale
 	}
+	s.d.recordCall(s.node.Name, err)
 	if err != nil {
-		s.d.mu.Lock()
-		s.d.failedCalls++
-		s.d.mu.Unlock()
 		return nil, &kvst.UnknownOutcomeError{Cause: err}
 	}
 	s.mu.Lock()
-	s.age = time.Duration(res.AgeMs) * time.Millisecond
+	s.confirmedAt = sent.Add(time.Duration(res.HeldMs-res.AgeMs) * time.Millisecond)
 	s.mu.Unlock()
 	return res, nil
 }
+
+// recordCall records the result of a call to a source.
+func (d *Distributor) recordCall(source string, err error) {
+	d.mu.Lock()
+	if err != nil {
+		d.failedAt[source] = time.Now()
+	} else {
+		delete(d.failedAt, source)
+	}
+	d.mu.Unlock()
+	if err != nil && !errors.Is(err, errStale) {
+		// What silenced this connection may have silenced others, and a call on each of them would
+		// take its whole timeout.
+		d.mesh.Client().CloseIdleConnections()
+	}
+}
--- a/fanout/fanout_test.go
+++ b/fanout/fanout_test.go
@@ -132,3 +132,57 @@
 		}
 	})
 }
+
+// Guards against an age that leaves out the way: an answer that was long on its way counts as young as
+// it was at the reader.
+func TestAgeCountsTheWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const delay = 80 * time.Millisecond
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer time.Sleep(time.Minute)
+		defer cancel()
+		net, store, logger := memnet.New(memnet.WithDelay(delay)), &cutStore{revision: 5}, logs.New(io.Discard)
+		defer net.Close()
+		newDistributor := func(name string) *Distributor {
+			return New(mesh.New(mesh.Node{Name: name, Addr: readerAddr, Plans: true}, &http.Client{Transport: net.Transport(name)}, logger), store)
+		}
+		reader := newDistributor("10.0.0.1")
+		replica := kvrepl.New(store, prefix, logger, kvrepl.WithSourceSelector(reader.SelectSource))
+		reader.Register(prefix, replica)
+		path, handler := reader.Handler()
+		routes := http.NewServeMux()
+		routes.Handle(path, handler)
+		_, err := net.Serve(readerAddr, routes)
+		g.Expect(err).NotTo(HaveOccurred())
+		go replica.Run(ctx)
+		source := &peerSource{d: newDistributor("10.0.0.2"), node: mesh.Node{Name: "10.0.0.1", Addr: readerAddr}}
+		for range 40 {
+			time.Sleep(130 * time.Millisecond)
+			_, err := source.Watch(ctx, prefix, 5, 100*time.Millisecond)
+			g.Expect(err).NotTo(HaveOccurred())
+			// The reader has said how old its state was one delay ago, and it may be confirmed since.
+			g.Expect(source.Age()).To(BeNumerically(">=", min(replica.Age(), delay)))
+		}
+	})
+}
+
+// Guards against two replicas that go on asking the source that has failed both: each failure moved a
+// common counter on, and with two sources two failures at a time led back to the same one.
+func TestTwoReplicasLeaveASource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d := New(mesh.New(mesh.Node{Name: "c"}, &http.Client{}, logs.New(io.Discard)), &cutStore{})
+		nodes := []mesh.Node{{Name: "a"}, {Name: "b"}}
+		g.Expect(d.peer(nodes).Name).To(Equal("a"))
+		for range 2 {
+			d.recordCall("a", errStale)
+		}
+		g.Expect(d.peer(nodes).Name).To(Equal("b"))
+		time.Sleep(time.Millisecond)
+		d.recordCall("b", errStale)
+		g.Expect(d.peer(nodes).Name).To(Equal("a"), "the one that failed first, if all have")
+		time.Sleep(avoidTime + time.Millisecond)
+		g.Expect(d.peer(nodes).Name).To(Equal("a"), "the preferred one")
+	})
+}
--- a/kvpeer/kvpeer.go
+++ b/kvpeer/kvpeer.go
@@ -162,9 +162,9 @@
 		}
 		s.recordDirect(err)
 		var unknown *kvst.UnknownOutcomeError
-		if errors.As(err, &unknown) && in.Op == opCommit {
-			// The commit may have taken effect. The caller repeats it, and that call goes
-			// to a peer.
+		if errors.As(err, &unknown) && (in.Op == opCommit || in.Op == opWatch) {
+			// The commit may have taken effect, and the watch has taken its time: the caller
+			// decides what to ask next. Its next call goes to a peer.
 			return res, err
 		}
 	}
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -29,8 +29,11 @@
 	// probeWatchWait is the wait during an outage of the store: a probe that was lost at
 	// the end of an outage must not hide that the store is back.
 	probeWatchWait = 100 * time.Millisecond
-	// retryDelay is the delay after a failed call.
+	// retryDelay is the delay after the second failure in a row: the first is followed by a call to
+	// another source, or by a list.
 	retryDelay = 300 * time.Millisecond
+	// secondPollInterval is how often a replica without a second source looks for one.
+	secondPollInterval = 200 * time.Millisecond
 	// maxRecentChanges limits the changes that are kept for followers of this replica:
 	// some seconds of a large fleet. A follower that asks for older ones lists again.
 	maxRecentChanges = 2000
@@ -54,8 +57,8 @@
 		Name string
 		// Wait is how long a watch waits; 0 means the replica's default.
 		Wait time.Duration
-		// Age returns how old the last answer of the source was; nil for the store
-		// itself.
+		// Age returns the time since the store confirmed the state in the last answer of the
+		// source; nil for the store itself.
 		Age func() time.Duration
 	}
 
@@ -74,6 +77,7 @@
 		logger       *log.Logger
 		meter        *meter.Meter
 		selectSource func() SelectedSource
+		selectSecond func() (SelectedSource, bool)
 		watchWait    time.Duration
 		minInterval  time.Duration
 
@@ -82,11 +86,14 @@
 		onReconnect func()
 		equivalent  func(a, b kvst.Item) bool
 
-		// lostAt is when the source was lost; only Run uses it.
+		// lostAt is when the source was lost; only follow uses it.
 		lostAt time.Time
 
-		mu    sync.Mutex
-		byKey map[string]kvst.Item
+		// applying is held while an answer is applied, callbacks included: two sources may
+		// answer at the same time.
+		applying sync.Mutex
+		mu       sync.Mutex
+		byKey    map[string]kvst.Item
 		// recent has the latest changes; it is complete after the revision floor.
 		recent   []kvst.Item
 		floor    int64
@@ -112,6 +119,7 @@
 		logger:       logger,
 		meter:        meter.New(),
 		selectSource: func() SelectedSource { return SelectedSource{Source: store} },
+		selectSecond: func() (SelectedSource, bool) { return SelectedSource{}, false },
 		watchWait:    defaultWatchWait,
 		onReset:      func([]kvst.Item) {},
 		onChange:     func(kvst.Item) {},
@@ -169,9 +177,24 @@
 	return func(r *Replica) { r.meter = m }
 }
 
+// WithSecondSource sets f, which selects a second source that is read beside the first, or returns
+// false if there is none. Changes are then not late while either of them answers. By default there is
+// none.
+func WithSecondSource(f func() (SelectedSource, bool)) Option {
+	return func(r *Replica) { r.selectSecond = f }
+}
+
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
-	lost, listed, source := false, false, ""
+	var wg sync.WaitGroup
+	wg.Go(func() { r.follow(ctx) })
+	wg.Go(func() { r.followSecond(ctx) })
+	wg.Wait()
+}
+
+// follow reads from the first source.
+func (r *Replica) follow(ctx context.Context) {
+	lost, listed, source, failures := false, false, "", 0
 	for ctx.Err() == nil {
 		start := time.Now()
 		c := r.selectSource()
@@ -191,11 +214,15 @@
 		var gap *kvst.CompactedError
 		listed = (listed || err == nil) && !errors.As(err, &gap)
 		lost = r.logResult(c, err, lost)
+		failures++
+		if err == nil {
+			failures = 0
+		}
 		pause := r.minInterval - time.Since(start)
 		switch {
-		case err != nil:
+		case failures > 1:
 			pause = retryDelay
-		case c.Age != nil:
+		case err != nil, c.Age != nil:
 			pause = 0
 		}
 		if pause > 0 {
@@ -204,6 +231,30 @@
 	}
 }
 
+// followSecond reads from the second source, once there is a state to go on from.
+func (r *Replica) followSecond(ctx context.Context) {
+	failures := 0
+	for ctx.Err() == nil {
+		c, ok := r.selectSecond()
+		if !ok || r.Revision() == 0 {
+			sleep.For(ctx, secondPollInterval)
+			continue
+		}
+		err := r.watch(ctx, c, false)
+		var gap *kvst.CompactedError
+		if errors.As(err, &gap) {
+			err = r.list(ctx, c, false)
+		}
+		if err == nil {
+			failures = 0
+			continue
+		}
+		if failures++; failures > 1 {
+			sleep.For(ctx, retryDelay)
+		}
+	}
+}
+
 // logResult logs when the connection to the store is lost and restored, and returns
 // whether it is lost.
 func (r *Replica) logResult(c SelectedSource, err error, lost bool) bool {
@@ -248,6 +299,8 @@
 	if err != nil {
 		return err
 	}
+	r.applying.Lock()
+	defer r.applying.Unlock()
 	if r.Revision() > revision {
 		// Another source was ahead of this one; going back would undo changes that were
 		// in force.
@@ -262,48 +315,61 @@
 		r.byKey[it.Key] = it
 	}
 	r.recent, r.floor, r.revision = nil, revision, revision
-	behind := r.confirm(asked, c)
+	r.wakeFollowers()
 	r.mu.Unlock()
-	r.logChanges(c, len(items), behind)
 	r.onReset(items)
+	r.logChanges(c, len(items), r.confirm(asked, c))
 	return nil
 }
 
 func (r *Replica) watch(ctx context.Context, c SelectedSource, lost bool) error {
 	watchWait := r.watchWait
-	switch {
-	case lost:
-		watchWait = probeWatchWait
-	case c.Wait > 0:
+	if c.Wait > 0 {
 		watchWait = c.Wait
 	}
-	after := r.Revision()
+	if c.Age == nil {
+		// An answer with changes confirms the time of its request only. A full wait after it would
+		// leave the replica unconfirmed for twice as long.
+		watchWait = max(probeWatchWait, watchWait-r.Age())
+	}
+	if lost {
+		watchWait = probeWatchWait
+	}
+	asked, after := time.Now(), r.Revision()
 	changes, err := c.Watch(ctx, r.prefix, after, watchWait)
 	if err != nil {
 		return err
 	}
-	// The source answers a watch when its wait is over, and thereby confirms that nothing
-	// has changed until then.
-	answered := time.Now()
+	// An answer without changes is given when the wait is over, and confirms that there was none
+	// until then. One with changes may have been long on its way.
+	confirmed := asked
+	if end := asked.Add(watchWait); len(changes.Items) == 0 && !time.Now().Before(end) {
+		confirmed = end
+	}
+	r.applying.Lock()
+	defer r.applying.Unlock()
 	if lost {
 		r.onReconnect()
 	}
 	r.mu.Lock()
 	applied := make([]kvst.Item, 0, len(changes.Items))
 	for _, it := range changes.Items {
-		if r.apply(it) {
+		// The other source may have brought it.
+		if it.Revision > r.revision && r.apply(it) {
 			applied = append(applied, it)
 		}
 	}
 	r.revision = max(r.revision, changes.Revision)
-	behind := r.confirm(answered, c)
+	r.wakeFollowers()
 	r.mu.Unlock()
-	if len(applied) > 0 {
-		r.logChanges(c, len(applied), behind)
-	}
 	for _, it := range applied {
 		r.onChange(it)
 	}
+	// Only now: until the callbacks have run, this instance acts on the state before.
+	behind := r.confirm(confirmed, c)
+	if len(applied) > 0 {
+		r.logChanges(c, len(applied), behind)
+	}
 	return nil
 }
 
@@ -326,20 +392,26 @@
 	return true
 }
 
+// wakeFollowers wakes the followers that wait for changes. The caller holds the lock.
+func (r *Replica) wakeFollowers() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // confirm records when the replica was known to be current, and returns how long ago that had
-// been before; 0 for the first time. The caller holds the lock.
+// been before; 0 for the first time.
 func (r *Replica) confirm(at time.Time, c SelectedSource) (behind time.Duration) {
 	if c.Age != nil {
 		at = time.Now().Add(-c.Age())
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if !r.confirmedAt.IsZero() {
 		behind = time.Since(r.confirmedAt)
 	}
 	if at.After(r.confirmedAt) {
 		r.confirmedAt, r.confirmedBy = at, c.name()
 	}
-	close(r.changed)
-	r.changed = make(chan struct{})
 	return behind
 }
 
@@ -377,36 +449,36 @@
 // Age returns the time since the store last confirmed the replica.
 func (r *Replica) Age() time.Duration { return r.Freshness().Age }
 
-// Snapshot returns all items of the replica and its revision; revision 0 means that nothing
+// Snapshot returns all items of the replica, its revision and its age; revision 0 means that nothing
 // has been read yet.
-func (r *Replica) Snapshot() ([]kvst.Item, int64) {
+func (r *Replica) Snapshot() (items []kvst.Item, revision int64, age time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	items := make([]kvst.Item, 0, len(r.byKey))
+	items = make([]kvst.Item, 0, len(r.byKey))
 	for _, it := range r.byKey {
 		items = append(items, it)
 	}
-	return items, r.revision
+	return items, r.revision, time.Since(r.confirmedAt)
 }
 
-// ChangesSince returns the changes after a revision, and waits for the first until ctx ends. Its
-// error is a *kvst.CompactedError if some of them are no longer kept.
-func (r *Replica) ChangesSince(ctx context.Context, after int64) (kvst.Changes, error) {
+// ChangesSince returns the changes after a revision and the age of the replica that has them, and waits
+// for the first change until ctx ends. Its error is a *kvst.CompactedError if some of them are no longer
+// kept.
+func (r *Replica) ChangesSince(ctx context.Context, after int64) (kvst.Changes, time.Duration, error) {
 	for {
 		r.mu.Lock()
-		changes, changed := r.after(after), r.changed
+		changes, age, changed := r.after(after), time.Since(r.confirmedAt), r.changed
 		gap := after < r.floor
 		r.mu.Unlock()
 		switch {
 		case gap:
-			return kvst.Changes{}, &kvst.CompactedError{After: after}
-		case len(changes.Items) > 0:
-			return changes, nil
+			return kvst.Changes{}, age, &kvst.CompactedError{After: after}
+		case len(changes.Items) > 0 || ctx.Err() != nil:
+			return changes, age, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return changes, nil
 		}
 	}
 }
--- a/kvrepl/kvrepl_test.go
+++ b/kvrepl/kvrepl_test.go
@@ -147,7 +147,7 @@
 				time.Sleep(time.Millisecond)
 				done, cancelWait := context.WithTimeout(ctx, time.Millisecond)
 				defer cancelWait()
-				changes, err := r.ChangesSince(done, after)
+				changes, _, err := r.ChangesSince(done, after)
 				g.Expect(err).NotTo(HaveOccurred())
 				after = changes.Revision
 				return changes.Items
@@ -168,3 +168,112 @@
 		})
 	}
 }
+
+// scriptedStore answers watches one after the other, each with a change and some time after it was sent.
+type scriptedStore struct {
+	took     []time.Duration
+	revision int64
+}
+
+func (s *scriptedStore) List(context.Context, string) ([]kvst.Item, int64, error) {
+	return []kvst.Item{{Key: "p/a", Revision: 3}}, s.revision, nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kvst.Changes, error) {
+	if len(s.took) == 0 {
+		<-ctx.Done()
+		return kvst.Changes{}, ctx.Err()
+	}
+	took := s.took[0]
+	s.took = s.took[1:]
+	time.Sleep(took)
+	return kvst.Changes{Items: []kvst.Item{{Key: "p/a", Revision: after + 1}}, Revision: after + 1}, nil
+}
+
+// Guards against an age that is too low: an answer with a change was long on its way, and the state is
+// taken for as young as the moment at which it arrived.
+func TestAgeCountsFromTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const late = 600 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		r := New(&scriptedStore{took: []time.Duration{late}, revision: 5}, "p/", logs.New(io.Discard))
+		go r.Run(ctx)
+		time.Sleep(late + time.Millisecond)
+		g.Expect(r.Revision()).To(BeEquivalentTo(6))
+		g.Expect(r.Age()).To(BeNumerically(">=", late))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// Guards against a state that counts as confirmed before this instance acts on it: the callback of a
+// change takes its time, and a request that is answered meanwhile uses the state before.
+func TestConfirmedOnceApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const took, slow = time.Second, 400 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		r := New(&scriptedStore{took: []time.Duration{took, took}, revision: 5}, "p/", logs.New(io.Discard),
+			WithOnChange(func(kvst.Item) { time.Sleep(slow) }))
+		go r.Run(ctx)
+		time.Sleep(2*(took+slow) - time.Millisecond)
+		g.Expect(r.Revision()).To(BeEquivalentTo(7))
+		g.Expect(r.Age()).To(BeNumerically(">=", 2*took+slow), "the second change isn't applied yet")
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(r.Age()).To(BeNumerically("<=", took+slow+10*time.Millisecond))
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+// silentSource is a source of which no call gets an answer.
+type silentSource struct{}
+
+func (silentSource) List(ctx context.Context, _ string) ([]kvst.Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+func (silentSource) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (kvst.Changes, error) {
+	<-ctx.Done()
+	return kvst.Changes{}, ctx.Err()
+}
+
+// Guards against a change that is late while one of two sources is silent, and against one that
+// both deliver and that is reported twice or out of order.
+func TestSecondSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &beatingStore{changed: make(chan struct{})}
+		store.write("p/a", "1", false)
+		var mu sync.Mutex
+		var reported []int64
+		var silent bool
+		first := func() SelectedSource {
+			mu.Lock()
+			defer mu.Unlock()
+			if silent {
+				return SelectedSource{Source: silentSource{}}
+			}
+			return SelectedSource{Source: store}
+		}
+		r := New(store, "p/", logs.New(io.Discard), WithSourceSelector(first),
+			WithSecondSource(func() (SelectedSource, bool) { return SelectedSource{Source: store, Name: "peer"}, true }),
+			WithOnChange(func(it kvst.Item) { reported = append(reported, it.Revision) }))
+		go r.Run(ctx)
+		time.Sleep(time.Second)
+		for n := range 20 {
+			mu.Lock()
+			silent = n >= 10
+			mu.Unlock()
+			store.write("p/a", fmt.Sprint(n), false)
+			time.Sleep(300 * time.Millisecond)
+			g.Expect(reported).To(HaveLen(n + 1))
+			g.Expect(reported[n]).To(BeEquivalentTo(n + 2))
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
--- a/tiers/tiers.go
+++ b/tiers/tiers.go
@@ -56,6 +56,23 @@
 	return orderFor(self, relays)
 }
 
+// OtherReaders returns the readers among entries but self, those after it in the order of names first,
+// so that each of them reads from another one.
+func OtherReaders(self mesh.Node, entries []mesh.Node) []mesh.Node {
+	readers, _ := chooseReaders(entries)
+	others := slices.DeleteFunc(readers, func(n mesh.Node) bool { return n.Name == self.Name })
+	slices.SortFunc(others, func(a, b mesh.Node) int {
+		if before := a.Name < self.Name; before != (b.Name < self.Name) {
+			if before {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	return others
+}
+
 // relayCount returns the number of relays among n entries. With the square root of n,
 // each tier has as many followers per instance as the next.
 func relayCount(n int) int {
--- a/tiers/tiers_test.go
+++ b/tiers/tiers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -158,3 +159,26 @@
 		})
 	}
 }
+
+// Guards against readers that learn changes from nobody but the store, and against two that read from
+// each other only: each must read from another one, and all of them from each other by some way.
+func TestReadersReadFromEachOther(t *testing.T) {
+	for n := 2; n <= 80; n++ {
+		g, entries := NewWithT(t), fleet(n)
+		next := make(map[string]string)
+		for _, e := range entries {
+			others := OtherReaders(e, entries)
+			g.Expect(others).NotTo(ContainElement(e))
+			if len(Upstreams(e, entries)) == 0 {
+				g.Expect(others).To(HaveLen(min(readerCount, n) - 1))
+				next[e.Name] = others[0].Name
+			}
+		}
+		start := slices.Sorted(maps.Keys(next))[0]
+		seen := []string{start}
+		for at := next[start]; at != start; at = next[at] {
+			seen = append(seen, at)
+		}
+		g.Expect(seen).To(HaveLen(len(next)), "%d entries", n)
+	}
+}
