--- a/procfg/procfg.go
+++ b/procfg/procfg.go
@@ -43,6 +43,8 @@
 	StopGrace time.Duration `json:"graceNs"`
 	// Retention is how long results are stored after submission of a batch.
 	Retention time.Duration `json:"retentionNs"`
+	// ConfigApplyTime is the time within which an acknowledged configuration must be in force.
+	ConfigApplyTime time.Duration `json:"configApplyNs"`
 	// DrainTime is the time within which a draining endpoint must get no new requests.
 	DrainTime time.Duration `json:"drainNs"`
 	// PlatformAddr is the address of the platform's API; "" if it has none. Metering says that
