kvrepl, epset: only an outage of the store holds up removals

Cause: entries of endpoints that expire in an outage of the store come back soon after, so removals are held for 2 s after a reconnection. Each failure of a source counted as one: a reader that stopped, a slow answer, a watch that was lost once. The time to notice the loss, to ask another source and the 2 s added up.

Change: an outage is a time without any confirmation by the store, by whichever source, of at least two heartbeats: an entry expires after three, and one of them may have been missed before. It is noticed by the confirmations themselves, so also where the second source is the first to answer after it.

--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -81,10 +81,11 @@
 		watchWait    time.Duration
 		minInterval  time.Duration
 
-		onReset     func(items []kvst.Item)
-		onChange    func(it kvst.Item)
-		onReconnect func()
-		equivalent  func(a, b kvst.Item) bool
+		onReset    func(items []kvst.Item)
+		onChange   func(it kvst.Item)
+		onOutage   func()
+		minOutage  time.Duration
+		equivalent func(a, b kvst.Item) bool
 
 		// lostAt is when the source was lost; only follow uses it.
 		lostAt time.Time
@@ -123,7 +124,7 @@
 		watchWait:    defaultWatchWait,
 		onReset:      func([]kvst.Item) {},
 		onChange:     func(kvst.Item) {},
-		onReconnect:  func() {},
+		onOutage:     func() {},
 		equivalent:   func(kvst.Item, kvst.Item) bool { return false },
 		byKey:        make(map[string]kvst.Item),
 		changed:      make(chan struct{}),
@@ -145,10 +146,11 @@
 	return func(r *Replica) { r.onChange = f }
 }
 
-// WithOnReconnect sets f, which is called before the first changes after an outage of the
-// store. The default does nothing.
-func WithOnReconnect(f func()) Option {
-	return func(r *Replica) { r.onReconnect = f }
+// WithOnOutage sets f, which is called before the first changes after an outage of the store: a time of
+// minOutage or longer in which nothing was confirmed. A source that fails while others answer is no
+// outage. The default does nothing.
+func WithOnOutage(minOutage time.Duration, f func()) Option {
+	return func(r *Replica) { r.minOutage, r.onOutage = minOutage, f }
 }
 
 // WithEquivalent sets f, which reports whether two values of a key mean the same, as those
@@ -206,7 +208,7 @@
 		if listed {
 			err = r.watch(ctx, c, lost)
 		} else {
-			err = r.list(ctx, c, lost)
+			err = r.list(ctx, c)
 		}
 		if ctx.Err() != nil {
 			return
@@ -243,7 +245,7 @@
 		err := r.watch(ctx, c, false)
 		var gap *kvst.CompactedError
 		if errors.As(err, &gap) {
-			err = r.list(ctx, c, false)
+			err = r.list(ctx, c)
 		}
 		if err == nil {
 			failures = 0
@@ -293,7 +295,7 @@
 	r.meter.Observe("replica_behind_seconds", behind, "prefix", r.prefix)
 }
 
-func (r *Replica) list(ctx context.Context, c SelectedSource, lost bool) error {
+func (r *Replica) list(ctx context.Context, c SelectedSource) error {
 	asked := time.Now()
 	items, revision, err := c.List(ctx, r.prefix)
 	if err != nil {
@@ -306,9 +308,8 @@
 		// in force.
 		return &kvst.CompactedError{After: revision}
 	}
-	if lost {
-		r.onReconnect()
-	}
+	confirmed := c.confirmedAt(asked)
+	r.noticeOutage(confirmed)
 	r.mu.Lock()
 	r.byKey = make(map[string]kvst.Item, len(items))
 	for _, it := range items {
@@ -318,7 +319,7 @@
 	r.wakeFollowers()
 	r.mu.Unlock()
 	r.onReset(items)
-	r.logChanges(c, len(items), r.confirm(asked, c))
+	r.logChanges(c, len(items), r.confirm(confirmed, c))
 	return nil
 }
 
@@ -346,11 +347,10 @@
 	if end := asked.Add(watchWait); len(changes.Items) == 0 && !time.Now().Before(end) {
 		confirmed = end
 	}
+	confirmed = c.confirmedAt(confirmed)
 	r.applying.Lock()
 	defer r.applying.Unlock()
-	if lost {
-		r.onReconnect()
-	}
+	r.noticeOutage(confirmed)
 	r.mu.Lock()
 	applied := make([]kvst.Item, 0, len(changes.Items))
 	for _, it := range changes.Items {
@@ -392,6 +392,25 @@
 	return true
 }
 
+// confirmedAt returns when the store confirmed the state in the source's last answer; direct is that
+// of an answer by the store itself.
+func (c SelectedSource) confirmedAt(direct time.Time) time.Time {
+	if c.Age == nil {
+		return direct
+	}
+	return time.Now().Add(-c.Age())
+}
+
+// noticeOutage calls back if an answer that is confirmed at a time ends an outage of the store.
+func (r *Replica) noticeOutage(confirmed time.Time) {
+	r.mu.Lock()
+	before := r.confirmedAt
+	r.mu.Unlock()
+	if !before.IsZero() && confirmed.Sub(before) >= r.minOutage {
+		r.onOutage()
+	}
+}
+
 // wakeFollowers wakes the followers that wait for changes. The caller holds the lock.
 func (r *Replica) wakeFollowers() {
 	close(r.changed)
@@ -401,9 +420,6 @@
 // confirm records when the replica was known to be current, and returns how long ago that had
 // been before; 0 for the first time.
 func (r *Replica) confirm(at time.Time, c SelectedSource) (behind time.Duration) {
-	if c.Age != nil {
-		at = time.Now().Add(-c.Age())
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.confirmedAt.IsZero() {
--- a/kvrepl/kvrepl_test.go
+++ b/kvrepl/kvrepl_test.go
@@ -277,3 +277,26 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a lost source that counts as an outage of the store, and against an outage that is
+// missed: only in an outage can endpoints have lost their leases, and be about to come back.
+func TestOnlyOutagesAreNoticed(t *testing.T) {
+	for lost, outages := range map[time.Duration]int{2 * time.Second: 0, 4 * time.Second: 1} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			store, noticed := &idleStore{}, 0
+			r := New(store, "p/", logs.New(io.Discard), WithOnOutage(3*time.Second, func() { noticed++ }),
+				WithSourceSelector(func() SelectedSource { return SelectedSource{Source: store, Wait: 100 * time.Millisecond} }))
+			go r.Run(ctx)
+			time.Sleep(5 * time.Second)
+			store.hangs = true
+			time.Sleep(lost)
+			store.hangs = false
+			time.Sleep(5 * time.Second)
+			g.Expect(noticed).To(Equal(outages), "lost for %s", lost)
+			cancel()
+			time.Sleep(time.Minute)
+		})
+	}
+}
