hubs: a lost watch of the store shows within five seconds

What callers and operators would see: an accepted change that isn't in force after 35 s; the bound is 18 s.

Cause: the class of the lost watch of the platform's side. A hub's watch waits 30 s, and a lost response shows when the wait and a call's timeout are over. Hubs of other data centres make up for it; with one data centre, or if all watches are lost at once, nobody does.

Change: a watch waits 2 s. With the timeout of a call and the first delay that is 4.6 s, within the five that a hub has.

Evidence: TestAllWatchesAreLost failed with the 30 s ("not in force everywhere after 18s") and passes, with one data centre and with three.

--- a/hubs/hub_test.go
+++ b/hubs/hub_test.go
@@ -240,6 +240,21 @@
 	})
 }
 
+// Guards against a change that is late as the watches of all hubs have lost their responses: the
+// connections went silent, and each hub waits for the end of its watch.
+func TestAllWatchesAreLost(t *testing.T) {
+	for _, dataCentres := range []int{1, 3} {
+		run(t, dataCentres, func(t *testing.T, g *WithT, w *testFleet) {
+			for n := range 20 {
+				w.silenceStore()
+				_, err := w.waitInForce(w.write(t, "a", n+2), inForceLimit)
+				g.Expect(err).NotTo(HaveOccurred())
+				time.Sleep(time.Duration(n) * time.Second)
+			}
+		})
+	}
+}
+
 // The metadata store is restored from an old backup. Its responses are older than
 // what is in force, and applying them would undo accepted changes.
 func TestServiceThatWasSetBack(t *testing.T) {
--- a/hubs/options.go
+++ b/hubs/options.go
@@ -17,9 +17,10 @@
 	// needs to. Its members find the new hub within a few heartbeats; without the
 	// overlap they would be told that this entry isn't a hub and search for one.
 	defaultLinger = 20 * time.Second
-	// defaultWatchWait is how long one watch of the metadata store waits. The
-	// store counts a waiting watch as one call.
-	defaultWatchWait = 30 * time.Second
+	// defaultWatchWait is how long one watch of the metadata store waits, which counts a
+	// waiting watch as one call. A watch that has lost its response shows when the wait and
+	// the timeout of a call are over, within the time that the hub has; see maxBackoff.
+	defaultWatchWait = 2 * time.Second
 	// maxBackoff bounds the delay between two calls to a store that doesn't answer. A
 	// change must be in force everywhere within 18 seconds, also right after an outage:
 	// five for the hub, 2 x 3.3 for the heartbeats, the rest for fetching.
--- a/hubs/world_test.go
+++ b/hubs/world_test.go
@@ -43,14 +43,17 @@
 	// testFleet is a fleet in one process: each instance has its real heartbeat client,
 	// cache, view and hub; the network between them is a map of handlers.
 	testFleet struct {
-		mu     sync.Mutex
-		hosts  map[string]http.Handler
-		sent   map[string]int
-		calls  map[string]int
-		cut    func(from, to string) bool
-		kv     *simkv.Server
-		listed []insts.Instance
-		lists  int
+		mu    sync.Mutex
+		hosts map[string]http.Handler
+		sent  map[string]int
+		calls map[string]int
+		cut   func(from, to string) bool
+		// silenced ends all calls to the metadata store that wait without a response; it is closed
+		// and replaced.
+		silenced chan struct{}
+		kv       *simkv.Server
+		listed   []insts.Instance
+		lists    int
 		// kvCalls counts the calls to the metadata store in each second.
 		kvCalls map[int64]int
 		nodes   map[string]*node
@@ -114,7 +117,8 @@
 		kv:    simkv.New(),
 		nodes: map[string]*node{},
 
-		kvCalls: map[int64]int{},
+		silenced: make(chan struct{}),
+		kvCalls:  map[int64]int{},
 	}
 	w.hosts[kvHost] = w.kv
 	return w
@@ -127,6 +131,7 @@
 	w.mu.Lock()
 	handler := w.hosts[req.URL.Host]
 	gone := handler == nil || w.cut(t.from, req.URL.Host)
+	silenced := w.silenced
 	w.calls[req.URL.Path]++
 	if req.URL.Host == kvHost {
 		w.kvCalls[time.Now().Unix()]++
@@ -157,6 +162,14 @@
 			return nil, errCut
 		}
 	}
+	if req.URL.Host == kvHost {
+		select {
+		case <-silenced:
+			<-req.Context().Done()
+			return nil, req.Context().Err()
+		default:
+		}
+	}
 	// A cut also drops responses in flight.
 	w.mu.Lock()
 	gone = w.cut(t.from, req.URL.Host)
@@ -279,6 +292,14 @@
 	w.cut = cut
 }
 
+// silenceStore loses the responses to all calls of the metadata store that wait now.
+func (w *testFleet) silenceStore() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.silenced)
+	w.silenced = make(chan struct{})
+}
+
 // write changes a pool in the metadata store directly, without the resource API, and
 // returns the revision.
 func (w *testFleet) write(t testing.TB, name string, n int) int64 {
