kvpeer, fanout: an instance checks its own way to the store when its source has lost it

Cause: instances that read through others rarely call the store themselves and go on saying that they reach it. Before, the watches that readers passed on happened to find that out, a second and more each.

Change: an answer that says that its reader has lost the store makes the follower check its own way with one read, at most once in 700 ms. A watch that is passed on to a peer after a loss waits 100 ms there.

--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -50,8 +50,9 @@
 type (
 	// Distributor selects the source from which this instance reads. See New.
 	Distributor struct {
-		mesh  *mesh.Mesh
-		store kvrepl.Source
+		mesh    *mesh.Mesh
+		store   kvrepl.Source
+		onStale func()
 
 		mu       sync.Mutex
 		replicas map[string]*kvrepl.Replica
@@ -66,6 +67,9 @@
 		failedAt map[string]time.Time
 	}
 
+	// Option configures a Distributor in New.
+	Option func(*Distributor)
+
 	// peerSource reads from a peer.
 	peerSource struct {
 		d    *Distributor
@@ -105,9 +109,19 @@
 //
 //	f := fanout.New(m, store)
 //	r := kvrepl.New(store, "op/", logger, kvrepl.WithSourceSelector(f.SelectSource))
-func New(m *mesh.Mesh, store kvrepl.Source) *Distributor {
-	return &Distributor{mesh: m, store: store, replicas: make(map[string]*kvrepl.Replica), lists: make(map[string]*list),
+func New(m *mesh.Mesh, store kvrepl.Source, opts ...Option) *Distributor {
+	d := &Distributor{mesh: m, store: store, onStale: func() {}, replicas: make(map[string]*kvrepl.Replica), lists: make(map[string]*list),
 		failedAt: make(map[string]time.Time)}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// WithOnStale sets f, which is called when a source has lost its connection to the store: this instance
+// may have lost its own. The default does nothing.
+func WithOnStale(f func()) Option {
+	return func(d *Distributor) { d.onStale = f }
 }
 
 // Register makes the replica of a prefix available to peers that ask for it.
@@ -301,7 +315,10 @@
 		delete(d.failedAt, source)
 	}
 	d.mu.Unlock()
-	if err != nil && !errors.Is(err, errStale) {
+	switch {
+	case errors.Is(err, errStale):
+		d.onStale()
+	case err != nil:
 		// What silenced this connection may have silenced others, and a call on each of them would
 		// take its whole timeout.
 		d.mesh.Client().CloseIdleConnections()
--- a/kvpeer/kvpeer.go
+++ b/kvpeer/kvpeer.go
@@ -39,6 +39,8 @@
 	// maxProbes is the number of probes of all instances in one interval. Hundreds may be cut
 	// off at the same time, and the store must not be kept busy by those that it turns away.
 	maxProbes = 8
+	// failoverWait is how long a watch may wait at a peer after the direct one has failed.
+	failoverWait = 100 * time.Millisecond
 	// peerTimeout limits a call through a peer, beyond the time for which a watch waits.
 	peerTimeout = 1500 * time.Millisecond
 )
@@ -65,6 +67,8 @@
 		// directRestored is closed and replaced when the direct connection works again.
 		directRestored chan struct{}
 		nextPeer       int
+		// verifiedAt is when Verify last made a call.
+		verifiedAt time.Time
 	}
 
 	// Option configures a Store in New.
@@ -162,11 +166,14 @@
 		}
 		s.recordDirect(err)
 		var unknown *kvst.UnknownOutcomeError
-		if errors.As(err, &unknown) && (in.Op == opCommit || in.Op == opWatch) {
-			// The commit may have taken effect, and the watch has taken its time: the caller
-			// decides what to ask next. Its next call goes to a peer.
+		if errors.As(err, &unknown) && in.Op == opCommit {
+			// The commit may have taken effect. The caller repeats it, and that call goes
+			// to a peer.
 			return res, err
 		}
+		// A watch has taken its time by now. If the peer can't reach the store either, the caller
+		// must not wait for another whole one.
+		in.WaitMs = min(in.WaitMs, failoverWait.Milliseconds())
 	}
 	return s.callPeer(ctx, in)
 }
@@ -194,6 +201,24 @@
 	}
 }
 
+// Verify finds out whether direct calls work, unless it has done so just before or they are known to
+// fail. An instance that reads through others calls the store rarely; it would say for long that it
+// reaches it, and others would rely on that.
+func (s *Store) Verify(ctx context.Context) {
+	s.mu.Lock()
+	due := !s.isDirectDown && time.Since(s.verifiedAt) >= probeInterval
+	if due {
+		s.verifiedAt = time.Now()
+	}
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	if _, err := s.direct.Get(ctx, probeKey); isStoreFailure(err) && ctx.Err() == nil {
+		s.recordDirect(err)
+	}
+}
+
 // isProbeDue reports whether this instance probes the store in an interval: as often as maxProbes
 // allows, and at once if one of the others that were cut off reaches the store again.
 func (s *Store) isProbeDue(tick, before, cutOff int) bool {
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -481,7 +481,7 @@
 // for the first change until ctx ends. Its error is a *kvst.CompactedError if some of them are no longer
 // kept.
 func (r *Replica) ChangesSince(ctx context.Context, after int64) (kvst.Changes, time.Duration, error) {
-	for {
+	for waited := false; ; {
 		r.mu.Lock()
 		changes, age, changed := r.after(after), time.Since(r.confirmedAt), r.changed
 		gap := after < r.floor
@@ -489,12 +489,13 @@
 		switch {
 		case gap:
 			return kvst.Changes{}, age, &kvst.CompactedError{After: after}
-		case len(changes.Items) > 0 || ctx.Err() != nil:
+		case len(changes.Items) > 0 || waited:
 			return changes, age, nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			waited = true
 		}
 	}
 }
--- a/kvrepl/kvrepl_test.go
+++ b/kvrepl/kvrepl_test.go
@@ -179,7 +179,7 @@
 	return []kvst.Item{{Key: "p/a", Revision: 3}}, s.revision, nil
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (kvst.Changes, error) {
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after int64, _ time.Duration) (kvst.Changes, error) {
 	if len(s.took) == 0 {
 		<-ctx.Done()
 		return kvst.Changes{}, ctx.Err()
--- a/node/node.go
+++ b/node/node.go
@@ -396,7 +396,7 @@
 		brun.WithVersionField(n.adapters.VersionLine), brun.WithDataCentre(n.cfg.DataCentre), brun.WithMeter(n.meter),
 		brun.WithRetention(n.cfg.Retention), brun.WithMemory(n.cfg.MemoryBytes), brun.WithReplicas(n.replicas), brun.WithGuard(n.guard),
 		brun.WithOnAdd(func() { n.controller.Wake() }))
-	n.distributor = fanout.New(n.mesh, n.store)
+	n.distributor = fanout.New(n.mesh, n.store, fanout.WithOnStale(func() { go n.store.Verify(ctx) }))
 	n.router = broute.New(ctx, store, n.runner, n.mesh, n.replicas, n.logger, n.cpuLag.Strained,
 		broute.WithMeter(n.meter), broute.WithRetention(n.cfg.Retention), broute.WithStoreDown(n.isStoreDown), broute.WithServedModels(n.servesModel))
 	n.controller = wctrl.New(n.state.Registry, n.mesh, n.client, n.cfg.PeerPort, n.logger, n.needsSingleVersion,
