--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -318,7 +318,7 @@
 	switch {
 	case errors.Is(err, errStale):
 		d.onStale()
-	case err != nil:
+	case connect.CodeOf(err) == connect.CodeDeadlineExceeded:
 		// What silenced this connection may have silenced others, and a call on each of them would
 		// take its whole timeout.
 		d.mesh.Client().CloseIdleConnections()
--- a/kvrepl/kvrepl.go
+++ b/kvrepl/kvrepl.go
@@ -33,7 +33,7 @@
 	// another source, or by a list.
 	retryDelay = 300 * time.Millisecond
 	// secondPollInterval is how often a replica without a second source looks for one.
-	secondPollInterval = 200 * time.Millisecond
+	secondPollInterval = time.Second
 	// maxRecentChanges limits the changes that are kept for followers of this replica:
 	// some seconds of a large fleet. A follower that asks for older ones lists again.
 	maxRecentChanges = 2000
