kvpeer: a watch that a peer doesn't answer is given up after its wait and 0.9 s

Cause: a watch that its own way has lost goes on to a peer, and if that one stands still it took 1.6 s more: 3.3 s with the loss before, over the 3 s within which an instance must be current again. No other source helps if it is the only reader. TestLostWatchAtASilentPeer failed with 3.3 s.

--- a/kvpeer/kvpeer.go
+++ b/kvpeer/kvpeer.go
@@ -41,8 +41,10 @@
 	maxProbes = 8
 	// failoverWait is how long a watch may wait at a peer after the direct one has failed.
 	failoverWait = 100 * time.Millisecond
-	// peerTimeout limits a call through a peer, beyond the time for which a watch waits.
+	// peerTimeout limits a call through a peer, and watchMargin a watch beyond the time for which it
+	// waits: the peer gives up its own after that and 700 ms.
 	peerTimeout = 1500 * time.Millisecond
+	watchMargin = 900 * time.Millisecond
 )
 
 // errDirectRestored cancels a direct call that was sent before the store was reachable
@@ -260,7 +262,11 @@
 	// Each instance has an order of its own, so that those that are cut off together don't all
 	// ask the same peer.
 	peer := rendez.Order(s.instance, peers, func(n mesh.Node) string { return n.Name })[n%len(peers)]
-	callCtx, cancel := context.WithTimeout(ctx, peerTimeout+time.Duration(in.WaitMs)*time.Millisecond)
+	timeout := peerTimeout
+	if in.Op == opWatch {
+		timeout = watchMargin + time.Duration(in.WaitMs)*time.Millisecond
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	res, err := mesh.Call[request, response](callCtx, s.client, peer.Addr, path, &in)
 	if err != nil {
--- a/kvpeer/kvpeer_test.go
+++ b/kvpeer/kvpeer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -16,8 +17,11 @@
 	"github.com/lavendermux/lavendermux/mesh"
 )
 
-// callTimeout is the timeout of the store's client.
-const callTimeout = 800 * time.Millisecond
+const (
+	// callTimeout is the timeout of the store's client, and directMargin its margin for watches.
+	callTimeout  = 800 * time.Millisecond
+	directMargin = 700 * time.Millisecond
+)
 
 // silentStore is a store that does not answer calls until restoredAt; a call that was
 // sent before never gets an answer.
@@ -29,6 +33,13 @@
 	commits int
 }
 
+func (s *silentStore) Watch(ctx context.Context, _ string, _ int64, wait time.Duration) (kvst.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+directMargin)
+	defer cancel()
+	<-ctx.Done()
+	return kvst.Changes{}, &kvst.UnknownOutcomeError{Cause: ctx.Err()}
+}
+
 func (s *silentStore) Commit(ctx context.Context, _ kvst.Txn) (int64, error) {
 	if time.Now().Before(s.restoredAt) {
 		ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -71,3 +82,27 @@
 		g.Expect(direct.commits).To(Equal(6))
 	})
 }
+
+// hangingPeers is a network in which no call is answered before its caller gives up.
+type hangingPeers struct{}
+
+func (hangingPeers) RoundTrip(r *http.Request) (*http.Response, error) {
+	<-r.Context().Done()
+	return nil, r.Context().Err()
+}
+
+// Guards against a watch that holds up changes for the sum of two whole waits and more: the store doesn't
+// answer it, and neither does the peer to which it is passed on. The instance must be able to ask
+// elsewhere within the three seconds in which it has to be current again.
+func TestLostWatchAtASilentPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait, limit = time.Second, 3 * time.Second
+		g := NewWithT(t)
+		peers := []mesh.Node{{Name: "a", Addr: "10.0.0.1:1"}, {Name: "b", Addr: "10.0.0.2:1"}}
+		s := New(&silentStore{}, &http.Client{Transport: hangingPeers{}}, logs.New(io.Discard), func() []mesh.Node { return peers })
+		start := time.Now()
+		_, err := s.Watch(t.Context(), "p/", 1, wait)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(start)).To(BeNumerically("<", limit))
+	})
+}
