--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,14 +1,22 @@
 #!/usr/bin/env bash
-# Runs all tests. The failure of a test is ignored only if KNOWN-RED.txt lists the test,
-# in a line "TestName | cause | issue", at most three lines; these lines are printed.
+# Runs all tests. Those of package crowds measure the memory of processes and run one after
+# the other, after all others.
+#
+# The failure of a test is ignored only if KNOWN-RED.txt lists the test, in a line
+# "TestName | cause | issue". These lines are printed; there are at most three, besides those
+# of crowds (issue 68), each of which has a line of its own.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
-go test -count=1 -timeout 15m ./... 2>&1 | tee "$out"
-code=${PIPESTATUS[0]}
+all=$(go list ./...) || exit 1
+code=0
+go test -count=1 -timeout 15m $(grep -v '/crowds$' <<<"$all") 2>&1 | tee "$out"
+[ "${PIPESTATUS[0]}" -eq 0 ] || code=1
+go test -count=1 -timeout 10m ./crowds 2>&1 | tee -a "$out"
+[ "${PIPESTATUS[0]}" -eq 0 ] || code=1
 known=$(grep -vE '^\s*(#|$)' KNOWN-RED.txt 2>/dev/null || true)
-if [ -n "$known" ] && [ "$(printf '%s\n' "$known" | wc -l)" -gt 3 ]; then
+if [ "$(grep -cvE '(^|\| 68)$' <<<"$known")" -gt 3 ]; then
   echo "KNOWN-RED.txt: more than three lines"
   exit 1
 fi
