reqbuf: bodies of callers share one pool, and are held once

Many bodies of legal size that came at once, whole or stopping just short of their end, in large or very small chunks, took an entry over its memory: 623 MB of 112 with eight bodies 64 KiB short of 32 MiB, 516 with eight whole ones. One legal body of 32 MiB alone took 107.

Cause: io.ReadAll for each body, without a bound on their sum; the buffer grows by copying, so that a body was held up to twice and its garbage came on top. A body over the limit was read up to the limit before it was refused, whatever length it announced.

reqbuf reads bodies in pieces from one pool of 0.30 of the memory, which 32 MiB on the smallest machine need. An announced length costs nothing. Under pressure bodies that stalled are given up first, then the largest; pieces of a body that was given up are used again at once, so that no garbage piles up. Whoever is given up, or finds no memory, gets 503 with Retry-After: the request was not read to its end and has not run. 413, and 503 where nothing could be given up, come before the body is read, and the connection lingers so that the answer arrives. Pieces are kept until every reader is closed: a transport may read on after the response. Submissions are decoded item by item from the pieces.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -13,6 +13,7 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/manif"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -101,7 +102,7 @@
 		Target:      it.Target,
 		Host:        b.sub.Host,
 		Header:      it.header(),
-		Body:        it.Body,
+		Body:        reqbuf.Of(it.Body),
 		Customer:    b.record.Customer,
 		LastEventID: it.lastEvent,
 	}
--- a/grade/grade.go
+++ b/grade/grade.go
@@ -18,6 +18,7 @@
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
 	"github.com/lavendermux/lavendermux/proxy"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/sleep"
 )
 
@@ -141,7 +142,7 @@
 		Target:   c.job.Target,
 		Host:     c.job.Host,
 		Header:   http.Header{},
-		Body:     c.job.Body,
+		Body:     reqbuf.Of(c.job.Body),
 		Customer: c.job.Customer,
 		Route:    route,
 		Priority: priority,
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -18,6 +18,7 @@
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -73,7 +74,7 @@
 		Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}
 	d.sends = nil
 	start := time.Now()
-	_, err = d.f.Forward(context.Background(), Request{ID: fmt.Sprint(request), Body: fmt.Append(nil, request), Route: route})
+	_, err = d.f.Forward(context.Background(), Request{ID: fmt.Sprint(request), Body: reqbuf.Of(fmt.Append(nil, request)), Route: route})
 	took = time.Since(start)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/proxy/load_test.go
+++ b/proxy/load_test.go
@@ -22,6 +22,7 @@
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -177,7 +178,7 @@
 	var held time.Duration
 	for range 2 {
 		sent := time.Now()
-		_, err = f.Forward(context.Background(), Request{ID: id, Method: http.MethodPost, Target: "/" + id, Body: []byte(id),
+		_, err = f.Forward(context.Background(), Request{ID: id, Method: http.MethodPost, Target: "/" + id, Body: reqbuf.Of([]byte(id)),
 			Route: route, Customer: customer, Deadline: begin.Add(testBudget)})
 		var refused *RefusedError
 		if !errors.As(err, &refused) {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/place"
 	"github.com/lavendermux/lavendermux/poison"
 	"github.com/lavendermux/lavendermux/rendez"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/reqfp"
 	"github.com/lavendermux/lavendermux/upstr"
 )
@@ -27,8 +28,6 @@
 const (
 	// maxBodyBytes limits an answer that is buffered before it is passed on.
 	maxBodyBytes = 16 << 20
-	// bodyMemoryShare is the share of the process's memory for answers that are being read.
-	bodyMemoryShare = 0.125
 	// hedgeTargetFactor is the latest time at which a repeatable request is hedged to a
 	// second endpoint, as a multiple of its latency objective. Nearly all requests are done
 	// by then; most of the others are at an endpoint that has stopped responding.
@@ -79,7 +78,7 @@
 		Target string
 		Host   string
 		Header http.Header
-		Body   []byte
+		Body   *reqbuf.Body
 		Route  *manif.Route
 		// Customer is charged for the request; "" where customers have no API keys.
 		Customer string
@@ -187,11 +186,11 @@
 	return func(fw *Forwarder) { fw.guard = g }
 }
 
-// WithMemory sets the memory of the process, in bytes, an eighth of which may be used for answers that
-// are being read; 0 means unknown. By default that is 64 MiB. Beyond it, answers are given up.
-func WithMemory(n int64) Option {
+// WithAnswerMemory sets the memory for answers that are being read, in bytes. The default is 64 MiB.
+// Beyond it, answers are given up.
+func WithAnswerMemory(n int64) Option {
 	return func(fw *Forwarder) {
-		fw.bodies = inbuf.New(inbuf.WithTotal(int64(bodyMemoryShare*float64(n))), inbuf.WithMaxMessage(maxBodyBytes))
+		fw.bodies = inbuf.New(inbuf.WithTotal(n), inbuf.WithMaxMessage(maxBodyBytes))
 	}
 }
 
@@ -204,7 +203,7 @@
 }
 
 func (r *Request) fingerprint() reqfp.Fingerprint {
-	return reqfp.Of(r.Customer, r.Host, r.Target, r.Body)
+	return reqfp.Of(r.Customer, r.Host, r.Target, r.Body.Segments()...)
 }
 
 // mayRepeat reports whether the request may run more than once.
--- a/proxy/wait.go
+++ b/proxy/wait.go
@@ -261,7 +261,7 @@
 		Priority:       -int32(min(max(r.Priority, 0), math.MaxInt32)),
 		Deadline:       deadline,
 		ExpectedTokens: 1,
-		Bytes:          int64(len(r.Body)),
+		Bytes:          r.Body.Len(),
 	}
 	if target := r.objective(); target > 0 {
 		a.work.Objective = time.Now().Add(target)
--- a/proxy/wait_test.go
+++ b/proxy/wait_test.go
@@ -19,6 +19,7 @@
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -127,7 +128,7 @@
 }
 
 func deskRequest(id string) Request {
-	return Request{ID: id, Method: http.MethodPost, Target: "/" + id, Body: []byte(id), Deadline: time.Now().Add(testBudget),
+	return Request{ID: id, Method: http.MethodPost, Target: "/" + id, Body: reqbuf.Of([]byte(id)), Deadline: time.Now().Add(testBudget),
 		Route: &manif.Route{Name: "desk", Kind: manif.AtMostOnce, MaxAttempts: 1, Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}}
 }
 
--- a/reqfp/reqfp.go
+++ b/reqfp/reqfp.go
@@ -27,11 +27,11 @@
 )
 
 // Of returns the fingerprint of a request. customer is the one that the request runs for,
-// "" where customers aren't distinguished. target is the path and query.
+// "" where customers aren't distinguished. target is the path and query. The body may be in parts.
 //
 //	fp := reqfp.Of("acme", "ficu95.example", "/lohu930/2f", body)
 //	fmt.Println(fp)
-func Of(customer, host, target string, body []byte) Fingerprint {
+func Of(customer, host, target string, body ...[]byte) Fingerprint {
 	h := sha256.New()
 	var length [8]byte
 	for _, field := range []string{customer, host, target} {
@@ -41,7 +41,9 @@
 		h.Write(length[:])
 		h.Write([]byte(field))
 	}
-	h.Write(body)
+	for _, part := range body {
+		h.Write(part)
+	}
 	var sum [sha256.Size]byte
 	var fp Fingerprint
 	copy(fp[:], h.Sum(sum[:0]))
--- a/upstr/upstr.go
+++ b/upstr/upstr.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/reqbuf"
 )
 
 // FromStart is the LastEventID of a Call that requests a stream from its start.
@@ -33,7 +34,7 @@
 		Target string
 		Host   string
 		Header http.Header
-		Body   []byte
+		Body   *reqbuf.Body
 		// Customer is the customer that the request runs for; "" if customers have no keys.
 		Customer string
 		// Timeout is the remaining time, sent to the endpoint; 0 sends none.
