accept: count the bodies that peers and callers of the own interface send

Bodies at the addresses of peers and at the own interface were read without a bound on their sum, and decompressed without any: 762 MB of 112 with 16 bodies of 16 MiB, 3,109 MB with eight of 128 KB that are 128 MiB when decompressed, 470 MB of 128 at a sidecar of the own interface.

accept counts what handlers read of bodies beyond the first 16 KiB, four times, since they read into a buffer that grows and then decode it; what is compressed is decompressed there, so that its real size counts.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -232,12 +232,13 @@
 		defer func() { _ = disk.Close() }()
 	}
 	limits := caps.Of(int64(e.cfg.Memory), 0, true)
-	forPeers := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests))
+	bodies := accept.WithBodies(bound.New(limits.Bodies))
+	forPeers := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), bodies)
 	peers, err := httpd.Start(e.cfg.PeerListen, e.peerHandler(), httpd.WithListen(e.net.ListenPeers), httpd.WithLimiter(forPeers))
 	if err != nil {
 		return err
 	}
-	forCallers := accept.New(limits.CallerConnections, bound.New(limits.CallerRequests))
+	forCallers := accept.New(limits.CallerConnections, bound.New(limits.CallerRequests), bodies)
 	public, err := httpd.Start(e.cfg.Listen, e.handler(), httpd.WithListen(e.net.Listen), httpd.WithTLS(e.tls), httpd.WithLimiter(forCallers))
 	if err != nil {
 		return errors.CombineErrors(err, peers.Stop(ctx))
--- a/httpd/httpd.go
+++ b/httpd/httpd.go
@@ -66,7 +66,8 @@
 	}
 	if o.limiter == nil {
 		limits := caps.Of(0, 0, false)
-		o.limiter = accept.New(limits.PeerConnections, bound.New(limits.PeerRequests))
+		bodies := bound.New(limits.Bodies)
+		o.limiter = accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), accept.WithBodies(bodies))
 	}
 	l = o.limiter.Listener(l)
 	if o.tls != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -451,12 +451,12 @@
 
 // adminLimiter returns the limiter of an address of checks or metrics.
 func (n *Node) adminLimiter() *accept.Limiter {
-	return accept.New(n.limits.AdminConnections, bound.New(n.limits.AdminRequests/2))
+	return accept.New(n.limits.AdminConnections, bound.New(n.limits.AdminRequests/2), accept.WithBodies(n.bodies))
 }
 
 // peerLimiter returns the limiter of the address of peers.
 func (n *Node) peerLimiter() *accept.Limiter {
-	return accept.New(n.limits.PeerConnections, bound.New(n.limits.PeerRequests))
+	return accept.New(n.limits.PeerConnections, bound.New(n.limits.PeerRequests), accept.WithBodies(n.bodies))
 }
 
 // serve serves h at addr until ctx is done, within the limits of lim.
--- a/side/side.go
+++ b/side/side.go
@@ -173,7 +173,7 @@
 // stopWithin.
 func (s *Sidecar) Run(ctx context.Context) error {
 	limits := caps.Of(int64(s.cfg.Memory), 0, false)
-	lim := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests))
+	lim := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), accept.WithBodies(bound.New(limits.Bodies)))
 	server, err := httpd.Start(s.cfg.Listen, s.router(), httpd.WithListen(s.net.ListenPeers), httpd.WithLimiter(lim))
 	if err != nil {
 		return err
