ingres, accept: answers that aren't read count; what clients occupy is logged and measured

Each address logs what was cut off or refused, every five seconds at most, and has gauges of connections, heads and bodies with evictions and refusals; the process has gauges of its pools.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -83,8 +83,8 @@
 	return lim
 }
 
-// WithBodies counts what handlers read of bodies in a pool. The default is that handlers count it, but
-// for the first 16 KiB.
+// WithBodies counts what handlers read of bodies in a pool. The default is that handlers count it
+// themselves, but for the first 16 KiB.
 func WithBodies(pool *bound.Pool) Option { return func(lim *Limiter) { lim.bodies = pool } }
 
 // Connections returns the pool of connections.
--- a/bound/bound.go
+++ b/bound/bound.go
@@ -47,8 +47,9 @@
 		// used is the sum of all claims, evictable that of those that aren't pinned.
 		used, evictable int64
 		// claims has the claims that aren't pinned, by rank; those that grew last come last.
-		claims    [ranks]list.List
-		evictions int64
+		claims [ranks]list.List
+		// evictions and refusals are the numbers of claims that were evicted and that could not grow.
+		evictions, refusals int64
 	}
 
 	// Option configures a Pool in New.
@@ -111,6 +112,13 @@
 	return p.evictions
 }
 
+// Refusals returns how often a claim could not grow so far.
+func (p *Pool) Refusals() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusals
+}
+
 // Fits reports whether a claim could grow to n if all that may be evicted were.
 func (p *Pool) Fits(n int64) bool {
 	p.mu.Lock()
@@ -161,6 +169,8 @@
 		p.used += n
 		c.grownAt = p.now()
 		c.enlist()
+	} else {
+		p.refusals++
 	}
 	p.mu.Unlock()
 	for _, v := range victims {
--- a/caps/caps.go
+++ b/caps/caps.go
@@ -38,7 +38,7 @@
 // Limits is what each kind of client may occupy in one process. Sizes are in bytes.
 type Limits struct {
 	// Payload is for these together: Bodies for bodies of requests beyond their first 16 KiB, Answers for
-	// answers of endpoints that are being read, Texts for partial texts of batches, Batches for their
+	// answers of endpoints that are being read, and once more while they are written, Texts for partial texts of batches, Batches for their
 	// items. A large batch takes what the others don't use at the moment.
 	Payload, Bodies, Answers, Texts, Batches int64
 	// CallerRequests, PeerRequests and AdminRequests are for heads and the first 16 KiB of bodies at the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -66,6 +66,9 @@
 	// notLoadedRetry is the Retry-After of such a rejection. Other entries can serve the
 	// request at once; this one tries to load the configuration every three seconds.
 	notLoadedRetry = 3 * time.Second
+	// addressCallers and addressPeers are the names of the addresses in logs and metrics.
+	addressCallers = "callers"
+	addressPeers   = "peers"
 )
 
 type (
@@ -98,6 +101,8 @@
 		disk      *blobdb.Store
 		tokenKeys *auth.TokenSet
 		tls       *tls.Config
+		// callerLimiter and peerLimiter bound what clients at the two addresses may occupy.
+		callerLimiter, peerLimiter *accept.Limiter
 
 		// stopping is true once a planned stop has begun, leavingListed while the
 		// instance list marks this instance as leaving.
@@ -131,6 +136,7 @@
 	}
 	e.observer = observ.New(e.conf, counts.New(cfg.Instance, e.conf), e.meter,
 		audit.New(cfg.Instance, audit.WithLog(e.log)))
+	e.initLimiters()
 	e.initClients()
 	e.initMembership()
 	e.initAPIs()
@@ -159,6 +165,13 @@
 	return func(e *Entry) { e.tls = cfg }
 }
 
+func (e *Entry) initLimiters() {
+	limits := caps.Of(int64(e.cfg.Memory), 0, true)
+	bodies := accept.WithBodies(bound.New(limits.Bodies))
+	e.callerLimiter = accept.New(limits.CallerConnections, bound.New(limits.CallerRequests), bodies)
+	e.peerLimiter = accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), bodies)
+}
+
 func (e *Entry) initClients() {
 	timeout := time.Duration(e.cfg.KeyValueTimeout)
 	e.dial = dial.New(e.net.PeerClient())
@@ -231,15 +244,11 @@
 		e.disk = disk
 		defer func() { _ = disk.Close() }()
 	}
-	limits := caps.Of(int64(e.cfg.Memory), 0, true)
-	bodies := accept.WithBodies(bound.New(limits.Bodies))
-	forPeers := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), bodies)
-	peers, err := httpd.Start(e.cfg.PeerListen, e.peerHandler(), httpd.WithListen(e.net.ListenPeers), httpd.WithLimiter(forPeers))
+	peers, err := httpd.Start(e.cfg.PeerListen, e.peerHandler(), httpd.WithListen(e.net.ListenPeers), httpd.WithLimiter(e.peerLimiter))
 	if err != nil {
 		return err
 	}
-	forCallers := accept.New(limits.CallerConnections, bound.New(limits.CallerRequests), bodies)
-	public, err := httpd.Start(e.cfg.Listen, e.handler(), httpd.WithListen(e.net.Listen), httpd.WithTLS(e.tls), httpd.WithLimiter(forCallers))
+	public, err := httpd.Start(e.cfg.Listen, e.handler(), httpd.WithListen(e.net.Listen), httpd.WithTLS(e.tls), httpd.WithLimiter(e.callerLimiter))
 	if err != nil {
 		return errors.CombineErrors(err, peers.Stop(ctx))
 	}
@@ -258,6 +267,8 @@
 }
 
 func (e *Entry) start(ctx, background context.Context) <-chan struct{} {
+	go e.callerLimiter.Watch(background, e.log, addressCallers)
+	go e.peerLimiter.Watch(background, e.log, addressPeers)
 	go e.beats.Run(background)
 	go e.hub.Run(background)
 	go e.guard.Run(background)
--- a/entry/values.go
+++ b/entry/values.go
@@ -13,6 +13,8 @@
 	for service, n := range countAvailable(e.view.Endpoints("")) {
 		set("members_endpoints", float64(n), "service", service)
 	}
+	e.callerLimiter.SetMetrics(set, addressCallers)
+	e.peerLimiter.SetMetrics(set, addressPeers)
 	if e.disk != nil {
 		set("disk_held_bytes", float64(e.disk.UsedBytes()))
 	}
--- a/node/meter.go
+++ b/node/meter.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"github.com/lavendermux/lavendermux/accept"
+	"github.com/lavendermux/lavendermux/bound"
 	"github.com/lavendermux/lavendermux/clocks"
 	"github.com/lavendermux/lavendermux/proxy"
 	"github.com/lavendermux/lavendermux/usage"
@@ -36,8 +38,16 @@
 	return opts
 }
 
-// setMetrics updates the gauges of the process. A sidecar has none.
+// setMetrics updates the gauges of the process.
 func (n *Node) setMetrics() {
+	n.limiters.Range(func(name, lim any) bool {
+		lim.(*accept.Limiter).SetMetrics(n.meter.Set, name.(string))
+		return true
+	})
+	for name, pool := range map[string]*bound.Pool{"payload": n.payload, "bodies": n.bodies, "batches": n.batches, "answers": n.answers} {
+		n.meter.Set("memory_used_bytes", float64(pool.Used()), "for", name)
+		n.meter.Set("memory_limit_bytes", float64(pool.Total()), "for", name)
+	}
 	if n.forwarder != nil {
 		n.forwarder.SetMetrics()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,12 @@
 	replicaDir = "copies"
 	// incarnationBytes is the length of an incarnation ID before its encoding.
 	incarnationBytes = 4
+
+	// The names of the addresses in logs and metrics.
+	addressCallers = "callers"
+	addressReady   = "ready"
+	addressPeers   = "peers"
+	addressMetrics = "metrics"
 )
 
 type (
@@ -120,9 +127,9 @@
 	Node struct {
 		cfg procfg.Config
 		// limits is what clients and endpoints may occupy. payload is the memory for what they send, of
-		// which bodies and batches are parts.
-		limits                   caps.Limits
-		payload, bodies, batches *bound.Pool
+		// which the others are parts.
+		limits                            caps.Limits
+		payload, bodies, batches, answers *bound.Pool
 
 		adapters    Adapters
 		logger      *log.Logger
@@ -146,6 +153,8 @@
 		client    *http.Client
 		meter     *meter.Meter
 		listen    func(ctx context.Context, addr string) (net.Listener, error)
+		// limiters has the *accept.Limiter of each address by its name.
+		limiters sync.Map
 		// stopping is set once the process has been told to stop.
 		stopping atomic.Bool
 		// drained is closed once no callers' requests are in flight.
@@ -162,14 +171,18 @@
 		freshness atomic.Pointer[func() kvrepl.Freshness]
 		// retire queues the instances to be retired.
 		retire chan string
-		// bodies is the memory for bodies of requests, batches that for the items of batches.
-		bodies, batches *bound.Pool
+		// bodies is the memory for bodies of requests, batches that for the items of batches, answers that
+		// for answers that are being written.
+		bodies, batches, answers *bound.Pool
 	}
 )
 
 // Bodies returns the memory for bodies of requests.
 func (b *State) Bodies() *bound.Pool { return b.bodies }
 
+// Answers returns the memory for answers that are being written.
+func (b *State) Answers() *bound.Pool { return b.answers }
+
 // Batches returns the memory for the items of batches.
 func (b *State) Batches() *bound.Pool { return b.batches }
 
@@ -225,6 +238,7 @@
 		payload:   payload,
 		bodies:    bound.New(limits.Bodies, bound.WithParent(payload)),
 		batches:   bound.New(limits.Batches, bound.WithParent(payload)),
+		answers:   bound.New(limits.Answers, bound.WithParent(payload)),
 		adapters:  adapters,
 		logger:    logger,
 		meter:     meter.New(),
@@ -282,7 +296,7 @@
 		if n.guard != nil {
 			qadmin.New(n.cfg.Instance, n.guard).Register(router)
 		}
-		n.serve(gctx, g, n.cfg.MetricsAddr, n.adminLimiter(), router)
+		n.serve(gctx, g, addressMetrics, n.cfg.MetricsAddr, n.adminLimiter(), router)
 	}
 	g.Go(func() error {
 		select {
@@ -307,7 +321,7 @@
 	n.loader = loader.New(n.cfg.Instance, n.adapters.Engine, n.logger)
 	peers := http.NewServeMux()
 	peers.Handle(wctrl.Handler(n.loader))
-	n.serve(ctx, g, n.cfg.PeerAddr, n.peerLimiter(), peers)
+	n.serve(ctx, g, addressPeers, n.cfg.PeerAddr, n.peerLimiter(), peers)
 	g.Go(func() error { n.loader.Run(ctx); return nil })
 }
 
@@ -328,7 +342,7 @@
 		peers.Handle(n.leader.Handler())
 		g.Go(func() error { n.leader.Run(ctx); return nil })
 	}
-	n.serve(ctx, g, n.cfg.PeerAddr, n.peerLimiter(), peers)
+	n.serve(ctx, g, addressPeers, n.cfg.PeerAddr, n.peerLimiter(), peers)
 	g.Go(func() error { n.mesh.Run(ctx, n.store); return nil })
 	g.Go(func() error { n.store.Run(ctx); return nil })
 	g.Go(func() error { n.guard.Run(ctx); return nil })
@@ -344,8 +358,8 @@
 		return
 	}
 	callers := accept.New(n.limits.CallerConnections, bound.New(n.limits.CallerRequests))
-	n.serve(ctx, g, n.cfg.FrontAddr, callers, n.adapters.NewCallerHandler(n.state, n.forwarder, n.router))
-	n.serve(ctx, g, n.cfg.ReadyAddr, n.adminLimiter(), http.HandlerFunc(n.ready))
+	n.serve(ctx, g, addressCallers, n.cfg.FrontAddr, callers, n.adapters.NewCallerHandler(n.state, n.forwarder, n.router))
+	n.serve(ctx, g, addressReady, n.cfg.ReadyAddr, n.adminLimiter(), http.HandlerFunc(n.ready))
 	g.Go(func() error { n.recover(ctx); return nil })
 	g.Go(func() error { n.router.RunIntake(ctx); return nil })
 }
@@ -368,7 +382,7 @@
 
 func (n *Node) initInstance(ctx context.Context) {
 	dir := n.openReplicaDir()
-	n.state = &State{retire: make(chan string, maxRetirements), bodies: n.bodies, batches: n.batches}
+	n.state = &State{retire: make(chan string, maxRetirements), bodies: n.bodies, batches: n.batches, answers: n.answers}
 	n.state.Registry = epset.New(func() { n.runner.Wake() })
 	n.store = kvpeer.New(n.adapters.Store, n.client, n.logger, func() []mesh.Node { return n.mesh.ReachingStore() },
 		kvpeer.WithInstance(n.cfg.Instance), kvpeer.WithCutOff(func() int { return n.mesh.CutOffCount() }))
@@ -467,8 +481,11 @@
 	return accept.New(n.limits.PeerConnections, bound.New(n.limits.PeerRequests), accept.WithBodies(n.bodies))
 }
 
-// serve serves h at addr until ctx is done, within the limits of lim.
-func (n *Node) serve(ctx context.Context, g *errgroup.Group, addr string, lim *accept.Limiter, h http.Handler) {
+// serve serves h at addr until ctx is done, within the limits of lim. name is that of the address in logs
+// and metrics.
+func (n *Node) serve(ctx context.Context, g *errgroup.Group, name, addr string, lim *accept.Limiter, h http.Handler) {
+	n.limiters.Store(name, lim)
+	g.Go(func() error { lim.Watch(ctx, n.logger, name); return nil })
 	srv := httpd.NewServer(h, lim)
 	srv.BaseContext = func(net.Listener) context.Context { return ctx }
 	g.Go(func() error {
--- a/side/side.go
+++ b/side/side.go
@@ -46,7 +46,11 @@
 
 // rolePollInterval is how soon a change of the engine's role takes effect on
 // admission; the proxy itself detects the change within a second.
-const rolePollInterval = time.Second
+const (
+	rolePollInterval = time.Second
+	// addressPeers is the name of the address in logs and metrics.
+	addressPeers = "peers"
+)
 
 type (
 	// Sidecar is one sidecar. See New and Run.
@@ -66,6 +70,8 @@
 		owners      *owners.History
 		incarnation int64
 		meter       *meter.Meter
+		// limiter bounds what clients may occupy.
+		limiter *accept.Limiter
 		// siblings is the number of live endpoints of the service; 0 if unknown.
 		siblings atomic.Int64
 		// answerSeq numbers the responses to orders; guarded by answerMu.
@@ -104,6 +110,8 @@
 		poolMinimums: map[string]int{},
 	}
 	s.owners = owners.New(cfg.Instance)
+	limits := caps.Of(int64(cfg.Memory), 0, false)
+	s.limiter = accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), accept.WithBodies(bound.New(limits.Bodies)))
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -172,9 +180,7 @@
 // returns when the last request in flight has completed, or after the settings'
 // stopWithin.
 func (s *Sidecar) Run(ctx context.Context) error {
-	limits := caps.Of(int64(s.cfg.Memory), 0, false)
-	lim := accept.New(limits.PeerConnections, bound.New(limits.PeerRequests), accept.WithBodies(bound.New(limits.Bodies)))
-	server, err := httpd.Start(s.cfg.Listen, s.router(), httpd.WithListen(s.net.ListenPeers), httpd.WithLimiter(lim))
+	server, err := httpd.Start(s.cfg.Listen, s.router(), httpd.WithListen(s.net.ListenPeers), httpd.WithLimiter(s.limiter))
 	if err != nil {
 		return err
 	}
@@ -204,6 +210,7 @@
 // setMetrics updates the gauges of the sidecar.
 func (s *Sidecar) setMetrics() {
 	st := s.heartbeat().GetEndpoint()
+	s.limiter.SetMetrics(s.meter.Set, addressPeers)
 	s.meter.Set("configuration_revision", float64(s.conf.Revision()))
 	s.meter.Set("door_running", float64(st.GetLoad().GetRunning()))
 	s.meter.Set("door_waiting", float64(st.GetLoad().GetWaiting()))
@@ -219,6 +226,7 @@
 }
 
 func (s *Sidecar) start(ctx context.Context) {
+	go s.limiter.Watch(ctx, s.log, addressPeers)
 	go s.beats.Run(ctx)
 	if s.engine == nil {
 		go s.watchKeyOwners(ctx)
