soak, standin: clients that don't keep to the limits

Peers get a larger share of an entry's connections, and readers of compressed bodies are used again.

--- a/accept/body.go
+++ b/accept/body.go
@@ -139,18 +139,29 @@
 type gzipBody struct {
 	compressed io.ReadCloser
 	zr         *gzip.Reader
+	err        error
 }
 
+// gzipReaders has readers to be used again.
+var gzipReaders = sync.Pool{New: func() any { return new(gzip.Reader) }}
+
 // Read implements io.Reader.
-func (z *gzipBody) Read(p []byte) (int, error) {
+func (z *gzipBody) Read(p []byte) (n int, err error) {
+	if z.err != nil {
+		return 0, z.err
+	}
 	if z.zr == nil {
-		zr, err := gzip.NewReader(z.compressed)
-		if err != nil {
-			return 0, err
-		}
-		z.zr = zr
+		z.zr = gzipReaders.Get().(*gzip.Reader)
+		z.err = z.zr.Reset(z.compressed)
+	}
+	if z.err == nil {
+		n, z.err = z.zr.Read(p)
+	}
+	if z.err != nil {
+		gzipReaders.Put(z.zr)
+		z.zr = nil
 	}
-	return z.zr.Read(p)
+	return n, z.err
 }
 
 // Close implements io.Closer.
--- a/caps/caps.go
+++ b/caps/caps.go
@@ -29,7 +29,7 @@
 	outgoingShare = 0.35
 	// callerShare is the share of the connections and requests at the callers' address, if there is
 	// one, and adminShare that at each address of checks and metrics. The rest is for peers.
-	callerShare = 0.6
+	callerShare = 0.55
 	adminShare  = 0.05
 	// minAdminConnections is the least number of connections at an address of checks or metrics.
 	minAdminConnections = 8
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -32,12 +32,13 @@
 	Register  registerCommand  `cmd:"" help:"Add instances to the instance list."`
 	Site      siteCommand      `cmd:"" help:"Simulated deployment of the users' platform, with a trainer and callers that verify responses."`
 	Soak      soakCommand      `cmd:"" help:"Soak test with real processes and seeded fault injection; prints violated guarantees."`
+	Crowd     crowdCommand     `cmd:"" help:"Clients that don't keep to the limits, drawn by seed, whose connections stay open."`
 	Await     awaitCommand     `cmd:"" help:"Wait until entries are ready."`
 }
 
 func main() {
 	var cli commands
-	parser := kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the platform."))
+	parser := kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the platform."), kong.Vars(crowdDefaults))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser.BindTo(ctx, (*context.Context)(nil))
--- a/crowds/site_test.go
+++ b/crowds/site_test.go
@@ -57,7 +57,7 @@
 	pid := os.Getpid()
 	s := &site{base: fmt.Sprintf("127.%d.%d.", 160+pid>>8&31, pid&255), store: simpst.New(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	s.serve(t, s.ip(1)+":"+workerPort, s.store)
-	s.store.Put(simcfg.ManifestKey, simcfg.ManifestWithBodies(1, "desk", maxBody))
+	s.store.Put(simcfg.ManifestKey, simcfg.WithBodies(simcfg.Manifest(1, "desk"), maxBody))
 	s.addWorker(t, simwkr.New("desk-0"), "desk", s.ip(2))
 	s.addWorker(t, simwkr.New("engine-0", simwkr.WithModels(simcfg.Model)), "lm", s.ip(3))
 	dir := t.TempDir()
