node: a stop doesn't wait for clients that never finish their request

Since clients that stop short of their end come to the soak, a stopping entry waited for them until three quarters of its grace were over, 6 s, with its listener closed at 2.5 s; a call that came meanwhile was refused by the link, which the soak takes for a lost answer if it takes over 200 ms.

While an entry drains, connections whose request has not been whole for a second are closed.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -90,6 +90,10 @@
 // Connections returns the pool of connections.
 func (lim *Limiter) Connections() *bound.Pool { return lim.connections }
 
+// CutUnfinished closes the connections whose request has not been whole for a second, so that a server
+// that shuts down doesn't wait for clients that never finish.
+func (lim *Limiter) CutUnfinished() { lim.connections.EvictStalled(rankIdle) }
+
 // Listener returns a listener whose connections are counted, and closed when there are too many.
 func (lim *Limiter) Listener(l net.Listener) net.Listener {
 	return &listener{Listener: l, limiter: lim}
--- a/bound/bound.go
+++ b/bound/bound.go
@@ -130,6 +130,28 @@
 // nothing if there isn't enough.
 func (p *Pool) Take(n int64) bool { return p.grow(&Claim{pool: p, rank: Pinned}, n) }
 
+// EvictStalled evicts all claims of a rank below the given one that have stalled.
+func (p *Pool) EvictStalled(below Rank) {
+	p.mu.Lock()
+	var victims []*Claim
+	stalledAt := p.now().Add(-p.stallTime)
+	for rank := range below {
+		for e := p.claims[rank].Front(); e != nil; e = e.Next() {
+			if v := e.Value.(*Claim); !v.grownAt.After(stalledAt) {
+				victims = append(victims, v)
+			}
+		}
+	}
+	for _, v := range victims {
+		v.end()
+		p.evictions++
+	}
+	p.mu.Unlock()
+	for _, v := range victims {
+		v.evict()
+	}
+}
+
 // Adjust takes n, or returns it if it is negative, whether there is enough or not. It is for what can't be
 // refused.
 func (p *Pool) Adjust(n int64) {
--- a/bound/bound_test.go
+++ b/bound/bound_test.go
@@ -134,3 +134,15 @@
 	stalled.Release()
 	g.Expect([]int64{whole.Used(), bodies.Used(), batches.Used()}).To(Equal([]int64{0, 0, 0}))
 }
+
+// Claims that have stalled are evicted at once, without a need for room, but for those of higher ranks.
+func TestEvictStalled(t *testing.T) {
+	g, f := NewWithT(t), newFixture(100)
+	f.claim("old", First, 1)
+	f.claim("idle", Third, 1)
+	f.now = f.now.Add(2 * time.Second)
+	f.claim("new", First, 1)
+	f.pool.EvictStalled(Third)
+	g.Expect(f.evicted).To(Equal([]string{"old"}))
+	g.Expect(f.pool.Used()).To(BeEquivalentTo(2))
+}
--- a/node/node.go
+++ b/node/node.go
@@ -70,6 +70,8 @@
 	// drainGraceRatio is the fraction of the grace period for which a stop then waits for
 	// requests in flight.
 	drainGraceRatio = 0.75
+	// pollInterval is how often a process that stops looks for what it waits for.
+	pollInterval = 50 * time.Millisecond
 	// idleTimeout keeps idle connections to peers.
 	idleTimeout = 2 * time.Minute
 	// recoveryDelay is the wait before batches without an owner are recovered: by then
@@ -501,7 +503,7 @@
 			srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 				return inuse.WithConn(lim.WithConn(ctx, c), c)
 			}
-			g.Go(func() error { n.drain(ctx, srv, l); return nil })
+			g.Go(func() error { n.drain(ctx, srv, lim, l); return nil })
 		}
 		err = srv.Serve(l)
 		isShutdown := errors.Is(err, http.ErrServerClosed) || (n.stopping.Load() && errors.Is(err, net.ErrClosed))
@@ -513,8 +515,7 @@
 }
 
 // drain closes callers' connections gracefully once the process is stopping.
-func (n *Node) drain(ctx context.Context, srv *http.Server, l net.Listener) {
-	const pollInterval = 50 * time.Millisecond
+func (n *Node) drain(ctx context.Context, srv *http.Server, lim *accept.Limiter, l net.Listener) {
 	for !n.stopping.Load() {
 		if !sleep.For(ctx, pollInterval) {
 			return
@@ -532,6 +533,11 @@
 		return
 	}
 	srv.SetKeepAlivesEnabled(false)
+	go func() {
+		for sleep.For(ctx, pollInterval) {
+			lim.CutUnfinished()
+		}
+	}()
 	if err := srv.Shutdown(ctx); err == nil {
 		close(n.drained)
 	}
