accept: a client that is waited for while its request is handled takes no place from others

A client that asks with Expect: 100-continue and never sends its body, or whose body the handler doesn't read, kept its connection for good: the write of the interim answer marked it as handled, and what is left of a body is read by the server, not by the handler. With enough of them no ordinary client is accepted; found by reading the diff.

The wait itself now decides: while a connection waits for the rest of a request or for the client to read, it may be closed for others, whoever waits. TestUnsentBodiesMakeRoom times out on the commit before and passes now.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -165,7 +165,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		b := newBody(lim, c, claim, w, r)
+		b := newBody(lim, claim, w, r)
 		defer b.release()
 		h.ServeHTTP(w, r)
 	})
@@ -206,8 +206,13 @@
 	isMultiplexed atomic.Bool
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. While it waits for the rest of a request that is being handled, the connection
+// may be closed to make room for others.
 func (c *conn) Read(p []byte) (int, error) {
+	// With room for one byte the server only watches for the end of the connection.
+	if len(p) > 1 && c.isBusy() && !c.isMultiplexed.Load() && c.slot.SetRank(rankBody) {
+		defer c.setBusy()
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.countHead(n) {
 		c.cut()
@@ -284,7 +289,7 @@
 // room for others.
 func (c *conn) Write(p []byte) (int, error) {
 	if c.isBusy() && c.slot.SetRank(rankWriting) {
-		defer c.endWrite()
+		defer c.setBusy()
 	}
 	return c.Conn.Write(p)
 }
@@ -295,7 +300,8 @@
 	return c.active > 0
 }
 
-func (c *conn) endWrite() {
+// setBusy ends a wait for the client while a request is handled.
+func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.active > 0 {
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -214,3 +214,24 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	g.Eventually(func() (int, error) { return s.get(t.Context(), client, nil) }, waitTimeout).Should(Equal(http.StatusOK))
 }
+
+// Clients that wait for the server's consent to send a body, and those whose body a handler doesn't read,
+// take no place from others.
+func TestUnsentBodiesMakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	s := serve(t, 2, 1<<20, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read" {
+			_, _ = io.Copy(io.Discard, r.Body)
+		}
+		_, _ = w.Write(make([]byte, 8<<10))
+	})
+	const head = " HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\nExpect: 100-continue\r\n\r\n"
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, path := range []string{"/read", "/ignore"} {
+		for range 2 {
+			s.dial(t, "POST "+path+head)
+			s.dial(t, "POST "+path+strings.Replace(head, "Expect: 100-continue\r\n", "", 1))
+		}
+		g.Eventually(func() (int, error) { return s.get(t.Context(), client, nil) }, waitTimeout).Should(Equal(http.StatusOK))
+	}
+}
--- a/accept/body.go
+++ b/accept/body.go
@@ -24,7 +24,6 @@
 type body struct {
 	io.ReadCloser
 	limiter *Limiter
-	conn    *conn
 	// request counts the first bytes; rest, which is nil if others count them, what follows.
 	request, rest *bound.Claim
 	// size is the number of bytes that were read, counted that of those which the claims cover.
@@ -40,8 +39,8 @@
 }
 
 // newBody makes r read its body through the returned one.
-func newBody(lim *Limiter, c *conn, request *bound.Claim, w http.ResponseWriter, r *http.Request) *body {
-	b := &body{ReadCloser: r.Body, limiter: lim, conn: c, request: request}
+func newBody(lim *Limiter, request *bound.Claim, w http.ResponseWriter, r *http.Request) *body {
+	b := &body{ReadCloser: r.Body, limiter: lim, request: request}
 	if r.Body == nil || r.Body == http.NoBody {
 		return b
 	}
@@ -77,11 +76,8 @@
 	return n, err
 }
 
-// setRank says whether the connection may be closed for others since its request isn't whole.
+// setRank says whether the memory of the request may be taken for others since it isn't whole.
 func (b *body) setRank(rank bound.Rank) {
-	if !b.conn.isMultiplexed.Load() {
-		b.conn.slot.SetRank(rank)
-	}
 	b.request.SetRank(rank)
 	if b.rest != nil {
 		b.rest.SetRank(rank)
