--- a/caps/caps.go
+++ b/caps/caps.go
@@ -35,6 +35,9 @@
 	minAdminConnections = 8
 )
 
+// MinMemory is the memory from which on all limits together fit in, in bytes.
+const MinMemory = 106 << 20
+
 // Limits is what each kind of client may occupy in one process. Sizes are in bytes.
 type Limits struct {
 	// Payload is for these together: Bodies for bodies of requests beyond their first 16 KiB, Answers for
--- a/caps/caps_test.go
+++ b/caps/caps_test.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// From the minimum on the limits add up, and a little below they don't.
+func TestMinMemory(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Of(MinMemory, 4100, true).Memory()).To(BeNumerically("<", MinMemory))
+	g.Expect(Of(MinMemory-2<<20, 4100, true).Memory()).To(BeNumerically(">", MinMemory-2<<20))
+}
+
 // A process whose settings name no limits has those of the design.
 func TestUnknownLimits(t *testing.T) {
 	g := NewWithT(t)
--- a/ecfg/ecfg.go
+++ b/ecfg/ecfg.go
@@ -20,7 +20,7 @@
 	defaultReadyGrace      = xtime.Duration(3 * time.Second)
 	defaultMaxBody         = bytesz.MB
 	defaultMemory          = 128 * bytesz.MB
-	minMemory              = 64 * bytesz.MB
+	minMemory              = 112 * bytesz.MB
 	defaultDataLimit       = bytesz.GB
 )
 
@@ -62,7 +62,8 @@
 	ReadyGrace xtime.Duration `json:"readyGrace"`
 	// MaxBody bounds the body of a request. The default is 1MB.
 	MaxBody bytesz.Size `json:"maxBody"`
-	// Memory is the memory of the process, which bounds what clients may occupy. The default is 128MB.
+	// Memory is the memory of the process, which bounds what clients may occupy. The default is 128MB,
+	// the minimum 112MB.
 	Memory bytesz.Size `json:"memory"`
 	// LogLevel is debug, info, warn or error. The default is info.
 	LogLevel string `json:"logLevel"`
@@ -134,5 +135,5 @@
 	bad.Check(s.ShutdownTimeout > 0, "stopWithin", "is not above zero")
 	bad.Check(s.ReadyGrace >= 0, "readyGrace", "is negative")
 	bad.Check(s.MaxBody > 0, "maxBody", "is not above zero")
-	bad.Check(s.Memory >= minMemory, "memory", "is below 64MB")
+	bad.Check(s.Memory >= minMemory, "memory", "is below 112MB")
 }
--- a/node/node.go
+++ b/node/node.go
@@ -284,6 +284,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	serveCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	n.logLimits()
 	n.logger.Info("Started.", "addr", n.cfg.PeerAddr, "front", n.cfg.FrontAddr, "engine", n.cfg.Endpoint, "store", n.cfg.StoreAddr)
 	g, gctx := errgroup.WithContext(serveCtx)
 	if n.cfg.Endpoint != "" {
@@ -318,6 +319,16 @@
 	return err
 }
 
+// logLimits logs what clients and endpoints may occupy.
+func (n *Node) logLimits() {
+	l := n.limits
+	n.logger.Info("Limits.", "memory", n.cfg.MemoryBytes, "payload", l.Payload, "bodies", l.Bodies, "batches", l.Batches, "answers", l.Answers, "texts", l.Texts,
+		"callers", l.CallerConnections, "peers", l.PeerConnections, "descriptors", n.cfg.Descriptors)
+	if n.cfg.MemoryBytes > 0 && n.cfg.MemoryBytes < caps.MinMemory {
+		n.logger.Warn("Memory too small for the limits.", "memory", n.cfg.MemoryBytes, "needed", int64(caps.MinMemory))
+	}
+}
+
 // startSidecar starts the sidecar of an engine.
 func (n *Node) startSidecar(ctx context.Context, g *errgroup.Group) {
 	n.loader = loader.New(n.cfg.Instance, n.adapters.Engine, n.logger)
--- a/scfg/scfg.go
+++ b/scfg/scfg.go
@@ -27,7 +27,7 @@
 	defaultSlots           = 16
 	maxSlots               = 1 << 16
 	defaultMemory          = 128 * bytesz.MB
-	minMemory              = 64 * bytesz.MB
+	minMemory              = 112 * bytesz.MB
 )
 
 // Settings is the configuration of the sidecar of one endpoint, read at startup.
@@ -63,7 +63,8 @@
 	// ShutdownTimeout bounds how long a graceful shutdown waits for running requests.
 	// The default is 30s.
 	ShutdownTimeout xtime.Duration `json:"stopWithin"`
-	// Memory is the memory of the process, which bounds what clients may occupy. The default is 128MB.
+	// Memory is the memory of the process, which bounds what clients may occupy. The default is 128MB,
+	// the minimum 112MB.
 	Memory bytesz.Size `json:"memory"`
 	// LogLevel is debug, info, warn or error. The default is info.
 	LogLevel string `json:"logLevel"`
@@ -112,7 +113,7 @@
 	bad.Merge("instanceList", netad.CheckURL(s.InstanceList))
 	bad.Check(s.KeyValueTimeout > 0, "keyValueTimeout", "is not above zero")
 	bad.Check(s.ShutdownTimeout > 0, "stopWithin", "is not above zero")
-	bad.Check(s.Memory >= minMemory, "memory", "is below 64MB")
+	bad.Check(s.Memory >= minMemory, "memory", "is below 112MB")
 	bad.Merge("logLevel", logs.CheckLevel(s.LogLevel))
 	bad.Merge("logFormat", logs.CheckFormat(s.LogFormat))
 	bad.Merge("peerTLS", s.PeerTLS.Validate())
