--- a/cmd/standin/crowd.go
+++ b/cmd/standin/crowd.go
@@ -8,17 +8,17 @@
 	"time"
 
 	"github.com/lavendermux/lavendermux/bytesz"
-	"github.com/lavendermux/lavendermux/platform/sims/simcfg"
 	"github.com/lavendermux/lavendermux/platform/sims/simcli"
 	"github.com/lavendermux/lavendermux/sleep"
 )
 
+// crowdCommand has a route without a key of the stand-in site for its defaults.
 type crowdCommand struct {
 	Addr    string        `required:"" help:"Address to send to."`
 	Clients int           `default:"100" help:"Number of clients."`
 	Seed    uint64        `default:"1" help:"Random seed of what they send."`
-	Host    string        `default:"${crowdHost}" help:"Host of the requests."`
-	Path    string        `default:"${crowdPath}" help:"Path of the requests."`
+	Host    string        `default:"desk.example" help:"Host of the requests."`
+	Path    string        `default:"/once/" help:"Path of the requests."`
 	Heads   bytesz.Size   `default:"16KB" help:"Size that a head may have."`
 	Bodies  bytesz.Size   `default:"1MB" help:"Size that a body may have."`
 	Hold    time.Duration `default:"10s" help:"How long connections are left open."`
@@ -37,6 +37,3 @@
 	fmt.Printf("%d of %d connections are open after %s\n", crowd.Open(), c.Clients, c.Hold)
 	return nil
 }
-
-// crowdDefaults are the defaults of a crowd's requests: a route without a key of the stand-in site.
-var crowdDefaults = map[string]string{"crowdHost": simcfg.PlainHost, "crowdPath": simcfg.NonIdempotentPath}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -38,7 +38,7 @@
 
 func main() {
 	var cli commands
-	parser := kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the platform."), kong.Vars(crowdDefaults))
+	parser := kong.Parse(&cli, kong.Name("standin"), kong.Description("Stand-ins for the platform."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	parser.BindTo(ctx, (*context.Context)(nil))
