--- a/crowds/entry_test.go
+++ b/crowds/entry_test.go
@@ -18,7 +18,7 @@
 
 // plainRequest is a legal request for a service.
 func plainRequest() simcli.Client {
-	return simcli.Client{Method: http.MethodPost, Host: simcfg.PlainHost, Path: simcfg.IdempotentPath + "x", Header: map[string]string{"Attempt-Id": "crowd"}}
+	return simcli.Client{Method: http.MethodPost, Host: simcfg.PlainHost, Path: simcfg.IdempotentPath + "x", Header: map[string]string{simcfg.HeaderID: "crowd"}}
 }
 
 // fieldsShortOfEnd is a head of many short fields, longer than the limit, that doesn't end.
@@ -113,7 +113,7 @@
 func TestEntrySubmissionsShortOfTheirEnd(t *testing.T) {
 	s := newSite(t, bodyLimit)
 	body := submission("crowd", bodyLimit/4)
-	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{"Attempt-Id": "crowd"},
+	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{simcfg.HeaderID: "crowd"},
 		Framing: simcli.WithLength, Body: body, BodyBytes: len(body), BodyMissing: 2}
 	s.withstand(t, s.entry, s.clientAddr(), simcli.Repeat(30, c))
 }
@@ -122,7 +122,7 @@
 func TestEntryWholeSubmissions(t *testing.T) {
 	s := newSite(t, bodyLimit)
 	body := submission("crowd", bodyLimit/4)
-	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{"Attempt-Id": "crowd"},
+	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{simcfg.HeaderID: "crowd"},
 		Framing: simcli.WithLength, Body: body, BodyBytes: len(body)}
 	s.withstand(t, s.entry, s.clientAddr(), simcli.Repeat(16, c))
 }
@@ -190,7 +190,7 @@
 func TestEntryRequestsInAdvance(t *testing.T) {
 	s := newSite(t, bodyLimit)
 	c := plainRequest()
-	c.Preface = strings.Repeat("GET /desk/x HTTP/1.1\r\nHost: "+simcfg.PlainHost+"\r\nAttempt-Id: crowd\r\n\r\n", 2000)
+	c.Preface = strings.Repeat("GET /desk/x HTTP/1.1\r\nHost: "+simcfg.PlainHost+"\r\n"+simcfg.HeaderID+": crowd\r\n\r\n", 2000)
 	s.withstand(t, s.entry, s.clientAddr(), simcli.Repeat(100, c))
 }
 
@@ -235,7 +235,7 @@
 		fmt.Fprintf(&body, `{"id":"%x","path":"/"},`, n)
 	}
 	body.WriteString(`{"id":"last","path":"/"}]}`)
-	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{"Attempt-Id": "crowd"},
+	c := simcli.Client{Method: http.MethodPost, Host: simcfg.BatchHost, Path: simcfg.SubmitPath, Header: map[string]string{simcfg.HeaderID: "crowd"},
 		Framing: simcli.WithLength, Body: body.Bytes(), BodyBytes: body.Len()}
 	s.withstand(t, s.entry, s.clientAddr(), simcli.Repeat(2, c))
 }
--- a/crowds/site_test.go
+++ b/crowds/site_test.go
@@ -122,7 +122,7 @@
 		return 0, err
 	}
 	r.Host = host
-	r.Header.Set("Attempt-Id", id)
+	r.Header.Set(simcfg.HeaderID, id)
 	resp, err := s.http.Do(r)
 	if err != nil {
 		return 0, err
--- a/ecfg/ecfg_test.go
+++ b/ecfg/ecfg_test.go
@@ -35,6 +35,7 @@
 		Entry(nil, `"dataCenter":"x"`, `dataCenter: is no field here; did you mean "dataCentre"?`),
 		Entry(nil, `"stopWithin":30`, "stopWithin: is the number 30"),
 		Entry(nil, `"maxBody":"0B"`, "maxBody: is not above zero"),
+		Entry(nil, `"memory":"64MB"`, "memory: is below 112MB"),
 		Entry(nil, `"logLevel":"loud"`, "logLevel: is debug, info, warn or error"),
 		Entry(nil, `"tls":{"certificate":"c.pem"}`, "tls.key: is missing"),
 	)
