conns: bytes that are no valid HTTP/1.1 response are no answer

What callers saw: of a worker that answers with status 000 they got no answer at all, as the entry's handler panicked ("invalid WriteHeader code 0"), or a 503 with the promise that the request hasn't run where the worker said so beside that status. Of one with a blank in the name of a field they got 200 with the worker's receipt and body, without that line; with "Transfer-Encoding : chunked" the body was the raw chunks, which no worker sent as content. Scoring calls took such answers for scores.

Cause: the responses are read by net/http, whose client accepts more than the protocol: any three characters that make a number from -0 up as a status, 101 to a request that asks for no other protocol, HTTP/2.0 on an HTTP/1.1 connection, blanks in names, a length beside chunks (it drops the length), chunks in HTTP/1.0 (it drops the coding and passes the raw chunks on), control bytes in the reason and in extensions of chunks. What it accepted was checked no further. Some of that can't be seen in the http.Response any more, so it can't be checked there.

Change: package h1resp checks the bytes of a connection, by RFC 9110 and 9112: status line, fields, framing, interim responses, chunks and trailers. The transports of conns read through it, so that calls, streams, items, scoring calls, reports, orders, the store, the API and peers have the same check. Bytes that aren't valid never reach net/http; the connection is closed, and the caller of the transport gets an *h1resp.Error. Senders handle it as any broken connection: the outcome is unknown, a request that may be repeated goes to another worker, one that runs at most once gets 502, never 503. It isn't a disconnect, so it doesn't count as a crash under the request. Since the checker knows where a response ends, bytes behind it end the connection and can't become the answer to the next request on it.

RFC 9112 leaves some choices: a line feed alone in the head and a missing blank before an empty reason are accepted as before, folded lines are refused. 600 and above are invalid by RFC 9110, section 15.

FuzzCheck compares the checker with net/http: what is valid is read to its end by both.

--- /dev/null
+++ b/conns/check.go
@@ -0,0 +1,169 @@
+package conns
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lavendermux/lavendermux/h1resp"
+)
+
+type (
+	// Transport is an http.Transport that accepts only valid HTTP/1.1 responses. One that isn't valid ends
+	// its connection, and the request, or the read from its body, returns an error that wraps an
+	// *h1resp.Error. Bytes that no request asked for end the connection, too. See Check.
+	Transport struct {
+		*http.Transport
+	}
+
+	// checkedConn is a connection whose responses are checked.
+	checkedConn struct {
+		net.Conn
+
+		mu      sync.Mutex
+		checker h1resp.Checker
+		// err is returned by all further reads.
+		err error
+	}
+
+	// checkedBody is the body of a response on a checked connection.
+	checkedBody struct {
+		io.ReadCloser
+		conn *checkedConn
+	}
+
+	dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+)
+
+// Check returns a transport that checks the responses that tr receives. It changes tr, which must not be
+// in use, and not use HTTP/2.
+func Check(tr *http.Transport) *Transport {
+	dial := dialFunc(tr.DialContext)
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	tr.DialContext = checked(dial)
+	if tr.DialTLSContext == nil {
+		tr.DialTLSContext = withTLS(dial, tr.TLSClientConfig)
+	}
+	tr.DialTLSContext = checked(tr.DialTLSContext)
+	return &Transport{tr}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	var conn *checkedConn
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if c, ok := i.Conn.(*checkedConn); ok {
+			conn = c
+			c.expect(r.Method)
+		}
+	}}
+	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if conn == nil {
+		return resp, err
+	}
+	if err != nil {
+		return nil, conn.cause(err)
+	}
+	if resp.Body != http.NoBody {
+		resp.Body = checkedBody{ReadCloser: resp.Body, conn: conn}
+	}
+	return resp, nil
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.conn.cause(err)
+	}
+	return n, err
+}
+
+// checked returns a dial function whose connections are checked.
+func checked(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: c}, nil
+	}
+}
+
+// withTLS returns a dial function that opens encrypted connections, as http.Transport does by itself: its
+// own would be encrypted where they are checked.
+func withTLS(dial dialFunc, cfg *tls.Config) dialFunc {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, errors.Wrap(err, "dialling with TLS")
+		}
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		cfg := cfg.Clone()
+		if cfg == nil {
+			cfg = new(tls.Config)
+		}
+		if cfg.ServerName == "" {
+			cfg.ServerName = host
+		}
+		secure := tls.Client(c, cfg)
+		if err := secure.HandshakeContext(ctx); err != nil {
+			return nil, errors.CombineErrors(&net.OpError{Op: "dial", Net: network, Err: err}, c.Close())
+		}
+		return secure, nil
+	}
+}
+
+// expect says that a request is about to be sent on the connection.
+func (c *checkedConn) expect(method string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checker.Expect(method)
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	if err := c.failed(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	readable, checkErr := c.checker.Check(p[:n])
+	if checkErr == nil {
+		return n, err
+	}
+	// The response may be complete by the bytes that may be read. What follows them fails the next read.
+	c.err = checkErr
+	if readable > 0 {
+		return readable, nil
+	}
+	return 0, checkErr
+}
+
+func (c *checkedConn) failed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.err
+}
+
+// cause returns why reading a response failed. The error of http.Transport may say something else, such as
+// that a line is incomplete.
+func (c *checkedConn) cause(err error) error {
+	var invalid *h1resp.Error
+	if errors.As(c.failed(), &invalid) {
+		return invalid
+	}
+	return err
+}
--- a/conns/conns.go
+++ b/conns/conns.go
@@ -1,5 +1,5 @@
 // Package conns creates HTTP transports whose connections detect an unresponsive
-// peer.
+// peer, and bytes that are no valid response.
 package conns
 
 import (
@@ -41,11 +41,11 @@
 // Option configures a transport in New.
 type Option func(*http.Transport)
 
-// New returns a transport that uses neither compression nor a proxy.
+// New returns a transport that uses neither compression nor a proxy and checks responses.
 //
 //	tr := conns.New(conns.WithIdleTimeout(time.Second))
-//	client := &http.Client{Transport: tr}
-func New(opts ...Option) *http.Transport {
+//	client := conns.NewClient(tr)
+func New(opts ...Option) *Transport {
 	tr := &http.Transport{
 		DialContext:         Dialer(defaultDialTimeout).DialContext,
 		DisableCompression:  true,
@@ -59,7 +59,7 @@
 	for _, opt := range opts {
 		opt(tr)
 	}
-	return tr
+	return Check(tr)
 }
 
 // WithIdleTimeout sets the time after which idle connections are closed. The default is
