--- a/conns/check.go
+++ b/conns/check.go
@@ -87,6 +87,18 @@
 	return n, err
 }
 
+// Drain reads what is left of a body, of n bytes at most, so that its connection can be used again. The
+// error is an *h1resp.Error if that isn't valid. After any other error the connection isn't used again,
+// and the error says nothing about the response.
+func Drain(body io.Reader, n int64) error {
+	_, err := io.CopyN(io.Discard, body, n)
+	var invalid *h1resp.Error
+	if errors.As(err, &invalid) {
+		return invalid
+	}
+	return nil
+}
+
 // checked returns a dial function whose connections are checked.
 func checked(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/rest/rest.go
+++ b/rest/rest.go
@@ -91,11 +91,13 @@
 	if err != nil {
 		return err
 	}
-	defer drainAndClose(resp.Body)
-	if out == nil {
-		return nil
+	defer resp.Body.Close()
+	if out != nil {
+		if err := json.NewDecoder(io.LimitReader(resp.Body, c.maxResponse)).Decode(out); err != nil {
+			return &fault.UnavailableError{Peer: c.peer, Cause: errors.Wrap(err, "reading the answer")}
+		}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, c.maxResponse)).Decode(out); err != nil {
+	if err := conns.Drain(resp.Body, maxErrorBodyBytes); err != nil {
 		return &fault.UnavailableError{Peer: c.peer, Cause: errors.Wrap(err, "reading the answer")}
 	}
 	return nil
@@ -114,7 +116,7 @@
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
-	defer drainAndClose(resp.Body)
+	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
 	if err != nil {
 		return nil, &fault.UnavailableError{Peer: c.peer, Cause: err}
@@ -140,9 +142,3 @@
 	}
 	return req, nil
 }
-
-// drainAndClose reads what is left of a short body, so that the connection can be reused.
-func drainAndClose(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxErrorBodyBytes)
-	_ = body.Close()
-}
