netset: services of the own interface are read through the check of responses

What callers saw: the answer of a plain service with status 000 or a blank in the name of a field was the answer of their call; a scorer's and an engine's counted, too, and a 503 of an engine with such a line as "not started".

Cause: as of the transports of conns; the HTTP/1 client of netset has a transport of its own.

Change: it is made by conns.Check. A call has then run with an unknown outcome, a score is asked for again, an engine counts as unavailable. Clients of the own processes use HTTP/2, whose framing net/http checks.

--- a/netset/netset.go
+++ b/netset/netset.go
@@ -70,13 +70,13 @@
 	for _, opt := range opts {
 		opt(n)
 	}
-	n.http = conns.NewClient(&http.Transport{
+	n.http = conns.NewClient(conns.Check(&http.Transport{
 		DialContext:         n.dial,
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: maxHeaderBytes,
-	})
+	}))
 	n.peers = n.newHTTP2Client(peerPingInterval)
 	n.control = n.newHTTP2Client(controlPingInterval)
 	return n
