brun: an item to which no engine sends a valid response is sent ever more rarely

What callers saw: none did yet. An item to which each engine answers with bytes that are no HTTP response was sent again each 60 ms, and each engine was avoided after it, so that one item kept work from all engines.

Cause: such an answer counted as a broken connection. Since the transports check responses it is known to be an answer that can't be one.

Change: an *h1resp.Error counts as the other invalid answers to items: the outcome is "invalid", the delay grows with the number of engines that sent one, up to a second, and from the third on it is no longer held against them.

--- a/brun/invalid_test.go
+++ b/brun/invalid_test.go
@@ -20,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/grade"
+	"github.com/lavendermux/lavendermux/h1resp"
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
@@ -43,9 +44,10 @@
 	share  float64
 	broken map[string]bool
 	// version is the weight version that broken engines name. hopeless has the items to which each
-	// engine sends an event that isn't valid.
-	version  int64
-	hopeless map[string]bool
+	// engine sends an event that isn't valid, unreadable those to which each sends no valid response.
+	version    int64
+	hopeless   map[string]bool
+	unreadable map[string]bool
 	// sound counts the sound answers of each engine.
 	sound map[string]int
 }
@@ -65,6 +67,9 @@
 func (e *drawnEngines) Send(ctx context.Context, c upstr.Call) (*upstr.Response, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.unreadable[c.ID] {
+		return nil, &upstr.UnknownOutcomeError{Endpoint: c.Endpoint.ID, Cause: &h1resp.Error{Reason: "status line"}}
+	}
 	isStart := c.LastEventID == upstr.FromStart
 	from, last := c.LastEventID+1, e.base+drawnEvents-1
 	if isStart {
@@ -255,20 +260,25 @@
 }
 
 // Guards against an item that takes engine after engine out of use: each sends it an event that isn't
-// valid, as its output is no text. Others must go on, and it must not be sent again and again.
+// valid, as its output is no text, or what is no valid response. Others must go on, and it must not be sent
+// again and again.
 func TestItemWithoutAValidAnswer(t *testing.T) {
-	e := &drawnEngines{hopeless: map[string]bool{"item3": true}}
-	withDrawnRunner(t, e, func(ctx context.Context, g *WithT, r *Runner) {
-		g.Expect(r.readAll(ctx, g, drawnItems, 20*time.Second)).To(HaveLen(drawnItems - 1))
-		g.Expect(attempts(r)).To(BeNumerically("<", drawnItems+30))
-		avoided := 0
-		for _, v := range r.endpoints.All() {
-			if time.Now().Before(v.AvoidUntil) {
-				avoided++
-			}
-		}
-		g.Expect(avoided).To(BeZero())
-	})
+	hopeless := map[string]bool{"item3": true}
+	for name, e := range map[string]*drawnEngines{"event": {hopeless: hopeless}, "response": {unreadable: hopeless}} {
+		t.Run(name, func(t *testing.T) {
+			withDrawnRunner(t, e, func(ctx context.Context, g *WithT, r *Runner) {
+				g.Expect(r.readAll(ctx, g, drawnItems, 20*time.Second)).To(HaveLen(drawnItems - 1))
+				g.Expect(attempts(r)).To(BeNumerically("<", drawnItems+30))
+				avoided := 0
+				for _, v := range r.endpoints.All() {
+					if time.Now().Before(v.AvoidUntil) {
+						avoided++
+					}
+				}
+				g.Expect(avoided).To(BeZero())
+			})
+		})
+	}
 }
 
 // readAll reads the results of batch b until there are n of them.
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -12,6 +12,7 @@
 	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/h1resp"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/stream"
@@ -194,12 +195,13 @@
 	}
 }
 
-// isInvalid reports whether err means that an endpoint sent an answer that can't be one to the item.
+// isInvalid reports whether err means that an endpoint sent what can't be an answer to the item.
 func isInvalid(err error) bool {
+	var response *h1resp.Error
 	var event *stream.InvalidError
 	var version *versionError
 	var overrun *overrunError
-	return errors.As(err, &event) || errors.As(err, &version) || errors.As(err, &overrun) || errors.Is(err, errNoEvents)
+	return errors.As(err, &response) || errors.As(err, &event) || errors.As(err, &version) || errors.As(err, &overrun) || errors.Is(err, errNoEvents)
 }
 
 // noteInvalid delays the next run of an item that got an invalid answer, the longer the more
