proxy: responses that aren't valid are logged and counted

What operators saw: of an endpoint in trouble nothing, where another one answered in its place: the line "Request done." has only the last error.

Change: a line "Invalid response." for each, with the request, the endpoint and what was broken, and invalid_responses_total by service.

Evidence: TestInvalidResponseIsLogged fails on the code before.

--- a/proxy/lines_test.go
+++ b/proxy/lines_test.go
@@ -10,9 +10,11 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/h1resp"
 	"github.com/lavendermux/lavendermux/lines"
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
@@ -55,3 +57,42 @@
 	g.Expect(objectives).To(Equal([]string{"150", "150", "0"}))
 	g.Expect(internal).To(Equal([]string{"false", "", "true"}))
 }
+
+// firstInvalid is a sender to which the first endpoint asked sends no valid response.
+type firstInvalid struct{ asked int }
+
+func (s *firstInvalid) Send(ctx context.Context, c upstr.Call) (*upstr.Response, error) {
+	if s.asked++; s.asked == 1 {
+		return nil, &upstr.UnknownOutcomeError{Endpoint: c.Endpoint.ID, Cause: &h1resp.Error{Reason: "status code in \"HTTP/1.1 000\""}}
+	}
+	return okSender{}.Send(ctx, c)
+}
+
+// Guards against an endpoint in trouble that nobody sees, as another one answers in its place: what it sent must
+// be logged with the request and counted, and the endpoint be avoided.
+func TestInvalidResponseIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	var log bytes.Buffer
+	set, counts := epset.New(func() {}), meter.New()
+	for _, id := range []string{"desk-0", "desk-1"} {
+		set.Put(endpt.Endpoint{ID: id, Service: "desk", Slots: 1})
+	}
+	f := New(set, &firstInvalid{}, "dc-a", logs.New(&log), counts)
+	route := &manif.Route{Name: "r", Kind: manif.Idempotent, MaxAttempts: 2, Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}
+	_, err := f.Forward(t.Context(), Request{ID: "one", Route: route})
+	g.Expect(err).NotTo(HaveOccurred())
+	var endpoints []string
+	_, _, err = lines.Read(&log, []string{"Invalid response."}, func(l lines.Line) {
+		g.Expect(l.Fields).To(And(HaveKeyWithValue("request", "one"), HaveKeyWithValue("service", "desk"),
+			HaveKeyWithValue("error", ContainSubstring("HTTP/1.1 000"))))
+		endpoints = append(endpoints, l.Fields["endpoint"])
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(endpoints).To(HaveLen(1))
+	for _, v := range set.All() {
+		g.Expect(time.Now().Before(v.AvoidUntil)).To(Equal(v.ID == endpoints[0]), v.ID)
+	}
+	count := counts.Registry().Get(`lavendermux_invalid_responses_total{service="desk"}`)
+	g.Expect(count).NotTo(BeNil())
+	g.Expect(count.(metrics.Counter).Count()).To(BeEquivalentTo(1))
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/h1resp"
 	"github.com/lavendermux/lavendermux/inbuf"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
@@ -341,6 +342,11 @@
 // was cancelled on this side says nothing about the endpoint.
 func (f *Forwarder) recordFailure(ctx context.Context, r Request, e endpt.Endpoint, err error) {
 	var notRun *upstr.NotRunError
+	var invalid *h1resp.Error
+	if errors.As(err, &invalid) {
+		f.meter.Count("invalid_responses_total", 1, "service", e.Service)
+		f.logger.Warn("Invalid response.", "request", r.ID, "endpoint", e.ID, "service", e.Service, "error", invalid)
+	}
 	switch {
 	case errors.As(err, &notRun) && notRun.Gone:
 		f.endpoints.Forget(e)
