brun: an item isn't given up for an answer whose body isn't valid

What callers saw: the item of a submission was listed as errored after a 422, or after as many 500 as its route allows, though the answers weren't valid HTTP: their bodies ended in a bad chunk or trailer.

Cause: of an answer that is no stream only the status counts, and the body was dropped with its errors.

Change: the body is read by conns.Drain, as of a refusal. The run is an invalid answer, the item runs again.

Evidence: of the two kinds added to simbrk both fail TestHalfOfTheWorkersSendInvalidAnswers and TestAllWorkersSendInvalidAnswers on the code before (errored in place of completed), and pass now.

--- a/brun/runs.go
+++ b/brun/runs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/h1resp"
@@ -245,7 +245,9 @@
 	}
 	defer a.Body.Close()
 	if a.Status != statusOK {
-		_, _ = io.CopyN(io.Discard, a.Body, maxDiscardBytes) // drained so that the connection can be reused
+		if err := conns.Drain(a.Body, maxDiscardBytes); err != nil {
+			return err
+		}
 		return &statusError{Status: a.Status}
 	}
 	return r.events(b, it, call, a)
