--- a/rest/rest.go
+++ b/rest/rest.go
@@ -118,6 +118,9 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBodyBytes))
+	if err == nil {
+		err = conns.Drain(resp.Body, maxErrorBodyBytes)
+	}
 	if err != nil {
 		return nil, &fault.UnavailableError{Peer: c.peer, Cause: err}
 	}
