h1resp: errors don't quote what may be the text of a response

Errors are logged, and responses must never be. A line that isn't valid may be a part of a body, where a server sends one for a head or for the size of a chunk. TestErrorsDontQuoteBodies fails on the code before.

--- a/h1resp/h1resp.go
+++ b/h1resp/h1resp.go
@@ -21,13 +21,15 @@
 	maxLineBytes = 128 << 10
 	// maxSizeDigits bounds the size of a chunk, with leading zeros.
 	maxSizeDigits = 16
-	// maxQuotedBytes bounds the part of a line that an error quotes.
-	maxQuotedBytes = 64
+	// maxQuotedBytes bounds the part of a line that an error quotes. Errors are logged, and the bytes may be
+	// those of a body.
+	maxQuotedBytes = 24
 
-	versionPrefix = "HTTP/1."
-	statusDigits  = 3
-	minFinal      = 200
-	codingChunked = "chunked"
+	protocolPrefix = "HTTP/"
+	versionPrefix  = "HTTP/1."
+	statusDigits   = 3
+	minFinal       = 200
+	codingChunked  = "chunked"
 
 	fieldLength   = "Content-Length"
 	fieldEncoding = "Transfer-Encoding"
@@ -175,6 +177,9 @@
 }
 
 func (c *Checker) endStatusLine(text string) error {
+	if !strings.HasPrefix(text, protocolPrefix) {
+		return invalid("no status line")
+	}
 	rest, ok := strings.CutPrefix(text, versionPrefix)
 	if !ok || len(rest) < 2 || !isDigit(rest[0]) || rest[1] != ' ' {
 		return invalid("status line %s", quote(text))
@@ -204,8 +209,13 @@
 // choice to proxies.
 func (c *Checker) endField(line string) error {
 	name, value, ok := strings.Cut(line, ":")
-	if !ok || !httpguts.ValidHeaderFieldName(name) {
-		return invalid("field name in %s", quote(line))
+	switch i := strings.IndexFunc(name, isNoTokenRune); {
+	case line[0] == ' ' || line[0] == '\t':
+		return invalid("a folded field")
+	case !ok || name == "":
+		return invalid("a field without a name")
+	case i >= 0:
+		return invalid("byte %#02x in a field name, behind %s", name[i], quote(name[:i]))
 	}
 	if !httpguts.ValidHeaderFieldValue(value) {
 		return invalid("value of field %s", quote(name))
@@ -272,11 +282,11 @@
 		size = strings.TrimRight(size, " \t")
 	}
 	if !httpguts.ValidHeaderFieldValue(extensions) {
-		return invalid("chunk extension in %s", quote(text))
+		return invalid("a control byte in a chunk extension")
 	}
 	n, err := strconv.ParseUint(size, 16, 63)
 	if err != nil || len(size) > maxSizeDigits {
-		return invalid("chunk size %s", quote(text))
+		return invalid("a chunk size that is no number")
 	}
 	if n == 0 {
 		c.part = trailerLine
@@ -287,3 +297,5 @@
 }
 
 func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+func isNoTokenRune(r rune) bool { return !httpguts.IsTokenRune(r) }
--- a/h1resp/h1resp_test.go
+++ b/h1resp/h1resp_test.go
@@ -126,6 +126,21 @@
 	}
 }
 
+// Guards against an error, which is logged, that quotes what may be the text of a response.
+func TestErrorsDontQuoteBodies(t *testing.T) {
+	const text = "the words of a sample: and its end"
+	chunked := okLine + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, raw := range []string{text, okLine + text, okLine + " " + text, okLine + "X: " + text + "\x00", chunked + text, chunked + "2;" + text + "\x00",
+		chunked + "2\r\nhi" + text, chunked + "0\r\n" + text} {
+		var c Checker
+		c.Expect(http.MethodGet)
+		_, err := c.Check([]byte(raw + "\r\n"))
+		g := NewWithT(t)
+		g.Expect(err).To(HaveOccurred(), "%q", raw)
+		g.Expect(err.Error()).NotTo(ContainSubstring("words"), "%q", raw)
+	}
+}
+
 // Guards against bytes that a server sends before it has a request.
 func TestNoResponseIsDue(t *testing.T) {
 	g := NewWithT(t)
@@ -143,6 +158,7 @@
 	f.Add("HTTP/1.1 103 X\r\nX: v\r\n\r\nHTTP/1.1 204 X\r\n\r\n", "GET", uint8(2))
 	f.Add("HTTP/1.1 200 \nTrAnsfer-EnCoding:Chunked\n\n0\r\n\n", "GET", uint8(1))
 	f.Add("HTTP/1.1 200\nTrAnsfer-EnCoding:Chunked\n\n00000000000000000\r\n\r\n", "GET", uint8(1))
+	f.Add(okLine+"X\xc3\xa9: v\r\n\r\n", "GET", uint8(1))
 	f.Add("HTTP/1.0 200 OK\nX: v\n\nhi", "GET", uint8(5))
 	f.Add("HTTP/1.1 304 X\r\nTransfer-Encoding: chunked\r\n\r\n", "HEAD", uint8(9))
 	f.Add(okLine+"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "GET", uint8(4))
