relay: a status that no answer has is no answer

What callers saw: where a plain service answers with status 000, a sidecar of the release before passes it on, and the entry's handler panics: the connection closes without an answer.

Cause: the status of a sidecar's answer wasn't checked.

Change: one outside 200 to 599 is an unknown outcome; a call that may be repeated goes to another sidecar.

Evidence: TestInvalidStatusIsNoAnswer fails on the code before, where the status is passed on.

--- a/relay/call.go
+++ b/relay/call.go
@@ -21,6 +21,8 @@
 	// CauseNoKeyOwners reports that the service is so new that no endpoint owns idempotency
 	// keys yet.
 	CauseNoKeyOwners = "noHomes"
+	// maxStatus is the greatest status that HTTP has.
+	maxStatus = 599
 	// keyOwnerRetryAfter is the time within which a restarted sidecar is back.
 	keyOwnerRetryAfter = 2 * time.Second
 )
@@ -140,8 +142,15 @@
 			load = out.GetRefusal().GetLoad()
 			out = nil
 		}
+		if err == nil && !isFinalStatus(out.GetStatus()) {
+			out, err = nil, &fault.UnknownOutcomeError{Cause: CauseInvalidStatus, Reason: "an answer without a valid status arrived"}
+		}
 	}
 	c.recordOutcome(ctx, req.GetService(), id, load, err)
 	c.end(ctx, req.GetRequestId(), fp, false, sidecar, err, out.GetStatus() >= http.StatusInternalServerError)
 	return out, err
 }
+
+// isFinalStatus reports whether an answer can have the status. A sidecar of an earlier release passes on
+// what its service sends.
+func isFinalStatus(status int32) bool { return status >= http.StatusOK && status <= maxStatus }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,6 +41,8 @@
 	CauseConnectionLost = "cutOff"
 	// CauseWrongRequestID reports that an answer carried the ID of another request.
 	CauseWrongRequestID = "mixedUp"
+	// CauseInvalidStatus reports that an answer carried a status that no answer has.
+	CauseInvalidStatus = "invalidStatus"
 	// CauseTokenCount reports that the tokens of an answer do not match its token count.
 	CauseTokenCount = "count"
 	// CauseOutputLimit reports that an output is longer than its request allows, or that there is
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -300,6 +300,30 @@
 	}
 }
 
+// Guards against a sidecar of an earlier release that passes on a status that no answer has: the handler
+// panicked, and the caller got no answer. A call that may be repeated goes to another sidecar.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []int32{0, 20, 99, 101, 199, 600, 999} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			answer := func(status int32) callFunc {
+				return func(_ context.Context, req *wire.CallRequest) (*wire.CallResponse, error) {
+					return &wire.CallResponse{RequestId: req.GetRequestId(), Status: status}, nil
+				}
+			}
+			d := &fakeSidecars{calls: []callFunc{answer(status), answer(http.StatusCreated)}}
+			_, err := newClient(d).Call(t.Context(), &wire.CallRequest{RequestId: "r", Service: service}, nil)
+			g.Expect(causeOf(err)).To(Equal("unknown " + CauseInvalidStatus))
+			g.Expect(d.contacted).To(HaveLen(1))
+
+			d = &fakeSidecars{calls: []callFunc{answer(status), answer(http.StatusCreated)}}
+			resp, err := newClient(d).Call(t.Context(), &wire.CallRequest{RequestId: "r", Service: service, Idempotent: true}, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(resp.GetStatus()).To(BeEquivalentTo(http.StatusCreated))
+		})
+	}
+}
+
 // One endpoint is full and another is unreachable: neither has run the booking, so it may
 // go to a third one.
 func TestCallTakesAnotherDoorAfterARefusal(t *testing.T) {
