h1resp: equal lengths that are written differently aren't valid

FuzzCheck found it: net/http refuses them, so no caller saw a difference; the check now has the same view.

--- a/h1resp/h1resp.go
+++ b/h1resp/h1resp.go
@@ -74,10 +74,11 @@
 
 	// head is what the head of a response says about its length.
 	head struct {
-		minor     byte
-		status    int
-		length    int64
-		hasLength bool
+		minor  byte
+		status int
+		length int64
+		// lengthText is the length as it is sent; "" if there is none.
+		lengthText string
 		// codings counts the fields that name a transfer coding.
 		codings int
 	}
@@ -230,10 +231,10 @@
 		if err != nil {
 			return invalid("length %s", quote(text))
 		}
-		if c.head.hasLength && int64(length) != c.head.length {
-			return invalid("lengths %d and %d", c.head.length, length)
+		if c.head.lengthText != "" && c.head.lengthText != text {
+			return invalid("lengths %s and %s", quote(c.head.lengthText), quote(text))
 		}
-		c.head.length, c.head.hasLength = int64(length), true
+		c.head.length, c.head.lengthText = int64(length), text
 	case isCoding:
 		if !strings.EqualFold(text, codingChunked) {
 			return invalid("transfer coding %s", quote(text))
@@ -250,7 +251,7 @@
 	switch {
 	case h.codings > 1:
 		return invalid("%d transfer codings", h.codings)
-	case h.codings > 0 && h.hasLength:
+	case h.codings > 0 && h.lengthText != "":
 		return invalid("both a length and a transfer coding")
 	case h.codings > 0 && h.minor == '0':
 		return invalid("a transfer coding in HTTP/1.0")
@@ -264,7 +265,7 @@
 		c.part = idle
 	case h.codings > 0:
 		c.part = chunkSize
-	case !h.hasLength:
+	case h.lengthText == "":
 		c.part = closeBody
 	case h.length > 0:
 		c.part, c.left = lengthBody, h.length
