proxy: a stream whose handler panics gives its place at the endpoint back

What callers saw: after each stream that was answered with status 000, whose handler panicked, the service ran one request less, where requests wait for capacity (pressure).

Cause: the grant was ended behind the attempt, not deferred.

Change: it is cancelled if the attempt panics.

Evidence: TestPanicGivesThePlaceBack fails on the code before: one request still counts as running.

--- a/proxy/lines_test.go
+++ b/proxy/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -19,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/logs"
 	"github.com/lavendermux/lavendermux/manif"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/reqbuf"
 	"github.com/lavendermux/lavendermux/upstr"
 )
 
@@ -96,3 +98,26 @@
 	g.Expect(count).NotTo(BeNil())
 	g.Expect(count.(metrics.Counter).Count()).To(BeEquivalentTo(1))
 }
+
+// panickingSink is a caller whose connection can't take the header of an answer.
+type panickingSink struct{ discardSink }
+
+func (panickingSink) WriteHeader(int, http.Header) { panic(http.ErrAbortHandler) }
+
+// Guards against a panic on the way of a stream that keeps the place of its request at the endpoint: the
+// service would run fewer and fewer requests.
+func TestPanicGivesThePlaceBack(t *testing.T) {
+	withWorld(t, []int{6}, func(w *waitWorld) {
+		route := &manif.Route{Name: "r", Kind: manif.Stream, MaxAttempts: 1, Timeout: 2 * time.Second,
+			Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}
+		stream := func(n int, sink Sink) (err error) {
+			_, err = w.f.Stream(context.Background(), Request{ID: fmt.Sprint("s", n), Body: reqbuf.Of(nil), Route: route}, "", upstr.FromStart, sink)
+			return err
+		}
+		for n := range 20 {
+			w.g.Expect(func() { _ = stream(n, panickingSink{}) }).To(Panic())
+			w.expectIdle()
+		}
+		w.g.Expect(stream(20, discardSink{})).To(Succeed())
+	})
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -88,8 +88,7 @@
 			break
 		}
 		s.used = s.admission.addUsed(s.used, e.ID)
-		err := s.attempt(ctx, e)
-		room.end(ctx, err, true)
+		err := s.attemptWith(ctx, e, room)
 		var refusal *upstr.NotRunError
 		switch {
 		case err == nil:
@@ -115,6 +114,20 @@
 	return s.admission.refusal(quarantineErr, "no endpoint accepts the stream")
 }
 
+// attemptWith is attempt with granted capacity, which it returns, also if the sink panics.
+func (s *streamRequest) attemptWith(ctx context.Context, e endpt.Endpoint, room *grant) error {
+	isDone := false
+	defer func() {
+		if !isDone {
+			room.cancel()
+		}
+	}()
+	err := s.attempt(ctx, e)
+	isDone = true
+	room.end(ctx, err, true)
+	return err
+}
+
 // attempt passes on what one endpoint sends.
 func (s *streamRequest) attempt(ctx context.Context, e endpt.Endpoint) error {
 	ctx, cancel := context.WithCancelCause(ctx)
