proxy: an error to a stream whose body isn't valid counts against the endpoint

What operators saw: nothing, where an endpoint answers streams with a status other than 200 and a body that isn't valid HTTP. "Invalid response." and invalid_responses_total promise a line for each.

Cause: a failed read of an answer that is no stream wasn't recorded. One that is cut still isn't, as before.

Evidence: TestInvalidBodyOfAnErrorIsLogged fails on the code before, with no line.

--- a/proxy/lines_test.go
+++ b/proxy/lines_test.go
@@ -121,3 +121,41 @@
 		w.g.Expect(stream(20, discardSink{})).To(Succeed())
 	})
 }
+
+// invalidEnd is the body of a response that ends in bytes that are no part of one.
+type invalidEnd struct{}
+
+func (invalidEnd) Read([]byte) (int, error) {
+	return 0, &h1resp.Error{Reason: "a chunk is longer than its size"}
+}
+
+func (invalidEnd) Close() error { return nil }
+
+// failingSender answers each call with status 500 and an invalid body.
+type failingSender struct{}
+
+func (failingSender) Send(context.Context, upstr.Call) (*upstr.Response, error) {
+	return &upstr.Response{Status: http.StatusInternalServerError, Body: invalidEnd{}, Length: -1}, nil
+}
+
+// Guards against an endpoint in trouble that nobody sees: it answers streams with an error whose body isn't
+// valid. That must be logged and counted once, and the endpoint be avoided.
+func TestInvalidBodyOfAnErrorIsLogged(t *testing.T) {
+	g := NewWithT(t)
+	var log bytes.Buffer
+	set, counts := epset.New(func() {}), meter.New()
+	set.Put(endpt.Endpoint{ID: "desk-0", Service: "desk", Slots: 1})
+	f := New(set, failingSender{}, "dc-a", logs.New(&log), counts)
+	route := &manif.Route{Name: "r", Kind: manif.Stream, MaxAttempts: 1, Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}
+	headSent, err := f.Stream(t.Context(), Request{ID: "one", Route: route}, "", upstr.FromStart, discardSink{})
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(headSent).To(BeFalse())
+	found := 0
+	_, _, err = lines.Read(&log, []string{"Invalid response."}, func(l lines.Line) {
+		g.Expect(l.Fields).To(And(HaveKeyWithValue("request", "one"), HaveKeyWithValue("endpoint", "desk-0")))
+		found++
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(found).To(Equal(1))
+	g.Expect(time.Now().Before(set.All()[0].AvoidUntil)).To(BeTrue())
+}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/guard"
+	"github.com/lavendermux/lavendermux/h1resp"
 	"github.com/lavendermux/lavendermux/sleep"
 	"github.com/lavendermux/lavendermux/stream"
 	"github.com/lavendermux/lavendermux/upstr"
@@ -160,7 +161,7 @@
 	}
 	defer a.Body.Close()
 	if a.Status != http.StatusOK {
-		return s.forwardResponse(a)
+		return s.forwardResponse(ctx, e, a)
 	}
 	if !s.headSent {
 		s.headSent = true
@@ -176,8 +177,12 @@
 }
 
 // forwardResponse passes on an answer that is not a stream.
-func (s *streamRequest) forwardResponse(a *upstr.Response) error {
+func (s *streamRequest) forwardResponse(ctx context.Context, e endpt.Endpoint, a *upstr.Response) error {
 	body, err := s.f.readBody(s.r, a)
+	var invalid *h1resp.Error
+	if errors.As(err, &invalid) {
+		s.f.recordFailure(ctx, s.r, e, err)
+	}
 	if err != nil || s.headSent {
 		return &upstr.UnknownOutcomeError{Cause: errors.CombineErrors(err, errors.Newf("status %d", a.Status))}
 	}
