broute: a retired disk is needed while a lost acceptor's submissions aren't stored

What callers could see: results gone that were read in an outage of the store.

Cause: the disk has results of a batch that was accepted while the store was unavailable, and the store has no record of it, since its acceptor was lost before. A data instance took such a batch for one that no longer exists: it knows of acceptors that are alive, and not of models whose acceptor is lost. So its disk was reported as emptied.

Change: the intake records say who accepts. The holder of each must be alive and answer that the store has all that it accepted.

Evidence: TestUseOfDiskByABatchWithoutRecord fails on the code before.

--- a/broute/intake.go
+++ b/broute/intake.go
@@ -74,10 +74,12 @@
 		// Bytes and Max are set if the submission is too large.
 		Bytes int `json:"bytes,omitempty"`
 		Max   int `json:"max,omitempty"`
-		// Acquiring is set while the receiver acquires the model, and Pending counts the submissions
-		// in its log that the store may lack.
+		// Acquiring is set while the receiver acquires the model.
 		Acquiring bool `json:"acquiring,omitempty"`
-		Pending   int  `json:"pending,omitempty"`
+		// Epoch is that of the receiver's acceptor, and Pending counts the submissions in its log that
+		// the store may lack. They are set in answers about its state only.
+		Epoch   int64 `json:"epoch,omitempty"`
+		Pending int   `json:"pending,omitempty"`
 	}
 
 	// RefusedError means that a submission was not accepted and doesn't run.
@@ -308,11 +310,8 @@
 // instance accepts the submissions of a model.
 func (d *Router) ServeIntake(ctx context.Context, req *intakeRequest) (*intakeResponse, error) {
 	if req.Submission == nil {
-		res := &intakeResponse{Outcome: outcomeElsewhere, Acquiring: d.isAcquiring(req.Model)}
-		if a := d.acceptorOf(req.Model); a != nil {
-			res.Outcome, res.Holder, res.Pending = outcomeStored, d.self, a.pending()
-		}
-		return res, nil
+		res := d.acceptorState(req.Model)
+		return &res, nil
 	}
 	if req.WaitMs > 0 {
 		var cancel context.CancelFunc
@@ -324,6 +323,15 @@
 	return &res, nil
 }
 
+// acceptorState answers whether this instance accepts the submissions of a model.
+func (d *Router) acceptorState(model string) intakeResponse {
+	res := intakeResponse{Outcome: outcomeElsewhere, Acquiring: d.isAcquiring(model)}
+	if a := d.acceptorOf(model); a != nil {
+		res.Outcome, res.Holder, res.Epoch, res.Pending = outcomeStored, d.self, a.epoch, a.pending()
+	}
+	return res
+}
+
 // accept accepts a submission at this instance, which first acquires the model if nobody
 // else accepts its submissions.
 func (d *Router) accept(ctx context.Context, sub *batch.Submission) intakeResponse {
--- a/broute/retire.go
+++ b/broute/retire.go
@@ -13,18 +13,19 @@
 	"github.com/lavendermux/lavendermux/walog"
 )
 
-// maxSought is the maximum number of batches whose owners are looked for at once.
+// maxSought is the maximum number of batches whose owners EnsureOwned looks for at once.
 const maxSought = 16
 
 // DiskUse is what still needs the disk of an instance: results on it may be the only ones that
 // another lost disk leaves, or a successor counts it among the replicas that it must reach.
 type DiskUse struct {
 	// Batches are the open batches whose records name the instance and whose results the store may
-	// lack, and those of which the disk has results and the store no record. Models are those whose
+	// lack, and those of which the disk has results and the store no record yet. Models are those whose
 	// log of submissions is on the instance.
 	Batches, Models []string
-	// Unstored is set while batches may be accepted that the store doesn't have.
-	Unstored bool
+	// Unstored is the model of which batches may have been accepted that the store doesn't have, "" if
+	// there is none or it doesn't matter.
+	Unstored string
 	// Gone are the batches of which the disk has results and that no longer exist.
 	Gone []string
 	// unowned are those of Batches that no live instance is known to own.
@@ -32,48 +33,68 @@
 }
 
 // IsNone reports whether nothing needs the disk.
-func (u DiskUse) IsNone() bool { return len(u.Batches)+len(u.Models) == 0 && !u.Unstored }
+func (u DiskUse) IsNone() bool { return len(u.Batches)+len(u.Models) == 0 && u.Unstored == "" }
 
 // UseOfOwnDisk returns what needs the disk of this instance, as the store has it now. The disk must be
-// closed, and pending are the logs with results on it: a batch that was accepted while the store was
-// unavailable may have no record yet.
+// closed, and pending are the logs with results on it. A batch that was accepted while the store was
+// unavailable may have no record yet: one without a record no longer exists only if the store has all
+// accepted batches.
 func (d *Router) UseOfOwnDisk(ctx context.Context, pending []string) (DiskUse, error) {
-	heads, use, err := d.diskUse(ctx, d.mesh.Self().Name)
+	records, err := d.intakes(ctx)
 	if err != nil {
 		return DiskUse{}, err
 	}
-	isStored := make(map[string]bool, len(heads))
+	unstored := ""
+	if len(pending) > 0 {
+		unstored = d.unstoredModel(ctx, records)
+	}
+	heads, use, err := d.diskUse(ctx, d.mesh.Self().Name, records)
+	if err != nil {
+		return DiskUse{}, err
+	}
+	hasRecord := make(map[string]bool, len(heads))
 	for _, head := range heads {
-		isStored[head.ID] = true
+		hasRecord[head.ID] = true
 	}
-	pending = slices.DeleteFunc(slices.Clone(pending), func(id string) bool {
-		return isStored[id] || strings.HasPrefix(id, walog.ReservedPrefix) // the record tells whether it is needed
-	})
-	for i, id := range pending {
-		var none *NotFoundError
-		if i < maxSought && errors.As(d.ensureOwned(id), &none) {
+	for _, id := range pending {
+		switch {
+		case hasRecord[id], strings.HasPrefix(id, walog.ReservedPrefix): // the record tells whether it is needed
+		case unstored == "":
 			use.Gone = append(use.Gone, id)
-			continue
+		default:
+			use.Batches, use.Unstored = append(use.Batches, id), unstored
 		}
-		use.Batches = append(use.Batches, id)
 	}
 	return use, nil
 }
 
 // UseOfDisk returns what needs the disk of another instance, as the store has it now. The instance
-// can't be asked which results it has. So a batch without a record, that has been accepted by an
-// acceptor's log, may have some there.
+// can't be asked of which batches it has results. So any batch without a record may need the disk.
 func (d *Router) UseOfDisk(ctx context.Context, instance string) (DiskUse, error) {
-	if d.hasUnstored(ctx) {
-		return DiskUse{Unstored: true}, nil
+	records, err := d.intakes(ctx)
+	if err != nil {
+		return DiskUse{}, err
 	}
-	_, use, err := d.diskUse(ctx, instance)
+	unstored := d.unstoredModel(ctx, records)
+	_, use, err := d.diskUse(ctx, instance, records)
+	use.Unstored = unstored
 	return use, err
 }
 
-// diskUse returns the heads of all batches, and what needs the disk of an instance by the records. It
-// reads the store itself, and not a list that another instance has read a moment ago.
-func (d *Router) diskUse(ctx context.Context, instance string) ([]bstore.Record, DiskUse, error) {
+// intakes returns the intake records of all models. One that can't be decoded is left out: nobody can
+// acquire its model.
+func (d *Router) intakes(ctx context.Context) ([]bstore.Intake, error) {
+	records, err := d.store.Intakes(ctx)
+	var unreadable *bstore.DecodeError
+	if errors.As(err, &unreadable) {
+		return records, nil
+	}
+	return records, err
+}
+
+// diskUse returns the heads of all batches, and what needs the disk of an instance by these and by the
+// intake records. It reads the store itself, and not a list that another instance has read a moment ago.
+func (d *Router) diskUse(ctx context.Context, instance string, records []bstore.Intake) ([]bstore.Record, DiskUse, error) {
 	var use DiskUse
 	heads, _, err := d.store.CurrentHeads(ctx)
 	if err != nil {
@@ -89,11 +110,6 @@
 			use.unowned = append(use.unowned, head.ID)
 		}
 	}
-	records, err := d.store.Intakes(ctx)
-	var unreadable *bstore.DecodeError
-	if err != nil && !errors.As(err, &unreadable) {
-		return nil, use, err
-	}
 	for _, in := range records {
 		if isNamed(in.Replicas, instance) {
 			use.Models = append(use.Models, in.Model)
@@ -102,6 +118,32 @@
 	return heads, use, nil
 }
 
+// unstoredModel returns a model of which batches may have been accepted before the call that the store
+// doesn't have, or "". The holder of each intake record must say that there are none: a lost one may
+// have left some in its log, which its successor stores.
+func (d *Router) unstoredModel(ctx context.Context, records []bstore.Intake) string {
+	for _, in := range records {
+		res := d.acceptorState(in.Model)
+		if in.Holder != d.self {
+			n, isAlive := d.mesh.FindHolder(in.Holder)
+			if !isAlive {
+				return in.Model
+			}
+			callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+			answer, err := mesh.Call[intakeRequest, intakeResponse](callCtx, d.mesh.Client(), n.Addr, IntakePath, &intakeRequest{Model: in.Model})
+			cancel()
+			if err != nil {
+				return in.Model
+			}
+			res = *answer
+		}
+		if res.Outcome != outcomeStored || res.Epoch != in.Epoch || res.Pending > 0 {
+			return in.Model
+		}
+	}
+	return ""
+}
+
 // EnsureOwned makes sure that batches that need a disk have live owners, which replace it in their
 // records. An instance that is lost has successors that see to the same; they may be lost as well.
 func (d *Router) EnsureOwned(u DiskUse) {
@@ -110,27 +152,6 @@
 	}
 }
 
-// hasUnstored reports whether batches may have been accepted that the store doesn't have.
-func (d *Router) hasUnstored(ctx context.Context) bool {
-	if d.isRecovering() {
-		return true
-	}
-	for _, a := range d.ownAcceptors() {
-		if a.pending() > 0 {
-			return true
-		}
-	}
-	for model, g := range d.mesh.Grants() {
-		callCtx, cancel := context.WithTimeout(ctx, queryTimeout)
-		res, err := mesh.Call[intakeRequest, intakeResponse](callCtx, d.mesh.Client(), g.Node.Addr, IntakePath, &intakeRequest{Model: model})
-		cancel()
-		if err != nil || res.Outcome != outcomeStored || res.Pending > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // needsSeal reports whether a successor must seal the replicas of a batch before it continues it: the
 // store may lack results that were listed from them.
 func needsSeal(rec bstore.Record) bool {
--- a/broute/retire_test.go
+++ b/broute/retire_test.go
@@ -95,6 +95,36 @@
 	})
 }
 
+// The disk has results of a batch that was accepted while the store was unavailable, and the store has
+// no record of it: its acceptor was lost before. It is needed until another instance has acquired the
+// model, which stores what was accepted, and not after that if there is no such batch.
+func TestUseOfDiskByABatchWithoutRecord(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		lost, other, data := c.entries[0], c.entries[1], c.data[0]
+		in := bstore.Intake{Model: model, Holder: lost.self, Epoch: 1}
+		c.g.Expect(lost.store.SaveIntake(ctx, bstore.Intake{Model: model}, &in)).To(Succeed())
+		c.g.Expect(lost.replicas.Append(ctx, "b", acceptedEpoch, lost.replicas.Choose("b", nil), 0, 0, completed("i1"))).To(Succeed())
+		time.Sleep(time.Second) // Append returns once two replicas have it
+		c.kill(lost)
+		time.Sleep(lossTime)
+		c.retiring.Store(data.mesh.Self().Name, true)
+		c.g.Expect(data.replicas.CloseDisk()).To(Succeed())
+		use := c.useOf(ctx, data)
+		c.g.Expect(use.Batches).To(Equal([]string{"b"}))
+		c.g.Expect(use.Unstored).To(Equal(model))
+		use, err := other.UseOfDisk(ctx, "data-9")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(use.IsNone()).To(BeFalse(), "the instance can't be asked whether it has results")
+		c.g.Expect(other.joinAcquire(ctx, model)).To(Succeed())
+		use = c.useOf(ctx, data)
+		c.g.Expect(use.IsNone()).To(BeTrue(), "%+v", use)
+		c.g.Expect(use.Gone).To(Equal([]string{"b"}))
+		use, err = other.UseOfDisk(ctx, "data-9")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(use.IsNone()).To(BeTrue())
+	})
+}
+
 func (c *cluster) useOf(ctx context.Context, in *instance) DiskUse {
 	use, err := in.UseOfOwnDisk(ctx, in.replicas.Pending())
 	c.g.Expect(err).NotTo(HaveOccurred())
