node: a late write of a retirement's status doesn't undo it

What operators could see: an instance that was emptied and is never reported as completed. The write that says that the retirement runs has no answer and is repeated; it takes effect after the status is completed, and nobody writes that again.

Change: the status is written under the condition that it is the one that was read. The instance itself takes a retirement for completed by the record of its disk, and not by a status that an earlier instance of its name has left.

Evidence: TestRetirementStatusIsWrittenLate fails on the code before (running to the end); TestRetireNameUsedBefore requires that such a status doesn't count.

--- a/node/retire.go
+++ b/node/retire.go
@@ -40,9 +40,10 @@
 	retirement struct {
 		instance string
 		isDone   bool
-		// isBegun is set once the record says that the retirement runs.
-		isBegun bool
-		since   time.Time
+		// isBegun is set once the record says that the retirement runs. revision is that of the record.
+		isBegun  bool
+		revision int64
+		since    time.Time
 		// absentSince is when the instance was first found absent, zero while it is alive.
 		absentSince time.Time
 		repeatedAt  time.Time
@@ -100,13 +101,14 @@
 	for {
 		names := n.state.retiring()
 		maps.DeleteFunc(known, func(name string, _ *retirement) bool { return !slices.Contains(names, name) })
+		isReporter := len(names) > 0 && n.reportsRetirements()
 		for _, name := range names {
 			r, ok := known[name]
 			if !ok {
 				r = &retirement{instance: name, since: time.Now(), gone: make(map[string]bool)}
 				known[name] = r
 			}
-			if !r.isDone {
+			if !r.isDone && (name == n.cfg.Instance || n.isLongAbsent(r, isReporter)) {
 				n.advanceRetirement(ctx, r)
 			}
 		}
@@ -119,18 +121,14 @@
 	}
 }
 
-// advanceRetirement does the next step of a retirement if it is up to this instance.
+// advanceRetirement does the next step of a retirement, of this instance or of one that is absent.
 func (n *Node) advanceRetirement(ctx context.Context, r *retirement) {
-	isOwn := r.instance == n.cfg.Instance
-	if !isOwn && !n.isLongAbsent(r) {
-		return
-	}
 	if !r.isBegun && !n.beginRetirement(ctx, r) {
 		return
 	}
 	use, err := n.diskUse(ctx, r)
 	if err == nil && use.IsNone() {
-		r.isDone = n.recordRetirement(ctx, r.instance, true)
+		r.isDone = n.recordRetirement(ctx, r, true)
 		return
 	}
 	if time.Since(r.repeatedAt) < retirementRepeat {
@@ -140,15 +138,19 @@
 	n.logger.Info("Instance not emptied yet.", "retired", r.instance, "batches", firstOf(use.Batches), "batch_count", len(use.Batches), "models", firstOf(use.Models),
 		"model_count", len(use.Models), "unstored", use.Unstored, "error", err, "took", time.Since(r.since).Round(time.Millisecond))
 	n.router.EnsureOwned(use)
-	if isOwn {
+	if r.instance == n.cfg.Instance {
 		n.router.HandOver(ctx)
 	}
 }
 
-// isLongAbsent reports whether this instance should report the retirement of another one, which has
-// been away for some time. One that is itself cut off from all others can't tell.
-func (n *Node) isLongAbsent(r *retirement) bool {
-	if n.mesh.IsAlive(r.instance) || !n.controller.Plans() || len(n.mesh.Alive()) == 0 {
+// reportsRetirements reports whether this instance reports those of absent instances. One that is cut
+// off from all others can't tell which are absent.
+func (n *Node) reportsRetirements() bool { return n.controller.Plans() && len(n.mesh.Alive()) > 0 }
+
+// isLongAbsent reports whether an instance has been away for some time while this one would report its
+// retirement.
+func (n *Node) isLongAbsent(r *retirement, isReporter bool) bool {
+	if !isReporter || n.mesh.IsAlive(r.instance) {
 		r.absentSince = time.Time{}
 		return false
 	}
@@ -161,17 +163,22 @@
 // beginRetirement writes that a retirement runs and begins it. It reports whether the disk's use is to
 // be checked: not if the store doesn't answer, or says that the retirement is completed already.
 func (n *Node) beginRetirement(ctx context.Context, r *retirement) bool {
-	key, completed := n.adapters.RetirementRecord(r.instance, true)
+	key, running := n.adapters.RetirementRecord(r.instance, false)
 	it, err := n.store.Get(ctx, key)
 	if err != nil {
 		return false
 	}
-	r.isDone = it.Revision > 0 && bytes.Equal(it.Value, completed)
+	r.revision = it.Revision
 	if r.instance != n.cfg.Instance { // which writes that it runs if it comes back
-		r.isBegun = true
+		_, completed := n.adapters.RetirementRecord(r.instance, true)
+		r.isBegun, r.isDone = true, bytes.Equal(it.Value, completed)
 		return !r.isDone
 	}
-	if !r.isDone && !n.recordRetirement(ctx, r.instance, false) {
+	// The status may be that of an earlier instance of this name: the record of the disk decides.
+	if r.isDone, err = n.isOwnDiskRetired(ctx); err != nil {
+		return false
+	}
+	if !r.isDone && !bytes.Equal(it.Value, running) && !n.recordRetirement(ctx, r, false) {
 		return false
 	}
 	if err := n.replicas.CloseDisk(); err != nil {
@@ -183,6 +190,16 @@
 	return !r.isDone
 }
 
+// isOwnDiskRetired reports whether this instance's disk is recorded as emptied.
+func (n *Node) isOwnDiskRetired(ctx context.Context) (bool, error) {
+	disk := n.mesh.Self().Disk
+	if disk == "" {
+		return false, nil
+	}
+	it, err := n.store.Get(ctx, bstore.RetiredDisk(disk, n.cfg.Instance).Key)
+	return it.Revision > 0, err
+}
+
 // diskUse returns what needs the disk of an instance. This instance has closed its disk before.
 func (n *Node) diskUse(ctx context.Context, r *retirement) (broute.DiskUse, error) {
 	if r.instance != n.cfg.Instance {
@@ -196,18 +213,24 @@
 	return use, err
 }
 
-// recordRetirement writes the progress of a retirement and reports whether the store has answered. A
-// write without an answer is not repeated before the next check. When it is completed, this instance's
-// disk is recorded as emptied, so that no successor waits for it.
-func (n *Node) recordRetirement(ctx context.Context, instance string, done bool) bool {
-	key, value := n.adapters.RetirementRecord(instance, done)
-	puts := []kvst.Put{{Key: key, Value: value}}
-	if disk := n.mesh.Self().Disk; done && instance == n.cfg.Instance && disk != "" {
-		puts = append(puts, bstore.RetiredDisk(disk, instance))
-	}
-	_, err := n.store.Commit(ctx, kvst.Txn{Puts: puts})
-	n.logger.Info("Instance retirement status written.", "retired", instance, "done", done, "error", err)
-	return err == nil
+// recordRetirement writes the progress of a retirement, if its record is still the one that is known,
+// and reports whether it did. Otherwise the record is read again before the next write: one without an
+// answer may take effect later. When a retirement is completed, this instance's disk is recorded as
+// emptied, so that no successor waits for it.
+func (n *Node) recordRetirement(ctx context.Context, r *retirement, done bool) bool {
+	key, value := n.adapters.RetirementRecord(r.instance, done)
+	txn := kvst.Txn{Expect: map[string]int64{key: r.revision}, Puts: []kvst.Put{{Key: key, Value: value}}}
+	if disk := n.mesh.Self().Disk; done && r.instance == n.cfg.Instance && disk != "" {
+		txn.Puts = append(txn.Puts, bstore.RetiredDisk(disk, r.instance))
+	}
+	revision, err := n.store.Commit(ctx, txn)
+	n.logger.Info("Instance retirement status written.", "retired", r.instance, "done", done, "error", err)
+	if err != nil {
+		r.isBegun = false
+		return false
+	}
+	r.revision = revision
+	return true
 }
 
 // firstOf returns the first few names for a log line.
