walog: what a start reads is synced before anything is acknowledged

A process that was killed between the write and the sync of a record left it in the page cache. The next one replayed it, and acknowledged the owner's repeated append, which changes nothing, without a sync: a later loss of power took results, epochs or the disk's ID that were counted on. The same for a rename without the sync of the folder, and for the folder's own name, which was never synced. Open now syncs the ID, each log and the folders.

The folder is listed without a pattern: one whose name has a bracket was taken for empty, and its logs were truncated. Leftovers of a rewrite are removed.

--- a/walog/walog.go
+++ b/walog/walog.go
@@ -4,8 +4,10 @@
 // file and synced before it is acknowledged, because the machine may lose power right after
 // an acknowledgment that others rely on. Each record has its length and a checksum, and a
 // file is truncated after its last complete record when it is opened: loss of power may
-// leave any part of an unsynced write. The disk has an ID, created with the folder, so a
-// machine whose disk was replaced by an empty one doesn't pass for the old one.
+// leave any part of an unsynced write. What a start reads is synced, with its names, before
+// anything is acknowledged: a process that was killed may have written it without a sync, and a
+// repeated append of it writes nothing. The disk has an ID, created with the folder, so a machine
+// whose disk was replaced by an empty one doesn't pass for the old one.
 package walog
 
 import (
@@ -21,6 +23,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +64,7 @@
 	// Dir holds the logs in one folder. It is safe for concurrent use. See Open.
 	Dir struct {
 		path     string
+		files    fileSystem
 		diskID   string
 		maxBytes int64
 
@@ -75,7 +79,7 @@
 
 	logFile struct {
 		mu       sync.Mutex
-		f        *os.File
+		f        file
 		replica  seal.Replica[batch.Result]
 		bytes    int64
 		lastUsed time.Time
@@ -111,32 +115,41 @@
 //	d, err := walog.Open("/data/copies")
 //	err = d.Append("b1", 1, 40, 40, results)
 func Open(path string, opts ...Option) (*Dir, error) {
-	d := &Dir{path: path, maxBytes: defaultMaxBytes, logs: make(map[string]*logFile)}
+	d := &Dir{path: path, files: osFiles{}, maxBytes: defaultMaxBytes, logs: make(map[string]*logFile)}
 	for _, opt := range opts {
 		opt(d)
 	}
-	if err := os.MkdirAll(path, dirMode); err != nil {
+	if err := d.files.MkdirAll(path); err != nil {
 		return nil, errors.Wrap(err, "creating the folder of copies")
 	}
 	if err := d.loadDiskID(); err != nil {
 		return nil, err
 	}
-	names, err := filepath.Glob(filepath.Join(path, "*"+logSuffix))
+	names, err := d.files.ReadDir(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "listing copies")
 	}
 	for _, name := range names {
-		id, err := url.PathUnescape(strings.TrimSuffix(filepath.Base(name), logSuffix))
+		if strings.HasSuffix(name, logSuffix+newSuffix) {
+			_ = d.files.Remove(filepath.Join(path, name)) // of an interrupted rewrite; the next rewrite would replace it
+		}
+		if !strings.HasSuffix(name, logSuffix) {
+			continue
+		}
+		id, err := url.PathUnescape(strings.TrimSuffix(name, logSuffix))
 		if err != nil {
 			return nil, errors.Wrapf(err, "decoding the file name of %s", name)
 		}
-		l, err := openLog(name)
+		l, err := d.openLog(filepath.Join(path, name))
 		if err != nil {
 			return nil, err
 		}
 		d.logs[id] = l
 		d.bytes += l.bytes
 	}
+	if err := d.syncNames(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -148,48 +161,61 @@
 // Disk returns the ID of the disk.
 func (d *Dir) Disk() string { return d.diskID }
 
-// loadDiskID reads the disk's ID, or creates one on an empty disk. Logs without a readable
-// ID come from an interrupted start, which acknowledged nothing.
+// loadDiskID reads the disk's ID, or creates one on an empty disk, and syncs it. Logs without a
+// readable ID come from an interrupted start, which acknowledged nothing.
 func (d *Dir) loadDiskID() error {
-	name := filepath.Join(d.path, idFile)
-	data, err := os.ReadFile(name)
-	if err == nil && len(data) == 2*idBytes {
-		d.diskID = string(data)
-		return nil
+	f, err := d.files.OpenFile(filepath.Join(d.path, idFile), os.O_CREATE|os.O_RDWR)
+	if err != nil {
+		return errors.Wrap(err, "opening the disk's id file")
 	}
-	if err != nil && !os.IsNotExist(err) {
+	defer func() { _ = f.Close() }() // it was synced
+	data, err := io.ReadAll(f)
+	if err != nil {
 		return errors.Wrap(err, "reading the disk's id")
 	}
-	id := make([]byte, idBytes)
-	_, _ = rand.Read(id) // documented to never fail
-	d.diskID = hex.EncodeToString(id)
-	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
-	if err != nil {
-		return errors.Wrap(err, "creating the disk's id file")
+	if len(data) != 2*idBytes {
+		id := make([]byte, idBytes)
+		_, _ = rand.Read(id) // documented to never fail
+		data = []byte(hex.EncodeToString(id))
+		if _, err := f.WriteAt(data, 0); err != nil {
+			return errors.Wrap(err, "writing the disk's id")
+		}
+		if err := f.Truncate(int64(len(data))); err != nil {
+			return errors.Wrap(err, "truncating the disk's id")
+		}
 	}
-	defer func() { _ = f.Close() }() // it was synced
-	if _, err := f.WriteString(d.diskID); err != nil {
-		return errors.Wrap(err, "writing the disk's id")
+	d.diskID = string(data)
+	return errors.Wrap(f.Sync(), "syncing the disk's id")
+}
+
+// syncNames syncs the folder and those above it, which Open may have created. One above it that
+// can't be opened or synced has no new names.
+func (d *Dir) syncNames() error {
+	if err := d.syncDir(); err != nil {
+		return err
 	}
-	if err := f.Sync(); err != nil {
-		return errors.Wrap(err, "syncing the disk's id")
+	path, err := filepath.Abs(d.path)
+	if err != nil {
+		return errors.Wrap(err, "resolving the folder of copies")
 	}
-	return d.syncDir()
+	for path != filepath.Dir(path) {
+		path = filepath.Dir(path)
+		err := d.files.SyncDir(path)
+		if err != nil && !errors.IsAny(err, os.ErrPermission, syscall.EROFS, syscall.EINVAL) {
+			return errors.Wrapf(err, "syncing %s", path)
+		}
+	}
+	return nil
 }
 
 // syncDir syncs the folder, so that the name of a new file survives loss of power.
 func (d *Dir) syncDir() error {
-	f, err := os.Open(d.path)
-	if err != nil {
-		return errors.Wrap(err, "opening the folder of copies")
-	}
-	defer func() { _ = f.Close() }() // it was only synced
-	return errors.Wrap(f.Sync(), "syncing the folder of copies")
+	return errors.Wrap(d.files.SyncDir(d.path), "syncing the folder of copies")
 }
 
-// openLog replays a log and truncates it after its last complete record.
-func openLog(name string) (*logFile, error) {
-	f, err := os.OpenFile(name, os.O_RDWR, fileMode)
+// openLog replays a log, truncates it after its last complete record and syncs it.
+func (d *Dir) openLog(name string) (*logFile, error) {
+	f, err := d.files.OpenFile(name, os.O_RDWR)
 	if err != nil {
 		return nil, errors.Wrap(err, "opening a replica log")
 	}
@@ -201,8 +227,8 @@
 	if err := f.Truncate(l.bytes); err != nil {
 		return nil, errors.Wrapf(err, "truncating %s", name)
 	}
-	if _, err := f.Seek(l.bytes, io.SeekStart); err != nil {
-		return nil, errors.Wrapf(err, "seeking to the end of %s", name)
+	if err := f.Sync(); err != nil {
+		return nil, errors.Wrapf(err, "syncing %s", name)
 	}
 	return l, nil
 }
@@ -301,7 +327,7 @@
 		return l, nil
 	}
 	d.removeExpired()
-	f, err := os.OpenFile(d.logPath(id), os.O_CREATE|os.O_RDWR|os.O_TRUNC, fileMode)
+	f, err := d.files.OpenFile(d.logPath(id), os.O_CREATE|os.O_RDWR|os.O_TRUNC)
 	if err != nil {
 		return nil, errors.Wrap(err, "making a copy")
 	}
@@ -332,13 +358,12 @@
 	if total > d.maxBytes && len(rec.Results) > 0 {
 		return &FullError{Bytes: total, Max: d.maxBytes}
 	}
-	_, err = l.f.Write(data)
+	_, err = l.f.WriteAt(data, l.bytes)
 	if err == nil {
 		err = l.f.Sync()
 	}
 	if err != nil {
-		_, seekErr := l.f.Seek(l.bytes, io.SeekStart)
-		return errors.Wrap(errors.CombineErrors(err, errors.CombineErrors(l.f.Truncate(l.bytes), seekErr)), "writing a copy")
+		return errors.Wrap(errors.CombineErrors(err, l.f.Truncate(l.bytes)), "writing a copy")
 	}
 	l.bytes += int64(len(data))
 	d.mu.Lock()
@@ -392,16 +417,16 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(d.logPath(id)+newSuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	f, err := d.files.OpenFile(d.logPath(id)+newSuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR)
 	if err != nil {
 		return errors.Wrap(err, "making a copy anew")
 	}
-	_, err = f.Write(data)
+	_, err = f.WriteAt(data, 0)
 	if err == nil {
 		err = f.Sync()
 	}
 	if err == nil {
-		err = os.Rename(d.logPath(id)+newSuffix, d.logPath(id))
+		err = d.files.Rename(d.logPath(id)+newSuffix, d.logPath(id))
 	}
 	if err == nil {
 		err = d.syncDir()
@@ -425,8 +450,8 @@
 		}
 		delete(d.logs, id)
 		d.bytes -= l.bytes
-		_ = l.f.Close()              // every record has been synced
-		_ = os.Remove(d.logPath(id)) // after a failure, the next start reads it and it expires again
+		_ = l.f.Close()                   // every record has been synced
+		_ = d.files.Remove(d.logPath(id)) // after a failure, the next start reads it and it expires again
 	}
 }
 
--- a/walog/walog_test.go
+++ b/walog/walog_test.go
@@ -207,3 +207,15 @@
 		}
 	})
 }
+
+// The data folder's name has characters of a pattern. A restart must find the logs in it, and not
+// truncate them as if they were new.
+func TestFolderNamedLikeAPattern(t *testing.T) {
+	g, path := NewWithT(t), filepath.Join(t.TempDir(), "rack[1]")
+	g.Expect(openDir(g, path).Append("b", 1, 0, 0, results("a"))).To(Succeed())
+	again := openDir(g, path)
+	g.Expect(again.Append("b", 1, 1, 0, results("b"))).To(Succeed())
+	got, _, err := again.Seal("b", 1, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(got).To(Equal(results("a", "b")))
+}
