brun: the owner of a batch says that there are no more results only while it is known to be the owner

Callers read N results of a batch at one entry, and a second and more later another entry, in touch with the platform, answered 200 with nothing at one of these positions.

Cause: an owner answers reads from memory, and nothing fences them. Its successor's claim fences its writes, and the seal of the replicas its appends. An owner that has nothing to write learns of its successor from a peer that owns the batch, open, at a later epoch, and of one that is on the other side of a partition, or has ended the batch, never. The class: an outdated leader that serves reads.

An owner now says that there is nothing at a position, or nothing yet, only if its ownership was confirmed at most 0.5 s before: by a write of its own that the store acknowledged, by the store's head, which still names it and its epoch, or, if the store doesn't answer in 0.1 s, by as many replicas as an append needs, none of which is sealed. That is one more than a seal may leave out, so that each seal meets it; replicas don't count while a write is in flight after which a successor needn't seal them (other replicas, the last results, the end). Times are those of the request, so a successor can have listed something for 0.5 s at most, and the rule allows a second. If the record names another one, the batch is dropped and the caller's entry asks that; if nothing answers, the answer is 503. Results that exist are returned as before, since a position never changes, and so are complete and ended lists.

Evidence: of the new tests of broute, TestReplacedOwnerDoesNotAnswerReads, TestCutOffOwnerDoesNotAnswerReads and TestReplacedOwnerOfAnEndedBatch fail on the code before (200 with none of 3 results, for as long as the partition lasts). TestOwnerAnswersWithoutTheStore and TestReadsCostTheStoreLittle guard against the opposite: refusals in an outage, and a call to the store a read. TestConfirmationMeetsEachSeal has a successor seal one of two replicas.

In brun's tests, batches are added as confirmed, the stores can be read, and `listed` takes a refusal for nothing that can be read: TestPendingIsListedFromReplicasOnly has neither store nor replicas. A replica whose epoch doesn't change isn't written.

--- a/broute/ask.go
+++ b/broute/ask.go
@@ -118,9 +118,12 @@
 	}
 	var notFound *brun.NotFoundError
 	var noItem *brun.ItemNotFoundError
+	var unconfirmed *brun.UnconfirmedError
 	switch {
 	case errors.As(err, &notFound):
 		return &askResponse{}, nil
+	case errors.As(err, &unconfirmed):
+		return &askResponse{Owned: true, Unconfirmed: unconfirmed.Cause.Error()}, nil
 	case errors.As(err, &noItem):
 		return &askResponse{Owned: true, NoItem: true}, nil
 	}
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -150,6 +150,8 @@
 		// the batch since it reaches too few replicas. An instance that reaches them may take
 		// the batch over.
 		Unsealed bool `json:"unsealed,omitempty"`
+		// Unconfirmed is why the receiver can't tell whether it still owns the batch; "" if it can.
+		Unconfirmed string `json:"unconfirmed,omitempty"`
 		// OtherCustomer is set if the batch belongs to another customer.
 		OtherCustomer bool      `json:"foreign,omitempty"`
 		Page          brun.Page `json:"page"`
@@ -374,6 +376,9 @@
 	if err != nil {
 		return brun.Page{}, err
 	}
+	if res.Unconfirmed != "" {
+		return brun.Page{}, &brun.UnconfirmedError{ID: q.ID, Cause: errors.New(res.Unconfirmed)}
+	}
 	done(res.Page)
 	return res.Page, nil
 }
--- a/broute/broute_test.go
+++ b/broute/broute_test.go
@@ -56,12 +56,23 @@
 		onCommit func(p kvst.Put)
 	}
 
+	// link is an instance's link to the metadata store. While it is cut, calls end without an answer.
+	link struct {
+		*fakeStore
+		isCut atomic.Bool
+		// reads counts the heads that were read.
+		reads atomic.Int64
+	}
+
 	// instance is one instance: an entry, or a data instance with a disk.
 	instance struct {
 		*Router
 		ip     string
 		store  *bstore.Store
+		link   *link
 		cancel context.CancelFunc
+		// givesUp has the instance give up the items of its batches, which lists them as errored.
+		givesUp atomic.Bool
 	}
 
 	// cluster has three entries and as many data instances, of which one may be lost.
@@ -125,6 +136,37 @@
 	return s.revision, nil
 }
 
+// wait returns an error once ctx has ended if the link is cut.
+func (l *link) wait(ctx context.Context) error {
+	if !l.isCut.Load() {
+		return nil
+	}
+	<-ctx.Done()
+	return &kvst.UnknownOutcomeError{Cause: ctx.Err()}
+}
+
+func (l *link) Get(ctx context.Context, key string) (kvst.Item, error) {
+	if err := l.wait(ctx); err != nil {
+		return kvst.Item{}, err
+	}
+	l.reads.Add(1)
+	return l.fakeStore.Get(ctx, key)
+}
+
+func (l *link) List(ctx context.Context, prefix string) ([]kvst.Item, int64, error) {
+	if err := l.wait(ctx); err != nil {
+		return nil, 0, err
+	}
+	return l.fakeStore.List(ctx, prefix)
+}
+
+func (l *link) Commit(ctx context.Context, t kvst.Txn) (int64, error) {
+	if err := l.wait(ctx); err != nil {
+		return 0, err
+	}
+	return l.fakeStore.Commit(ctx, t)
+}
+
 // withCluster runs f with a cluster that has settled.
 func withCluster(t *testing.T, f func(ctx context.Context, c *cluster)) {
 	t.Helper()
@@ -155,11 +197,15 @@
 	n.Boot, n.Power, n.Incarnation = "first", 1, 1
 	ctx, cancel := context.WithCancel(ctx)
 	ip, _, _ := strings.Cut(n.Addr, ":")
-	in := &instance{ip: ip, store: bstore.New(c.kv), cancel: cancel}
+	l := &link{fakeStore: c.kv}
+	in := &instance{ip: ip, store: bstore.New(l), link: l, cancel: cancel}
 	logger, counts := logs.New(io.Discard), meter.New()
 	manifest := func() *manif.Manifest {
-		return &manif.Manifest{Routes: []manif.Route{{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3,
-			Split: []manif.WeightedService{{Service: "lm", Weight: 1}}}}}
+		route := manif.Route{Host: "h", Prefix: "/b/", Kind: manif.Batch, MaxAttempts: 3, Split: []manif.WeightedService{{Service: "lm", Weight: 1}}}
+		if in.givesUp.Load() {
+			route.MaxQueue = time.Nanosecond
+		}
+		return &manif.Manifest{Routes: []manif.Route{route}}
 	}
 	var runner *brun.Runner
 	m := mesh.New(n, &http.Client{Transport: c.net.Transport(ip)}, logger,
@@ -188,6 +234,16 @@
 	return in
 }
 
+// split partitions the first entry and the first data instance from all others. All of them reach
+// the metadata store.
+func (c *cluster) split() {
+	for _, in := range []*instance{c.entries[0], c.data[0]} {
+		for _, other := range slices.Concat(c.entries[1:], c.data[1:]) {
+			c.net.Partition(in.ip, other.ip)
+		}
+	}
+}
+
 // kill ends the instance's process.
 func (c *cluster) kill(in *instance) {
 	in.cancel()
--- /dev/null
+++ b/broute/reads_test.go
@@ -0,0 +1,122 @@
+package broute
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+)
+
+// settleTime is the time after which a result that was read must be in each list.
+const settleTime = time.Second
+
+// replace has an instance on the other side of a partition take over a batch of the first entry, which
+// has nothing to write, and list the results of its items there.
+func (c *cluster) replace(ctx context.Context, id string) (owner, successor *instance) {
+	owner, successor = c.entries[0], c.entries[1]
+	sub := submission(id)
+	rec, created, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose(id, nil), time.Now())
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(created).To(BeTrue())
+	owner.runner.Add(ctx, rec, sub, nil, nil)
+	time.Sleep(time.Second)
+	for _, in := range append(c.data[1:], c.entries[1:]...) {
+		in.givesUp.Store(true)
+	}
+	c.split()
+	time.Sleep(lossTime)
+	found, _, err := read(ctx, successor, id)
+	c.g.Expect(err).NotTo(HaveOccurred())
+	c.g.Expect(found).To(HaveLen(len(sub.Items)))
+	c.g.Expect(owner.runner.Has(id)).To(BeTrue())
+	return owner, successor
+}
+
+// An owner that was replaced, and hears neither of its successor nor of the store as it has nothing to
+// write, answers reads from memory: results that were read elsewhere are gone.
+func TestReplacedOwnerDoesNotAnswerReads(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, _ := c.replace(ctx, "b")
+		time.Sleep(settleTime)
+		found, _, err := read(ctx, owner, "b")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(found).To(HaveLen(3))
+	})
+}
+
+// The same while the owner doesn't reach the store, as the successor does: the replicas that it reaches
+// are too few to tell that it is still the owner, and it must say that it can't tell.
+func TestCutOffOwnerDoesNotAnswerReads(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, _ := c.replace(ctx, "b")
+		owner.link.isCut.Store(true)
+		time.Sleep(settleTime)
+		_, _, err := read(ctx, owner, "b")
+		var none *NotFoundError
+		c.g.Expect(err).To(HaveOccurred())
+		c.g.Expect(errors.As(err, &none)).To(BeFalse(), "the batch exists: %v", err)
+	})
+}
+
+// The successor has ended the batch, of which no peer then tells as an open one: once the partition is
+// healed, the owner must not go on with a list of its own.
+func TestReplacedOwnerOfAnEndedBatch(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, successor := c.replace(ctx, "b")
+		c.g.Expect(successor.End(ctx, BatchRef{ID: "b"})).To(Succeed())
+		for _, in := range []*instance{c.entries[0], c.data[0]} {
+			for _, other := range slices.Concat(c.entries[1:], c.data[1:]) {
+				c.net.Heal(in.ip, other.ip)
+			}
+		}
+		time.Sleep(settleTime)
+		found, _, err := read(ctx, owner, "b")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(found).To(HaveLen(3))
+	})
+}
+
+// Nobody reaches the store. The owner must go on to answer, since no successor can have sealed the
+// replicas that it reaches.
+func TestOwnerAnswersWithoutTheStore(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner := c.entries[0]
+		sub := submission("b")
+		rec, _, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose("b", nil), time.Now())
+		c.g.Expect(err).NotTo(HaveOccurred())
+		owner.runner.Add(ctx, rec, sub, nil, nil)
+		for _, in := range slices.Concat(c.entries, c.data) {
+			in.link.isCut.Store(true)
+		}
+		for range 10 {
+			time.Sleep(settleTime)
+			for _, in := range c.entries {
+				_, _, err := read(ctx, in, "b")
+				c.g.Expect(err).NotTo(HaveOccurred())
+			}
+		}
+	})
+}
+
+// Callers ask for results that don't exist yet. The store isn't asked for each of them who owns the
+// batch.
+func TestReadsCostTheStoreLittle(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner := c.entries[0]
+		sub := submission("b")
+		rec, _, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose("b", nil), time.Now())
+		c.g.Expect(err).NotTo(HaveOccurred())
+		owner.runner.Add(ctx, rec, sub, nil, nil)
+		before := owner.link.reads.Load()
+		const reads, pause = 400, 10 * time.Millisecond
+		for range reads {
+			_, _, err := read(ctx, owner, "b")
+			c.g.Expect(err).NotTo(HaveOccurred())
+			time.Sleep(pause)
+		}
+		c.g.Expect(owner.link.reads.Load() - before).To(BeNumerically("<=", reads*pause/(400*time.Millisecond)))
+	})
+}
--- a/brun/ask.go
+++ b/brun/ask.go
@@ -6,11 +6,13 @@
 )
 
 // Read returns the results from position after on, up to limit bytes but at least one result.
-// It waits for the first one for at most wait.
+// It waits for the first one for at most wait. It returns a *NotFoundError if this instance doesn't
+// own the batch, or not any more. It says that there is none only as the confirmed owner, and
+// otherwise returns an *UnconfirmedError: a successor may have listed more, which were read there.
 func (r *Runner) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for {
+	for isOver := false; ; {
 		r.mu.Lock()
 		b, ok := r.tracked[id]
 		if !ok {
@@ -18,18 +20,27 @@
 			return Page{}, &NotFoundError{ID: id}
 		}
 		page, changed := b.page(after, limit), b.changed
-		finished := b.ended || b.published == len(b.items)
-		r.noteRead(b, page.Next)
+		isOver = isOver || b.ended || b.published == len(b.items)
+		isValid := len(page.Results) > 0 || (isOver && b.isConfirmed(time.Now()))
+		if isValid {
+			r.noteRead(b, page.Next)
+		}
 		r.mu.Unlock()
-		if len(page.Results) > 0 || finished {
+		switch {
+		case isValid:
 			return page, nil
+		case isOver:
+			if err := r.awaitConfirmation(ctx, b); err != nil {
+				return Page{}, err
+			}
+			continue
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return page, nil
+			isOver = true
 		case <-ctx.Done():
-			return page, nil
+			isOver = true
 		}
 	}
 }
--- a/brun/choice_test.go
+++ b/brun/choice_test.go
@@ -38,7 +38,7 @@
 	for i := range items {
 		sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint("item-", i), Body: fmt.Append(nil, i), ExpectedTokens: events * stride})
 	}
-	r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+	r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 }
 
 // allocsOfSweep returns the number of allocations of one sweep over a step that runs.
--- a/brun/copies.go
+++ b/brun/copies.go
@@ -30,6 +30,9 @@
 		// once enough of them have the results. Those before position from were appended
 		// earlier.
 		Append(ctx context.Context, id string, epoch int64, replicas []batch.Replica, from, stored int, results []batch.Result) error
+		// Confirm returns nil if no later owner can have sealed the replicas when it was called, a
+		// *seal.FencedError if one has, and another error if too few of them answer.
+		Confirm(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error
 		// Drop has the replicas delete the results, of which the store has the first stored ones.
 		Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica, stored int)
 	}
@@ -46,6 +49,9 @@
 	return nil
 }
 
+// Confirm implements Replicas; it is never called, as there are no replicas.
+func (noReplicas) Confirm(context.Context, string, int64, []batch.Replica) error { return nil }
+
 // Drop implements Replicas.
 func (noReplicas) Drop(context.Context, string, int64, []batch.Replica, int) {}
 
@@ -74,6 +80,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b.writing, b.movingReplicas = true, len(change.Replicas) > 0
+	b.outgrowsReplicas = b.movingReplicas || change.End || b.record.Results+len(change.Results) == len(b.items)
 }
 
 func sameReplicas(a, b []batch.Replica) bool {
@@ -126,6 +133,7 @@
 	}
 	r.meter.Count("results_copied_total", int64(len(results)), "outcome", "ok")
 	r.meter.Observe("results_copied_seconds", took)
+	b.confirm(start)
 	b.replicated = record.Results + len(results)
 	if b.dropped || b.ended {
 		return
--- a/brun/expire_test.go
+++ b/brun/expire_test.go
@@ -20,7 +20,7 @@
 		kv := &fakeStore{refusals: 1}
 		r.store = bstore.New(kv)
 		old := time.Now().Add(-time.Hour)
-		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1, BodyChunks: 1, Ended: true}, AcceptedAt: old},
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1, BodyChunks: 1, Ended: true}, AcceptedAt: old, ConfirmedAt: time.Now()},
 			&batch.Submission{ID: "b"}, nil, nil)
 		time.Sleep(time.Second)
 		g.Expect(r.Has("b")).To(BeFalse())
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -133,8 +133,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b.writing, b.movingReplicas = false, false
+	b.writing, b.movingReplicas, b.outgrowsReplicas = false, false, false
 	b.record = record
+	b.confirm(record.ConfirmedAt)
 	b.published = max(b.published, record.Results)
 	if len(change.Results) > 0 || change.End {
 		b.notifyReaders()
--- a/brun/invalid_test.go
+++ b/brun/invalid_test.go
@@ -188,7 +188,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			go r.Run(ctx)
 			sub := drawnBatch(drawnItems)
-			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 			time.Sleep(time.Duration(200+seed*20) * time.Millisecond)
 			r.Stop(ctx)
 			r.Drop("b", "taken over")
@@ -202,7 +202,7 @@
 			r, _ = newDrawnRunner(e)
 			ctx, cancel = context.WithCancel(t.Context())
 			go r.Run(ctx)
-			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "you", Epoch: 2}, AcceptedAt: time.Now()}, sub, nil, progress)
+			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "you", Epoch: 2}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, progress)
 			page := r.readAll(ctx, g, drawnItems, 2*time.Minute)
 			g.Expect(page).To(HaveLen(drawnItems), "seed %d", seed)
 			for _, res := range page {
@@ -215,7 +215,7 @@
 			time.Sleep(5 * time.Second) // no engine is avoided any more
 			more := drawnBatch(20)
 			more.ID = "more"
-			r.Add(ctx, bstore.Record{ID: "more", Head: batch.Head{Owner: "you", Epoch: 1}, AcceptedAt: time.Now()}, more, nil, nil)
+			r.Add(ctx, bstore.Record{ID: "more", Head: batch.Head{Owner: "you", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, more, nil, nil)
 			time.Sleep(5 * time.Second)
 			e.mu.Lock()
 			g.Expect(e.sound).To(And(HaveKey("a"), HaveKey("b")), "seed %d", seed)
@@ -234,7 +234,7 @@
 		e.rng, e.sound = rand.New(rand.NewPCG(1, 8)), make(map[string]int)
 		r, _ := newDrawnRunner(e)
 		go r.Run(ctx)
-		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, drawnBatch(drawnItems), nil, nil)
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, drawnBatch(drawnItems), nil, nil)
 		f(ctx, NewWithT(t), r)
 		cancel()
 		synctest.Wait()
--- a/brun/limits_test.go
+++ b/brun/limits_test.go
@@ -105,7 +105,7 @@
 				r, store := newOwner()
 				ctx, cancel := context.WithCancel(t.Context())
 				go r.Run(ctx)
-				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 				for start := time.Now(); time.Since(start) < c.takeOverAt; time.Sleep(time.Millisecond) {
 					r.mu.Lock()
 					g.Expect(r.textUsed).To(BeNumerically("<=", r.textMemory))
@@ -130,7 +130,7 @@
 				r, _ = newOwner()
 				ctx, cancel = context.WithCancel(t.Context())
 				go r.Run(ctx)
-				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "you", Epoch: 2}, AcceptedAt: time.Now()}, sub, nil, stored)
+				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "you", Epoch: 2}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, stored)
 				results := r.readAll(ctx, g, drawnItems, time.Minute)
 				g.Expect(results).To(HaveLen(drawnItems))
 				for _, res := range results {
@@ -140,7 +140,7 @@
 				for n := range 3 {
 					more := drawnBatch(drawnItems)
 					more.ID = fmt.Sprint("more", n)
-					r.Add(ctx, bstore.Record{ID: more.ID, Head: batch.Head{Owner: "you", Epoch: 1}, AcceptedAt: time.Now()}, more, nil, nil)
+					r.Add(ctx, bstore.Record{ID: more.ID, Head: batch.Head{Owner: "you", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, more, nil, nil)
 					time.Sleep(2 * time.Second)
 				}
 				e.mu.Lock()
@@ -169,7 +169,7 @@
 			r.sender = longTexts{items: texts}
 			ctx, cancel := context.WithCancel(t.Context())
 			go r.Run(ctx)
-			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+			r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 			results := r.readAll(ctx, g, drawnItems, time.Minute)
 			g.Expect(results).To(HaveLen(drawnItems))
 			for _, res := range results {
@@ -193,7 +193,7 @@
 		sub.Items[0].MaxOutputTokens = 50
 		ctx, cancel := context.WithCancel(t.Context())
 		go r.Run(ctx)
-		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 		time.Sleep(49*20*time.Millisecond + 5*time.Millisecond)
 		e.mu.Lock()
 		clear(e.broken)
--- a/brun/pending.go
+++ b/brun/pending.go
@@ -56,6 +56,7 @@
 	defer r.mu.Unlock()
 	b.record = record
 	b.create, b.writing = nil, false
+	b.confirm(record.ConfirmedAt)
 	r.logger.Info("Batch stored.", "batch", record.ID, "epoch", record.Epoch, "revision", record.Revision, "results", len(b.results),
 		"listed", b.published, "ended", b.ended, "took", time.Since(start).Round(time.Millisecond))
 	return true
--- a/brun/pending_test.go
+++ b/brun/pending_test.go
@@ -104,6 +104,13 @@
 	return nil
 }
 
+// Confirm implements Replicas.
+func (f *fakeReplicas) Confirm(context.Context, string, int64, []batch.Replica) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
 // Drop implements Replicas.
 func (f *fakeReplicas) Drop(context.Context, string, int64, []batch.Replica, int) {
 	f.mu.Lock()
@@ -152,9 +159,14 @@
 	o.AddPending(o.ctx, bstore.Record{ID: id, Head: head, AcceptedAt: time.Now().Add(-since)}, sub, o.create.store)
 }
 
-// listed returns the number of results that can be read.
+// listed returns the number of results that can be read: none if the runner can't tell whether it owns
+// the batch.
 func (o *outage) listed(g *WithT, id string) int {
 	page, err := o.Read(o.ctx, id, 0, 1<<20, 0)
+	var unconfirmed *UnconfirmedError
+	if errors.As(err, &unconfirmed) {
+		return 0
+	}
 	g.Expect(err).NotTo(HaveOccurred())
 	return len(page.Results)
 }
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +41,8 @@
 var errReset = errors.New("connection reset by peer")
 
 type (
-	// fakeStore is a metadata store that accepts every write except the first refusals ones.
+	// fakeStore is a metadata store that accepts every write except the first refusals ones. It
+	// refuses to read what was never written.
 	fakeStore struct {
 		kvst.Store
 		mu       sync.Mutex
@@ -85,6 +87,19 @@
 	return s.revision, nil
 }
 
+func (s *fakeStore) Get(_ context.Context, key string) (kvst.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, t := range slices.Backward(s.commits) {
+		for _, p := range t.Puts {
+			if p.Key == key {
+				return kvst.Item{Key: key, Value: p.Value, Revision: int64(i + 1)}, nil
+			}
+		}
+	}
+	return kvst.Item{}, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
+}
+
 // Write implements io.Writer for the log.
 func (e *fakeEngines) Write(line []byte) (int, error) {
 	e.mu.Lock()
@@ -172,7 +187,7 @@
 	for n := range items {
 		sub.Items = append(sub.Items, batch.Item{ID: fmt.Sprint(id, "-", n), ExpectedTokens: events * stride})
 	}
-	r.Add(ctx, bstore.Record{ID: id, Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+	r.Add(ctx, bstore.Record{ID: id, Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 }
 
 // An engine sends the first event of each run right after the head of its response. If that
@@ -351,7 +366,7 @@
 	withRunner(t, map[string]time.Duration{"a": 20 * time.Millisecond}, func(ctx context.Context, g *WithT, r *Runner, e *fakeEngines, _ *epset.Registry) {
 		sub := &batch.Submission{ID: "b", Host: "h", Target: "/b/", Model: "m"}
 		sub.Items = []batch.Item{{ID: "i", Scoring: &batch.Scoring{ID: "c", Host: "s", Target: "/s/x"}}}
-		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now().Add(-defaultCallTimeout)}, sub, nil,
+		r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now().Add(-defaultCallTimeout), ConfirmedAt: time.Now()}, sub, nil,
 			[]batch.Progress{{ID: "i", Texts: []string{"x"}, Complete: true}})
 		time.Sleep(time.Second)
 		addBatch(ctx, r, "other", 1)
--- a/brun/size_test.go
+++ b/brun/size_test.go
@@ -54,6 +54,17 @@
 	return s.revision, nil
 }
 
+// Get implements kvst.Store.
+func (s *limitedStore) Get(_ context.Context, key string) (kvst.Item, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.items[key]
+	if !ok {
+		return kvst.Item{}, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
+	}
+	return kvst.Item{Key: key, Value: value, Revision: s.revision}, nil
+}
+
 // List implements kvst.Store.
 func (s *limitedStore) List(_ context.Context, prefix string) (out []kvst.Item, revision int64, err error) {
 	s.mu.Lock()
@@ -115,7 +126,7 @@
 				r := newOwner()
 				ctx, cancel := context.WithCancel(t.Context())
 				go r.Run(ctx)
-				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now()}, sub, nil, nil)
+				r.Add(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "me", Epoch: 1}, AcceptedAt: time.Now(), ConfirmedAt: time.Now()}, sub, nil, nil)
 				time.Sleep(300 * time.Millisecond)
 				r.Stop(ctx)
 				r.Drop("b", "taken over")
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -40,6 +40,15 @@
 		replicated                  int
 		replicating, movingReplicas bool
 		nextReplication             time.Time
+		// confirmedAt is the latest time at which this instance is known to have owned the batch.
+		// confirming is closed at the end of the check of that under way, nil if none is; confirmErr is
+		// why the last one failed.
+		confirmedAt time.Time
+		confirming  chan struct{}
+		confirmErr  error
+		// outgrowsReplicas is set while a write is in flight after which a successor may have results
+		// without sealing the replicas of record: it changes them, or has the last results or the end.
+		outgrowsReplicas bool
 		// writing is set while a write is in flight; hasMore once the last one left out what was to
 		// be written, as it had the maximum size.
 		writing, hasMore bool
@@ -137,6 +146,7 @@
 		results:     stored,
 		published:   len(stored),
 		ended:       record.Ended,
+		confirmedAt: record.ConfirmedAt,
 		endStored:   make(chan struct{}),
 		changed:     make(chan struct{}),
 		flushSignal: make(chan struct{}, 1),
--- a/bstore/bstore.go
+++ b/bstore/bstore.go
@@ -63,6 +63,10 @@
 		// Uncertainty.
 		AcceptedAt  time.Time
 		Uncertainty time.Duration
+		// ConfirmedAt is a time at which the store had this head, or an earlier one of the same
+		// owner and epoch, on this process's monotonic clock: that of the request that the store
+		// answered. It is zero if the store hasn't answered one.
+		ConfirmedAt time.Time
 	}
 
 	// Change is one write to one batch: results to append, partial text of unfinished
@@ -157,11 +161,16 @@
 
 // Load returns the head of a batch; its Revision is 0 if there is none.
 func (s *Store) Load(ctx context.Context, id string) (Record, error) {
+	start := time.Now()
 	it, err := s.kv.Get(ctx, headKey(id))
 	if err != nil || it.Revision == 0 {
 		return Record{ID: id}, err
 	}
-	return decodeHead(it)
+	rec, err := decodeHead(it)
+	if err == nil {
+		rec.ConfirmedAt = start
+	}
+	return rec, err
 }
 
 // Heads returns the heads of all stored batches. A head that can't be decoded is left out, and
@@ -350,7 +359,8 @@
 // conditional write until the store either accepts it or returns the head of the last
 // writer, which may be this very write.
 func (s *Store) commitWithHead(ctx context.Context, rec *Record, txn kvst.Txn) error {
-	rec.AgeMs = rec.Age(time.Now()).Milliseconds()
+	start := time.Now()
+	rec.AgeMs = rec.Age(start).Milliseconds()
 	raw, err := json.Marshal(rec.Head)
 	if err != nil {
 		return errors.Wrap(err, "encoding the head")
@@ -359,7 +369,10 @@
 	rec.Revision, err = s.commit(ctx, txn)
 	var conflict *kvst.ConflictError
 	if errors.As(err, &conflict) {
-		return resolveConflict(rec, txn, conflict)
+		err = resolveConflict(rec, txn, conflict)
+	}
+	if err == nil {
+		rec.ConfirmedAt = start
 	}
 	return err
 }
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -198,9 +198,20 @@
 // Probe returns nil if enough of the replicas for a seal answer, and otherwise the same errors
 // as Append. epoch is that of the present owner, whose appends go on.
 func (s *Log) Probe(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
+	return s.probe(ctx, id, epoch, replicas, s.sealQuorum(replicas))
+}
+
+// Confirm returns nil if no later owner had sealed the replicas when it was called, and otherwise the
+// same errors as Append. It asks one more of them than a seal may leave out.
+func (s *Log) Confirm(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
+	return s.probe(ctx, id, epoch, replicas, s.quorum())
+}
+
+// probe asks the replicas of the owner with this epoch, whose appends go on.
+func (s *Log) probe(ctx context.Context, id string, epoch int64, replicas []batch.Replica, need int) error {
 	req := request{Op: opSeal, ID: id, Epoch: epoch, From: math.MaxInt32} // after all results
 	liveDisks := s.liveDisks()
-	return awaitQuorum(id, replicas, s.sealQuorum(replicas), func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
+	return awaitQuorum(id, replicas, need, func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
 }
 
 // awaitQuorum makes a call to each replica and returns once enough have succeeded, or all have
--- a/replog/replog_test.go
+++ b/replog/replog_test.go
@@ -264,3 +264,27 @@
 		m.g.Expect(m.owner.Append(ctx, "b", 1, c[:2], 1, 1, results("b"))).NotTo(Succeed(), "one of two replicas refuses")
 	})
 }
+
+// Of two replicas a successor seals the one that it reaches, and the owner reaches the other one. If that
+// confirmed its ownership, both would answer reads.
+func TestConfirmationMeetsEachSeal(t *testing.T) {
+	withCluster(t, func(m *cluster) {
+		ctx := context.Background()
+		c := m.owner.Choose("b", nil)[:2]
+		m.g.Expect(m.owner.Confirm(ctx, "b", 1, c)).To(Succeed())
+		at := 0
+		for at == machineIndex(c[0]) || at == machineIndex(c[1]) {
+			at++
+		}
+		m.net.Partition(machineIP(at), machineIP(machineIndex(c[0])))
+		m.net.Partition("10.0.0.1", machineIP(machineIndex(c[1])))
+		_, err := m.data[at].Seal(ctx, "b", 2, c, 0)
+		m.g.Expect(err).NotTo(HaveOccurred())
+		var tooFew *QuorumError
+		m.g.Expect(errors.As(m.owner.Confirm(ctx, "b", 1, c), &tooFew)).To(BeTrue())
+		m.net.Heal("10.0.0.1", machineIP(machineIndex(c[1])))
+		time.Sleep(2 * time.Second)
+		var fenced *seal.FencedError
+		m.g.Expect(errors.As(m.owner.Confirm(ctx, "b", 1, c), &fenced)).To(BeTrue())
+	})
+}
--- a/walog/walog.go
+++ b/walog/walog.go
@@ -295,7 +295,8 @@
 func (d *Dir) Seal(id string, epoch int64, after int) (results []batch.Result, resultsEpoch int64, err error) {
 	err = d.update(id, record{Epoch: epoch}, func(c *seal.Replica[batch.Result]) (bool, error) {
 		results, resultsEpoch = c.ResultsFrom(after), c.ResultsEpoch
-		return true, c.Seal(epoch)
+		isLater := epoch > c.Epoch
+		return isLater, c.Seal(epoch)
 	})
 	return results, resultsEpoch, err
 }
