brun: items of a batch whose ownership is in doubt start once it is confirmed

An owner that was replaced, and whose successor's caller ended the batch, starts items that waited for a slot: the engines run what nobody wants any more, later than the 3 s in which an end takes effect. The cause is that of outdated reads: nothing fences what an owner does beside its writes, and peers tell of open batches only.

Items now start at most 2 s after ownership was confirmed; later than that it is checked first, as for a read. Without an answer within 250 ms they start: an outage of the store must not stop the work. Nothing is asked while there is no free slot, or while the batch is written.

Evidence: TestItemsOfAReplacedOwnerDontStart fails before; TestItemsStartInAnOutage guards against the opposite.

--- a/brun/confirm.go
+++ b/brun/confirm.go
@@ -14,6 +14,11 @@
 	// readLease is how long after a confirmation of ownership an instance says that there are no more
 	// results. Those that were read elsewhere must be in each list a second later.
 	readLease = 500 * time.Millisecond
+	// startLease is how long after a confirmation items start: those of a batch that its successor has
+	// ended must not start 3 s after that. Without an answer within startWait they do: in an outage
+	// work goes on.
+	startLease = 2 * time.Second
+	startWait  = 250 * time.Millisecond
 	// confirmTimeout bounds a confirmation; the replicas are asked if the store takes longer than
 	// confirmStoreTime.
 	confirmTimeout   = time.Second
@@ -74,7 +79,7 @@
 // is closed at its end. The caller holds r.mu.
 func (r *Runner) startConfirmation(b *tracked) <-chan struct{} {
 	if b.confirming == nil {
-		b.confirming = make(chan struct{})
+		b.confirming, b.checkedAt = make(chan struct{}), time.Now()
 		go r.runConfirmation(b, b.confirming)
 	}
 	return b.confirming
@@ -91,6 +96,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer close(done)
+	defer r.Wake()
 	b.confirming = nil
 	outcome := "confirmed"
 	switch {
@@ -188,3 +194,15 @@
 	}
 	return r.replicas.Confirm(ctx, record.ID, record.Epoch, record.Replicas)
 }
+
+// maySend reports whether items of a batch may start. If its ownership wasn't confirmed for a while, it
+// is checked first. The caller holds r.mu.
+func (r *Runner) maySend(b *tracked, now time.Time) bool {
+	switch {
+	case b.isPending() || now.Sub(b.confirmedAt) < startLease:
+		return true
+	case now.Sub(b.checkedAt) >= startLease:
+		r.startConfirmation(b)
+	}
+	return now.Sub(b.checkedAt) >= startWait
+}
--- /dev/null
+++ b/brun/confirm_test.go
@@ -0,0 +1,48 @@
+package brun
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/lavendermux/lavendermux/batch"
+	"github.com/lavendermux/lavendermux/bstore"
+	"github.com/lavendermux/lavendermux/endpt"
+	"github.com/lavendermux/lavendermux/epset"
+	"github.com/lavendermux/lavendermux/kvst"
+)
+
+// The owner of a batch waits for a free slot while a successor takes the batch over and its caller ends
+// it. The items must not start here once there is a slot.
+func TestItemsOfAReplacedOwnerDontStart(t *testing.T) {
+	withRunner(t, nil, func(ctx context.Context, g *WithT, r *Runner, e *fakeEngines, set *epset.Registry) {
+		raw, err := json.Marshal(batch.Head{Owner: "successor", Epoch: 2, Ended: true})
+		g.Expect(err).NotTo(HaveOccurred())
+		kv := &fakeStore{commits: []kvst.Txn{{Puts: []kvst.Put{{Key: bstore.HeadPrefix + "b", Value: raw}}}}}
+		r.store = bstore.New(kv)
+		addBatch(ctx, r, "b", 2)
+		time.Sleep(startLease)
+		set.Put(endpt.Endpoint{ID: "a", Service: "lm", Slots: slots, Versions: map[string]int64{"m": 1}})
+		r.Wake()
+		time.Sleep(time.Second)
+		g.Expect(e.lastSent).To(BeEmpty())
+		g.Expect(r.Has("b")).To(BeFalse())
+	})
+}
+
+// The owner can't tell whether it still owns the batch, as the store is unavailable and there are no
+// replicas. Its items must start all the same: an outage would otherwise stop all work.
+func TestItemsStartInAnOutage(t *testing.T) {
+	withRunner(t, nil, func(ctx context.Context, g *WithT, r *Runner, e *fakeEngines, set *epset.Registry) {
+		addBatch(ctx, r, "b", 2)
+		time.Sleep(startLease)
+		set.Put(endpt.Endpoint{ID: "a", Service: "lm", Slots: slots, Versions: map[string]int64{"m": 1}})
+		r.Wake()
+		time.Sleep(startWait + 2*sweepInterval)
+		g.Expect(e.lastSent).NotTo(BeEmpty())
+		g.Expect(r.Has("b")).To(BeTrue())
+	})
+}
--- a/brun/runs.go
+++ b/brun/runs.go
@@ -67,6 +67,10 @@
 		}
 		v, wait := r.take(c, b.sub, it, route, now)
 		if wait == "" {
+			if !r.maySend(b, now) {
+				waiting[waitOwnership]++
+				return
+			}
 			r.startItem(ctx, b, it, route, v)
 			continue
 		}
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -41,11 +41,11 @@
 		replicating, movingReplicas bool
 		nextReplication             time.Time
 		// confirmedAt is the latest time at which this instance is known to have owned the batch.
-		// confirming is closed at the end of the check of that under way, nil if none is; confirmErr is
-		// why the last one failed.
-		confirmedAt time.Time
-		confirming  chan struct{}
-		confirmErr  error
+		// checkedAt is when the last check of that began, and confirmErr why it failed; confirming is
+		// closed at the end of the check under way, nil if none is.
+		confirmedAt, checkedAt time.Time
+		confirming             chan struct{}
+		confirmErr             error
 		// outgrowsReplicas is set while a write is in flight after which a successor may have results
 		// without sealing the replicas of record: it changes them, or has the last results or the end.
 		outgrowsReplicas bool
--- a/brun/waits.go
+++ b/brun/waits.go
@@ -8,9 +8,10 @@
 
 // The causes for which an item that could run isn't sent.
 const (
-	waitSlot    waitCause = "no free slot"
-	waitVersion waitCause = "no free slot with the same weights"
-	waitRetry   waitCause = "delay before a retry"
+	waitSlot      waitCause = "no free slot"
+	waitVersion   waitCause = "no free slot with the same weights"
+	waitRetry     waitCause = "delay before a retry"
+	waitOwnership waitCause = "check of the batch's ownership"
 )
 
 // waitLogInterval is how often it is logged why the items of a batch wait.
