--- a/reads/reads.go
+++ b/reads/reads.go
@@ -18,6 +18,9 @@
 	// logInterval is the minimum time between two lines about a batch whose results only grow:
 	// trainers read twice a second.
 	logInterval = 500 * time.Millisecond
+	// warnInterval is the time after which the same short page is warned of again: trainers ask an
+	// owner until it has more.
+	warnInterval = 5 * time.Second
 )
 
 type (
@@ -178,10 +181,10 @@
 	return true
 }
 
-// takeWarning reports whether to warn of a short page, and takes that as done: callers repeat such
-// a read.
+// takeWarning reports whether to warn of a short page, and takes that as done.
 func (h *history) takeWarning(s state, now time.Time) bool {
-	if s.source == h.warned.source && s.epoch == h.warned.epoch && now.Sub(h.warnedAt) < logInterval {
+	isOther := s.source != h.warned.source || s.epoch != h.warned.epoch || s.length != h.warned.length
+	if !isOther && now.Sub(h.warnedAt) < warnInterval {
 		return false
 	}
 	h.warned, h.warnedAt = s, now
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -10,18 +10,31 @@
 	"github.com/sebdah/goldie/v2"
 )
 
-// The logs of a deployment that lost the owner of a batch; the output has the lines about
-// one submission.
-func TestStory(t *testing.T) {
+// expectStory compares the lines about a batch in a log with a golden file.
+func expectStory(t *testing.T, id, log, golden string) {
+	t.Helper()
 	g := NewWithT(t)
-	f, err := os.Open("testdata/two.log")
+	f, err := os.Open("testdata/" + log)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = f.Close() }()
-	s := New("33cb1651b71eae0d")
+	s := New(id)
 	g.Expect(s.Read(f)).To(Succeed())
 	var out bytes.Buffer
 	g.Expect(s.Write(&out)).To(Succeed())
-	goldie.New(t).Assert(t, "story", out.Bytes())
+	goldie.New(t).Assert(t, golden, out.Bytes())
+}
+
+// The logs of a deployment that lost the owner of a batch; the output has the lines about
+// one submission.
+func TestStory(t *testing.T) {
+	expectStory(t, "33cb1651b71eae0d", "two.log", "story")
+}
+
+// The logs of three entries and three data instances. An owner is cut off from its peers and
+// replaced, and then answers an entry that is cut off from its successor. The output must lead from
+// the missing results to both owners.
+func TestOutdatedOwner(t *testing.T) {
+	expectStory(t, "5d0c9be1a7f24e83", "outdated.log", "outdated")
 }
 
 // Lines in which the ID is only part of another ID or of a message must not match; they
