brun: a head that has ended confirms no ownership while the end has no answer

An owner whose write with the end and the last results has taken effect without an answer said that there were no more results, while others serve the ended batch from the store, without a claim and with all of them. The record still named the owner and its epoch, so that its ownership counted as confirmed. Found by the state search of reads (owner confirmed by the head: result, write with the end, takes effect, read elsewhere, read at the owner).

TestReadsWhileTheEndHasNoAnswer fails before (200 with 3 of 6 results).

--- a/brun/confirm.go
+++ b/brun/confirm.go
@@ -163,7 +163,8 @@
 }
 
 // checkHead returns nil if the store's record of the batch names this instance at the same epoch, and
-// a *bstore.FencedError if it names another one or is gone.
+// a *bstore.FencedError if it names another one or is gone. A record that has ended confirms nothing
+// unless this instance knows it: others may serve the batch, with all results of a write without answer.
 func (r *Runner) checkHead(ctx context.Context, b *tracked) error {
 	r.mu.Lock()
 	record, isPending := b.record, b.isPending()
@@ -176,6 +177,8 @@
 		return errors.New("the store lacks the batch")
 	case now.Owner != record.Owner || now.Epoch != record.Epoch:
 		return &bstore.FencedError{ID: b.sub.ID, Now: now.Head}
+	case now.Ended && !record.Ended:
+		return errors.New("the end of the batch has taken effect without an answer")
 	}
 	return nil
 }
--- a/brun/confirm_test.go
+++ b/brun/confirm_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/lavendermux/lavendermux/batch"
@@ -46,3 +47,37 @@
 		g.Expect(r.Has("b")).To(BeTrue())
 	})
 }
+
+// The write with the end of a batch and its last results has taken effect without an answer. Others serve
+// the batch as ended from then on, without a claim, so that the record still names this instance: it must
+// not say that there are no more results.
+func TestReadsWhileTheEndHasNoAnswer(t *testing.T) {
+	withRunner(t, map[string]time.Duration{"a": fastEvents}, func(ctx context.Context, g *WithT, r *Runner, _ *fakeEngines, _ *epset.Registry) {
+		kv := &fakeStore{}
+		r.store = bstore.New(kv)
+		addBatch(ctx, r, "b", 3*slots)
+		_, err := r.Read(ctx, "b", 0, 1<<20, runTime)
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(events * fastEvents) // others finish before the next write
+		kv.setMute(true)
+		page, err := r.Read(ctx, "b", 0, 1<<20, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		ended := make(chan error, 1)
+		go func() { ended <- r.End(ctx, "b") }()
+		time.Sleep(readLease + time.Second)
+		var head batch.Head
+		item, err := kv.Get(ctx, bstore.HeadPrefix+"b")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(json.Unmarshal(item.Value, &head)).To(Succeed())
+		g.Expect(head.Ended).To(BeTrue())
+		g.Expect(head.Results).To(BeNumerically(">", page.Next))
+		_, err = r.Read(ctx, "b", page.Next, 1<<20, 0)
+		var unconfirmed *UnconfirmedError
+		g.Expect(errors.As(err, &unconfirmed)).To(BeTrue(), "error %v", err)
+		kv.setMute(false)
+		g.Expect(<-ended).To(Succeed())
+		page, err = r.Read(ctx, "b", page.Next, 1<<20, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Next).To(Equal(head.Results))
+	})
+}
--- a/brun/runs_test.go
+++ b/brun/runs_test.go
@@ -47,6 +47,8 @@
 		kvst.Store
 		mu       sync.Mutex
 		revision int64
+		// isMute is set while writes take effect without an answer.
+		isMute bool
 		// refusals is the number of writes still to refuse; removed has the removed keys, and
 		// commits all writes that were accepted.
 		refusals int
@@ -74,9 +76,16 @@
 	}
 )
 
-func (s *fakeStore) Commit(_ context.Context, t kvst.Txn) (int64, error) {
+func (s *fakeStore) Commit(ctx context.Context, t kvst.Txn) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isMute {
+		s.commits = append(s.commits, t)
+		s.mu.Unlock()
+		<-ctx.Done()
+		s.mu.Lock()
+		return 0, &kvst.UnknownOutcomeError{Cause: ctx.Err()}
+	}
 	if s.refusals > 0 {
 		s.refusals--
 		return 0, &kvst.RefusedError{Status: http.StatusServiceUnavailable}
@@ -87,6 +96,12 @@
 	return s.revision, nil
 }
 
+func (s *fakeStore) setMute(isMute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isMute = isMute
+}
+
 func (s *fakeStore) Get(_ context.Context, key string) (kvst.Item, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
