brun, broute: checks of ownership end and are used in time

Four faults of the check that an owner makes before it says that there are no more results, found by the review.

- A check whose time was up before the replicas were asked waited for their answer for good, as after a freeze of the process, and no other check of the batch began: reads without results were refused from then on.
- Each check that a read started had items wait 250 ms anew: none started in an outage in which callers ask often.
- A store that answers in more than the 0.5 s for which a confirmation serves had a read ask it again and again.
A read now takes the answer of the check that it waited for, which has 0.8 s.
- A result that was listed during a check was not returned if that failed.

And one of pages from a peer: an answer may be a second and more on its way, and was passed on as if it were of the moment. A page without results has how old its confirmation was when it was made, and the entry refuses it if that and the time on the way are over 0.9 s.

--- a/broute/ask.go
+++ b/broute/ask.go
@@ -132,6 +132,7 @@
 
 // ServePeer serves a peer's request. It never forwards it to another peer.
 func (d *Router) ServePeer(ctx context.Context, req *askRequest) (*askResponse, error) {
+	start := time.Now()
 	if req.Op == opOffer {
 		return &askResponse{Owned: true, Taken: d.acceptOffer(ctx, req)}, nil
 	}
@@ -151,6 +152,7 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
+	res.HeldMs = time.Since(start).Milliseconds()
 	return res, nil
 }
 
@@ -173,7 +175,12 @@
 func (d *Router) askPeer(ctx context.Context, n mesh.Node, req askRequest) (*askResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout+time.Duration(req.Wait)*time.Millisecond)
 	defer cancel()
-	return mesh.Call[askRequest, askResponse](ctx, d.mesh.Client(), n.Addr, PeerPath, &req)
+	start := time.Now()
+	res, err := mesh.Call[askRequest, askResponse](ctx, d.mesh.Client(), n.Addr, PeerPath, &req)
+	if err == nil {
+		res.transit = time.Since(start) - time.Duration(res.HeldMs)*time.Millisecond
+	}
+	return res, err
 }
 
 // lookUp returns the head of a batch, from the cache if it has been read before.
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -34,6 +34,9 @@
 
 	// askTimeout bounds a request to a peer, in addition to the wait that it asks for.
 	askTimeout = 1200 * time.Millisecond
+	// maxPageAge is how old a page that says that there are no more results may be: those that were read
+	// elsewhere must be in each list a second later.
+	maxPageAge = 900 * time.Millisecond
 	// minOwnerCPU is the share of a processor that an owner needs: two steps of a hundred
 	// streams take 0.05 of one on average and 0.15 at their start.
 	minOwnerCPU = 0.2
@@ -155,9 +158,14 @@
 		// OtherCustomer is set if the batch belongs to another customer.
 		OtherCustomer bool      `json:"foreign,omitempty"`
 		Page          brun.Page `json:"page"`
-		Body          []byte    `json:"body,omitempty"`
+		// HeldMs is how long the receiver had the request, in milliseconds.
+		HeldMs int64  `json:"heldMs,omitempty"`
+		Body   []byte `json:"body,omitempty"`
 		// Taken has the epochs of the offered batches that were taken over, by ID.
 		Taken map[string]int64 `json:"taken,omitempty"`
+
+		// transit is how long request and response were on their way at most.
+		transit time.Duration
 	}
 )
 
@@ -376,8 +384,11 @@
 	if err != nil {
 		return brun.Page{}, err
 	}
-	if res.Unconfirmed != "" {
+	switch p := res.Page; {
+	case res.Unconfirmed != "":
 		return brun.Page{}, &brun.UnconfirmedError{ID: q.ID, Cause: errors.New(res.Unconfirmed)}
+	case len(p.Results) == 0 && !p.Final && time.Duration(p.ConfirmedMs)*time.Millisecond+res.transit > maxPageAge:
+		return brun.Page{}, &brun.UnconfirmedError{ID: q.ID, Cause: errors.Newf("the answer of %s took %v", p.Source, res.transit)}
 	}
 	done(res.Page)
 	return res.Page, nil
--- a/broute/reads_test.go
+++ b/broute/reads_test.go
@@ -120,3 +120,47 @@
 		c.g.Expect(owner.link.reads.Load() - before).To(BeNumerically("<=", reads*pause/(400*time.Millisecond)))
 	})
 }
+
+// The owner answers an entry that there are no results yet, while it is known to be the owner, and the
+// answer is delayed on its way. By the time at which it arrives, a successor has listed results, which were
+// read there more than a second before. The entry must not pass it on.
+func TestPageDelayedBetweenInstances(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, successor, reader := c.entries[0], c.entries[1], c.entries[2]
+		sub := submission("b")
+		rec, created, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose("b", nil), time.Now())
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(created).To(BeTrue())
+		owner.runner.Add(ctx, rec, sub, nil, nil)
+		time.Sleep(time.Second)
+		found, _, err := read(ctx, reader, "b") // the reader knows the owner, which was just confirmed
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(found).To(BeEmpty())
+
+		start := time.Now()
+		var readAt time.Time
+		go func() { // the owner hands the batch over, and doesn't hear that it was taken
+			time.Sleep(10 * time.Millisecond)
+			successor.givesUp.Store(true)
+			time.AfterFunc(5*time.Millisecond, func() { c.net.PartitionOneWay(successor.ip, owner.ip) })
+			owner.offer(ctx, successor.mesh.Self(), []string{"b"}, owner.self)
+		}()
+		go func() {
+			for len(found) == 0 && time.Since(start) < 3*time.Second {
+				found, _, _ = read(ctx, successor, "b")
+				readAt = time.Now()
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		const wait = 450 * time.Millisecond
+		time.AfterFunc(wait-20*time.Millisecond, func() { c.net.PartitionOneWay(owner.ip, reader.ip) })
+		time.AfterFunc(wait+askTimeout-50*time.Millisecond, func() { c.net.Heal(owner.ip, reader.ip) })
+		page, err := reader.Read(ctx, BatchRef{ID: "b"}, 0, 1<<20, wait)
+		took := time.Since(start)
+		c.g.Expect(found).To(HaveLen(3), "at the successor")
+		t.Logf("results were read %v after the start, the page came after %v: %v, %v", readAt.Sub(start), took, page, err)
+		if late := time.Since(readAt); err == nil && late > settleTime {
+			c.g.Expect(page.Results).NotTo(BeEmpty(), "%v after they were read", late)
+		}
+	})
+}
--- a/brun/ask.go
+++ b/brun/ask.go
@@ -12,39 +12,61 @@
 func (r *Runner) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	for isOver := false; ; {
+	var isOver bool
+	var checked *tracked
+	var check <-chan struct{}
+	for {
 		r.mu.Lock()
 		b, ok := r.tracked[id]
 		if !ok {
 			r.mu.Unlock()
 			return Page{}, &NotFoundError{ID: id}
 		}
+		if b != checked {
+			checked, check = b, nil
+		}
 		page, changed := b.page(after, limit), b.changed
 		isOver = isOver || b.ended || b.published == len(b.items)
-		isValid := len(page.Results) > 0 || (isOver && b.isConfirmed(time.Now()))
-		if isValid {
-			r.noteRead(b, page.Next)
-		}
-		r.mu.Unlock()
+		isChecked := check != nil && isClosed(check)
 		switch {
-		case isValid:
+		case len(page.Results) > 0:
+			r.noteRead(b, page.Next)
+			r.mu.Unlock()
 			return page, nil
-		case isOver:
-			if err := r.awaitConfirmation(ctx, b); err != nil {
+		case isOver && (b.isConfirmed(time.Now()) || isChecked):
+			err := b.confirmErr
+			if !page.Final {
+				page.ConfirmedMs = time.Since(b.confirmedAt).Milliseconds()
+			}
+			r.mu.Unlock()
+			if isChecked && err != nil {
 				return Page{}, err
 			}
-			continue
+			return page, nil
+		case isOver && check == nil:
+			check = r.startConfirmation(b)
 		}
+		r.mu.Unlock()
 		select {
 		case <-changed:
+		case <-check:
 		case <-timer.C:
 			isOver = true
 		case <-ctx.Done():
-			isOver = true
+			return Page{}, &UnconfirmedError{ID: id, Cause: ctx.Err()}
 		}
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // CustomerOf returns the customer that submitted the batch; ok is false if the batch is not on this
 // instance.
 func (r *Runner) CustomerOf(id string) (customer string, ok bool) {
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -110,6 +110,11 @@
 		// Ended is set once the batch has been ended, Pending while the store lacks it.
 		Ended   bool `json:"ended,omitempty"`
 		Pending bool `json:"pending,omitempty"`
+		// Final is set if no instance can list more results. Otherwise, in a page without results,
+		// ConfirmedMs is how long before it made the page Source is known to have owned the batch, in
+		// milliseconds.
+		Final       bool  `json:"final,omitempty"`
+		ConfirmedMs int64 `json:"confirmedMs,omitempty"`
 	}
 
 	// NotFoundError reports that a batch is not on this instance.
--- a/brun/confirm.go
+++ b/brun/confirm.go
@@ -19,9 +19,9 @@
 	// work goes on.
 	startLease = 2 * time.Second
 	startWait  = 250 * time.Millisecond
-	// confirmTimeout bounds a confirmation; the replicas are asked if the store takes longer than
-	// confirmStoreTime.
-	confirmTimeout   = time.Second
+	// confirmTimeout bounds a confirmation, after which it says too little of the present; the replicas
+	// are asked if the store takes longer than confirmStoreTime.
+	confirmTimeout   = 800 * time.Millisecond
 	confirmStoreTime = 100 * time.Millisecond
 )
 
@@ -56,30 +56,11 @@
 	return b.isFinal() || now.Sub(b.confirmedAt) <= readLease
 }
 
-// awaitConfirmation returns once ownership of a batch is confirmed or the batch is dropped, and
-// otherwise an *UnconfirmedError.
-func (r *Runner) awaitConfirmation(ctx context.Context, b *tracked) error {
-	r.mu.Lock()
-	done := r.startConfirmation(b)
-	r.mu.Unlock()
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return &UnconfirmedError{ID: b.sub.ID, Cause: ctx.Err()}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if b.dropped {
-		return nil
-	}
-	return b.confirmErr
-}
-
 // startConfirmation confirms ownership of a batch, unless that is under way, and returns a channel that
 // is closed at its end. The caller holds r.mu.
 func (r *Runner) startConfirmation(b *tracked) <-chan struct{} {
 	if b.confirming == nil {
-		b.confirming, b.checkedAt = make(chan struct{}), time.Now()
+		b.confirming = make(chan struct{})
 		go r.runConfirmation(b, b.confirming)
 	}
 	return b.confirming
@@ -147,7 +128,6 @@
 		case <-storeFailed:
 		case <-wait.C:
 		case <-ctx.Done():
-			return
 		}
 		answers <- answer{"replicas", r.checkReplicas(ctx, b)}
 	}()
@@ -204,8 +184,9 @@
 	switch {
 	case b.isPending() || now.Sub(b.confirmedAt) < startLease:
 		return true
-	case now.Sub(b.checkedAt) >= startLease:
+	case now.Sub(b.awaitedSince) >= startLease:
+		b.awaitedSince = now
 		r.startConfirmation(b)
 	}
-	return now.Sub(b.checkedAt) >= startWait
+	return now.Sub(b.awaitedSince) >= startWait
 }
--- a/brun/tracked.go
+++ b/brun/tracked.go
@@ -41,11 +41,12 @@
 		replicating, movingReplicas bool
 		nextReplication             time.Time
 		// confirmedAt is the latest time at which this instance is known to have owned the batch.
-		// checkedAt is when the last check of that began, and confirmErr why it failed; confirming is
-		// closed at the end of the check under way, nil if none is.
-		confirmedAt, checkedAt time.Time
-		confirming             chan struct{}
-		confirmErr             error
+		// confirming is closed at the end of the check of that under way, nil if none is; confirmErr is
+		// why the last one failed. awaitedSince is when items last began to wait for a check: not when
+		// one began, as each read may start one, and items would wait on and on.
+		confirmedAt, awaitedSince time.Time
+		confirming                chan struct{}
+		confirmErr                error
 		// outgrowsReplicas is set while a write is in flight after which a successor may have results
 		// without sealing the replicas of record: it changes them, or has the last results or the end.
 		outgrowsReplicas bool
@@ -337,6 +338,7 @@
 		Stored:   b.record.Results,
 		Ended:    b.ended,
 		Pending:  b.isPending(),
+		Final:    b.isFinal(),
 	}
 	size := 0
 	for i := after; i < b.published; i++ {
