broute: an owner that was replaced isn't taken for the owner of a batch whose successor is lost

Items of a batch ran nowhere, and its results came only once somebody read it: its owner was replaced and hadn't noticed, and the successor was lost. The instances that see to a successor took the announcement of the former for that of an owner, whatever its epoch, and asked it for what it could answer without being the owner.

They now compare epochs, and ask for results beyond the last, which only a confirmed owner answers.

--- a/broute/acquire.go
+++ b/broute/acquire.go
@@ -331,7 +331,7 @@
 	if sealErr != nil {
 		d.logger.Error("Submission recovered from the log; too few replicas of its results can be reached.", "batch", id, "model", in.Model,
 			"epoch", rec.Epoch, "error", sealErr)
-		go d.watch(id, unsealedRetryPause)
+		go d.watch(id, rec.Epoch, unsealedRetryPause)
 		return nil
 	}
 	d.runner.Add(d.baseCtx, rec, e.Submission, results, nil)
--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -254,13 +254,14 @@
 			alive = append(alive, p.Name)
 		}
 	}
-	for id := range epochs {
+	d.runner.DropFenced(n.Name, epochs)
+	for id, epoch := range epochs {
 		d.uncacheHead(id)
 		switch rank := rendez.Rank(id, alive, d.mesh.Self().Name); {
 		case rank == 0:
 			go d.takeOverLost(id, n.Holder())
 		case rank < successorCount:
-			go d.watch(id, time.Duration(rank)*successorDelay)
+			go d.watch(id, epoch, time.Duration(rank)*successorDelay)
 		}
 	}
 }
@@ -272,7 +273,7 @@
 		var none *NotFoundError
 		switch {
 		case errors.As(err, &fenced):
-			go d.watch(id, successorDelay) // the new owner may be unable to continue it
+			go d.watch(id, fenced.Now.Epoch, successorDelay) // the new owner may be unable to continue it
 			return
 		case err == nil, errors.As(err, &none), isUnsealed(err): // unsealed: a watch retries
 			return
@@ -283,7 +284,7 @@
 }
 
 // watch calls runWatch unless the batch is watched already.
-func (d *Router) watch(id string, delay time.Duration) {
+func (d *Router) watch(id string, epoch int64, delay time.Duration) {
 	d.mu.Lock()
 	_, isWatched := d.watched[id]
 	if !isWatched {
@@ -291,7 +292,7 @@
 	}
 	d.mu.Unlock()
 	if !isWatched {
-		d.runWatch(id, delay)
+		d.runWatch(id, epoch, delay)
 	}
 }
 
@@ -302,21 +303,23 @@
 	d.watched[rec.ID] = rec
 	d.mu.Unlock()
 	if !isWatched {
-		go d.runWatch(rec.ID, unsealedRetryPause)
+		go d.runWatch(rec.ID, rec.Epoch, unsealedRetryPause)
 	}
 }
 
 // runWatch makes sure that an open batch has an owner: it looks after delay, and then at intervals
-// of unsealedRetryPause until this instance or a peer owns the batch, or it has ended. While too
-// few replicas answer, the store isn't asked: they may be lost for good.
-func (d *Router) runWatch(id string, delay time.Duration) {
+// of unsealedRetryPause until this instance or a peer owns the batch, or it has ended. One that owns it
+// at an earlier epoch was replaced and hasn't noticed. While too few replicas answer, the store isn't
+// asked: they may be lost for good.
+func (d *Router) runWatch(id string, epoch int64, delay time.Duration) {
 	defer func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.watched, id)
 	}()
 	for ; sleep.For(d.baseCtx, delay) && !d.stopping.Load(); delay = unsealedRetryPause {
-		if _, owned := d.mesh.OwnerOf(id); owned || d.runner.Has(id) {
+		own, isOwn := d.runner.Epoch(id)
+		if peers := d.mesh.OpenEpoch(id); (isOwn && own >= epoch) || (peers > 0 && peers >= epoch) {
 			return
 		}
 		d.mu.Lock()
--- a/broute/broute.go
+++ b/broute/broute.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -278,7 +279,7 @@
 	if created && remote {
 		go func() {
 			if d.offer(d.baseCtx, owner, []string{sub.ID}, owner.Holder()) == 0 {
-				d.watch(sub.ID, successorDelay)
+				d.watch(sub.ID, rec.Epoch, successorDelay)
 			}
 		}()
 		return nil
@@ -334,11 +335,11 @@
 func (d *Router) ShedLoad(ctx context.Context) { d.offerAll(ctx) }
 
 // ensureOwned makes sure that a batch has a live owner, and takes it over if it has none. It
-// asks the owner for an item without ID, the smallest request there is.
+// asks for results that don't exist: an instance that was replaced would answer all else.
 func (d *Router) ensureOwned(id string) error {
 	ctx, cancel := context.WithTimeout(d.baseCtx, askTimeout)
 	defer cancel()
-	_, err := d.ask(ctx, askRequest{Op: opBody, ID: id})
+	_, err := d.ask(ctx, askRequest{Op: opRead, ID: id, After: math.MaxInt32, Limit: 1})
 	if err != nil {
 		d.logger.Warn("Batch owner not found.", "batch", id, "error", err)
 	}
--- a/broute/reads_test.go
+++ b/broute/reads_test.go
@@ -164,3 +164,28 @@
 		}
 	})
 }
+
+// An owner that was replaced doesn't hear of that, and its successor is lost. The others must not take
+// the announcement of the former for that of an owner: the batch would have none, and its items would run
+// nowhere.
+func TestSuccessorOfReplacedOwnerIsLost(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, successor, other := c.entries[0], c.entries[1], c.entries[2]
+		id := c.batchRankedFirst(owner, successor)
+		sub := submission(id)
+		rec, created, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose(id, nil), time.Now())
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(created).To(BeTrue())
+		owner.runner.Add(ctx, rec, sub, nil, nil)
+		time.Sleep(time.Second)
+		time.AfterFunc(5*time.Millisecond, func() { c.net.PartitionOneWay(successor.ip, owner.ip) })
+		owner.offer(ctx, successor.mesh.Self(), []string{id}, owner.self)
+		time.Sleep(time.Second)
+		c.g.Expect(successor.runner.Has(id)).To(BeTrue())
+		c.kill(successor)
+		time.Sleep(10 * lossTime)
+		head, err := other.store.Load(ctx, id)
+		c.g.Expect(err).NotTo(HaveOccurred())
+		c.g.Expect(head.Owner).NotTo(Equal(successor.self), "nobody has taken the batch over; the former owner has it: %v", owner.runner.Has(id))
+	})
+}
--- a/brun/brun.go
+++ b/brun/brun.go
@@ -454,6 +454,17 @@
 	return ok
 }
 
+// Epoch returns the epoch of a batch on this instance; ok is false if there is none.
+func (r *Runner) Epoch(id string) (epoch int64, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b, ok := r.tracked[id]
+	if !ok {
+		return 0, false
+	}
+	return b.record.Epoch, true
+}
+
 // Drop drops a batch that another instance has taken over.
 func (r *Runner) Drop(id, reason string) {
 	r.mu.Lock()
--- a/mesh/peers.go
+++ b/mesh/peers.go
@@ -311,6 +311,19 @@
 	return n, ok
 }
 
+// OpenEpoch returns the latest epoch at which a live peer owns a batch, 0 if none does.
+func (m *Mesh) OpenEpoch(id string) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	latest := int64(0)
+	for _, p := range m.peers {
+		if m.isReachable(p) {
+			latest = max(latest, p.OpenEpochs[id])
+		}
+	}
+	return latest
+}
+
 // OpenBatches returns the IDs of the open batches that live peers own.
 func (m *Mesh) OpenBatches() map[string]bool {
 	m.mu.Lock()
