--- a/broute/broute.go
+++ b/broute/broute.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/lavendermux/lavendermux/kvst"
 	"github.com/lavendermux/lavendermux/mesh"
 	"github.com/lavendermux/lavendermux/meter"
+	"github.com/lavendermux/lavendermux/reads"
 	"github.com/lavendermux/lavendermux/replog"
 )
 
@@ -33,6 +35,9 @@
 
 	// askTimeout bounds a request to a peer, in addition to the wait that it asks for.
 	askTimeout = 1200 * time.Millisecond
+	// maxPageAge is how old a page that says that there are no more results may be: those that were read
+	// elsewhere must be in each list a second later.
+	maxPageAge = 900 * time.Millisecond
 	// minOwnerCPU is the share of a processor that an owner needs: two steps of a hundred
 	// streams take 0.05 of one on average and 0.15 at their start.
 	minOwnerCPU = 0.2
@@ -94,6 +99,7 @@
 		// isServed reports whether the manifest names a model.
 		isServed func(model string) bool
 		meter    *meter.Meter
+		pages    *reads.Tracker
 		knownTTL time.Duration
 	}
 
@@ -134,6 +140,8 @@
 		Item string   `json:"item,omitempty"`
 		// OnlyTracked has the receiver answer without asking the store.
 		OnlyTracked bool `json:"onlyTracked,omitempty"`
+		// Relay is the owner to which the receiver is to pass the request on, "" if none.
+		Relay string `json:"relay,omitempty"`
 		// From is the owner of the offered batches.
 		From  string `json:"from,omitempty"`
 		After int    `json:"after,omitempty"`
@@ -148,12 +156,20 @@
 		// the batch since it reaches too few replicas. An instance that reaches them may take
 		// the batch over.
 		Unsealed bool `json:"unsealed,omitempty"`
+		// Unconfirmed is why the receiver can't tell whether it still owns the batch; "" if it can. It
+		// is the message of an error with connect.CodeAborted.
+		Unconfirmed string `json:"-"`
 		// OtherCustomer is set if the batch belongs to another customer.
 		OtherCustomer bool      `json:"foreign,omitempty"`
 		Page          brun.Page `json:"page"`
-		Body          []byte    `json:"body,omitempty"`
+		// HeldMs is how long the receiver had the request, in milliseconds.
+		HeldMs int64  `json:"heldMs,omitempty"`
+		Body   []byte `json:"body,omitempty"`
 		// Taken has the epochs of the offered batches that were taken over, by ID.
 		Taken map[string]int64 `json:"taken,omitempty"`
+
+		// transit is how long request and response were on their way at most.
+		transit time.Duration
 	}
 )
 
@@ -193,6 +209,7 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.pages = reads.New(logger, d.meter)
 	return d
 }
 
@@ -265,7 +282,7 @@
 	if created && remote {
 		go func() {
 			if d.offer(d.baseCtx, owner, []string{sub.ID}, owner.Holder()) == 0 {
-				d.watch(sub.ID, successorDelay)
+				d.watch(sub.ID, rec.Epoch, successorDelay)
 			}
 		}()
 		return nil
@@ -321,11 +338,11 @@
 func (d *Router) ShedLoad(ctx context.Context) { d.offerAll(ctx) }
 
 // ensureOwned makes sure that a batch has a live owner, and takes it over if it has none. It
-// asks the owner for an item without ID, the smallest request there is.
+// asks for results that don't exist: an instance that was replaced would answer all else.
 func (d *Router) ensureOwned(id string) error {
 	ctx, cancel := context.WithTimeout(d.baseCtx, askTimeout)
 	defer cancel()
-	_, err := d.ask(ctx, askRequest{Op: opBody, ID: id})
+	_, err := d.ask(ctx, askRequest{Op: opRead, ID: id, After: math.MaxInt32, Limit: 1})
 	if err != nil {
 		d.logger.Warn("Batch owner not found.", "batch", id, "error", err)
 	}
@@ -366,10 +383,18 @@
 // Read returns the results from position after on, at most limit bytes but at least one
 // result. It waits up to wait for the first.
 func (d *Router) Read(ctx context.Context, q BatchRef, after, limit int, wait time.Duration) (brun.Page, error) {
+	done := d.pages.Start(q.ID, q.Customer, after)
 	res, err := d.askAsCustomer(ctx, q, askRequest{Op: opRead, After: after, Limit: limit, Wait: wait.Milliseconds()})
 	if err != nil {
 		return brun.Page{}, err
 	}
+	switch p := res.Page; {
+	case res.Unconfirmed != "":
+		return brun.Page{}, &brun.UnconfirmedError{ID: q.ID, Cause: errors.New(res.Unconfirmed)}
+	case len(p.Results) == 0 && !p.Final && time.Duration(p.ConfirmedMs)*time.Millisecond+res.transit > maxPageAge:
+		return brun.Page{}, &brun.UnconfirmedError{ID: q.ID, Cause: errors.Newf("the answer of %s took %v", p.Source, res.transit)}
+	}
+	done(res.Page)
 	return res.Page, nil
 }
 
--- a/brun/ask.go
+++ b/brun/ask.go
@@ -6,10 +6,15 @@
 )
 
 // Read returns the results from position after on, up to limit bytes but at least one result.
-// It waits for the first one for at most wait.
+// It waits for the first one for at most wait. It returns a *NotFoundError if this instance doesn't
+// own the batch, or not any more. It says that there is none only as the confirmed owner, and
+// otherwise returns an *UnconfirmedError: a successor may have listed more, which were read there.
 func (r *Runner) Read(ctx context.Context, id string, after, limit int, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	var isOver bool
+	var checked *tracked
+	var check <-chan struct{}
 	for {
 		r.mu.Lock()
 		b, ok := r.tracked[id]
@@ -17,23 +22,51 @@
 			r.mu.Unlock()
 			return Page{}, &NotFoundError{ID: id}
 		}
+		if b != checked {
+			checked, check = b, nil
+		}
 		page, changed := b.page(after, limit), b.changed
-		finished := b.ended || b.published == len(b.items)
-		r.noteRead(b, page.Next)
-		r.mu.Unlock()
-		if len(page.Results) > 0 || finished {
+		isOver = isOver || b.ended || b.published == len(b.items)
+		isChecked := check != nil && isClosed(check)
+		switch {
+		case len(page.Results) > 0:
+			r.noteRead(b, page.Next)
+			r.mu.Unlock()
 			return page, nil
+		case isOver && (b.isConfirmed(time.Now()) || isChecked):
+			err := b.confirmErr
+			if !page.Final {
+				page.ConfirmedMs = time.Since(b.confirmedAt).Milliseconds()
+			}
+			r.mu.Unlock()
+			if isChecked && err != nil {
+				return Page{}, err
+			}
+			return page, nil
+		case isOver && check == nil:
+			check = r.startConfirmation(b)
 		}
+		r.mu.Unlock()
 		select {
 		case <-changed:
+		case <-check:
 		case <-timer.C:
-			return page, nil
+			isOver = true
 		case <-ctx.Done():
-			return page, nil
+			return Page{}, &UnconfirmedError{ID: id, Cause: ctx.Err()}
 		}
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // CustomerOf returns the customer that submitted the batch; ok is false if the batch is not on this
 // instance.
 func (r *Runner) CustomerOf(id string) (customer string, ok bool) {
--- a/brun/flush.go
+++ b/brun/flush.go
@@ -133,8 +133,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b.writing, b.movingReplicas = false, false
+	b.writing, b.movingReplicas, b.outgrowsReplicas = false, false, false
 	b.record = record
+	b.confirm(record.ConfirmedAt)
 	b.published = max(b.published, record.Results)
 	if len(change.Results) > 0 || change.End {
 		b.notifyReaders()
@@ -185,8 +186,11 @@
 	})
 	if ok {
 		r.meter.Observe("results_kept_seconds", time.Since(start))
-		r.logger.Info("Results kept.", "batch", b.sub.ID, "results", len(change.Results), "progress", len(change.Progress), "all", change.Record.Results,
-			"end", change.End, "revision", change.Record.Revision, "took", time.Since(start).Round(time.Millisecond))
+		r.mu.Lock()
+		length := max(b.published, change.Record.Results)
+		r.mu.Unlock()
+		r.logger.Info("Results kept.", "batch", b.sub.ID, "epoch", change.Record.Epoch, "results", len(change.Results), "progress", len(change.Progress),
+			"all", change.Record.Results, "length", length, "end", change.End, "revision", change.Record.Revision, "took", time.Since(start).Round(time.Millisecond))
 	}
 	return ok
 }
--- a/brun/pending_test.go
+++ b/brun/pending_test.go
@@ -104,6 +104,13 @@
 	return nil
 }
 
+// Confirm implements Replicas.
+func (f *fakeReplicas) Confirm(context.Context, string, int64, []batch.Replica) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
 // Drop implements Replicas.
 func (f *fakeReplicas) Drop(context.Context, string, int64, []batch.Replica, int) {
 	f.mu.Lock()
@@ -180,7 +187,8 @@
 		time.Sleep(runTime)
 		_, appends, _ := o.replicas.counts()
 		g.Expect(appends).To(BeNumerically(">", 0))
-		g.Expect(o.listed(g, "b")).To(BeZero())
+		_, err := o.Read(o.ctx, "b", 0, 1<<20, 0)
+		g.Expect(err).To(BeAssignableToTypeOf(&UnconfirmedError{}))
 		o.replicas.fail(nil)
 		time.Sleep(replicateRetryDelay + 2*sweepInterval)
 		appended, _, drops := o.replicas.counts()
@@ -342,3 +350,33 @@
 		g.Expect(o.create.count()).To(Equal(1))
 	})
 }
+
+// A page, and the lines about the list of its batch, tell how much of the list only replicas have: a
+// result that is missing later was lost with them, and not in the store.
+func TestPageTellsWhatTheStoreHas(t *testing.T) {
+	withRunner(t, map[string]time.Duration{"a": fastEvents}, func(ctx context.Context, g *WithT, r *Runner, e *fakeEngines, _ *epset.Registry) {
+		o := &outage{Runner: r, ctx: ctx, create: &fakeCreate{}, replicas: &fakeReplicas{}}
+		r.replicas = o.replicas
+		o.add("b", 0)
+		time.Sleep(runTime)
+		page, err := r.Read(ctx, "b", 0, 1<<20, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page.Results).To(HaveLen(2))
+		page.Results = nil
+		g.Expect(page).To(Equal(Page{Total: 2, Next: 2, Epoch: 1, Length: 2, Pending: true, Final: true}))
+		o.create.answer(nil)
+		time.Sleep(runTime)
+		page, err = r.Read(ctx, "b", 2, 1<<20, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(page).To(Equal(Page{Total: 2, Next: 2, Results: []batch.Result{}, Epoch: 1, Revision: page.Revision, Length: 2, Stored: 2, Final: true}))
+		g.Expect(page.Revision).NotTo(BeZero())
+		r.Drop("b", "taken over")
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		g.Expect(e.log.String()).To(And(
+			MatchRegexp(`msg="Batch held." batch=b epoch=1 revision=0 .*results=0 `),
+			MatchRegexp(`msg="Results stored on copies." batch=b epoch=1 .*all=2 `),
+			MatchRegexp(`msg="Results kept." batch=b epoch=1 results=2 .*all=2 length=2 `),
+			MatchRegexp(`msg="Batch dropped." batch=b epoch=1 revision=\d+ length=2 stored=2 `)))
+	})
+}
--- a/replog/replog.go
+++ b/replog/replog.go
@@ -208,10 +208,21 @@
 // Probe returns nil if enough of the replicas for a seal answer, and otherwise the same errors
 // as Append. epoch is that of the present owner, whose appends go on.
 func (s *Log) Probe(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
-	req := request{Op: opSeal, ID: id, Epoch: epoch, From: math.MaxInt32} // after all results
+	replicas = s.existing(ctx, s.liveDisks(), replicas)
+	return s.probe(ctx, replicas, s.sealQuorum(replicas), request{ID: id, Epoch: epoch})
+}
+
+// Confirm returns nil if no later owner had sealed the replicas when it was called, and otherwise the
+// same errors as Append. It asks one more of them than a seal may leave out.
+func (s *Log) Confirm(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
+	return s.probe(ctx, replicas, s.quorum(), request{ID: id, Epoch: epoch})
+}
+
+// probe asks the replicas of the owner with this epoch, whose appends go on.
+func (s *Log) probe(ctx context.Context, replicas []batch.Replica, need int, req request) error {
+	req.Op, req.From = opSeal, math.MaxInt32 // after all results
 	liveDisks := s.liveDisks()
-	replicas = s.existing(ctx, liveDisks, replicas)
-	return awaitQuorum(id, replicas, s.sealQuorum(replicas), func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
+	return awaitQuorum(req.ID, replicas, need, func(c batch.Replica) reply { return s.callReplica(ctx, liveDisks, c, req) })
 }
 
 // awaitQuorum makes a call to each replica and returns once enough have succeeded, or all have
@@ -255,7 +266,7 @@
 // ones. A replica that can't be reached keeps them until its log expires.
 func (s *Log) Drop(ctx context.Context, id string, epoch int64, replicas []batch.Replica, stored int) {
 	replies := s.callAll(ctx, replicas, request{Op: opDrop, ID: id, Epoch: epoch, Stored: stored})
-	s.logger.Info("Replicas dropped.", "batch", id, "epoch", epoch, "error", checkQuorum(id, replies, len(replicas)))
+	s.logger.Info("Replicas dropped.", "batch", id, "epoch", epoch, "stored", stored, "error", checkQuorum(id, replies, len(replicas)))
 }
 
 // reply is the outcome of a call to one replica.
--- a/walog/walog.go
+++ b/walog/walog.go
@@ -4,8 +4,10 @@
 // file and synced before it is acknowledged, because the machine may lose power right after
 // an acknowledgment that others rely on. Each record has its length and a checksum, and a
 // file is truncated after its last complete record when it is opened: loss of power may
-// leave any part of an unsynced write. The disk has an ID, created with the folder, so a
-// machine whose disk was replaced by an empty one doesn't pass for the old one.
+// leave any part of an unsynced write. What a start reads is synced, with its names, before
+// anything is acknowledged: a process that was killed may have written it without a sync, and a
+// repeated append of it writes nothing. The disk has an ID, created with the folder, so a machine
+// whose disk was replaced by an empty one doesn't pass for the old one.
 package walog
 
 import (
@@ -23,6 +25,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -65,6 +68,7 @@
 	// Dir holds the logs in one folder. It is safe for concurrent use. See Open.
 	Dir struct {
 		path     string
+		files    fileSystem
 		diskID   string
 		maxBytes int64
 
@@ -82,10 +86,13 @@
 
 	logFile struct {
 		mu       sync.Mutex
-		f        *os.File
+		f        file
 		replica  seal.Replica[batch.Result]
 		bytes    int64
 		lastUsed time.Time
+		// isUnsettled is set after an error that may have left more in the file than the
+		// replica has, or the file's name unsynced.
+		isUnsettled bool
 	}
 
 	// record is one append, or a seal or a drop if it has no results.
@@ -118,36 +125,44 @@
 //	d, err := walog.Open("/data/copies")
 //	err = d.Append("b1", 1, 40, 40, results)
 func Open(path string, opts ...Option) (*Dir, error) {
-	d := &Dir{path: path, maxBytes: defaultMaxBytes, logs: make(map[string]*logFile)}
+	d := &Dir{path: path, files: osFiles{}, maxBytes: defaultMaxBytes, logs: make(map[string]*logFile)}
 	for _, opt := range opts {
 		opt(d)
 	}
-	if err := os.MkdirAll(path, dirMode); err != nil {
+	if err := d.files.MkdirAll(path); err != nil {
 		return nil, errors.Wrap(err, "creating the folder of copies")
 	}
 	if err := d.loadDiskID(); err != nil {
 		return nil, err
 	}
-	var err error
-	if d.closed, err = d.isMarkedClosed(); err != nil {
-		return nil, err
-	}
-	names, err := filepath.Glob(filepath.Join(path, "*"+logSuffix))
+	names, err := d.files.ReadDir(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "listing copies")
 	}
 	for _, name := range names {
-		id, err := url.PathUnescape(strings.TrimSuffix(filepath.Base(name), logSuffix))
+		if strings.HasSuffix(name, logSuffix+newSuffix) {
+			_ = d.files.Remove(filepath.Join(path, name)) // of an interrupted rewrite; the next rewrite would replace it
+		}
+		if name == closedFile {
+			d.closed = true
+		}
+		if !strings.HasSuffix(name, logSuffix) {
+			continue
+		}
+		id, err := url.PathUnescape(strings.TrimSuffix(name, logSuffix))
 		if err != nil {
 			return nil, errors.Wrapf(err, "decoding the file name of %s", name)
 		}
-		l, err := openLog(name)
+		l, err := d.openLog(filepath.Join(path, name))
 		if err != nil {
 			return nil, err
 		}
 		d.logs[id] = l
 		d.bytes += l.bytes
 	}
+	if err := d.syncNames(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -159,37 +174,61 @@
 // Disk returns the ID of the disk.
 func (d *Dir) Disk() string { return d.diskID }
 
-// loadDiskID reads the disk's ID, or creates one on an empty disk. Logs without a readable
-// ID come from an interrupted start, which acknowledged nothing.
+// loadDiskID reads the disk's ID, or creates one on an empty disk, and syncs it. Logs without a
+// readable ID come from an interrupted start, which acknowledged nothing.
 func (d *Dir) loadDiskID() error {
-	name := filepath.Join(d.path, idFile)
-	data, err := os.ReadFile(name)
-	if err == nil && len(data) == 2*idBytes {
-		d.diskID = string(data)
-		return nil
+	f, err := d.files.OpenFile(filepath.Join(d.path, idFile), os.O_CREATE|os.O_RDWR)
+	if err != nil {
+		return errors.Wrap(err, "opening the disk's id file")
 	}
-	if err != nil && !os.IsNotExist(err) {
+	defer func() { _ = f.Close() }() // it was synced
+	data, err := io.ReadAll(f)
+	if err != nil {
 		return errors.Wrap(err, "reading the disk's id")
 	}
-	id := make([]byte, idBytes)
-	_, _ = rand.Read(id) // documented to never fail
-	d.diskID = hex.EncodeToString(id)
-	return d.writeSynced(idFile, d.diskID)
+	if len(data) != 2*idBytes {
+		id := make([]byte, idBytes)
+		_, _ = rand.Read(id) // documented to never fail
+		data = []byte(hex.EncodeToString(id))
+		if _, err := f.WriteAt(data, 0); err != nil {
+			return errors.Wrap(err, "writing the disk's id")
+		}
+		if err := f.Truncate(int64(len(data))); err != nil {
+			return errors.Wrap(err, "truncating the disk's id")
+		}
+	}
+	d.diskID = string(data)
+	return errors.Wrap(f.Sync(), "syncing the disk's id")
 }
 
-// syncDir syncs the folder, so that the name of a new file survives loss of power.
-func (d *Dir) syncDir() error {
-	f, err := os.Open(d.path)
+// syncNames syncs the folder and those above it, which Open may have created. One above it that
+// can't be opened or synced has no new names.
+func (d *Dir) syncNames() error {
+	if err := d.syncDir(); err != nil {
+		return err
+	}
+	path, err := filepath.Abs(d.path)
 	if err != nil {
-		return errors.Wrap(err, "opening the folder of copies")
+		return errors.Wrap(err, "resolving the folder of copies")
 	}
-	defer func() { _ = f.Close() }() // it was only synced
-	return errors.Wrap(f.Sync(), "syncing the folder of copies")
+	for path != filepath.Dir(path) {
+		path = filepath.Dir(path)
+		err := d.files.SyncDir(path)
+		if err != nil && !errors.IsAny(err, os.ErrPermission, syscall.EROFS, syscall.EINVAL) {
+			return errors.Wrapf(err, "syncing %s", path)
+		}
+	}
+	return nil
 }
 
-// openLog replays a log and truncates it after its last complete record.
-func openLog(name string) (*logFile, error) {
-	f, err := os.OpenFile(name, os.O_RDWR, fileMode)
+// syncDir syncs the folder, so that the name of a new file survives loss of power.
+func (d *Dir) syncDir() error {
+	return errors.Wrap(d.files.SyncDir(d.path), "syncing the folder of copies")
+}
+
+// openLog replays a log, truncates it after its last complete record and syncs it.
+func (d *Dir) openLog(name string) (*logFile, error) {
+	f, err := d.files.OpenFile(name, os.O_RDWR)
 	if err != nil {
 		return nil, errors.Wrap(err, "opening a replica log")
 	}
@@ -201,8 +240,8 @@
 	if err := f.Truncate(l.bytes); err != nil {
 		return nil, errors.Wrapf(err, "truncating %s", name)
 	}
-	if _, err := f.Seek(l.bytes, io.SeekStart); err != nil {
-		return nil, errors.Wrapf(err, "seeking to the end of %s", name)
+	if err := f.Sync(); err != nil {
+		return nil, errors.Wrapf(err, "syncing %s", name)
 	}
 	return l, nil
 }
@@ -265,7 +304,8 @@
 func (d *Dir) Seal(id string, epoch int64, after int) (results []batch.Result, resultsEpoch int64, err error) {
 	err = d.update(id, record{Epoch: epoch}, func(c *seal.Replica[batch.Result]) (bool, error) {
 		results, resultsEpoch = c.ResultsFrom(after), c.ResultsEpoch
-		return true, c.Seal(epoch)
+		isLater := epoch > c.Epoch
+		return isLater, c.Seal(epoch)
 	})
 	return results, resultsEpoch, err
 }
@@ -279,6 +319,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if err := d.settle(l); err != nil {
+		return err
+	}
 	next := seal.Replica[batch.Result]{Epoch: l.replica.Epoch, ResultsEpoch: l.replica.ResultsEpoch, From: l.replica.From, Results: l.replica.Results[:len(l.replica.Results):len(l.replica.Results)]}
 	changed, err := apply(&next)
 	if err != nil || !changed {
@@ -300,7 +343,7 @@
 		return l, nil
 	}
 	d.removeExpired()
-	f, err := os.OpenFile(d.logPath(id), os.O_CREATE|os.O_RDWR|os.O_TRUNC, fileMode)
+	f, err := d.files.OpenFile(d.logPath(id), os.O_CREATE|os.O_RDWR|os.O_TRUNC)
 	if err != nil {
 		return nil, errors.Wrap(err, "making a copy")
 	}
@@ -331,13 +374,13 @@
 	if total > d.maxBytes && len(rec.Results) > 0 {
 		return &FullError{Bytes: total, Max: d.maxBytes}
 	}
-	_, err = l.f.Write(data)
+	_, err = l.f.WriteAt(data, l.bytes)
 	if err == nil {
 		err = l.f.Sync()
 	}
 	if err != nil {
-		_, seekErr := l.f.Seek(l.bytes, io.SeekStart)
-		return errors.Wrap(errors.CombineErrors(err, errors.CombineErrors(l.f.Truncate(l.bytes), seekErr)), "writing a copy")
+		l.isUnsettled = true
+		return errors.Wrap(errors.CombineErrors(err, d.settle(l)), "writing a copy")
 	}
 	l.bytes += int64(len(data))
 	d.mu.Lock()
@@ -346,6 +389,23 @@
 	return nil
 }
 
+// settle makes the file have exactly what the replica has, and syncs it with its name, unless
+// that is so. The caller must hold l.mu.
+func (d *Dir) settle(l *logFile) error {
+	if !l.isUnsettled {
+		return nil
+	}
+	err := l.f.Truncate(l.bytes)
+	if err == nil {
+		err = l.f.Sync()
+	}
+	if err == nil {
+		err = d.syncDir()
+	}
+	l.isUnsettled = err != nil
+	return errors.Wrap(err, "restoring a copy")
+}
+
 // encode returns a record with its header.
 func encode(rec record) ([]byte, error) {
 	body, err := json.Marshal(rec)
@@ -377,33 +437,27 @@
 	if len(l.replica.Results) == 0 || len(next.Results) > 0 {
 		return nil
 	}
-	if err := d.rewrite(l, id, record{Epoch: epoch}); err != nil {
-		return err
-	}
-	l.replica = next
-	return nil
+	return d.rewrite(l, id, next)
 }
 
-// rewrite atomically replaces a log by one with a single record. Loss of power leaves either
-// the old or the new one.
-func (d *Dir) rewrite(l *logFile, id string, rec record) error {
-	data, err := encode(rec)
+// rewrite atomically replaces a log by one that has only the epoch of next. Loss of power leaves
+// either the old or the new one. Once the file is replaced, so is the replica, even if the sync of
+// the folder fails: the old file has no name that a restart finds.
+func (d *Dir) rewrite(l *logFile, id string, next seal.Replica[batch.Result]) error {
+	data, err := encode(record{Epoch: next.Epoch})
 	if err != nil {
 		return err
 	}
-	f, err := os.OpenFile(d.logPath(id)+newSuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR, fileMode)
+	f, err := d.files.OpenFile(d.logPath(id)+newSuffix, os.O_CREATE|os.O_TRUNC|os.O_RDWR)
 	if err != nil {
 		return errors.Wrap(err, "making a copy anew")
 	}
-	_, err = f.Write(data)
+	_, err = f.WriteAt(data, 0)
 	if err == nil {
 		err = f.Sync()
 	}
 	if err == nil {
-		err = os.Rename(d.logPath(id)+newSuffix, d.logPath(id))
-	}
-	if err == nil {
-		err = d.syncDir()
+		err = d.files.Rename(d.logPath(id)+newSuffix, d.logPath(id))
 	}
 	if err != nil {
 		return errors.Wrap(errors.CombineErrors(err, f.Close()), "making a copy anew")
@@ -412,8 +466,8 @@
 	d.mu.Lock()
 	d.bytes += int64(len(data)) - l.bytes
 	d.mu.Unlock()
-	l.f, l.bytes = f, int64(len(data))
-	return nil
+	l.f, l.bytes, l.replica, l.isUnsettled = f, int64(len(data)), next, true
+	return d.settle(l)
 }
 
 // removeExpired removes logs not used for logTTL. The caller must hold d.mu.
@@ -424,8 +478,8 @@
 		}
 		delete(d.logs, id)
 		d.bytes -= l.bytes
-		_ = l.f.Close()              // every record has been synced
-		_ = os.Remove(d.logPath(id)) // after a failure, the next start reads it and it expires again
+		_ = l.f.Close()                   // every record has been synced
+		_ = d.files.Remove(d.logPath(id)) // after a failure, the next start reads it and it expires again
 	}
 }
 
@@ -452,30 +506,17 @@
 	d.appends.Lock()
 	defer d.appends.Unlock()
 	d.closed = true
-	return d.writeSynced(closedFile, "")
-}
-
-// isMarkedClosed reports whether the disk was closed earlier.
-func (d *Dir) isMarkedClosed() (bool, error) {
-	_, err := os.Stat(filepath.Join(d.path, closedFile))
-	if os.IsNotExist(err) {
-		return false, nil
-	}
-	return err == nil, errors.Wrap(err, "looking whether the disk is closed")
-}
-
-// writeSynced writes a file that survives loss of power.
-func (d *Dir) writeSynced(name, content string) error {
-	f, err := os.OpenFile(filepath.Join(d.path, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	f, err := d.files.OpenFile(filepath.Join(d.path, closedFile), os.O_CREATE|os.O_RDWR)
 	if err != nil {
-		return errors.Wrapf(err, "creating the file %s", name)
-	}
-	defer func() { _ = f.Close() }() // it was synced
-	if _, err := f.WriteString(content); err != nil {
-		return errors.Wrapf(err, "writing the file %s", name)
-	}
-	if err := f.Sync(); err != nil {
-		return errors.Wrapf(err, "syncing the file %s", name)
+		return errors.Wrap(err, "marking the disk as closed")
 	}
+	defer func() { _ = f.Close() }() // nothing was written
 	return d.syncDir()
 }
+
+// IsClosed reports whether Close was called.
+func (d *Dir) IsClosed() bool {
+	d.appends.RLock()
+	defer d.appends.RUnlock()
+	return d.closed
+}
