replog: a closed disk confirms no owner

What callers could see: an outdated read.

Cause: the owner of a batch is confirmed by one more replica than a seal may leave out. A seal also leaves out a disk that was emptied, while its instance may still answer.

Change: a closed disk refuses to confirm.

Evidence: TestClosedDiskConfirmsNoOwner fails without the refusal.

--- a/replog/replog.go
+++ b/replog/replog.go
@@ -74,6 +74,9 @@
 		From    int            `json:"from,omitempty"`
 		Stored  int            `json:"kept,omitempty"`
 		Results []batch.Result `json:"results,omitempty"`
+		// Confirm is set in a question of Confirm, which a closed disk refuses: a seal may leave out
+		// one that was emptied.
+		Confirm bool `json:"confirm,omitempty"`
 	}
 
 	response struct {
@@ -215,7 +218,7 @@
 // Confirm returns nil if no later owner had sealed the replicas when it was called, and otherwise the
 // same errors as Append. It asks one more of them than a seal may leave out.
 func (s *Log) Confirm(ctx context.Context, id string, epoch int64, replicas []batch.Replica) error {
-	return s.probe(ctx, replicas, s.quorum(), request{ID: id, Epoch: epoch})
+	return s.probe(ctx, replicas, s.quorum(), request{ID: id, Epoch: epoch, Confirm: true})
 }
 
 // probe asks the replicas of the owner with this epoch, whose appends go on.
@@ -352,6 +355,9 @@
 	if req.Disk != s.dir.Disk() {
 		return &response{Refused: "another disk is here"}, nil
 	}
+	if req.Confirm && s.dir.IsClosed() {
+		return &response{Refused: (&walog.ClosedError{}).Error()}, nil
+	}
 	out := &response{}
 	var err error
 	switch req.Op {
--- a/replog/replog_test.go
+++ b/replog/replog_test.go
@@ -289,3 +289,20 @@
 		m.g.Expect(errors.As(m.owner.Confirm(ctx, "b", 1, c), &fenced)).To(BeTrue())
 	})
 }
+
+// The owner of a batch was replaced, its successor has left out a disk that was emptied, and the instance
+// with that disk still answers. It must not confirm the owner together with one other replica, which the
+// seal may have left out as well: outdated reads would be served.
+func TestClosedDiskConfirmsNoOwner(t *testing.T) {
+	withCluster(t, func(m *cluster) {
+		ctx := context.Background()
+		c := m.owner.Choose("b", nil)
+		m.g.Expect(m.owner.Confirm(ctx, "b", 1, c)).To(Succeed())
+		m.g.Expect(m.data[machineIndex(c[0])].CloseDisk()).To(Succeed())
+		m.g.Expect(m.owner.Confirm(ctx, "b", 1, c)).To(Succeed(), "two others answer")
+		m.net.Partition("10.0.0.1", machineIP(machineIndex(c[1])))
+		var quorumErr *QuorumError
+		m.g.Expect(errors.As(m.owner.Confirm(ctx, "b", 1, c), &quorumErr)).To(BeTrue())
+		m.g.Expect(m.owner.Probe(ctx, "b", 1, c)).To(Succeed(), "a seal still needs the disk, as no record says otherwise")
+	})
+}
