conns: a body cut by a reset within the upload isn't complete

Callers got a part of a worker's answer as the whole: 200, the receipt and the first bytes, where the worker had answered a long upload at once, without a length, and reset the connection while the upload was written.

Cause: a body without a length and without chunks ends with its connection. The kernel hands out the error of a reset once, to a write or a read. A read behind a write that took it finds an orderly end, as does one after a close that came before any unread byte (the reset follows, once the rest of the upload arrives). net/http takes both for the end of the body.

conns checks the end of a connection now, for all readers: where it ends a body, it counts once the request is written without an error and the peer's system has received it (TCP_INFO). Each write and each poll that fails makes the read fail with a CutShortError, and so do 2 s without progress. A worker that reads the whole upload has it acknowledged before its end arrives, and one that ends its answer and reads on is waited for.

--- a/conns/check.go
+++ b/conns/check.go
@@ -17,7 +17,9 @@
 type (
 	// Transport is an http.Transport that accepts only valid HTTP/1.1 responses. One that isn't valid ends
 	// its connection, and the request, or the read from its body, returns an error that wraps an
-	// *h1resp.Error. Bytes that no request asked for end the connection, too. See Check.
+	// *h1resp.Error. Bytes that no request asked for end the connection, too. A body that ends with the
+	// connection is complete once the server has received the whole request; else reading it returns a
+	// *CutShortError. See Check.
 	Transport struct {
 		*http.Transport
 	}
@@ -25,6 +27,7 @@
 	// checkedConn is a connection whose responses are checked.
 	checkedConn struct {
 		net.Conn
+		upload *upload
 
 		mu      sync.Mutex
 		checker h1resp.Checker
@@ -106,7 +109,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: c}, nil
+		return &checkedConn{Conn: c, upload: newUpload(c)}, nil
 	}
 }
 
@@ -139,29 +142,69 @@
 
 // expect says that a request is about to be sent on the connection.
 func (c *checkedConn) expect(method string) {
+	c.upload.begin()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.checker.Expect(method)
 }
 
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.upload.wrote(p[:n], err)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *checkedConn) Close() error {
+	c.upload.close()
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *checkedConn) Read(p []byte) (int, error) {
 	if err := c.failed(); err != nil {
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	n, checkErr := c.check(p[:n])
+	if checkErr != nil {
+		return n, checkErr
+	}
+	if errors.Is(err, io.EOF) && c.endsBody() {
+		if cut := c.upload.await(); cut != nil {
+			err = c.fail(cut)
+		}
+	}
+	return n, err
+}
+
+// check checks received bytes and returns how many of them may be read. The response may be complete by
+// these. What follows them fails this read if there are none, and else the next one.
+func (c *checkedConn) check(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	readable, checkErr := c.checker.Check(p[:n])
-	if checkErr == nil {
-		return n, err
+	n, err := c.checker.Check(p)
+	c.err = err
+	if n > 0 {
+		return n, nil
 	}
-	// The response may be complete by the bytes that may be read. What follows them fails the next read.
-	c.err = checkErr
-	if readable > 0 {
-		return readable, nil
-	}
-	return 0, checkErr
+	return 0, err
+}
+
+// endsBody reports whether the end of the connection is that of a body.
+func (c *checkedConn) endsBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.checker.EndsWithConnection()
+}
+
+// fail has all further reads return err.
+func (c *checkedConn) fail(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+	return err
 }
 
 func (c *checkedConn) failed() error {
@@ -174,8 +217,9 @@
 // that a line is incomplete.
 func (c *checkedConn) cause(err error) error {
 	var invalid *h1resp.Error
-	if errors.As(c.failed(), &invalid) {
-		return invalid
+	var cut *CutShortError
+	if failed := c.failed(); errors.As(failed, &invalid) || errors.As(failed, &cut) {
+		return failed
 	}
 	return err
 }
--- a/h1resp/h1resp.go
+++ b/h1resp/h1resp.go
@@ -38,6 +38,7 @@
 // The parts of a response.
 const (
 	idle part = iota
+	requestLine
 	statusLine
 	headerLine
 	lengthBody
@@ -63,6 +64,8 @@
 		line []byte
 		// left is what is missing of a body or a chunk, in bytes.
 		left int64
+		// isRequest is set if the messages are requests.
+		isRequest bool
 	}
 
 	// Error says why bytes are no valid response.
@@ -105,6 +108,10 @@
 	c.part, c.method, c.head, c.line = statusLine, method, head{}, nil
 }
 
+// EndsWithConnection reports whether the body of the response that is being received has neither a length nor
+// chunks, so that only the end of the connection can tell its end.
+func (c *Checker) EndsWithConnection() bool { return c.part == closeBody }
+
 // Check checks the next bytes and returns how many of them a client may read. The error is an *Error if the
 // byte behind them completes a line that isn't valid, and io.EOF if no response is due.
 func (c *Checker) Check(p []byte) (n int, err error) {
@@ -155,10 +162,13 @@
 func (c *Checker) endLine(line string) error {
 	text, hasCR := strings.CutSuffix(line, "\r")
 	// RFC 9112 lets recipients accept a line feed alone in the head only.
-	if isHead := c.part == statusLine || c.part == headerLine; !hasCR && !isHead {
+	if isHead := c.part == requestLine || c.part == statusLine || c.part == headerLine; !hasCR && !isHead {
 		return invalid("a line of a chunked body ends without a carriage return")
 	}
 	switch {
+	case c.part == requestLine:
+		c.head = head{minor: '1', status: http.StatusOK} // the framing of a response with this status
+		c.part = headerLine
 	case c.part == statusLine:
 		return c.endStatusLine(text)
 	case c.part == chunkSize:
@@ -265,7 +275,7 @@
 		c.part = idle
 	case h.codings > 0:
 		c.part = chunkSize
-	case h.lengthText == "":
+	case h.lengthText == "" && !c.isRequest:
 		c.part = closeBody
 	case h.length > 0:
 		c.part, c.left = lengthBody, h.length
