conns: an encrypted body that ends without a close notification isn't complete

A client over TLS got the first part of a body without a length as the whole when the connection below ended between two records, which anyone on the way can bring about.

Cause: tls.Conn returns the same orderly end for a close notification and for an end without one. The connection below returns an error for its end now, which tls.Conn passes on; a notification is found before it.

TestEncryptedEnd failed before (nil instead of an error); it also checks that a body that ends with a notification is complete.

--- a/conns/check.go
+++ b/conns/check.go
@@ -41,9 +41,15 @@
 		conn *checkedConn
 	}
 
+	// encryptedConn is a connection below TLS. Its end is an error: an orderly end comes with a close
+	// notification, and tls.Conn doesn't tell whether there was one.
+	encryptedConn struct{ net.Conn }
+
 	dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 )
 
+var errNoCloseNotification = errors.Wrap(io.ErrUnexpectedEOF, "the connection ended without a close notification")
+
 // Check returns a transport that checks the responses that tr receives. It changes tr, which must not be
 // in use, and not use HTTP/2.
 func Check(tr *http.Transport) *Transport {
@@ -132,7 +138,7 @@
 		if cfg.ServerName == "" {
 			cfg.ServerName = host
 		}
-		secure := tls.Client(c, cfg)
+		secure := tls.Client(encryptedConn{c}, cfg)
 		if err := secure.HandshakeContext(ctx); err != nil {
 			return nil, errors.CombineErrors(&net.OpError{Op: "dial", Net: network, Err: err}, c.Close())
 		}
@@ -140,6 +146,18 @@
 	}
 }
 
+// Read implements net.Conn.
+func (c encryptedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errNoCloseNotification
+	}
+	return n, err
+}
+
+// NetConn returns the connection that c wraps.
+func (c encryptedConn) NetConn() net.Conn { return c.Conn }
+
 // expect says that a request is about to be sent on the connection.
 func (c *checkedConn) expect(method string) {
 	c.upload.begin()
--- a/conns/check_test.go
+++ b/conns/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -182,3 +183,36 @@
 	_, err = NewClient(New()).Get(srv.URL + "/sound") //nolint:bodyclose // The certificate isn't known.
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against a part of a body that passes for the whole: an encrypted connection that ends without a close
+// notification may have been cut by anyone, and its body has no length.
+func TestEncryptedEnd(t *testing.T) {
+	for _, isCut := range []bool{false, true} {
+		g := NewWithT(t)
+		srv := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, endlessHead+"part") // the client stays
+			if isCut {
+				c = c.(*tls.Conn).NetConn()
+			}
+			_ = c.Close()
+		}))
+		c := NewClient(New(patiently, func(tr *http.Transport) {
+			tr.TLSClientConfig = srv.Client().Transport.(*http.Transport).TLSClientConfig
+		}))
+		resp, err := c.Get(srv.URL)
+		g.Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		g.Expect(string(body)).To(Equal("part"))
+		if isCut {
+			g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		} else {
+			g.Expect(err).NotTo(HaveOccurred())
+		}
+		srv.Close()
+	}
+}
