accept: a response to HTTP/1.0 that is given up ends with a reset

A caller of HTTP/1.0 whose stream broke off got its first events as the whole stream.

Cause: such a caller has no chunks; the end of the connection is the end of the body. A handler that gives up panics with http.ErrAbortHandler, and net/http closes the connection in the orderly way, as it does with connections that are still busy when the grace period is over and as an eviction does. All three reset the connection now if the request is of HTTP/1.0.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -158,16 +158,19 @@
 		if !ok {
 			panic(http.ErrAbortHandler) // the connection was closed to make room for others
 		}
-		defer c.end(claim)
+		isDone := false
+		defer func() { c.end(claim, isDone) }()
 		if !claim.Grow(headBytes(r)) {
 			w.Header().Set("Retry-After", retryAfter)
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
+			isDone = true
 			return
 		}
 		b := newBody(lim, claim, w, r)
 		defer b.release()
 		h.ServeHTTP(w, r)
+		isDone = true
 	})
 }
 
@@ -201,6 +204,9 @@
 	// done with the last one, which includes what is left of its body.
 	active     int
 	hasRequest bool
+	// isOld is set if the last request is of HTTP/1.0, so that the end of the connection may be that of a body.
+	// isAnswered is set once its handler is done.
+	isOld, isAnswered bool
 	// isMultiplexed is set if several requests may be handled at a time, as with HTTP/2: the heads then
 	// have a limit each, and aren't counted while they are read.
 	isMultiplexed atomic.Bool
@@ -250,6 +256,7 @@
 	defer c.mu.Unlock()
 	c.active++
 	c.hasRequest = true
+	c.isOld, c.isAnswered = !r.ProtoAtLeast(1, 1), false
 	c.isMultiplexed.Store(r.ProtoMajor > 1)
 	claim = c.head
 	c.head = nil
@@ -265,14 +272,19 @@
 	return claim, true
 }
 
-// end ends a request.
-func (c *conn) end(claim *bound.Claim) {
+// end ends a request. If its handler gave up, the connection may not end in an orderly way.
+func (c *conn) end(claim *bound.Claim, isDone bool) {
 	claim.Release()
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.active--; c.active == 0 {
 		c.slot.SetRank(rankWriting) // the end of the response is yet to be written
 	}
+	c.isAnswered = isDone
+	isCut := c.isOld && !isDone
+	c.mu.Unlock()
+	if isCut {
+		c.cut() // now: below TLS the server would send a close notification first
+	}
 }
 
 // idle notes that the server waits for the next request.
@@ -315,10 +327,14 @@
 	c.mu.Lock()
 	head := c.head
 	c.head = nil
+	isCut := c.isOld && c.hasRequest && !c.isAnswered
 	c.mu.Unlock()
 	if head != nil {
 		head.Release()
 	}
+	if isCut {
+		c.resetOnClose()
+	}
 	return c.Conn.Close()
 }
 
@@ -333,4 +349,20 @@
 }
 
 // cut closes the connection under the server, which then ends its requests.
-func (c *conn) cut() { _ = c.Conn.Close() }
+func (c *conn) cut() {
+	c.mu.Lock()
+	isOld := c.isOld && c.hasRequest
+	c.mu.Unlock()
+	if isOld {
+		c.resetOnClose()
+	}
+	_ = c.Conn.Close()
+}
+
+// resetOnClose has the connection end with a reset. To a client of HTTP/1.0 an orderly end is that of the body,
+// and the part that it has would be complete.
+func (c *conn) resetOnClose() {
+	if s, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = s.SetLinger(0) // fails only if the connection is closed
+	}
+}
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -25,6 +25,7 @@
 	addr     string
 	limiter  *Limiter
 	requests *bound.Pool
+	http     *http.Server
 }
 
 func serve(t *testing.T, connections int, requestMemory int64, h http.HandlerFunc, opts ...Option) *server {
@@ -36,9 +37,9 @@
 	}
 	s := &server{addr: l.Addr().String(), requests: bound.New(requestMemory)}
 	s.limiter = New(connections, s.requests, opts...)
-	srv := &http.Server{Handler: s.limiter.Handler(h), ConnContext: s.limiter.WithConn, ConnState: s.limiter.ConnState, ReadHeaderTimeout: waitTimeout}
-	go func() { _ = srv.Serve(s.limiter.Listener(l)) }() // returns when srv is closed
-	t.Cleanup(func() { _ = srv.Close() })
+	s.http = &http.Server{Handler: s.limiter.Handler(h), ConnContext: s.limiter.WithConn, ConnState: s.limiter.ConnState, ReadHeaderTimeout: waitTimeout}
+	go func() { _ = s.http.Serve(s.limiter.Listener(l)) }() // returns when it is closed
+	t.Cleanup(func() { _ = s.http.Close() })
 	return s
 }
 
