proxy: cut answers are logged and counted

An endpoint in trouble that answers before it has the request and resets the connection was seen in nothing but the error of "Request done.". "Response cut short." names the request and the endpoint now, and cut_responses_total counts by service, for calls, scoring calls, streams and errors to streams; after the last kind the endpoint is avoided, too. TestCutResponseIsLogged failed before (0 lines instead of 1; with the counter alone, for an error to a stream).

--- a/proxy/lines_test.go
+++ b/proxy/lines_test.go
@@ -7,12 +7,15 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/h1resp"
@@ -159,3 +162,54 @@
 	g.Expect(found).To(Equal(1))
 	g.Expect(time.Now().Before(set.All()[0].AvoidUntil)).To(BeTrue())
 }
+
+// cutBody is a body whose connection was reset while the request was sent.
+type cutBody struct{}
+
+func (cutBody) Read([]byte) (int, error) { return 0, &conns.CutShortError{Cause: syscall.ECONNRESET} }
+
+func (cutBody) Close() error { return nil }
+
+// cutSender answers each call with a status and a body that is cut.
+type cutSender struct{ status int }
+
+func (s cutSender) Send(context.Context, upstr.Call) (*upstr.Response, error) {
+	return &upstr.Response{Status: s.status, Receipt: "r", Body: cutBody{}, Length: -1}, nil
+}
+
+// Guards against an endpoint in trouble that nobody sees: it answers before it has the request, and resets the
+// connection. That must be logged and counted once, for calls, streams and errors to streams, and the
+// endpoint be avoided.
+func TestCutResponseIsLogged(t *testing.T) {
+	for _, c := range []struct {
+		kind   manif.Kind
+		status int
+	}{{manif.AtMostOnce, http.StatusOK}, {manif.Stream, http.StatusOK}, {manif.Stream, http.StatusInternalServerError}} {
+		g := NewWithT(t)
+		var log bytes.Buffer
+		set, counts := epset.New(func() {}), meter.New()
+		set.Put(endpt.Endpoint{ID: "desk-0", Service: "desk", Slots: 1})
+		f := New(set, cutSender{c.status}, "dc-a", logs.New(&log), counts)
+		route := &manif.Route{Name: "r", Kind: c.kind, MaxAttempts: 1, Split: []manif.WeightedService{{Service: "desk", Weight: 1}}}
+		var err error
+		if c.kind == manif.AtMostOnce {
+			_, err = f.Forward(t.Context(), Request{ID: "one", Route: route})
+		} else {
+			_, err = f.Stream(t.Context(), Request{ID: "one", Route: route}, "", upstr.FromStart, discardSink{})
+		}
+		var unknown *UnknownOutcomeError
+		g.Expect(errors.As(err, &unknown)).To(BeTrue(), "%v", err)
+		found := 0
+		_, _, err = lines.Read(&log, []string{"Response cut short."}, func(l lines.Line) {
+			g.Expect(l.Fields).To(And(HaveKeyWithValue("request", "one"), HaveKeyWithValue("endpoint", "desk-0"),
+				HaveKeyWithValue("service", "desk"), HaveKeyWithValue("error", ContainSubstring("connection reset"))))
+			found++
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found).To(Equal(1))
+		g.Expect(time.Now().Before(set.All()[0].AvoidUntil)).To(BeTrue())
+		count := counts.Registry().Get(`lavendermux_cut_responses_total{service="desk"}`)
+		g.Expect(count).NotTo(BeNil())
+		g.Expect(count.(metrics.Counter).Count()).To(BeEquivalentTo(1))
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lavendermux/lavendermux/bound"
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/epset"
 	"github.com/lavendermux/lavendermux/guard"
@@ -343,9 +344,14 @@
 func (f *Forwarder) recordFailure(ctx context.Context, r Request, e endpt.Endpoint, err error) {
 	var notRun *upstr.NotRunError
 	var invalid *h1resp.Error
-	if errors.As(err, &invalid) {
+	var cut *conns.CutShortError
+	switch {
+	case errors.As(err, &invalid):
 		f.meter.Count("invalid_responses_total", 1, "service", e.Service)
 		f.logger.Warn("Invalid response.", "request", r.ID, "endpoint", e.ID, "service", e.Service, "error", invalid)
+	case errors.As(err, &cut):
+		f.meter.Count("cut_responses_total", 1, "service", e.Service)
+		f.logger.Warn("Response cut short.", "request", r.ID, "endpoint", e.ID, "service", e.Service, "error", cut)
 	}
 	switch {
 	case errors.As(err, &notRun) && notRun.Gone:
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lavendermux/lavendermux/conns"
 	"github.com/lavendermux/lavendermux/endpt"
 	"github.com/lavendermux/lavendermux/guard"
 	"github.com/lavendermux/lavendermux/h1resp"
@@ -180,7 +181,8 @@
 func (s *streamRequest) forwardResponse(ctx context.Context, e endpt.Endpoint, a *upstr.Response) error {
 	body, err := s.f.readBody(s.r, a)
 	var invalid *h1resp.Error
-	if errors.As(err, &invalid) {
+	var cut *conns.CutShortError
+	if errors.As(err, &invalid) || errors.As(err, &cut) {
 		s.f.recordFailure(ctx, s.r, e, err)
 	}
 	if err != nil || s.headSent {
