--- a/accept/cut_test.go
+++ b/accept/cut_test.go
@@ -89,3 +89,22 @@
 	g.Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 	g.Expect(part).To(HaveLen(size))
 }
+
+// Guards against a part of a body that passes for the whole: as above, to a client that doesn't read and is evicted.
+func TestEvictedOldClient(t *testing.T) {
+	g := NewWithT(t)
+	const size = 64 << 20
+	s := serve(t, 1, 1<<20, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size)) // fails when the client is evicted
+	})
+	resp, err := http.ReadResponse(bufio.NewReader(s.dial(t, "GET / HTTP/1.0\r\n\r\n")), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer resp.Body.Close()
+	g.Eventually(func() int64 {
+		_ = s.dial(t, "").Close() // needs the place
+		return s.limiter.Connections().Evictions()
+	}, waitTimeout, 100*time.Millisecond).Should(BeNumerically(">", 0))
+	n, err := io.Copy(io.Discard, resp.Body)
+	g.Expect(n).To(BeNumerically("<", size))
+	g.Expect(err).To(HaveOccurred())
+}
--- a/conns/ending.go
+++ b/conns/ending.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// maxUploadStall bounds how long the end of a response waits while nothing more of the request is written
-	// or received. A connection on which sent bytes remain unacknowledged for that long counts as broken.
+	// maxUploadStall bounds how long the end of a response waits for the next bytes of the request to be
+	// written, and for what is written to be received. A connection on which sent bytes remain
+	// unacknowledged for that long counts as broken.
 	maxUploadStall = tcpUserTimeout
 	// resetDelay is how long a reset may take that answers the last bytes of a request: several round
 	// trips between data centres.
