broute, brun: a takeover by an outdated record asks whether anyone hears the owner

An entry whose record of a batch names an earlier owner took the batch from the present one, if it alone doesn't hear that: the question through a peer went to the earlier owner. A takeover that finds another owner than it expected now asks its peers first. TestTakeoverByAnOutdatedRecord fails before.

A read prefers a confirmation that came with a write to the error of an earlier check, and a check that the store has answered doesn't ask the replicas.

--- a/broute/adopt.go
+++ b/broute/adopt.go
@@ -120,7 +120,7 @@
 	}
 	d.correctAge(&cur)
 	from := cur.Owner
-	if _, alive := d.mesh.FindHolder(from); alive && from != rec.Owner {
+	if from != rec.Owner && d.isHeard(ctx, from) {
 		d.cacheHead(cur)
 		return cur, &bstore.FencedError{ID: rec.ID, Now: cur.Head}
 	}
@@ -134,6 +134,16 @@
 	return cur, d.load(ctx, &cur, from, mustSeal)
 }
 
+// isHeard reports whether this instance or one of its peers hears an owner.
+func (d *Router) isHeard(ctx context.Context, owner string) bool {
+	n, alive := d.mesh.FindHolder(owner)
+	if alive || n.Name == "" {
+		return alive
+	}
+	_, heard := d.mesh.Witness(ctx, n.Name)
+	return heard
+}
+
 // load reads what there is of a batch and runs it here, or serves it if it has ended.
 func (d *Router) load(ctx context.Context, cur *bstore.Record, from string, mustSeal bool) error {
 	sub, err := d.store.Submission(ctx, *cur)
--- a/broute/reads_test.go
+++ b/broute/reads_test.go
@@ -9,7 +9,9 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	"github.com/lavendermux/lavendermux/batch"
 	"github.com/lavendermux/lavendermux/brun"
+	"github.com/lavendermux/lavendermux/bstore"
 	"github.com/lavendermux/lavendermux/mesh"
 )
 
@@ -268,3 +270,29 @@
 		}
 	})
 }
+
+// An entry knows only an earlier owner of a batch, and doesn't hear the present one, which all others hear. It
+// must not take the batch from that.
+func TestTakeoverByAnOutdatedRecord(t *testing.T) {
+	withCluster(t, func(ctx context.Context, c *cluster) {
+		owner, other := c.entries[0], c.entries[1]
+		sub := submission("b")
+		rec, _, err := owner.store.Create(ctx, sub, owner.self, owner.replicas.Choose("b", nil), time.Now())
+		c.g.Expect(err).NotTo(HaveOccurred())
+		owner.runner.Add(ctx, rec, sub, nil, nil)
+		time.Sleep(time.Second)
+		c.net.Partition(owner.ip, other.ip)
+		time.Sleep(lossTime)
+		before, err := owner.store.Load(ctx, "b")
+		c.g.Expect(err).NotTo(HaveOccurred())
+		holder, outdated := owner, other
+		if before.Owner == other.self {
+			holder, outdated = other, owner
+		}
+		outdated.runner.Drop("b", "replaced")
+		err = outdated.joinTakeover(ctx, bstore.Record{ID: "b", Head: batch.Head{Owner: "an earlier one", Epoch: firstEpoch}})
+		var fenced *bstore.FencedError
+		c.g.Expect(errors.As(err, &fenced)).To(BeTrue(), "error %v", err)
+		c.g.Expect(fenced.Now.Owner).To(Equal(holder.self))
+	})
+}
--- a/brun/ask.go
+++ b/brun/ask.go
@@ -13,8 +13,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var isOver bool
-	var checked *tracked
+	// check is closed at the end of the check of the ownership of owned; nil if there was none.
 	var check <-chan struct{}
+	var owned *tracked
 	for {
 		r.mu.Lock()
 		b, ok := r.tracked[id]
@@ -22,31 +23,30 @@
 			r.mu.Unlock()
 			return Page{}, &NotFoundError{ID: id}
 		}
-		if b != checked {
-			checked, check = b, nil
+		if b != owned {
+			owned, check = b, nil
 		}
 		page, changed := b.page(after, limit), b.changed
 		isOver = isOver || b.ended || b.published == len(b.items)
-		isChecked := check != nil && isClosed(check)
+		isAnswer, err := len(page.Results) > 0, error(nil)
 		switch {
-		case len(page.Results) > 0:
+		case isAnswer:
 			r.noteRead(b, page.Next)
-			r.mu.Unlock()
-			return page, nil
-		case isOver && (b.isConfirmed(time.Now()) || isChecked):
-			err := b.confirmErr
-			if !page.Final {
-				page.ConfirmedMs = time.Since(b.confirmedAt).Milliseconds()
-			}
-			r.mu.Unlock()
-			if isChecked && err != nil {
-				return Page{}, err
-			}
-			return page, nil
-		case isOver && check == nil:
+		case !isOver:
+		case b.isConfirmed(time.Now()):
+			isAnswer = true
+		case check == nil:
 			check = r.startConfirmation(b)
+		case isClosed(check):
+			isAnswer, err = true, b.confirmErr
+		}
+		if isAnswer && len(page.Results) == 0 && !page.Final {
+			page.ConfirmedMs = time.Since(b.confirmedAt).Milliseconds()
 		}
 		r.mu.Unlock()
+		if isAnswer {
+			return page, err
+		}
 		select {
 		case <-changed:
 		case <-check:
--- a/brun/confirm.go
+++ b/brun/confirm.go
@@ -66,6 +66,7 @@
 	return b.confirming
 }
 
+// runConfirmation confirms ownership of a batch as of now, or drops the batch if it has another owner.
 func (r *Runner) runConfirmation(b *tracked, done chan struct{}) {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
@@ -128,6 +129,8 @@
 		case <-storeFailed:
 		case <-wait.C:
 		case <-ctx.Done():
+			answers <- answer{"replicas", ctx.Err()}
+			return
 		}
 		answers <- answer{"replicas", r.checkReplicas(ctx, b)}
 	}()
