--- a/node/retire.go
+++ b/node/retire.go
@@ -135,8 +135,8 @@
 		return
 	}
 	r.repeatedAt = time.Now()
-	n.logger.Info("Instance not emptied yet.", "retired", r.instance, "batches", firstOf(use.Batches), "batch_count", len(use.Batches), "models", firstOf(use.Models),
-		"model_count", len(use.Models), "unstored", use.Unstored, "error", err, "took", time.Since(r.since).Round(time.Millisecond))
+	n.logger.Info("Instance not emptied yet.", "retired", r.instance, "batches", firstOf(use.Batches), "batchCount", len(use.Batches), "models", firstOf(use.Models),
+		"modelCount", len(use.Models), "unstored", use.Unstored, "error", err, "took", time.Since(r.since).Round(time.Millisecond))
 	n.router.EnsureOwned(use)
 	if r.instance == n.cfg.Instance {
 		n.router.HandOver(ctx)
